--- /dev/null
+++ b/cmd/sardinelock/cmd/agent.go
@@ -0,0 +1,57 @@
+package cmd
+
+import (
+	"net/netip"
+
+	"github.com/spf13/cobra"
+
+	"sardinelock.dev/sardinelock/internal/agent"
+	"sardinelock.dev/sardinelock/internal/messenger"
+)
+
+func newAgentCommand() *cobra.Command {
+	var site siteFlags
+	s := agent.Settings{
+		Listen:       netip.MustParseAddrPort("127.0.0.1:7410"),
+		DrainTimeout: drainTimeout,
+	}
+	c := &cobra.Command{
+		Use:   "agent",
+		Short: "Run an agent, which guards one upstream",
+		Long: `Run an agent, which guards one upstream.
+
+The upstream announces itself to the agent over HTTP on --listen. The agent
+learns all entries from those given with --entry.`,
+		Example: `  sardinelock agent --entry 127.0.0.1:7401 --data-centre ub-1 --rack r3`,
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			faults := site.faults()
+			if len(s.Entries) == 0 {
+				faults = append(faults, "--entry must be set")
+			}
+			if s.DrainTimeout <= 0 {
+				faults = append(faults, "--drain-timeout must be positive")
+			}
+			if err := usageFaults(faults); err != nil {
+				return err
+			}
+			s.Peer = newPeer(messenger.RoleAgent)
+			s.Region = site.region
+			s.DataCentre = site.dataCentre
+			s.Limits = agentLimits()
+			s.Logger = newLogger(site.logLevel)
+			a, err := agent.New(s)
+			if err != nil {
+				return err
+			}
+			return a.Run(c.Context())
+		},
+	}
+	f := c.Flags()
+	site.register(f)
+	f.StringVar(&s.Rack, "rack", "default", "rack of this process")
+	f.Var(addrFlag{&s.Listen}, "listen", "address for announcements of the upstream")
+	f.Var(addrsFlag{&s.Entries}, "entry", "peer addresses of some entries")
+	f.DurationVar(&s.DrainTimeout, "drain-timeout", s.DrainTimeout, "how long a shutdown waits for running tasks")
+	return c
+}
--- /dev/null
+++ b/cmd/sardinelock/cmd/entry.go
@@ -0,0 +1,61 @@
+package cmd
+
+import (
+	"net/netip"
+
+	"github.com/spf13/cobra"
+
+	"sardinelock.dev/sardinelock/internal/dispatcher"
+	"sardinelock.dev/sardinelock/internal/messenger"
+)
+
+func newEntryCommand() *cobra.Command {
+	var site siteFlags
+	s := dispatcher.Settings{
+		CallerListen: netip.MustParseAddrPort("127.0.0.1:7400"),
+		PeerListen:   netip.MustParseAddrPort("127.0.0.1:7401"),
+		AdminListen:  netip.MustParseAddrPort("127.0.0.1:7402"),
+		DrainTimeout: drainTimeout,
+	}
+	c := &cobra.Command{
+		Use:   "entry",
+		Short: "Run an entry, which takes jobs from callers",
+		Long: `Run an entry, which takes jobs from callers.
+
+It prints one JSON line with the event "ready" and the bound addresses once it
+serves. SIGTERM lets it finish what is in flight and exit with code 0.`,
+		Example: `  sardinelock entry --platform 127.0.0.1:7500 --data-centre ub-1
+  SARDINELOCK_PLATFORM=127.0.0.1:7500 sardinelock entry --caller-listen 127.0.0.1:0`,
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			faults := site.faults()
+			if !s.Platform.IsValid() {
+				faults = append(faults, "--platform must be set")
+			}
+			if s.DrainTimeout <= 0 {
+				faults = append(faults, "--drain-timeout must be positive")
+			}
+			if err := usageFaults(faults); err != nil {
+				return err
+			}
+			s.Peer = newPeer(messenger.RoleEntry)
+			s.Region = site.region
+			s.DataCentre = site.dataCentre
+			s.Limits = entryLimits()
+			s.Logger = newLogger(site.logLevel)
+			e, err := dispatcher.New(s)
+			if err != nil {
+				return err
+			}
+			return e.Run(c.Context())
+		},
+	}
+	f := c.Flags()
+	site.register(f)
+	f.Var(addrFlag{&s.CallerListen}, "caller-listen", "address for callers")
+	f.Var(addrFlag{&s.PeerListen}, "peer-listen", "address for agents and other entries")
+	f.Var(addrFlag{&s.AdminListen}, "admin-listen", "address for administration and metrics")
+	f.Var(addrFlag{&s.Platform}, "platform", "address of the platform's services")
+	f.DurationVar(&s.DrainTimeout, "drain-timeout", s.DrainTimeout, "how long a shutdown waits for requests in flight")
+	return c
+}
--- /dev/null
+++ b/cmd/sardinelock/cmd/submit.go
@@ -0,0 +1,97 @@
+package cmd
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+
+	"sardinelock.dev/sardinelock/pkg/submitter"
+)
+
+func newSubmitCommand() *cobra.Command {
+	var (
+		entries           []netip.AddrPort
+		service, file, id string
+		team              string
+		deadline          time.Duration
+	)
+	c := &cobra.Command{
+		Use:   "submit",
+		Short: "Submit a job and print its answer",
+		Long: `Submit a job and print its answer as JSON.
+
+The exit code is 0 for complete, 3 for failed, 4 for not-run and 5 for unknown.`,
+		Example: `  sardinelock submit --entry 127.0.0.1:7400 --service quote --file examples/quote.json`,
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			var faults []string
+			if len(entries) == 0 {
+				faults = append(faults, "--entry must be set")
+			}
+			if service == "" {
+				faults = append(faults, "--service must be set")
+			}
+			if file == "" {
+				faults = append(faults, "--file must be set")
+			}
+			if err := usageFaults(faults); err != nil {
+				return err
+			}
+			job, err := readJobFile(file)
+			if err != nil {
+				return err
+			}
+			if deadline > 0 {
+				job.Deadline = submitter.Duration(deadline)
+			}
+			client := submitter.New(submitter.Options{Entries: entries, Team: team})
+			answer, err := client.Submit(c.Context(), service, id, *job)
+			if err != nil {
+				return err
+			}
+			return printAnswer(c.OutOrStdout(), answer)
+		},
+	}
+	f := c.Flags()
+	f.Var(addrsFlag{&entries}, "entry", "callers' addresses of entries")
+	f.StringVar(&service, "service", "", "name of the service")
+	f.StringVar(&file, "file", "", "file with the job, as JSON")
+	f.StringVar(&id, "submission-id", "", "submission id to use (default: a new one)")
+	f.StringVar(&team, "team", "", "team of the caller")
+	f.DurationVar(&deadline, "deadline", 0, "deadline of the job (default: the job's or the service's)")
+	return c
+}
+
+// readJobFile reads a job. An error names the file and the byte.
+func readJobFile(name string) (*submitter.Job, error) {
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	job := new(submitter.Job)
+	dec := json.NewDecoder(bytes.NewReader(text))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(job); err != nil {
+		return nil, errors.Errorf("%s: at byte %d: %v", name, dec.InputOffset(), err)
+	}
+	return job, nil
+}
+
+// printAnswer prints an answer and returns an error that carries its exit code.
+func printAnswer(w io.Writer, a submitter.Answer) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	if err := enc.Encode(a); err != nil {
+		return errors.Trace(err)
+	}
+	if a.Outcome != submitter.OutcomeComplete {
+		return &outcomeError{a.Outcome}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,207 @@
+// Package agent runs the process beside one upstream: it accepts the upstream's
+// announcements, dials every entry, and drives the guard on the control thread.
+//
+// Nothing is decided here. Each call of the upstream runs on a goroutine of its
+// own and posts its end to the control thread.
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/phuslu/log"
+
+	"sardinelock.dev/sardinelock/internal/connector"
+	"sardinelock.dev/sardinelock/internal/controller"
+	"sardinelock.dev/sardinelock/internal/guard"
+	"sardinelock.dev/sardinelock/internal/invoker"
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/timer"
+)
+
+// Settings are the process settings of an agent.
+type Settings struct {
+	Peer       messenger.Peer // Peer names this run of the agent.
+	Region     string
+	DataCentre string
+	Rack       string
+	// Listen is where the upstream announces itself.
+	Listen netip.AddrPort
+	// Entries are the peer addresses of some entries; the agent learns the others.
+	Entries      []netip.AddrPort
+	Limits       guard.Limits
+	DrainTimeout time.Duration
+	Logger       *log.Logger
+}
+
+const (
+	tickEvery = 50 * time.Millisecond
+	dialEvery = 250 * time.Millisecond
+)
+
+// Agent is a running agent.
+type Agent struct {
+	settings Settings
+	loop     *controller.Loop
+	timers   *timer.Service
+	counts   connector.Counts
+	listener net.Listener
+	server   *http.Server
+
+	// The fields below belong to the control thread.
+	guard   *guard.Guard
+	invoker *invoker.Invoker
+	conns   map[messenger.Peer]*connector.Conn
+	targets map[netip.AddrPort]bool // targets has the entries' addresses; true while one is connected or dialled.
+	calls   map[guard.TaskRef]context.CancelFunc
+
+	background context.Context // background ends after the drain.
+	stop       context.CancelFunc
+	ready      chan struct{}
+}
+
+// New returns an agent that is bound to its address but does not serve yet.
+func New(s Settings) (*Agent, error) {
+	l, err := net.Listen("tcp", s.Listen.String())
+	if err != nil {
+		return nil, &Error{Op: "start", Kind: KindListen, Err: err}
+	}
+	a := &Agent{
+		settings: s,
+		timers:   timer.New(),
+		listener: l,
+		guard:    guard.New(time.Now(), s.Limits),
+		conns:    make(map[messenger.Peer]*connector.Conn),
+		targets:  make(map[netip.AddrPort]bool),
+		calls:    make(map[guard.TaskRef]context.CancelFunc),
+		ready:    make(chan struct{}),
+	}
+	for _, addr := range s.Entries {
+		a.targets[addr] = false
+	}
+	a.background, a.stop = context.WithCancel(context.Background())
+	a.loop = controller.New(a.flush)
+	a.server = a.newServer()
+	return a, nil
+}
+
+// Addr returns the bound address for announcements.
+func (a *Agent) Addr() netip.AddrPort { return a.listener.Addr().(*net.TCPAddr).AddrPort() }
+
+// Ready is closed once the agent serves.
+func (a *Agent) Ready() <-chan struct{} { return a.ready }
+
+// Run serves until the context ends, then drains and returns.
+func (a *Agent) Run(ctx context.Context) error {
+	var g run.Group
+	loopCtx, stopLoop := context.WithCancel(context.Background())
+	g.Add(func() error { return a.loop.Run(loopCtx) }, func(error) { stopLoop() })
+	g.Add(a.serve, func(error) { _ = a.server.Close() })
+	drainCtx, cancelDrain := context.WithCancel(ctx)
+	g.Add(func() error { return a.waitAndDrain(drainCtx) }, func(error) { cancelDrain() })
+
+	a.timers.Subscribe(tickEvery, func(time.Time) {
+		a.loop.Post(func(now time.Time) { a.guard.Tick(now) })
+	})
+	a.timers.Subscribe(dialEvery, func(time.Time) { a.loop.Post(a.dialEntries) })
+	a.loop.Post(a.dialEntries)
+	a.settings.Logger.Info().
+		Str("event", "ready").
+		Str("role", string(messenger.RoleAgent)).
+		Str("peer", string(a.settings.Peer)).
+		Str("address", a.Addr().String()).
+		Msg("agent is ready")
+	close(a.ready)
+	err := g.Run()
+	a.timers.Stop()
+	return err
+}
+
+// waitAndDrain waits for the end of the context, refuses new starts and waits
+// for the tasks that run.
+func (a *Agent) waitAndDrain(ctx context.Context) error {
+	<-ctx.Done()
+	a.settings.Logger.Info().Str("event", "draining").Msg("agent finishes what runs")
+	a.loop.Post(func(now time.Time) {
+		upstream, _ := a.guard.Upstream()
+		upstream.Leaving = true
+		a.guard.Announce(now, upstream)
+	})
+	deadline := time.Now().Add(a.settings.DrainTimeout)
+	for time.Now().Before(deadline) && !a.idle() {
+		time.Sleep(tickEvery)
+	}
+	a.stop()
+	return nil
+}
+
+// idle reports whether no task runs or waits. It must not be called on the
+// control thread.
+func (a *Agent) idle() bool {
+	idle := true
+	a.loop.Call(func(time.Time) { idle = a.guard.Running() == 0 && a.guard.Waiting() == 0 })
+	return idle
+}
+
+// flush carries out what the guard decided. It runs on the control thread.
+func (a *Agent) flush(now time.Time) {
+	out := a.guard.Take(now)
+	for _, ref := range out.Aborts {
+		if cancel := a.calls[ref]; cancel != nil {
+			cancel()
+		}
+	}
+	for _, call := range out.Invocations {
+		a.invoke(call)
+	}
+	for _, s := range out.Sends {
+		if conn := a.conns[s.To]; conn != nil {
+			conn.Send(s.Frame)
+		}
+	}
+}
+
+// invoke calls the upstream for one task. It runs on the control thread; the
+// call itself does not.
+func (a *Agent) invoke(call guard.Invocation) {
+	upstream, _ := a.guard.Upstream()
+	ctx, cancel := context.WithDeadline(a.background, call.EndBy)
+	a.calls[call.Ref] = cancel
+	inv := a.invoker
+	go func() {
+		begun := time.Now()
+		reply, err := inv.Call(ctx, invoker.Call{
+			Upstream:   upstream.Address,
+			Path:       call.Path,
+			Submission: call.Ref.Submission,
+			Task:       call.Ref.Index,
+			Payload:    call.Payload,
+			Deadline:   call.EndBy,
+		})
+		cancel()
+		result := taskResult(call.Ref, time.Since(begun), reply, err)
+		a.loop.Post(func(now time.Time) {
+			delete(a.calls, call.Ref)
+			a.guard.Ended(now, call.Ref, result)
+		})
+	}()
+}
+
+func taskResult(ref guard.TaskRef, took time.Duration, reply invoker.Reply, err error) messenger.TaskResult {
+	r := messenger.TaskResult{
+		Index:           ref.Index,
+		Kind:            messenger.ResultDone,
+		Payload:         reply.Payload,
+		RunTime:         took,
+		PeakMemoryBytes: reply.PeakMemoryBytes,
+	}
+	if err != nil {
+		r.Kind = messenger.ResultFailed
+		r.Detail = err.Error()
+	}
+	return r
+}
--- /dev/null
+++ b/internal/configurer/error.go
@@ -0,0 +1,28 @@
+package configurer
+
+import "fmt"
+
+// Kind says what is wrong with a configuration.
+type Kind string
+
+// The kinds of errors of this package.
+const (
+	KindSyntax  Kind = "syntax"
+	KindInvalid Kind = "invalid"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string // Op is the operation that failed.
+	Kind Kind   // Kind is one of the Kind constants.
+	File string // File is the name of the file at fault.
+	Err  error  // Err is the cause and is never nil.
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("configuration: %s %s: %s: %v", e.Op, e.File, e.Kind, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/connector/conn.go
@@ -0,0 +1,221 @@
+// Package connector moves frames between two processes over a WebSocket.
+//
+// A [Conn] has a bounded queue of outgoing frames and one goroutine that writes
+// them: whatever has gathered while a write was under way goes out as one
+// message. A peer that reads too slowly fills the queue, and then its connection
+// is closed; nothing else waits for it. A peer that sends what cannot be decoded
+// or is too large loses its connection as well.
+package connector
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"sardinelock.dev/sardinelock/internal/messenger"
+)
+
+const (
+	queueFrames     = 4096
+	maxBatchBytes   = 1 << 20
+	writeTimeout    = 5 * time.Second
+	handshakeWindow = 5 * time.Second
+)
+
+// Path is the HTTP path at which processes accept peers.
+const Path = "/v1/peer"
+
+// Counts are the totals of one connection or of a set of connections.
+type Counts struct {
+	MessagesSent atomic.Uint64
+	BytesSent    atomic.Uint64
+	MessagesRead atomic.Uint64
+	BytesRead    atomic.Uint64
+}
+
+// Conn is one connection to a peer.
+type Conn struct {
+	ws     *websocket.Conn
+	hello  messenger.Hello // hello is what the peer said first; it does not change.
+	queue  chan *messenger.Frame
+	counts *Counts
+	ctx    context.Context
+	cancel context.CancelFunc
+	once   sync.Once
+}
+
+// Options are what both sides of a connection need.
+type Options struct {
+	Hello  func() messenger.Hello // Hello returns the first message to the peer.
+	Counts *Counts                // Counts receives the totals; it must not be nil.
+	Client *http.Client           // Client is used by Dial; nil means the default client.
+}
+
+// Dial opens a connection. The URL has the scheme ws or wss. It returns an error
+// of kind [KindDial] if the peer cannot be reached and [KindHandshake] if it
+// speaks another protocol.
+func Dial(ctx context.Context, url string, o Options) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, handshakeWindow)
+	defer cancel()
+	ws, _, err := websocket.Dial(ctx, url, &websocket.DialOptions{
+		HTTPClient:      o.Client,
+		CompressionMode: websocket.CompressionDisabled,
+	})
+	if err != nil {
+		return nil, &Error{Op: "dial", Kind: KindDial, Peer: url, Err: err}
+	}
+	return handshake(ctx, ws, o)
+}
+
+// Accept upgrades a request to a connection. On error it has answered the request.
+func Accept(w http.ResponseWriter, r *http.Request, o Options) (*Conn, error) {
+	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{
+		CompressionMode: websocket.CompressionDisabled,
+	})
+	if err != nil {
+		return nil, &Error{Op: "accept", Kind: KindHandshake, Peer: r.RemoteAddr, Err: err}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), handshakeWindow)
+	defer cancel()
+	return handshake(ctx, ws, o)
+}
+
+func handshake(ctx context.Context, ws *websocket.Conn, o Options) (*Conn, error) {
+	ws.SetReadLimit(messenger.MaxMessageBytes)
+	hello := o.Hello()
+	peer, err := exchangeHello(ctx, ws, &hello)
+	if err != nil {
+		_ = ws.CloseNow()
+		return nil, err
+	}
+	connCtx, cancel := context.WithCancel(context.Background())
+	return &Conn{
+		ws:     ws,
+		hello:  *peer,
+		queue:  make(chan *messenger.Frame, queueFrames),
+		counts: o.Counts,
+		ctx:    connCtx,
+		cancel: cancel,
+	}, nil
+}
+
+func exchangeHello(ctx context.Context, ws *websocket.Conn, own *messenger.Hello) (*messenger.Hello, error) {
+	const op = "handshake"
+	var buf bytes.Buffer
+	if err := messenger.Append(&buf, &messenger.Frame{Hello: own}); err != nil {
+		return nil, &Error{Op: op, Kind: KindHandshake, Err: err}
+	}
+	if err := ws.Write(ctx, websocket.MessageBinary, buf.Bytes()); err != nil {
+		return nil, &Error{Op: op, Kind: KindHandshake, Err: err}
+	}
+	_, message, err := ws.Read(ctx)
+	if err != nil {
+		return nil, &Error{Op: op, Kind: KindHandshake, Err: err}
+	}
+	var peer *messenger.Hello
+	if err := messenger.Decode(message, func(f *messenger.Frame) { peer = f.Hello }); err != nil {
+		return nil, &Error{Op: op, Kind: KindHandshake, Err: err}
+	}
+	if peer == nil || peer.Version != messenger.ProtocolVersion || peer.Peer == "" {
+		return nil, &Error{Op: op, Kind: KindVersion, Err: errVersion}
+	}
+	return peer, nil
+}
+
+// Hello returns what the peer said first.
+func (c *Conn) Hello() messenger.Hello { return c.hello }
+
+// Send queues a frame, which must not be changed afterwards. If the queue is
+// full the connection is closed and Send reports false.
+func (c *Conn) Send(f *messenger.Frame) bool {
+	select {
+	case <-c.ctx.Done():
+		return false
+	default:
+	}
+	select {
+	case c.queue <- f:
+		return true
+	default:
+		c.Close()
+		return false
+	}
+}
+
+// Run writes queued frames and passes each received frame to handle, until the
+// connection ends. It returns the cause.
+func (c *Conn) Run(handle func(*messenger.Frame)) error {
+	var wg sync.WaitGroup
+	wg.Go(c.writeLoop)
+	err := c.readLoop(handle)
+	c.Close()
+	wg.Wait()
+	return err
+}
+
+// Close ends the connection at once.
+func (c *Conn) Close() {
+	c.once.Do(func() {
+		c.cancel()
+		_ = c.ws.CloseNow()
+	})
+}
+
+func (c *Conn) readLoop(handle func(*messenger.Frame)) error {
+	const op = "read"
+	for {
+		_, message, err := c.ws.Read(c.ctx)
+		if err != nil {
+			return &Error{Op: op, Kind: KindClosed, Peer: string(c.hello.Peer), Err: err}
+		}
+		c.counts.MessagesRead.Add(1)
+		c.counts.BytesRead.Add(uint64(len(message)))
+		if err := messenger.Decode(message, handle); err != nil {
+			return &Error{Op: op, Kind: KindProtocol, Peer: string(c.hello.Peer), Err: err}
+		}
+	}
+}
+
+func (c *Conn) writeLoop() {
+	defer c.Close()
+	var buf bytes.Buffer
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case f := <-c.queue:
+			if c.writeBatch(&buf, f) != nil {
+				return
+			}
+		}
+	}
+}
+
+// writeBatch writes the given frame and those queued behind it as one message.
+func (c *Conn) writeBatch(buf *bytes.Buffer, f *messenger.Frame) error {
+	buf.Reset()
+	if err := messenger.Append(buf, f); err != nil {
+		return err
+	}
+	for buf.Len() < maxBatchBytes {
+		select {
+		case next := <-c.queue:
+			if err := messenger.Append(buf, next); err != nil {
+				return err
+			}
+			continue
+		default:
+		}
+		break
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, writeTimeout)
+	defer cancel()
+	c.counts.MessagesSent.Add(1)
+	c.counts.BytesSent.Add(uint64(buf.Len()))
+	return c.ws.Write(ctx, websocket.MessageBinary, buf.Bytes())
+}
--- /dev/null
+++ b/internal/controller/loop.go
@@ -0,0 +1,97 @@
+// Package controller runs a process's control thread and holds its blackboard.
+//
+// The control thread is one goroutine that owns all control state. Other
+// goroutines post events to it; it applies every event that is ready and then
+// flushes once, so that a burst of events leads to one batch of messages. What
+// other goroutines may read is published as an immutable value in a [Cell].
+package controller
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// queueEvents bounds the events that wait; a poster blocks beyond it.
+	queueEvents = 8192
+	// batchEvents bounds the events that are applied before a flush.
+	batchEvents = 512
+)
+
+// Event is applied on the control thread.
+type Event func(now time.Time)
+
+// Loop is the control thread.
+type Loop struct {
+	events chan Event
+	// flush is called on the control thread after each batch of events.
+	flush func(now time.Time)
+	done  chan struct{}
+}
+
+// New returns a loop that calls flush after each batch. Run starts it.
+func New(flush func(now time.Time)) *Loop {
+	return &Loop{
+		events: make(chan Event, queueEvents),
+		flush:  flush,
+		done:   make(chan struct{}),
+	}
+}
+
+// Post hands an event to the control thread. It blocks while the queue is full
+// and reports false once the loop has ended.
+func (l *Loop) Post(e Event) bool {
+	select {
+	case l.events <- e:
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
+// Call posts an event and waits until it has been applied. It must not be called
+// on the control thread.
+func (l *Loop) Call(e Event) bool {
+	applied := make(chan struct{})
+	posted := l.Post(func(now time.Time) {
+		e(now)
+		close(applied)
+	})
+	if !posted {
+		return false
+	}
+	select {
+	case <-applied:
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
+// Run applies events until the context ends.
+func (l *Loop) Run(ctx context.Context) error {
+	defer close(l.done)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case e := <-l.events:
+			l.applyBatch(e)
+		}
+	}
+}
+
+func (l *Loop) applyBatch(first Event) {
+	now := time.Now()
+	first(now)
+	for range batchEvents - 1 {
+		select {
+		case e := <-l.events:
+			e(now)
+			continue
+		default:
+		}
+		break
+	}
+	l.flush(now)
+}
--- /dev/null
+++ b/internal/dispatcher/caller.go
@@ -0,0 +1,178 @@
+package dispatcher
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"sardinelock.dev/sardinelock/internal/configurer"
+	"sardinelock.dev/sardinelock/internal/identifier"
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/owner"
+	"sardinelock.dev/sardinelock/pkg/submitter"
+)
+
+// Limits of what a caller may send.
+const (
+	maxBodyBytes   = 32 << 20
+	bodyTimeout    = 30 * time.Second
+	maxDeadline    = 10 * time.Minute
+	defaultTimeout = 30 * time.Second
+)
+
+// partitionSet has the partitions that this entry owns.
+type partitionSet [identifier.Partitions]bool
+
+func (e *Entry) callerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/services/{service}/jobs", e.serveSubmit)
+	return mux
+}
+
+// serveSubmit takes a job and answers with its outcome.
+func (e *Entry) serveSubmit(w http.ResponseWriter, r *http.Request) {
+	job, problem := e.readJob(w, r)
+	if problem != nil {
+		writeProblem(w, problem)
+		return
+	}
+	reply := make(chan *messenger.Answer, 1)
+	posted := e.loop.Post(func(now time.Time) {
+		e.nextTicket++
+		e.tickets[e.nextTicket] = reply
+		e.coordinator.Submit(now, e.nextTicket, *job)
+	})
+	if !posted {
+		writeProblem(w, &submitter.Problem{Status: http.StatusServiceUnavailable, Title: "the entry is shutting down"})
+		return
+	}
+	select {
+	case answer := <-reply:
+		writeAnswer(w, answer)
+	case <-e.background.Done():
+		writeProblem(w, &submitter.Problem{Status: http.StatusServiceUnavailable, Title: "the entry has shut down"})
+	}
+}
+
+// readJob reads and checks a request.
+func (e *Entry) readJob(w http.ResponseWriter, r *http.Request) (*owner.Job, *submitter.Problem) {
+	config := e.config.Read()
+	if config == nil {
+		return nil, &submitter.Problem{
+			Status: http.StatusServiceUnavailable,
+			Title:  "no configuration is in force yet",
+			Detail: "the entry has not learned the operators' configuration",
+		}
+	}
+	service, ok := config.Service(r.PathValue("service"))
+	if !ok {
+		return nil, &submitter.Problem{
+			Status: http.StatusNotFound,
+			Title:  "unknown service",
+			Detail: "no service has the name " + strconv.Quote(r.PathValue("service")),
+		}
+	}
+	body, problem := decodeJob(w, r)
+	if problem != nil {
+		return nil, problem
+	}
+	id, problem := e.submissionID(r)
+	if problem != nil {
+		return nil, problem
+	}
+	return newJob(service, r.Header.Get(submitter.HeaderTeam), id, body), nil
+}
+
+func decodeJob(w http.ResponseWriter, r *http.Request) (*submitter.Job, *submitter.Problem) {
+	// The connection may not support deadlines, as in tests; then none is set.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
+	body := new(submitter.Job)
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(body); err != nil {
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			return nil, &submitter.Problem{
+				Status: http.StatusRequestEntityTooLarge,
+				Title:  "the body is too large",
+				Detail: "the limit is " + strconv.Itoa(maxBodyBytes) + " bytes",
+			}
+		}
+		return nil, &submitter.Problem{
+			Status: http.StatusBadRequest,
+			Title:  "the body is not a job",
+			Detail: "at byte " + strconv.FormatInt(dec.InputOffset(), 10) + ": " + err.Error(),
+		}
+	}
+	if n := len(body.Tasks); n < 1 || n > submitter.MaxTasks {
+		return nil, &submitter.Problem{
+			Status: http.StatusBadRequest,
+			Title:  "wrong number of tasks",
+			Detail: "the job has " + strconv.Itoa(n) + " tasks; it must have 1 to " + strconv.Itoa(submitter.MaxTasks),
+		}
+	}
+	// The answer may come after the deadline for reading the body.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+// submissionID reads the caller's id or makes one in a partition of this entry.
+func (e *Entry) submissionID(r *http.Request) (identifier.Submission, *submitter.Problem) {
+	text := r.Header.Get(submitter.HeaderSubmissionID)
+	if text != "" {
+		id, err := identifier.Parse(text)
+		if err != nil {
+			return id, &submitter.Problem{
+				Status: http.StatusBadRequest,
+				Title:  "the submission id is not valid",
+				Detail: err.Error(),
+			}
+		}
+		return id, nil
+	}
+	now := time.Now()
+	if owned := e.owned.Read(); owned != nil {
+		if id, ok := identifier.NewIn(now, func(p identifier.Partition) bool { return owned[p] }); ok {
+			return id, nil
+		}
+	}
+	return identifier.New(now), nil
+}
+
+func newJob(service *configurer.Service, team string, id identifier.Submission, body *submitter.Job) *owner.Job {
+	timeout := service.Timeout
+	if timeout == 0 {
+		timeout = defaultTimeout
+	}
+	if body.Deadline > 0 {
+		timeout = min(time.Duration(body.Deadline), maxDeadline)
+	}
+	job := &owner.Job{
+		Submission: id,
+		Service:    service.Name,
+		Team:       team,
+		RequestKey: body.RequestKey,
+		Deadline:   time.Now().Add(timeout),
+		Tasks:      make([]messenger.TaskSpec, len(body.Tasks)),
+	}
+	for i, t := range body.Tasks {
+		spec := messenger.TaskSpec{
+			Payload:      t.Payload,
+			RunTime:      time.Duration(t.RunTime),
+			MemoryBytes:  t.MemoryBytes,
+			Accelerators: t.Accelerators,
+			Repeatable:   t.Repeatable,
+		}
+		if spec.RunTime == 0 {
+			spec.RunTime = service.DefaultRunTime
+		}
+		if spec.MemoryBytes == 0 {
+			spec.MemoryBytes = service.DefaultMemoryBytes
+		}
+		job.Tasks[i] = spec
+	}
+	return job
+}
--- /dev/null
+++ b/internal/dispatcher/dispatcher.go
@@ -0,0 +1,247 @@
+// Package dispatcher runs an entry: it serves callers, accepts and dials peers,
+// calls the platform, and drives the coordinator on the control thread.
+//
+// Nothing is decided here. Traffic goroutines turn requests and frames into
+// events of the control thread; after each batch of events the coordinator's
+// output is carried out without blocking.
+package dispatcher
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/phuslu/log"
+
+	"sardinelock.dev/sardinelock/internal/configurer"
+	"sardinelock.dev/sardinelock/internal/connector"
+	"sardinelock.dev/sardinelock/internal/controller"
+	"sardinelock.dev/sardinelock/internal/coordinator"
+	"sardinelock.dev/sardinelock/internal/leaser"
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/storer"
+	"sardinelock.dev/sardinelock/internal/timer"
+)
+
+// Settings are the process settings of an entry.
+type Settings struct {
+	Peer         messenger.Peer // Peer names this run of the entry.
+	Region       string
+	DataCentre   string
+	CallerListen netip.AddrPort
+	PeerListen   netip.AddrPort
+	AdminListen  netip.AddrPort
+	Platform     netip.AddrPort
+	Limits       coordinator.Limits
+	// DrainTimeout bounds how long a shutdown waits for requests in flight.
+	DrainTimeout time.Duration
+	Logger       *log.Logger
+}
+
+const (
+	tickEvery       = 10 * time.Millisecond
+	configPollEvery = time.Second
+	dialEvery       = 250 * time.Millisecond
+)
+
+// Entry is a running entry.
+type Entry struct {
+	settings Settings
+	platform *storer.Client
+	loop     *controller.Loop
+	timers   *timer.Service
+	counts   connector.Counts
+
+	config controller.Cell[configurer.Config]
+	routes controller.Cell[[]messenger.EntryAddr]
+	owned  controller.Cell[partitionSet]
+
+	// The fields below belong to the control thread.
+	coordinator *coordinator.Coordinator
+	peers       map[messenger.Peer]*connector.Conn
+	tickets     map[uint64]chan<- *messenger.Answer
+	nextTicket  uint64
+
+	caller, peer, admin net.Listener
+	servers             []*http.Server
+	background          context.Context // background ends after the drain.
+	stop                context.CancelFunc
+	ready               chan struct{}
+}
+
+// New returns an entry that is bound to its addresses but does not serve yet.
+func New(s Settings) (*Entry, error) {
+	e := &Entry{
+		settings: s,
+		platform: storer.New(s.Platform),
+		timers:   timer.New(),
+		peers:    make(map[messenger.Peer]*connector.Conn),
+		tickets:  make(map[uint64]chan<- *messenger.Answer),
+		ready:    make(chan struct{}),
+	}
+	e.background, e.stop = context.WithCancel(context.Background())
+	e.loop = controller.New(e.flush)
+	if err := e.listen(); err != nil {
+		e.closeListeners()
+		return nil, err
+	}
+	e.coordinator = coordinator.New(leaser.Self{
+		Peer:       s.Peer,
+		Region:     s.Region,
+		DataCentre: s.DataCentre,
+		PeerAddr:   e.PeerAddr(),
+	}, s.Limits)
+	return e, nil
+}
+
+// CallerAddr returns the bound address for callers.
+func (e *Entry) CallerAddr() netip.AddrPort { return boundAddr(e.caller) }
+
+// PeerAddr returns the bound address for peers.
+func (e *Entry) PeerAddr() netip.AddrPort { return boundAddr(e.peer) }
+
+// AdminAddr returns the bound address for administration.
+func (e *Entry) AdminAddr() netip.AddrPort { return boundAddr(e.admin) }
+
+// Ready is closed once the entry serves.
+func (e *Entry) Ready() <-chan struct{} { return e.ready }
+
+// Run serves until the context ends, then drains and returns.
+func (e *Entry) Run(ctx context.Context) error {
+	var g run.Group
+	loopCtx, stopLoop := context.WithCancel(context.Background())
+	g.Add(func() error { return e.loop.Run(loopCtx) }, func(error) { stopLoop() })
+	e.addServer(&g, e.caller, e.callerHandler())
+	e.addServer(&g, e.peer, e.peerHandler())
+	e.addServer(&g, e.admin, e.adminHandler())
+	drainCtx, cancelDrain := context.WithCancel(ctx)
+	g.Add(func() error { return e.waitAndDrain(drainCtx) }, func(error) { cancelDrain() })
+
+	e.subscribe()
+	e.settings.Logger.Info().
+		Str("event", "ready").
+		Str("role", string(messenger.RoleEntry)).
+		Str("peer", string(e.settings.Peer)).
+		Str("caller-address", e.CallerAddr().String()).
+		Str("peer-address", e.PeerAddr().String()).
+		Str("admin-address", e.AdminAddr().String()).
+		Msg("entry is ready")
+	close(e.ready)
+	err := g.Run()
+	e.timers.Stop()
+	return err
+}
+
+func (e *Entry) subscribe() {
+	e.timers.Subscribe(tickEvery, func(time.Time) {
+		e.loop.Post(func(now time.Time) { e.coordinator.Tick(now) })
+	})
+	e.timers.Subscribe(dialEvery, func(time.Time) { e.dialEntries() })
+	e.timers.Subscribe(configPollEvery, func(time.Time) { e.pollConfig() })
+	go e.pollConfig()
+}
+
+// waitAndDrain waits for the end of the context, refuses new requests and waits
+// for those in flight.
+func (e *Entry) waitAndDrain(ctx context.Context) error {
+	<-ctx.Done()
+	e.settings.Logger.Info().Str("event", "draining").Msg("entry finishes what is in flight")
+	drain, cancel := context.WithTimeout(context.Background(), e.settings.DrainTimeout)
+	defer cancel()
+	for _, s := range e.servers {
+		if err := s.Shutdown(drain); err != nil {
+			e.settings.Logger.Warn().Err(err).Msg("requests were cut off at the end of the drain timeout")
+		}
+	}
+	e.stop()
+	return nil
+}
+
+// flush carries out what the coordinator decided. It runs on the control thread.
+func (e *Entry) flush(now time.Time) {
+	out := e.coordinator.Take(now)
+	for _, s := range out.Sends {
+		if conn := e.peers[s.To]; conn != nil {
+			conn.Send(s.Frame)
+		}
+	}
+	for _, a := range out.Answers {
+		if reply, ok := e.tickets[a.Ticket]; ok {
+			delete(e.tickets, a.Ticket)
+			reply <- a.Answer
+		}
+	}
+	for _, r := range out.Reads {
+		go e.storeRead(r)
+	}
+	for _, w := range out.Writes {
+		go e.storeWrite(w)
+	}
+	if len(out.Reads) > 0 || len(out.Writes) > 0 {
+		e.publish()
+	}
+}
+
+// publish renews the blackboard. It runs on the control thread.
+func (e *Entry) publish() {
+	entries := e.coordinator.Entries()
+	e.routes.Publish(&entries)
+	set := new(partitionSet)
+	for _, p := range e.coordinator.Owned() {
+		set[p.Partition] = true
+	}
+	e.owned.Publish(set)
+}
+
+func (e *Entry) storeRead(r leaser.Read) {
+	rows, err := e.platform.Read(e.background, r.Prefix)
+	e.loop.Post(func(now time.Time) {
+		e.coordinator.StoreRead(now, r.ID, rows, err)
+		e.publish()
+	})
+}
+
+func (e *Entry) storeWrite(w leaser.Write) {
+	outcome, err := e.platform.Write(e.background, w.Transaction)
+	e.loop.Post(func(now time.Time) { e.coordinator.StoreWritten(now, w.ID, outcome, err) })
+}
+
+// pollConfig reads the version in force and publishes it.
+func (e *Entry) pollConfig() {
+	rows, err := e.platform.Read(e.background, configurer.CurrentKey)
+	if err != nil || len(rows.Rows) == 0 {
+		return
+	}
+	var v configurer.Version
+	if err := json.Unmarshal(rows.Rows[0].Value, &v); err != nil {
+		e.settings.Logger.Error().Err(err).Msg("the stored configuration cannot be read")
+		return
+	}
+	c, err := configurer.Parse("base", []byte(v.Base))
+	if err != nil {
+		e.settings.Logger.Error().Err(err).Uint64("version", v.Number).Msg("the stored configuration is not valid")
+		return
+	}
+	e.loop.Post(func(time.Time) {
+		for _, s := range c.Services {
+			e.coordinator.SetPath(s.Name, s.Path)
+		}
+		e.config.Publish(c)
+	})
+}
+
+// Serving reports whether the entry knows a configuration, knows an owner for
+// every partition, is connected to those owners, and has the given number of
+// agents that serve. It must not be called on the control thread.
+func (e *Entry) Serving(agents int) bool {
+	if e.config.Read() == nil {
+		return false
+	}
+	serving := false
+	e.loop.Call(func(time.Time) { serving = e.coordinator.Serving(agents) })
+	return serving
+}
--- /dev/null
+++ b/internal/dispatcher/peer.go
@@ -0,0 +1,101 @@
+package dispatcher
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/connector"
+	"sardinelock.dev/sardinelock/internal/messenger"
+)
+
+func (e *Entry) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(connector.Path, func(w http.ResponseWriter, r *http.Request) {
+		conn, err := connector.Accept(w, r, e.connOptions())
+		if err != nil {
+			e.settings.Logger.Warn().Err(err).Msg("a peer was turned away")
+			return
+		}
+		e.serveConn(conn)
+	})
+	return mux
+}
+
+func (e *Entry) connOptions() connector.Options {
+	return connector.Options{Hello: e.hello, Counts: &e.counts}
+}
+
+func (e *Entry) hello() messenger.Hello {
+	return messenger.Hello{
+		Version:    messenger.ProtocolVersion,
+		Peer:       e.settings.Peer,
+		Role:       messenger.RoleEntry,
+		Region:     e.settings.Region,
+		DataCentre: e.settings.DataCentre,
+		PeerAddr:   e.PeerAddr(),
+	}
+}
+
+// serveConn runs a connection until it ends.
+func (e *Entry) serveConn(conn *connector.Conn) {
+	peer := conn.Hello().Peer
+	up := e.loop.Call(func(now time.Time) {
+		if old := e.peers[peer]; old != nil {
+			old.Close()
+			e.coordinator.PeerDown(now, peer)
+		}
+		e.peers[peer] = conn
+		e.coordinator.PeerUp(now, conn.Hello())
+	})
+	if !up {
+		conn.Close()
+		return
+	}
+	stop := context.AfterFunc(e.background, conn.Close)
+	defer stop()
+	err := conn.Run(func(f *messenger.Frame) {
+		e.loop.Post(func(now time.Time) {
+			if e.peers[peer] == conn {
+				e.coordinator.Receive(now, peer, f)
+			}
+		})
+	})
+	e.loop.Post(func(now time.Time) {
+		if e.peers[peer] != conn {
+			return
+		}
+		delete(e.peers, peer)
+		e.coordinator.PeerDown(now, peer)
+		e.settings.Logger.Info().Str("event", "peer-down").Str("peer", string(peer)).Err(err).Msg("connection ended")
+	})
+}
+
+// dialEntries connects to the entries that have a greater name, so that two
+// entries have one connection.
+func (e *Entry) dialEntries() {
+	entries := e.routes.Read()
+	if entries == nil {
+		return
+	}
+	connected := make(map[messenger.Peer]bool)
+	e.loop.Call(func(time.Time) {
+		for peer := range e.peers {
+			connected[peer] = true
+		}
+	})
+	for _, other := range *entries {
+		if other.Peer > e.settings.Peer && !connected[other.Peer] {
+			e.dial(other.Addr)
+		}
+	}
+}
+
+func (e *Entry) dial(addr netip.AddrPort) {
+	conn, err := connector.Dial(e.background, "ws://"+addr.String()+connector.Path, e.connOptions())
+	if err != nil {
+		return
+	}
+	go e.serveConn(conn)
+}
--- /dev/null
+++ b/internal/guard/guard_test.go
@@ -0,0 +1,157 @@
+package guard
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/identifier"
+	"sardinelock.dev/sardinelock/internal/invoker"
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/scripter"
+	"sardinelock.dev/sardinelock/pkg/submitter"
+)
+
+var testLimits = Limits{Window: time.Minute, MaxRecords: 4, MaxWaiting: 4}
+
+func TestScripts(t *testing.T) {
+	scripter.Run(t, "testdata/*.txtar", runScript)
+}
+
+// bench drives one guard with the lines of a script.
+type bench struct {
+	t     *testing.T
+	guard *Guard
+	now   time.Time
+	names map[identifier.Submission]string
+	ids   map[string]identifier.Submission
+	out   strings.Builder
+}
+
+func runScript(t *testing.T, lines []scripter.Line) string {
+	start := time.Unix(1_700_000_000, 0)
+	b := &bench{
+		t:     t,
+		guard: New(start, testLimits),
+		now:   start,
+		names: make(map[identifier.Submission]string),
+		ids:   make(map[string]identifier.Submission),
+	}
+	for _, l := range lines {
+		b.apply(l)
+		b.report(l)
+	}
+	return b.out.String()
+}
+
+func (b *bench) apply(l scripter.Line) {
+	switch l.Verb {
+	case "up":
+		b.guard.EntryUp(b.now, messenger.Peer(l.Args[0]))
+	case "down":
+		b.guard.EntryDown(b.now, messenger.Peer(l.Args[0]))
+	case "announce":
+		b.guard.Announce(b.now, invoker.Announcement{
+			Slots:      b.number(l.Arg("slots")),
+			TimeToLive: submitter.Duration(b.duration(l.Arg("ttl"))),
+			Leaving:    l.Arg("leaving") == "true",
+		})
+	case "start":
+		b.guard.Receive(b.now, messenger.Peer(l.Arg("from")), &messenger.Frame{Starts: []messenger.Start{b.start(l)}})
+	case "fence":
+		id := b.id(l.Arg("job"))
+		b.guard.Receive(b.now, messenger.Peer(l.Arg("from")), &messenger.Frame{Fence: &messenger.Fence{
+			Partitions: []messenger.PartitionEpoch{{Partition: id.Partition(), Epoch: uint64(b.number(l.Arg("epoch")))}},
+		}})
+	case "cancel":
+		b.guard.Receive(b.now, messenger.Peer(l.Arg("from")), &messenger.Frame{Cancels: []messenger.Cancel{{
+			Submission: b.id(l.Arg("job")), Epoch: uint64(b.number(l.Arg("epoch"))),
+		}}})
+	case "end":
+		b.guard.Ended(b.now, TaskRef{Submission: b.id(l.Arg("job")), Index: uint16(b.number(l.Arg("task")))},
+			messenger.TaskResult{Index: uint16(b.number(l.Arg("task"))), Kind: messenger.ResultDone})
+	case "wait":
+		b.now = b.now.Add(b.duration(l.Args[0]))
+		b.guard.Tick(b.now)
+	default:
+		b.t.Fatalf("%v: unknown verb", l)
+	}
+}
+
+func (b *bench) start(l scripter.Line) messenger.Start {
+	startBy := b.guard.Clock(b.now) + b.duration(l.Arg("budget"))
+	s := messenger.Start{
+		Submission: b.id(l.Arg("job")),
+		Epoch:      uint64(b.number(l.Arg("epoch"))),
+		StartBy:    startBy,
+		EndBy:      startBy + time.Minute,
+	}
+	for text := range strings.SplitSeq(l.Arg("tasks"), ",") {
+		s.Tasks = append(s.Tasks, messenger.TaskStart{Index: uint16(b.number(text))})
+	}
+	return s
+}
+
+// report writes what the guard wants done after a line.
+func (b *bench) report(l scripter.Line) {
+	fmt.Fprintf(&b.out, "%s %s\n", l.Verb, strings.Join(l.Args, " "))
+	out := b.guard.Take(b.now)
+	for _, i := range out.Invocations {
+		fmt.Fprintf(&b.out, "  invoke %s/%d\n", b.names[i.Ref.Submission], i.Ref.Index)
+	}
+	for _, ref := range out.Aborts {
+		fmt.Fprintf(&b.out, "  abort %s/%d\n", b.names[ref.Submission], ref.Index)
+	}
+	for _, s := range out.Sends {
+		b.reportFrame(s)
+	}
+}
+
+func (b *bench) reportFrame(s Send) {
+	if c := s.Frame.Capacity; c != nil {
+		fmt.Fprintf(&b.out, "  to %s: capacity %s slots=%d\n", s.To, c.State, c.Slots)
+	}
+	for _, r := range s.Frame.Results {
+		for _, task := range r.Tasks {
+			fmt.Fprintf(&b.out, "  to %s: %s/%d %s %s\n", s.To, b.names[r.Submission], task.Index, task.Kind, task.Refusal)
+		}
+	}
+	for _, a := range s.Frame.CancelAcks {
+		fmt.Fprintf(&b.out, "  to %s: cancelled %s started=%v\n", s.To, b.names[a.Submission], a.Started)
+	}
+	for _, f := range s.Frame.Fenced {
+		fmt.Fprintf(&b.out, "  to %s: fenced epoch=%d\n", s.To, f.Epoch)
+		for _, r := range f.Records {
+			fmt.Fprintf(&b.out, "    record %s running=%v ended=%d\n", b.names[r.Submission], r.Running, len(r.Ended))
+		}
+	}
+}
+
+// id returns the submission id that stands for a name in a script.
+func (b *bench) id(name string) identifier.Submission {
+	if id, ok := b.ids[name]; ok {
+		return id
+	}
+	id := identifier.New(b.now)
+	b.ids[name] = id
+	b.names[id] = name
+	return id
+}
+
+func (b *bench) number(text string) int {
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return n
+}
+
+func (b *bench) duration(text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return d
+}
--- /dev/null
+++ b/internal/identifier/identifier.go
@@ -0,0 +1,99 @@
+// Package identifier makes and reads submission ids and maps them to partitions.
+//
+// A submission id is a UUID of version 7: its first 48 bits are the Unix time in
+// milliseconds at which the caller made it, the rest is random. The hash of the
+// whole id names one of a fixed number of partitions, and each partition has one
+// owner at a time. Nothing else in the system gives an id its partition.
+package identifier
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+)
+
+// Partitions is the number of partitions of the submission-id space. It is part
+// of the stored format: changing it moves every id to another partition.
+const Partitions = 256
+
+// Partition is the index of a partition, from 0 to Partitions-1.
+type Partition uint16
+
+// Submission is a submission id in its binary form.
+type Submission uuid.UUID
+
+// New returns an id made at the given wall-clock time.
+func New(now time.Time) Submission {
+	id := uuid.New()
+	millis := uint64(now.UnixMilli())
+	var stamp [8]byte
+	binary.BigEndian.PutUint64(stamp[:], millis<<16)
+	copy(id[:6], stamp[:6])
+	id[6] = 0x70 | id[6]&0x0f
+	return Submission(id)
+}
+
+// NewIn returns an id made at the given time that falls into a partition which
+// accept allows. It returns false if no id was found in a bounded number of
+// tries, as when accept allows nothing.
+func NewIn(now time.Time, accept func(Partition) bool) (Submission, bool) {
+	const tries = 16 * Partitions
+	for range tries {
+		id := New(now)
+		if accept(id.Partition()) {
+			return id, true
+		}
+	}
+	return Submission{}, false
+}
+
+// Parse reads the canonical text form of an id. It returns an error of kind
+// [KindMalformed] if the text is no UUID and [KindVersion] if it is a UUID of
+// another version.
+func Parse(text string) (Submission, error) {
+	const op = "parse"
+	if len(text) != 36 {
+		return Submission{}, &Error{Op: op, Kind: KindMalformed, Detail: "want 36 characters"}
+	}
+	id, err := uuid.Parse(text)
+	if err != nil {
+		return Submission{}, &Error{Op: op, Kind: KindMalformed, Detail: err.Error()}
+	}
+	if id.Version() != 7 {
+		return Submission{}, &Error{Op: op, Kind: KindVersion, Detail: "want UUID version 7"}
+	}
+	return Submission(id), nil
+}
+
+// String returns the canonical text form.
+func (s Submission) String() string { return uuid.UUID(s).String() }
+
+// MarshalText implements encoding.TextMarshaler.
+func (s Submission) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *Submission) UnmarshalText(text []byte) error {
+	id, err := Parse(string(text))
+	if err != nil {
+		return err
+	}
+	*s = id
+	return nil
+}
+
+// Time returns the wall-clock time at which the id was made, to the millisecond.
+func (s Submission) Time() time.Time {
+	var stamp [8]byte
+	copy(stamp[2:], s[:6])
+	return time.UnixMilli(int64(binary.BigEndian.Uint64(stamp[:])))
+}
+
+// Partition returns the partition that the id falls into.
+func (s Submission) Partition() Partition {
+	return Partition(xxhash.Sum64(s[:]) % Partitions)
+}
+
+// IsZero reports whether the id is unset.
+func (s Submission) IsZero() bool { return s == Submission{} }
--- /dev/null
+++ b/internal/invoker/error.go
@@ -0,0 +1,39 @@
+package invoker
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/juju/errors"
+)
+
+// Kind says what went wrong with a call.
+type Kind string
+
+// The kinds of errors of this package.
+const (
+	KindUnreachable Kind = "unreachable"
+	KindStatus      Kind = "status"
+	KindTooLarge    Kind = "result-too-large"
+)
+
+var errTooLarge = errors.New("the result is larger than " + strconv.Itoa(MaxReplyBytes) + " bytes")
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string // Op is the operation that failed.
+	Kind Kind   // Kind is one of the Kind constants.
+	Err  error  // Err is the cause and is never nil.
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("upstream: %s: %s: %v", e.Op, e.Kind, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+type statusError int
+
+func (s statusError) Error() string { return "status " + strconv.Itoa(int(s)) }
--- /dev/null
+++ b/internal/launcher/launcher.go
@@ -0,0 +1,239 @@
+// Package launcher runs a whole system in one process on loopback: a stand-in for
+// the platform, entries, and agents with stand-ins for their upstreams.
+//
+// It serves development, load experiments and tests. All connections are real;
+// only the processes are not.
+package launcher
+
+import (
+	"context"
+	_ "embed"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/phuslu/log"
+
+	"sardinelock.dev/sardinelock/internal/agent"
+	"sardinelock.dev/sardinelock/internal/configurer"
+	"sardinelock.dev/sardinelock/internal/coordinator"
+	"sardinelock.dev/sardinelock/internal/dispatcher"
+	"sardinelock.dev/sardinelock/internal/emulator"
+	"sardinelock.dev/sardinelock/internal/guard"
+	"sardinelock.dev/sardinelock/internal/invoker"
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/storer"
+	"sardinelock.dev/sardinelock/pkg/submitter"
+)
+
+//go:embed base.yaml
+var shippedBase []byte
+
+// The shape of an upstream.
+const (
+	upstreamSlots       = 8
+	upstreamConnections = 64
+	upstreamMemoryBytes = 32 << 30
+	agentsPerRack       = 3
+	dataCentres         = 3
+	timeToLive          = 5 * time.Second
+	readyTimeout        = 15 * time.Second
+	readyPoll           = 10 * time.Millisecond
+	drainTimeout        = 5 * time.Second
+)
+
+// Options describe a system.
+type Options struct {
+	Entries, Agents int
+	// BaseFile is the base configuration; empty means the shipped one.
+	BaseFile    string
+	Limits      coordinator.Limits
+	AgentLimits guard.Limits
+	Logger      *log.Logger
+}
+
+// System is a running system.
+type System struct {
+	Platform  *emulator.Platform
+	Entries   []*dispatcher.Entry
+	Agents    []*agent.Agent
+	Upstreams []*emulator.Upstream
+
+	wg     sync.WaitGroup
+	mu     sync.Mutex
+	faults []error
+}
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// Start starts a system, which runs until the context ends.
+func Start(ctx context.Context, o Options) (*System, error) {
+	s := &System{Platform: emulator.NewPlatform(1, emulator.Faults{})}
+	if err := s.storeConfig(o.BaseFile); err != nil {
+		return nil, err
+	}
+	platform, err := s.serve(ctx, s.Platform.Handler())
+	if err != nil {
+		return nil, err
+	}
+	for i := range o.Entries {
+		if err := s.startEntry(ctx, i, platform, o); err != nil {
+			return nil, err
+		}
+	}
+	for i := range o.Agents {
+		if err := s.startAgent(ctx, i, o); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+// CallerAddrs returns the callers' addresses of the entries.
+func (s *System) CallerAddrs() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, e := range s.Entries {
+		out = append(out, e.CallerAddr())
+	}
+	return out
+}
+
+// AwaitReady waits until every entry can place tasks at every agent.
+func (s *System) AwaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, e := range s.Entries {
+		for !e.Serving(len(s.Agents)) {
+			select {
+			case <-ctx.Done():
+				return errors.New("the system did not become ready")
+			case <-time.After(readyPoll):
+			}
+		}
+	}
+	return nil
+}
+
+// Wait waits until everything has stopped and returns what failed.
+func (s *System) Wait() []error {
+	s.wg.Wait()
+	return s.faults
+}
+
+func (s *System) storeConfig(baseFile string) error {
+	base := shippedBase
+	if baseFile != "" {
+		var err error
+		if base, err = os.ReadFile(baseFile); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	if _, err := configurer.Parse(baseFile, base); err != nil {
+		return err
+	}
+	value, err := json.Marshal(configurer.Version{Number: 1, ChangeID: "dev", Base: string(base)})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	s.Platform.Write(storer.Transaction{
+		RequestID: "dev-config",
+		Puts:      []storer.Put{{Key: configurer.CurrentKey, Value: value}},
+	})
+	return nil
+}
+
+func (s *System) startEntry(ctx context.Context, i int, platform netip.AddrPort, o Options) error {
+	e, err := dispatcher.New(dispatcher.Settings{
+		Peer:         messenger.Peer("entry-" + strconv.Itoa(i)),
+		Region:       "default",
+		DataCentre:   dataCentre(i),
+		CallerListen: loopback,
+		PeerListen:   loopback,
+		AdminListen:  loopback,
+		Platform:     platform,
+		Limits:       o.Limits,
+		DrainTimeout: drainTimeout,
+		Logger:       o.Logger,
+	})
+	if err != nil {
+		return err
+	}
+	s.Entries = append(s.Entries, e)
+	s.run(func() error { return e.Run(ctx) })
+	return nil
+}
+
+func (s *System) startAgent(ctx context.Context, i int, o Options) error {
+	var entries []netip.AddrPort
+	for _, e := range s.Entries {
+		entries = append(entries, e.PeerAddr())
+	}
+	a, err := agent.New(agent.Settings{
+		Peer:         messenger.Peer("agent-" + strconv.Itoa(i)),
+		Region:       "default",
+		DataCentre:   dataCentre(i),
+		Rack:         "r" + strconv.Itoa(i/agentsPerRack),
+		Listen:       loopback,
+		Entries:      entries,
+		Limits:       o.AgentLimits,
+		DrainTimeout: drainTimeout,
+		Logger:       o.Logger,
+	})
+	if err != nil {
+		return err
+	}
+	upstream := emulator.NewUpstream(emulator.UpstreamOptions{Slots: upstreamSlots, Seed: uint64(i)})
+	addr, err := s.serve(ctx, upstream)
+	if err != nil {
+		return err
+	}
+	s.Agents = append(s.Agents, a)
+	s.Upstreams = append(s.Upstreams, upstream)
+	s.run(func() error { return a.Run(ctx) })
+	s.run(func() error {
+		return emulator.Announce(ctx, a.Addr(), invoker.Announcement{
+			Address:     addr,
+			Services:    []string{"quote", "proof", "artwork-check"},
+			Slots:       upstreamSlots,
+			Connections: upstreamConnections,
+			MemoryBytes: upstreamMemoryBytes,
+			TimeToLive:  submitter.Duration(timeToLive),
+		})
+	})
+	return nil
+}
+
+// serve runs an HTTP server on loopback until the context ends.
+func (s *System) serve(ctx context.Context, h http.Handler) (netip.AddrPort, error) {
+	l, err := net.Listen("tcp", loopback.String())
+	if err != nil {
+		return netip.AddrPort{}, errors.Trace(err)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: readyTimeout}
+	context.AfterFunc(ctx, func() { _ = server.Shutdown(context.Background()) })
+	s.run(func() error {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
+func (s *System) run(f func() error) {
+	s.wg.Go(func() {
+		if err := f(); err != nil {
+			s.mu.Lock()
+			s.faults = append(s.faults, err)
+			s.mu.Unlock()
+		}
+	})
+}
+
+func dataCentre(i int) string { return "dc-" + strconv.Itoa(i%dataCentres) }
--- /dev/null
+++ b/internal/messenger/frame.go
@@ -0,0 +1,327 @@
+// Package messenger defines the messages between the system's own processes and
+// their encoding.
+//
+// A [Frame] is the unit that one process hands to a connection. It carries at
+// most one message of each kind, so that everything that is ready for a peer at
+// one moment goes out together. Frames are CBOR maps with small integer keys; a
+// WebSocket message is a sequence of one or more frames. Unknown keys are
+// ignored, so that a newer peer may add fields; [ProtocolVersion] changes when
+// the meaning of a known field changes.
+package messenger
+
+import (
+	"net/netip"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/identifier"
+)
+
+// ProtocolVersion is the version that both sides of a connection must share.
+const ProtocolVersion = 1
+
+// Role is what a process does in the system.
+type Role string
+
+// The roles of processes that open or accept connections.
+const (
+	RoleEntry Role = "entry"
+	RoleAgent Role = "agent"
+)
+
+// Peer names one run of a process. A process that restarts is another peer:
+// what it kept in memory is gone.
+type Peer string
+
+// Frame is the unit that is encoded and sent.
+type Frame struct {
+	Hello      *Hello       `cbor:"1,keyasint,omitempty"`
+	Contact    *Contact     `cbor:"2,keyasint,omitempty"`
+	Starts     []Start      `cbor:"3,keyasint,omitempty"`
+	Results    []Result     `cbor:"4,keyasint,omitempty"`
+	Cancels    []Cancel     `cbor:"5,keyasint,omitempty"`
+	CancelAcks []CancelAck  `cbor:"6,keyasint,omitempty"`
+	Capacity   *Capacity    `cbor:"7,keyasint,omitempty"`
+	Credit     *Credit      `cbor:"8,keyasint,omitempty"`
+	Fence      *Fence       `cbor:"9,keyasint,omitempty"`
+	Fenced     []Fenced     `cbor:"10,keyasint,omitempty"`
+	Forwards   []Forward    `cbor:"11,keyasint,omitempty"`
+	Answers    []Answer     `cbor:"12,keyasint,omitempty"`
+	Handover   *Handover    `cbor:"13,keyasint,omitempty"`
+	Routes     *Routes      `cbor:"14,keyasint,omitempty"`
+	Config     *Config      `cbor:"15,keyasint,omitempty"`
+	Settled    []Settlement `cbor:"16,keyasint,omitempty"`
+	Query      []AdminQuery `cbor:"17,keyasint,omitempty"`
+	Reports    []AdminReply `cbor:"18,keyasint,omitempty"`
+}
+
+// Hello is the first message in both directions of a connection.
+type Hello struct {
+	Version    int            `cbor:"1,keyasint"`
+	Peer       Peer           `cbor:"2,keyasint"`
+	Role       Role           `cbor:"3,keyasint"`
+	Region     string         `cbor:"4,keyasint"`
+	DataCentre string         `cbor:"5,keyasint"`
+	Rack       string         `cbor:"6,keyasint"`
+	PeerAddr   netip.AddrPort `cbor:"7,keyasint"` // PeerAddr is where an entry accepts peers.
+	// Epochs has the epoch an agent holds for each partition, indexed by partition.
+	Epochs []uint64 `cbor:"8,keyasint,omitempty"`
+}
+
+// Contact carries the proof of recent contact that leases rest on. It rides on
+// other messages. An entry sets Ping; the agent sends the highest Ping it has
+// seen back as Echo. A lease counts from the time at which the echoed ping was
+// sent, never from the time at which the echo arrived.
+type Contact struct {
+	Ping uint64 `cbor:"1,keyasint,omitempty"`
+	Echo uint64 `cbor:"2,keyasint,omitempty"`
+	// Clock is the agent's own monotonic clock when it made the message. Start-by
+	// times are expressed on that clock, so that no two wall clocks are compared.
+	Clock time.Duration `cbor:"3,keyasint,omitempty"`
+	// Raised lists partitions whose epoch the agent has raised since its last
+	// contact on this connection.
+	Raised []PartitionEpoch `cbor:"4,keyasint,omitempty"`
+}
+
+// PartitionEpoch is one partition with an epoch.
+type PartitionEpoch struct {
+	Partition identifier.Partition `cbor:"1,keyasint"`
+	Epoch     uint64               `cbor:"2,keyasint"`
+}
+
+// Start asks an agent to start tasks of one submission. One Start carries all
+// tasks of a job that go to the agent at that moment.
+type Start struct {
+	Submission identifier.Submission `cbor:"1,keyasint"`
+	Epoch      uint64                `cbor:"2,keyasint"`
+	Service    string                `cbor:"3,keyasint"`
+	Path       string                `cbor:"4,keyasint"`
+	// StartBy is on the agent's clock. A task that has not started by then is refused.
+	StartBy time.Duration `cbor:"5,keyasint"`
+	// EndBy is on the agent's clock. A task that still runs by then is stopped.
+	EndBy time.Duration `cbor:"6,keyasint"`
+	Tasks []TaskStart   `cbor:"7,keyasint"`
+}
+
+// TaskStart is one task of a Start.
+type TaskStart struct {
+	Index        uint16 `cbor:"1,keyasint"`
+	Payload      []byte `cbor:"2,keyasint"`
+	MemoryBytes  int64  `cbor:"3,keyasint,omitempty"`
+	Accelerators int    `cbor:"4,keyasint,omitempty"`
+}
+
+// ResultKind says how a task ended at an agent.
+type ResultKind string
+
+// The kinds of results.
+const (
+	ResultDone    ResultKind = "done"    // The upstream answered with success.
+	ResultFailed  ResultKind = "failed"  // The task started and did not succeed.
+	ResultRefused ResultKind = "refused" // The task did not start and the agent will not start it for this epoch.
+)
+
+// Refusal says why an agent refused a start.
+type Refusal string
+
+// The reasons of refusals by an agent.
+const (
+	RefusalStaleEpoch Refusal = "stale-epoch"
+	RefusalDuplicate  Refusal = "duplicate" // The task was started before: never a proof that it did not run.
+	RefusalExpired    Refusal = "expired"
+	RefusalLeaving    Refusal = "leaving"
+	RefusalLapsed     Refusal = "announcement-lapsed"
+	RefusalFull       Refusal = "full"
+	RefusalCancelled  Refusal = "cancelled"
+	RefusalMemory     Refusal = "record-memory-limit"
+	RefusalUnadmitted Refusal = "not-admitted" // The agent is not yet part of the roster.
+)
+
+// Result carries the outcomes of tasks of one submission.
+type Result struct {
+	Submission identifier.Submission `cbor:"1,keyasint"`
+	Tasks      []TaskResult          `cbor:"2,keyasint"`
+}
+
+// TaskResult is the outcome of one task.
+type TaskResult struct {
+	Index   uint16        `cbor:"1,keyasint"`
+	Kind    ResultKind    `cbor:"2,keyasint"`
+	Refusal Refusal       `cbor:"3,keyasint,omitempty"`
+	Detail  string        `cbor:"4,keyasint,omitempty"`
+	Payload []byte        `cbor:"5,keyasint,omitempty"`
+	RunTime time.Duration `cbor:"6,keyasint,omitempty"`
+	// PeakMemoryBytes is what the upstream reported for the task; zero if it reported nothing.
+	PeakMemoryBytes int64 `cbor:"7,keyasint,omitempty"`
+}
+
+// Cancel asks an agent to stop the running tasks of a submission and never to
+// start others of it. The agent answers with a CancelAck.
+type Cancel struct {
+	Submission identifier.Submission `cbor:"1,keyasint"`
+	Epoch      uint64                `cbor:"2,keyasint"`
+}
+
+// CancelAck says which tasks of a cancelled submission had started at the agent.
+// All others of the submission will never start there.
+type CancelAck struct {
+	Submission identifier.Submission `cbor:"1,keyasint"`
+	Started    []uint16              `cbor:"2,keyasint,omitempty"`
+}
+
+// Settlement tells an agent that the owner has the results of a submission, so
+// that the agent may drop their payloads. It keeps the record of what started.
+type Settlement struct {
+	Submission identifier.Submission `cbor:"1,keyasint"`
+}
+
+// UpstreamState is what an agent says about its upstream.
+type UpstreamState string
+
+// The states of an upstream.
+const (
+	UpstreamAbsent  UpstreamState = "absent"
+	UpstreamServing UpstreamState = "serving"
+	UpstreamLeaving UpstreamState = "leaving"
+)
+
+// Capacity is what an agent says about its upstream. It is sent on change only.
+type Capacity struct {
+	State        UpstreamState `cbor:"1,keyasint"`
+	Services     []string      `cbor:"2,keyasint"`
+	Slots        int           `cbor:"3,keyasint"`
+	Connections  int           `cbor:"4,keyasint"`
+	MemoryBytes  int64         `cbor:"5,keyasint"`
+	Accelerators int           `cbor:"6,keyasint"`
+}
+
+// Credit divides an agent's slots between entries. From agent to entry, Limit is
+// the number of starts that the entry may have outstanding there. From entry to
+// agent, Backlog is the number of tasks that wait at the entry for a slot.
+type Credit struct {
+	Limit   int `cbor:"1,keyasint,omitempty"`
+	Backlog int `cbor:"2,keyasint,omitempty"`
+}
+
+// Fence raises the epochs of partitions at an agent on behalf of a new owner.
+type Fence struct {
+	Partitions []PartitionEpoch `cbor:"1,keyasint"`
+}
+
+// Fenced is an agent's answer to a Fence, one for each partition.
+type Fenced struct {
+	Partition identifier.Partition `cbor:"1,keyasint"`
+	Epoch     uint64               `cbor:"2,keyasint"`
+	Records   []Record             `cbor:"3,keyasint,omitempty"`
+}
+
+// Record is what an agent remembers about one submission.
+type Record struct {
+	Submission identifier.Submission `cbor:"1,keyasint"`
+	Cancelled  bool                  `cbor:"2,keyasint,omitempty"`
+	Running    []uint16              `cbor:"3,keyasint,omitempty"`
+	// Ended has the tasks that started and ended. Payload is absent where the
+	// owner had settled the submission.
+	Ended []TaskResult `cbor:"4,keyasint,omitempty"`
+}
+
+// Forward carries a submission from the entry that received it to the owner.
+type Forward struct {
+	Ticket     uint64                `cbor:"1,keyasint"`
+	Submission identifier.Submission `cbor:"2,keyasint"`
+	Service    string                `cbor:"3,keyasint"`
+	Team       string                `cbor:"4,keyasint"`
+	RequestKey string                `cbor:"5,keyasint,omitempty"`
+	// Remaining is what is left of the deadline when the message is made.
+	Remaining time.Duration `cbor:"6,keyasint"`
+	Tasks     []TaskSpec    `cbor:"7,keyasint"`
+	// Attach asks for the answer of a known submission without bringing its tasks.
+	Attach bool `cbor:"8,keyasint,omitempty"`
+	// Cancel asks to cancel the submission.
+	Cancel bool `cbor:"9,keyasint,omitempty"`
+}
+
+// TaskSpec is one task as the caller declared it.
+type TaskSpec struct {
+	Payload      []byte        `cbor:"1,keyasint"`
+	RunTime      time.Duration `cbor:"2,keyasint,omitempty"`
+	MemoryBytes  int64         `cbor:"3,keyasint,omitempty"`
+	Accelerators int           `cbor:"4,keyasint,omitempty"`
+	Repeatable   bool          `cbor:"5,keyasint,omitempty"`
+}
+
+// Answer is the answer to a Forward.
+type Answer struct {
+	Ticket     uint64                `cbor:"1,keyasint"`
+	Submission identifier.Submission `cbor:"2,keyasint"`
+	Outcome    string                `cbor:"3,keyasint"`
+	Reason     string                `cbor:"4,keyasint,omitempty"`
+	Detail     string                `cbor:"5,keyasint,omitempty"`
+	RetryAfter time.Duration         `cbor:"6,keyasint,omitempty"`
+	Results    [][]byte              `cbor:"7,keyasint,omitempty"`
+}
+
+// Routes tells a peer who owns which partitions and which entries there are.
+type Routes struct {
+	Entries []EntryAddr  `cbor:"1,keyasint,omitempty"`
+	Owners  []RouteOwner `cbor:"2,keyasint,omitempty"`
+}
+
+// EntryAddr is where an entry accepts peers.
+type EntryAddr struct {
+	Peer Peer           `cbor:"1,keyasint"`
+	Addr netip.AddrPort `cbor:"2,keyasint"`
+}
+
+// RouteOwner is the owner of a partition at an epoch.
+type RouteOwner struct {
+	Partition identifier.Partition `cbor:"1,keyasint"`
+	Epoch     uint64               `cbor:"2,keyasint"`
+	Owner     Peer                 `cbor:"3,keyasint"`
+}
+
+// Handover passes partitions with their records from an owner that shuts down to
+// a peer.
+type Handover struct {
+	ID         uint64           `cbor:"1,keyasint"`
+	Partitions []PartitionEpoch `cbor:"2,keyasint"`
+	Jobs       []HandoverJob    `cbor:"3,keyasint,omitempty"`
+	// Accepted is set in the answer of the peer.
+	Accepted bool `cbor:"4,keyasint,omitempty"`
+}
+
+// HandoverJob is one submission with all that its owner knows.
+type HandoverJob struct {
+	Job Forward `cbor:"1,keyasint"`
+	// Answer is set if the job is answered.
+	Answer *Answer `cbor:"2,keyasint,omitempty"`
+	// Tasks has the tasks that were sent to an agent.
+	Tasks []HandoverTask `cbor:"3,keyasint,omitempty"`
+}
+
+// HandoverTask is one task that was sent to an agent.
+type HandoverTask struct {
+	Index  uint16      `cbor:"1,keyasint"`
+	Agent  Peer        `cbor:"2,keyasint"`
+	Result *TaskResult `cbor:"3,keyasint,omitempty"`
+}
+
+// Config passes on a version of the operators' configuration.
+type Config struct {
+	Version  uint64 `cbor:"1,keyasint"`
+	Document []byte `cbor:"2,keyasint,omitempty"`
+}
+
+// AdminQuery asks a peer for a part of its state, for listings over all entries.
+type AdminQuery struct {
+	Ticket uint64 `cbor:"1,keyasint"`
+	// Call names the call of the administration API.
+	Call string `cbor:"2,keyasint"`
+	Body []byte `cbor:"3,keyasint,omitempty"`
+}
+
+// AdminReply answers an AdminQuery with a JSON document.
+type AdminReply struct {
+	Ticket uint64 `cbor:"1,keyasint"`
+	Body   []byte `cbor:"2,keyasint,omitempty"`
+	Detail string `cbor:"3,keyasint,omitempty"`
+}
--- /dev/null
+++ b/internal/scripter/scripter.go
@@ -0,0 +1,100 @@
+// Package scripter runs tests whose scripts and expected output are data files.
+//
+// A test case is a txtar archive with a file "script", one event a line, and a
+// file "want" with the output that the script must give. With the environment
+// variable SARDINELOCK_UPDATE=1 the "want" parts are written anew.
+package scripter
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/tools/txtar"
+)
+
+const updateVariable = "SARDINELOCK_UPDATE"
+
+// Line is one line of a script: a verb with arguments.
+type Line struct {
+	Number int // Number counts from 1 within the script.
+	Verb   string
+	Args   []string
+}
+
+// Run runs every archive that matches the pattern. The function gets the lines
+// of one script, without blank ones and comments, and returns its output.
+func Run(t *testing.T, pattern string, f func(t *testing.T, lines []Line) string) {
+	t.Helper()
+	names, err := filepath.Glob(pattern)
+	if err != nil || len(names) == 0 {
+		t.Fatalf("no archive matches %s (error %v)", pattern, err)
+	}
+	for _, name := range names {
+		t.Run(strings.TrimSuffix(filepath.Base(name), ".txtar"), func(t *testing.T) {
+			runArchive(t, name, f)
+		})
+	}
+}
+
+func runArchive(t *testing.T, name string, f func(t *testing.T, lines []Line) string) {
+	t.Helper()
+	archive, err := txtar.ParseFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	script, want := part(archive, "script"), part(archive, "want")
+	if script == nil || want == nil {
+		t.Fatalf("%s needs the files script and want", name)
+	}
+	got := f(t, parse(string(script.Data)))
+	if os.Getenv(updateVariable) != "" {
+		want.Data = []byte(got)
+		if err := os.WriteFile(name, txtar.Format(archive), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	if diff := cmp.Diff(string(want.Data), got); diff != "" {
+		t.Errorf("%s (-want +got):\n%s", name, diff)
+	}
+}
+
+func part(a *txtar.Archive, name string) *txtar.File {
+	for i := range a.Files {
+		if a.Files[i].Name == name {
+			return &a.Files[i]
+		}
+	}
+	return nil
+}
+
+func parse(script string) []Line {
+	var out []Line
+	for i, text := range strings.Split(script, "\n") {
+		text, _, _ = strings.Cut(text, "#")
+		fields := strings.Fields(text)
+		if len(fields) > 0 {
+			out = append(out, Line{Number: i + 1, Verb: fields[0], Args: fields[1:]})
+		}
+	}
+	return out
+}
+
+// Arg returns the value of the argument "name=value", or "" if there is none.
+func (l Line) Arg(name string) string {
+	for _, arg := range l.Args {
+		if key, value, ok := strings.Cut(arg, "="); ok && key == name {
+			return value
+		}
+	}
+	return ""
+}
+
+// String returns the line as an error message would name it.
+func (l Line) String() string {
+	return fmt.Sprintf("line %d: %s %s", l.Number, l.Verb, strings.Join(l.Args, " "))
+}
--- /dev/null
+++ b/internal/timer/timer.go
@@ -0,0 +1,59 @@
+// Package timer is the process's one source of periodic time.
+//
+// Parts of a process subscribe with a period and a function; the service calls
+// each function on its own goroutine's schedule, never two calls of one
+// subscription at once. A subscriber that is still busy when its next tick is
+// due misses that tick. Decision code does not use this package: it is given the
+// time with each event.
+package timer
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Service calls subscribers at their periods until it is stopped.
+type Service struct {
+	mu     sync.Mutex
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// New returns a running service.
+func New() *Service {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Service{ctx: ctx, cancel: cancel}
+}
+
+// Subscribe calls f with the current time every period, until the returned
+// function or Stop is called. The period must be positive.
+func (s *Service) Subscribe(period time.Duration, f func(now time.Time)) (unsubscribe func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ctx, cancel := context.WithCancel(s.ctx)
+	s.wg.Go(func() { tick(ctx, period, f) })
+	return cancel
+}
+
+// Stop ends all subscriptions and waits for running calls to return.
+func (s *Service) Stop() {
+	s.mu.Lock()
+	s.cancel()
+	s.mu.Unlock()
+	s.wg.Wait()
+}
+
+func tick(ctx context.Context, period time.Duration, f func(time.Time)) {
+	t := time.NewTicker(period)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			f(now)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/submitter/client.go
@@ -0,0 +1,139 @@
+package submitter
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// Client submits jobs to entries.
+type Client struct {
+	entries []netip.AddrPort
+	team    string
+	token   string
+	http    *http.Client
+	// Sleep is the seam for the pause between tries; tests replace it.
+	Sleep func(ctx context.Context, d time.Duration)
+}
+
+// Options describe a client.
+type Options struct {
+	// Entries are the callers' addresses of entries; they are tried in order.
+	Entries []netip.AddrPort
+	// Team names the caller's team where the entries ask for no token.
+	Team string
+	// Token is the team's bearer token; empty sends none.
+	Token string
+	// HTTP is the client to use; nil means one of the package's own.
+	HTTP *http.Client
+}
+
+const (
+	maxTries   = 5
+	retryPause = 50 * time.Millisecond
+)
+
+// New returns a client. Options.Entries must not be empty.
+func New(o Options) *Client {
+	c := &Client{entries: o.Entries, team: o.Team, token: o.Token, http: o.HTTP, Sleep: sleep}
+	if c.http == nil {
+		c.http = &http.Client{}
+	}
+	return c
+}
+
+// NewSubmissionID returns a submission id made now.
+func NewSubmissionID() string { return uuid.Must(uuid.NewV7()).String() }
+
+// Submit submits a job and waits for its answer. An empty id makes one. After a
+// lost connection the same id is submitted again, through the next entry; if no
+// entry answers in the end, the outcome is unknown. An error means that the
+// request was no valid submission; it is of type [*Error].
+func (c *Client) Submit(ctx context.Context, service, id string, job Job) (Answer, error) {
+	if id == "" {
+		id = NewSubmissionID()
+	}
+	body, err := json.Marshal(job)
+	if err != nil {
+		return Answer{}, &Error{Op: "submit", Kind: KindInvalid, Err: err}
+	}
+	for try := range maxTries {
+		if try > 0 {
+			c.Sleep(ctx, retryPause<<(try-1))
+		}
+		entry := c.entries[try%len(c.entries)]
+		answer, err := c.submitOnce(ctx, entry, service, id, body)
+		if KindOf(err) != KindUnreachable {
+			return answer, err
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return unanswered(id), nil
+}
+
+// unanswered is what the client can say when no entry answered.
+func unanswered(id string) Answer {
+	return Answer{
+		SubmissionID: id,
+		Outcome:      OutcomeUnknown,
+		Reason:       ReasonConnectionLost,
+		Detail:       "no entry answered; the job may have run",
+	}
+}
+
+func (c *Client) submitOnce(ctx context.Context, entry netip.AddrPort, service, id string, body []byte) (Answer, error) {
+	const op = "submit"
+	url := "http://" + entry.String() + "/v1/services/" + service + "/jobs"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return Answer{}, &Error{Op: op, Kind: KindInvalid, Err: err}
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(HeaderSubmissionID, id)
+	if c.team != "" {
+		req.Header.Set(HeaderTeam, c.team)
+	}
+	if c.token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return Answer{}, &Error{Op: op, Kind: KindUnreachable, Err: err}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return Answer{}, &Error{Op: op, Kind: KindUnreachable, Err: err}
+	}
+	return decodeAnswer(op, resp, text)
+}
+
+func decodeAnswer(op string, resp *http.Response, text []byte) (Answer, error) {
+	if resp.Header.Get("Content-Type") == "application/problem+json" {
+		var p Problem
+		if err := json.Unmarshal(text, &p); err != nil {
+			return Answer{}, &Error{Op: op, Kind: KindUnreachable, Err: err}
+		}
+		return Answer{}, &Error{Op: op, Kind: KindRejected, Problem: &p}
+	}
+	var a Answer
+	if err := json.Unmarshal(text, &a); err != nil {
+		return Answer{}, &Error{Op: op, Kind: KindUnreachable, Err: err}
+	}
+	return a, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
