Let messages carry what a new owner needs to recover

Cause: a takeover has to learn request keys, digests and unstarted tasks from the agents' records, and agents must refuse starts before they are in the roster. Change: Start and Record carry the request key and a digest, Admit is new, and Submit returns the tasks to place. Measured: the suite passes as before; no path uses the new fields yet. Conclusion: the packages can now grow side by side.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -215,10 +215,11 @@
 
 // submitLocal applies a request for a partition that this entry owns.
 func (c *Coordinator) submitLocal(now time.Time, w owner.Waiter, j owner.Job) {
-	if !c.owner.Submit(now, w, j) {
+	tasks := c.owner.Submit(now, w, j)
+	if len(tasks) == 0 {
 		return
 	}
-	refusal := c.placer.Enqueue(now, placerJob(&j))
+	refusal := c.placer.Enqueue(now, placerJob(&j, tasks))
 	if refusal.Reason != "" {
 		c.owner.Refuse(now, j.Submission, refusal.Reason, refusal.Detail, refusal.RetryAfter)
 	}
@@ -243,7 +244,7 @@
 	}
 	for _, r := range out.Requeues {
 		if j, ok := c.owner.Job(r.Submission); ok {
-			c.placer.Requeue(now, placerJob(&j), r.Index)
+			c.placer.Requeue(now, placerJob(&j, nil), r.Index)
 		}
 	}
 	for _, s := range out.Drops {
@@ -362,13 +363,14 @@
 	}
 }
 
-func placerJob(j *owner.Job) placer.Job {
+func placerJob(j *owner.Job, tasks []uint16) placer.Job {
 	out := placer.Job{
 		Submission: j.Submission,
 		Service:    j.Service,
 		Team:       j.Team,
 		Deadline:   j.Deadline,
 		Needs:      make([]placer.Need, len(j.Tasks)),
+		Tasks:      tasks,
 	}
 	for i, t := range j.Tasks {
 		out.Needs[i] = placer.Need{RunTime: t.RunTime, MemoryBytes: t.MemoryBytes, Accelerators: t.Accelerators}
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -100,6 +100,9 @@
 	// EndBy is on the agent's clock. A task that still runs by then is stopped.
 	EndBy time.Duration `cbor:"6,keyasint"`
 	Tasks []TaskStart   `cbor:"7,keyasint"`
+	// RequestKey and Digest are kept in the agent's record for a new owner.
+	RequestKey string `cbor:"8,keyasint,omitempty"`
+	Digest     uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // TaskStart is one task of a Start.
@@ -205,6 +208,18 @@
 // Fence raises the epochs of partitions at an agent on behalf of a new owner.
 type Fence struct {
 	Partitions []PartitionEpoch `cbor:"1,keyasint"`
+	// UnsettledOnly asks only for records whose results the owner does not have,
+	// as after a lost connection under the same epoch.
+	UnsettledOnly bool `cbor:"2,keyasint,omitempty"`
+}
+
+// Admit tells an agent that it is part of the roster. Until then the agent
+// refuses every start. Epochs are those of all partitions, read from the table
+// after the roster was written, so that no owner that was replaced before the
+// agent joined can start anything there.
+type Admit struct {
+	Roster uint64   `cbor:"1,keyasint"` // Roster is the version of the roster that has the agent.
+	Epochs []uint64 `cbor:"2,keyasint"` // Epochs is indexed by partition.
 }
 
 // Fenced is an agent's answer to a Fence, one for each partition.
@@ -222,6 +237,11 @@
 	// Ended has the tasks that started and ended. Payload is absent where the
 	// owner had settled the submission.
 	Ended []TaskResult `cbor:"4,keyasint,omitempty"`
+	// RequestKey and Digest are those of the Start.
+	RequestKey string `cbor:"5,keyasint,omitempty"`
+	Digest     uint64 `cbor:"6,keyasint,omitempty"`
+	// Service is that of the Start.
+	Service string `cbor:"7,keyasint,omitempty"`
 }
 
 // Forward carries a submission from the entry that received it to the owner.
--- a/internal/owner/job.go
+++ b/internal/owner/job.go
@@ -57,6 +57,17 @@
 	return slices.ContainsFunc(j.tasks, func(t task) bool { return t.state != taskWaiting })
 }
 
+// unsent returns the tasks that were not sent to an agent.
+func (j *job) unsent() []uint16 {
+	var out []uint16
+	for i := range j.tasks {
+		if j.tasks[i].state == taskWaiting {
+			out = append(out, uint16(i))
+		}
+	}
+	return out
+}
+
 // agentsInState returns the agents that have a task in the state, each once.
 func (j *job) agentsInState(s taskState) []messenger.Peer {
 	var out []messenger.Peer
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -101,13 +101,14 @@
 // Jobs returns the number of jobs that are kept and of those without an answer.
 func (o *Owner) Jobs() (kept, open int) { return len(o.jobs), len(o.open) }
 
-// Submit applies a request. It reports true if the job is new, so that its tasks
-// must be placed. Otherwise the waiter is attached to the known job or answered.
-func (o *Owner) Submit(now time.Time, w Waiter, in Job) bool {
+// Submit applies a request. It returns the tasks that must be placed: all of a
+// new job, those that no agent has started of a recovered one, and none of a job
+// that is known, to which the waiter is attached or whose answer it gets.
+func (o *Owner) Submit(now time.Time, w Waiter, in Job) []uint16 {
 	digest := fingerprint(&in)
 	if j := o.jobs[in.Submission]; j != nil {
 		o.attach(j, w, digest)
-		return false
+		return nil
 	}
 	if len(o.jobs) >= o.limits.MaxJobs {
 		o.out.Answers = append(o.out.Answers, Answered{Waiter: w, Answer: &messenger.Answer{
@@ -117,13 +118,13 @@
 			Detail:     "the entry keeps as many jobs as its limit allows",
 			RetryAfter: time.Second,
 		}})
-		return false
+		return nil
 	}
 	j := newJob(now, in, digest)
 	j.waiters = append(j.waiters, w)
 	o.jobs[in.Submission] = j
 	o.open[in.Submission] = j
-	return true
+	return j.unsent()
 }
 
 // Job returns the job of a submission that has no answer yet.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -36,7 +36,8 @@
 	Service    string
 	Team       string
 	Deadline   time.Time
-	Needs      []Need // Needs has one entry a task.
+	Needs      []Need   // Needs has one entry a task of the submission.
+	Tasks      []uint16 // Tasks are those to place, in order.
 }
 
 // Refusal says why a job is not taken. The zero value takes it.
@@ -154,10 +155,7 @@
 	if refusal := p.admit(&j); refusal.Reason != "" {
 		return refusal
 	}
-	q := &queued{job: j, waiting: make([]uint16, len(j.Needs))}
-	for i := range q.waiting {
-		q.waiting[i] = uint16(i)
-	}
+	q := &queued{job: j, waiting: slices.Clone(j.Tasks)}
 	p.jobs[j.Submission] = q
 	p.queues[j.Service] = append(p.queues[j.Service], q)
 	p.queue += len(q.waiting)
@@ -255,7 +253,7 @@
 
 // admit says whether a job may enter the queue.
 func (p *Placer) admit(j *Job) Refusal {
-	if p.queue+len(j.Needs) > p.limits.MaxQueued {
+	if p.queue+len(j.Tasks) > p.limits.MaxQueued {
 		return Refusal{
 			Reason:     submitter.ReasonOverloaded,
 			Detail:     "the queue holds as many tasks as its limit allows",
