--- /dev/null
+++ b/internal/claimer/claimer.go
@@ -0,0 +1,47 @@
+// Package claimer decides which entry should own which partition.
+//
+// Every entry computes the same wanted owner of a partition from the set of live
+// entries, by rendezvous hashing, so that a change of the set moves few
+// partitions. An entry claims those partitions that it should own and whose owner
+// is gone, and hands over those that another entry should own. Views may differ
+// for a while; the conditional write of the partition's row decides.
+package claimer
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"sardinelock.dev/sardinelock/internal/identifier"
+	"sardinelock.dev/sardinelock/internal/messenger"
+)
+
+// Home returns the region that a partition belongs to. The list of regions is the
+// same in the settings of every process and does not change.
+func Home(p identifier.Partition, regions []string) string {
+	if len(regions) == 0 {
+		return ""
+	}
+	return regions[int(p)%len(regions)]
+}
+
+// Want returns the entry among the live ones that should own the partition, or
+// "" if there is none. The order of the live entries does not matter.
+func Want(p identifier.Partition, live []messenger.Peer) messenger.Peer {
+	var best messenger.Peer
+	var bestScore uint64
+	for _, peer := range live {
+		score := score(p, peer)
+		if best == "" || score > bestScore || (score == bestScore && peer < best) {
+			best, bestScore = peer, score
+		}
+	}
+	return best
+}
+
+func score(p identifier.Partition, peer messenger.Peer) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	// A digest's writes never fail.
+	_, _ = d.WriteString(string(peer))
+	_, _ = d.Write([]byte{byte(p >> 8), byte(p)})
+	return d.Sum64()
+}
--- /dev/null
+++ b/internal/coordinator/agents.go
@@ -0,0 +1,249 @@
+package coordinator
+
+import (
+	"slices"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/identifier"
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/placer"
+	"sardinelock.dev/sardinelock/internal/registrar"
+)
+
+// agentLink is what the coordinator keeps for a connected agent.
+type agentLink struct {
+	peer     messenger.Peer
+	member   registrar.Member
+	frame    *messenger.Frame // frame gathers what goes out at the next Take.
+	settled  []messenger.Settlement
+	admitted bool                // admitted means that the agent was told that it is in the roster.
+	capacity *messenger.Capacity // capacity is the latest one; nil until the agent sent one.
+	ping     uint64
+	pings    []sentPing    // pings are those without an echo, oldest first.
+	clock    time.Duration // clock is the agent's clock in its latest message.
+	clockAt  time.Time     // clockAt is when that message arrived.
+}
+
+// sentPing is when a ping was sent.
+type sentPing struct {
+	number uint64
+	at     time.Time
+}
+
+// gather returns the frame that gathers what goes to the agent.
+func (a *agentLink) gather() *messenger.Frame {
+	if a.frame == nil {
+		a.frame = &messenger.Frame{}
+	}
+	return a.frame
+}
+
+// settle lets a settlement ride on the next frame, without causing one.
+func (a *agentLink) settle(s identifier.Submission) {
+	a.settled = append(a.settled, messenger.Settlement{Submission: s})
+}
+
+// echo returns when the echoed ping was sent; false if it is not known.
+func (a *agentLink) echo(number uint64) (time.Time, bool) {
+	for i := len(a.pings) - 1; i >= 0; i-- {
+		if a.pings[i].number == number {
+			at := a.pings[i].at
+			a.pings = slices.Delete(a.pings, 0, i+1)
+			return at, true
+		}
+	}
+	return time.Time{}, false
+}
+
+func (c *Coordinator) agentUp(now time.Time, h messenger.Hello) {
+	if h.Region != c.self.Region {
+		return
+	}
+	a := &agentLink{
+		peer:   h.Peer,
+		member: registrar.Member{Peer: h.Peer, DataCentre: h.DataCentre, Rack: h.Rack},
+	}
+	c.agents[h.Peer] = a
+	c.agentOrder = insertPeer(c.agentOrder, h.Peer)
+	delete(c.away, h.Peer)
+	for p, epoch := range h.Epochs {
+		if p < identifier.Partitions {
+			c.sawEpoch(now, identifier.Partition(p), epoch)
+		}
+	}
+	c.owner.AgentUp(h.Peer)
+	c.fence(a, c.Owned())
+	c.admit(now, a)
+	a.gather().Routes = &messenger.Routes{Entries: c.regionEntries()}
+}
+
+func (c *Coordinator) agentDown(now time.Time, peer messenger.Peer) {
+	delete(c.agents, peer)
+	c.agentOrder = removePeer(c.agentOrder, peer)
+	c.away[peer] = now
+	c.leaser.Forget(peer)
+	c.owner.AgentDown(now, peer)
+	c.placer.AgentDown(now, peer)
+}
+
+// admit tells an agent that it is in the roster, and lets the placer use it.
+func (c *Coordinator) admit(now time.Time, a *agentLink) {
+	roster := c.registrar.Roster(c.self.Region)
+	if a.admitted || !roster.HasMember(a.peer) {
+		return
+	}
+	a.admitted = true
+	epochs := make([]uint64, identifier.Partitions)
+	for p := range epochs {
+		epochs[p] = c.registrar.Partition(identifier.Partition(p)).Epoch
+	}
+	a.gather().Admit = &messenger.Admit{Roster: roster.Version, Epochs: epochs}
+	c.placer.AgentUp(now, a.peer, placer.Place{
+		Region:     c.self.Region,
+		DataCentre: a.member.DataCentre,
+		Rack:       a.member.Rack,
+	})
+	if a.capacity != nil {
+		c.placer.SetCapacity(now, a.peer, *a.capacity)
+	}
+}
+
+// fence sends an agent the epochs of partitions that this entry owns. An agent
+// whose records are awaited gives all of them, any other only what is unsettled.
+func (c *Coordinator) fence(a *agentLink, partitions []messenger.PartitionEpoch) {
+	if len(partitions) == 0 {
+		return
+	}
+	a.gather().Fence = &messenger.Fence{
+		Partitions:    partitions,
+		UnsettledOnly: !c.recoverer.Missing(a.peer),
+	}
+}
+
+// fenceAll sends every agent the epochs of all partitions that this entry owns.
+func (c *Coordinator) fenceAll() {
+	owned := c.Owned()
+	for _, peer := range c.agentOrder {
+		c.fence(c.agents[peer], owned)
+	}
+}
+
+func (c *Coordinator) receiveAgent(now time.Time, a *agentLink, f *messenger.Frame) {
+	if f.Contact != nil {
+		c.receiveContact(now, a, f.Contact)
+	}
+	if f.Capacity != nil {
+		a.capacity = f.Capacity
+		c.placer.SetCapacity(now, a.peer, *f.Capacity)
+	}
+	if f.Credit != nil {
+		c.placer.SetCredit(now, a.peer, f.Credit.Limit)
+	}
+	if len(f.Fenced) > 0 {
+		c.receiveFenced(now, a, f.Fenced)
+	}
+	for i := range f.Results {
+		c.receiveResult(now, a, &f.Results[i])
+	}
+	for i := range f.CancelAcks {
+		c.receiveCancelAck(now, a, &f.CancelAcks[i])
+	}
+}
+
+// receiveContact applies the epochs that an agent has raised before it counts
+// the agent's answer: an answer from an agent that knows a higher epoch of a
+// partition proves nothing for that partition.
+func (c *Coordinator) receiveContact(now time.Time, a *agentLink, m *messenger.Contact) {
+	a.clock = m.Clock
+	a.clockAt = now
+	for _, raised := range m.Raised {
+		if int(raised.Partition) < identifier.Partitions {
+			c.sawEpoch(now, raised.Partition, raised.Epoch)
+		}
+	}
+	if sent, ok := a.echo(m.Echo); ok {
+		c.leaser.Confirmed(a.peer, sent)
+	}
+}
+
+func (c *Coordinator) receiveFenced(now time.Time, a *agentLink, answer []messenger.Fenced) {
+	for i := range answer {
+		f := &answer[i]
+		if int(f.Partition) >= identifier.Partitions {
+			return
+		}
+		c.sawEpoch(now, f.Partition, f.Epoch)
+		if f.Epoch != c.recoverer.Epoch(f.Partition) {
+			continue
+		}
+		for _, record := range f.Records {
+			c.owner.Recover(now, a.peer, record)
+		}
+	}
+	c.recoverer.Fenced(now, a.peer, answer)
+	c.releaseHeld(now)
+}
+
+func (c *Coordinator) receiveResult(now time.Time, a *agentLink, r *messenger.Result) {
+	for _, t := range r.Tasks {
+		c.placer.Ended(now, placer.End{
+			Agent:           a.peer,
+			Submission:      r.Submission,
+			Index:           t.Index,
+			Kind:            t.Kind,
+			Refusal:         t.Refusal,
+			RunTime:         t.RunTime,
+			PeakMemoryBytes: t.PeakMemoryBytes,
+		})
+	}
+	c.owner.Result(now, a.peer, r)
+}
+
+// receiveCancelAck frees the places of tasks that will not start any more.
+func (c *Coordinator) receiveCancelAck(now time.Time, a *agentLink, ack *messenger.CancelAck) {
+	c.placer.Cancelled(now, a.peer, ack.Submission, ack.Started)
+}
+
+// pingWitnesses asks the witnesses whose answers grow old.
+func (c *Coordinator) pingWitnesses(now time.Time) {
+	for _, w := range c.leaser.Due(now) {
+		if a := c.agents[w]; a != nil {
+			a.gather()
+		}
+	}
+}
+
+// flushAgents sends the gathered frames. Every frame is also a ping.
+func (c *Coordinator) flushAgents(now time.Time) {
+	for _, peer := range c.agentOrder {
+		a := c.agents[peer]
+		if a.frame == nil {
+			continue
+		}
+		f := a.frame
+		a.frame = nil
+		f.Settled = a.settled
+		a.settled = nil
+		a.ping++
+		a.pings = append(a.pings, sentPing{number: a.ping, at: now})
+		f.Contact = &messenger.Contact{Ping: a.ping}
+		c.leaser.Asked(now, peer)
+		c.out.Sends = append(c.out.Sends, Send{To: peer, Frame: f})
+	}
+}
+
+func insertPeer(peers []messenger.Peer, peer messenger.Peer) []messenger.Peer {
+	i, found := slices.BinarySearch(peers, peer)
+	if found {
+		return peers
+	}
+	return slices.Insert(peers, i, peer)
+}
+
+func removePeer(peers []messenger.Peer, peer messenger.Peer) []messenger.Peer {
+	i, found := slices.BinarySearch(peers, peer)
+	if !found {
+		return peers
+	}
+	return slices.Delete(peers, i, i+1)
+}
--- /dev/null
+++ b/internal/coordinator/entries.go
@@ -0,0 +1,149 @@
+package coordinator
+
+import (
+	"slices"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/messenger"
+)
+
+// entryLink is what the coordinator keeps for a connected entry.
+type entryLink struct {
+	peer    messenger.Peer
+	region  string
+	frame   *messenger.Frame
+	upSince time.Time
+	heardAt time.Time
+}
+
+// gather returns the frame that gathers what goes to the entry.
+func (e *entryLink) gather() *messenger.Frame {
+	if e.frame == nil {
+		e.frame = &messenger.Frame{}
+	}
+	return e.frame
+}
+
+func (c *Coordinator) entryUp(now time.Time, h messenger.Hello) {
+	c.entries[h.Peer] = &entryLink{peer: h.Peer, region: h.Region, upSince: now, heardAt: now}
+	c.entryOrder = insertPeer(c.entryOrder, h.Peer)
+	c.routeRequests(now)
+}
+
+func (c *Coordinator) entryDown(now time.Time, peer messenger.Peer) {
+	delete(c.entries, peer)
+	c.sighted[peer] = now
+	c.entryOrder = removePeer(c.entryOrder, peer)
+	c.requests.lost(peer)
+	c.handoverPeerDown(now, peer)
+}
+
+func (c *Coordinator) receiveEntry(now time.Time, e *entryLink, f *messenger.Frame) {
+	e.heardAt = now
+	if f.Routes != nil {
+		c.registrar.Hint(now, f.Routes.Revision)
+	}
+	if f.Handover != nil {
+		c.receiveHandover(now, e, f.Handover)
+	}
+	for i := range f.Forwards {
+		c.receiveForward(now, e, &f.Forwards[i])
+	}
+	for i := range f.Answers {
+		c.receiveAnswer(&f.Answers[i])
+	}
+	for _, m := range f.Moved {
+		c.requests.moved(m.Ticket)
+	}
+	if len(f.Moved) > 0 {
+		c.routeRequests(now)
+	}
+}
+
+// pingEntries tells the other entries that this one lives and which table
+// revision it has seen.
+func (c *Coordinator) pingEntries(now time.Time) {
+	if now.Sub(c.pingedAt) < c.limits.PingEntriesEvery {
+		return
+	}
+	c.pingedAt = now
+	c.tellRevision()
+}
+
+func (c *Coordinator) tellRevision() {
+	for _, peer := range c.entryOrder {
+		c.entries[peer].gather().Routes = &messenger.Routes{Revision: c.registrar.Revision()}
+	}
+}
+
+// responsive reports whether an entry is connected and was heard lately.
+func (c *Coordinator) responsive(now time.Time, peer messenger.Peer) bool {
+	e := c.entries[peer]
+	return e != nil && now.Sub(e.heardAt) < c.limits.SuspectAfter
+}
+
+// suspected reports whether an entry has been out of reach for so long that its
+// partitions should have another owner.
+func (c *Coordinator) suspected(now time.Time, peer messenger.Peer) bool {
+	if peer == c.self.Peer || c.responsive(now, peer) {
+		return false
+	}
+	since := c.started
+	if at, ok := c.sighted[peer]; ok && at.After(since) {
+		since = at
+	}
+	if e := c.entries[peer]; e != nil {
+		since = e.heardAt
+	}
+	return now.Sub(since) >= c.limits.SuspectAfter
+}
+
+// live returns the entries of this region that may own partitions, this one
+// included unless it drains.
+func (c *Coordinator) live(now time.Time) []messenger.Peer {
+	var out []messenger.Peer
+	for _, row := range c.registrar.Entries() {
+		if row.Region != c.self.Region || row.Draining || row.Peer == c.self.Peer {
+			continue
+		}
+		if c.responsive(now, row.Peer) {
+			out = append(out, row.Peer)
+		}
+	}
+	if !c.draining {
+		out = append(out, c.self.Peer)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Entries returns where every known entry accepts peers.
+func (c *Coordinator) Entries() []messenger.EntryAddr {
+	var out []messenger.EntryAddr
+	for _, e := range c.registrar.Entries() {
+		out = append(out, messenger.EntryAddr{Peer: e.Peer, Addr: e.PeerAddr})
+	}
+	return out
+}
+
+// regionEntries returns where the entries of this region accept agents.
+func (c *Coordinator) regionEntries() []messenger.EntryAddr {
+	var out []messenger.EntryAddr
+	for _, e := range c.registrar.Entries() {
+		if e.Region == c.self.Region {
+			out = append(out, messenger.EntryAddr{Peer: e.Peer, Addr: e.PeerAddr})
+		}
+	}
+	return out
+}
+
+func (c *Coordinator) flushEntries() {
+	for _, peer := range c.entryOrder {
+		e := c.entries[peer]
+		if e.frame == nil {
+			continue
+		}
+		c.out.Sends = append(c.out.Sends, Send{To: peer, Frame: e.frame})
+		e.frame = nil
+	}
+}
--- /dev/null
+++ b/internal/coordinator/handover.go
@@ -0,0 +1,318 @@
+package coordinator
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/claimer"
+	"sardinelock.dev/sardinelock/internal/identifier"
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/recoverer"
+	"sardinelock.dev/sardinelock/internal/registrar"
+	"sardinelock.dev/sardinelock/internal/storer"
+)
+
+// maxHandoverPartitions bounds the partitions of one handover.
+const maxHandoverPartitions = 64
+
+// handovers are the one handover that this entry makes and those that are offered
+// to it.
+//
+// The owner stops its partitions, passes their records, and only when the peer
+// has them writes the peer's name into the rows. Until that write was asked for,
+// the owner may go on as if nothing had been. Afterwards it goes on only under a
+// new epoch of its own, written on the same condition, so that a late write of
+// the handover cannot take effect any more.
+type handovers struct {
+	count   uint64
+	out     *outgoing // out is the handover that this entry makes; nil if there is none.
+	offered map[string]*offer
+}
+
+// outgoingState is how far a handover has come at the owner that makes it.
+type outgoingState string
+
+const (
+	outgoingOffered  outgoingState = "offered"  // The peer has not said that it has the records.
+	outgoingAccepted outgoingState = "accepted" // The write may be asked for.
+	outgoingWriting  outgoingState = "writing"  // The write was asked for; its effect is not known.
+	outgoingReclaim  outgoingState = "reclaim"  // The write had no effect yet; it must be ruled out.
+)
+
+// outgoing is a handover at the owner that makes it.
+type outgoing struct {
+	id         string
+	to         messenger.Peer
+	state      outgoingState
+	partitions []messenger.HandoverPartition // partitions are stopped here.
+	jobs       []messenger.HandoverJob
+}
+
+// offer is a handover at the peer that it is made to.
+type offer struct {
+	from       messenger.Peer
+	at         time.Time
+	partitions []messenger.HandoverPartition
+	jobs       []messenger.HandoverJob
+}
+
+func newHandovers() handovers { return handovers{offered: make(map[string]*offer)} }
+
+// beginHandover begins to pass partitions to an entry that should own them.
+func (c *Coordinator) beginHandover(now time.Time) {
+	if c.handover.out != nil {
+		return
+	}
+	to, partitions := c.chooseHandover(now)
+	if len(partitions) == 0 {
+		return
+	}
+	c.handover.count++
+	out := &outgoing{
+		id:    string(c.self.Peer) + "/" + strconv.FormatUint(c.handover.count, 10),
+		to:    to,
+		state: outgoingOffered,
+	}
+	for _, p := range partitions {
+		out.partitions = append(out.partitions, messenger.HandoverPartition{
+			Partition:       p,
+			Epoch:           c.recoverer.Epoch(p),
+			UncertainBefore: c.recoverer.UncertainBefore(now, p),
+		})
+		out.jobs = append(out.jobs, c.stop(now, p)...)
+	}
+	c.handover.out = out
+	c.out.RoutesChanged = true
+	c.entries[to].gather().Handover = &messenger.Handover{
+		ID:         out.id,
+		Step:       messenger.HandoverOffer,
+		Partitions: out.partitions,
+		Jobs:       out.jobs,
+	}
+}
+
+// chooseHandover returns the entry that wants most and what it should get.
+// Partitions whose past is uncertain stay, unless this entry drains.
+func (c *Coordinator) chooseHandover(now time.Time) (messenger.Peer, []identifier.Partition) {
+	live := c.live(now)
+	var to messenger.Peer
+	var out []identifier.Partition
+	for p := range identifier.Partition(identifier.Partitions) {
+		if c.recoverer.Phase(p) != recoverer.PhaseActive || len(out) == maxHandoverPartitions {
+			continue
+		}
+		if !c.draining && !c.recoverer.Settled(now, p) {
+			continue
+		}
+		want := claimer.Want(p, live)
+		if want == "" || want == c.self.Peer || !c.steady(now, want) || (to != "" && want != to) {
+			continue
+		}
+		to = want
+		out = append(out, p)
+	}
+	return to, out
+}
+
+// steady reports whether an entry has been connected long enough to be handed
+// partitions. An entry that drains does not wait.
+func (c *Coordinator) steady(now time.Time, peer messenger.Peer) bool {
+	e := c.entries[peer]
+	return e != nil && (c.draining || now.Sub(e.upSince) >= c.limits.SteadyAfter)
+}
+
+// stop ends all activity of a partition and returns its records. Requests that
+// wait for its jobs are held.
+func (c *Coordinator) stop(now time.Time, p identifier.Partition) []messenger.HandoverJob {
+	c.recoverer.Stop(p)
+	jobs := c.owner.Export(now, p)
+	for _, r := range c.owner.Release(now, p) {
+		c.placer.Drop(r.Job.Submission)
+		for _, w := range r.Waiters {
+			c.requests.hold(p, heldRequest{waiter: w, request: Request{Kind: RequestSubmit, Job: r.Job}})
+		}
+	}
+	return jobs
+}
+
+// handoverWrite returns the write that the handover needs now.
+func (c *Coordinator) handoverWrite() (storer.Transaction, bool) {
+	out := c.handover.out
+	if out == nil {
+		return storer.Transaction{}, false
+	}
+	switch out.state {
+	case outgoingAccepted:
+		out.state = outgoingWriting
+		return c.ownerWrite(out, out.to, out.id), true
+	case outgoingReclaim:
+		return c.ownerWrite(out, c.self.Peer, reclaimID(out.id)), true
+	}
+	return storer.Transaction{}, false
+}
+
+// ownerWrite names an owner for the partitions of a handover that still have the
+// rows under which they were stopped.
+func (c *Coordinator) ownerWrite(out *outgoing, to messenger.Peer, id string) storer.Transaction {
+	t := storer.Transaction{
+		Conditions: []storer.Condition{registrar.RosterCondition(c.registrar.Roster(c.self.Region))},
+	}
+	for _, hp := range out.partitions {
+		row := c.registrar.Partition(hp.Partition)
+		t.Conditions = append(t.Conditions, registrar.PartitionCondition(hp.Partition, row))
+		t.Puts = append(t.Puts, registrar.PartitionPut(hp.Partition, registrar.Ownership{
+			Owner:    to,
+			Epoch:    hp.Epoch + 1,
+			Region:   c.self.Region,
+			Handover: id,
+		}))
+	}
+	return t
+}
+
+// reclaimID names the write by which an owner takes back what it offered.
+func reclaimID(id string) string { return id + "/reclaim" }
+
+// checkHandover looks at the rows after they were read.
+func (c *Coordinator) checkHandover(now time.Time) {
+	out := c.handover.out
+	if out == nil {
+		return
+	}
+	out.partitions = slices.DeleteFunc(out.partitions, func(hp messenger.HandoverPartition) bool {
+		return c.recoverer.Phase(hp.Partition) != recoverer.PhaseStopped || c.recoverer.Epoch(hp.Partition) != hp.Epoch
+	})
+	if len(out.partitions) == 0 {
+		c.endHandover(out)
+		return
+	}
+	if out.state == outgoingWriting && c.registrar.Idle() {
+		out.state = outgoingReclaim
+	}
+	if out.state == outgoingOffered || out.state == outgoingAccepted {
+		c.handoverUnwanted(now, out)
+	}
+}
+
+// handoverUnwanted goes on with the partitions if the peer should not have them.
+func (c *Coordinator) handoverUnwanted(now time.Time, out *outgoing) {
+	if _, ok := c.registrar.Entry(out.to); !ok {
+		c.cancelHandover(now, out)
+	}
+}
+
+func (c *Coordinator) endHandover(out *outgoing) {
+	c.handover.out = nil
+	if e := c.entries[out.to]; e != nil {
+		e.gather().Handover = &messenger.Handover{ID: out.id, Step: messenger.HandoverCommit}
+	}
+}
+
+// cancelHandover goes on with partitions for which no write was asked for.
+func (c *Coordinator) cancelHandover(now time.Time, out *outgoing) {
+	c.handover.out = nil
+	if e := c.entries[out.to]; e != nil {
+		e.gather().Handover = &messenger.Handover{ID: out.id, Step: messenger.HandoverCancel}
+	}
+	for _, hp := range out.partitions {
+		if c.recoverer.Phase(hp.Partition) == recoverer.PhaseStopped {
+			c.recoverer.Resume(hp.Partition, hp.Epoch)
+		}
+	}
+	c.importJobs(now, out.jobs)
+	c.fenceAll()
+	c.releaseHeld(now)
+	c.out.RoutesChanged = true
+}
+
+// resumeHandover makes a partition active again that this entry took back.
+func (c *Coordinator) resumeHandover(now time.Time, gained messenger.PartitionEpoch, id string) bool {
+	out := c.handover.out
+	if out == nil || id != reclaimID(out.id) || c.recoverer.Phase(gained.Partition) != recoverer.PhaseStopped {
+		return false
+	}
+	c.recoverer.Resume(gained.Partition, gained.Epoch)
+	c.importJobs(now, jobsOf(out.jobs, gained.Partition))
+	c.fenceAll()
+	return true
+}
+
+// gainHandover makes a partition active that its owner has passed to this entry.
+func (c *Coordinator) gainHandover(now time.Time, gained messenger.PartitionEpoch, id string) bool {
+	o := c.handover.offered[id]
+	if id == "" || o == nil {
+		return false
+	}
+	for _, hp := range o.partitions {
+		if hp.Partition == gained.Partition && hp.Epoch+1 == gained.Epoch {
+			c.recoverer.BeginHandover(gained, hp.UncertainBefore)
+			c.importJobs(now, jobsOf(o.jobs, gained.Partition))
+			c.fenceAll()
+			return true
+		}
+	}
+	return false
+}
+
+// receiveHandover applies a step of a handover.
+func (c *Coordinator) receiveHandover(now time.Time, e *entryLink, h *messenger.Handover) {
+	switch h.Step {
+	case messenger.HandoverOffer:
+		c.handover.offered[h.ID] = &offer{from: e.peer, at: now, partitions: h.Partitions, jobs: h.Jobs}
+		e.gather().Handover = &messenger.Handover{ID: h.ID, Step: messenger.HandoverAccept}
+	case messenger.HandoverAccept:
+		if out := c.handover.out; out != nil && out.id == h.ID && out.state == outgoingOffered {
+			out.state = outgoingAccepted
+			c.propose(now)
+		}
+	case messenger.HandoverCancel:
+		delete(c.handover.offered, h.ID)
+	case messenger.HandoverCommit:
+		// The rows tell; the table revision that comes with it makes this entry read them.
+	}
+}
+
+// handoverPeerDown goes on with partitions whose write was not asked for yet.
+func (c *Coordinator) handoverPeerDown(now time.Time, peer messenger.Peer) {
+	out := c.handover.out
+	if out == nil || out.to != peer {
+		return
+	}
+	if out.state == outgoingOffered || out.state == outgoingAccepted {
+		c.cancelHandover(now, out)
+	}
+}
+
+// tickHandover forgets offers that were not followed by a change of the rows. An
+// owner that still makes one then finds a new owner without its records.
+func (c *Coordinator) tickHandover(now time.Time) {
+	for id, o := range c.handover.offered {
+		if now.Sub(o.at) > c.limits.Recoverer.Window {
+			delete(c.handover.offered, id)
+		}
+	}
+}
+
+// importJobs takes over jobs with all that is known of them, and places the tasks
+// that were not sent to any agent.
+func (c *Coordinator) importJobs(now time.Time, jobs []messenger.HandoverJob) {
+	for i := range jobs {
+		for _, index := range c.owner.Import(now, jobs[i]) {
+			s := jobs[i].Job.Submission
+			if j, ok := c.owner.Job(s); ok {
+				c.placer.Requeue(now, placerJob(&j, nil), index)
+			}
+		}
+	}
+}
+
+func jobsOf(jobs []messenger.HandoverJob, p identifier.Partition) []messenger.HandoverJob {
+	var out []messenger.HandoverJob
+	for _, j := range jobs {
+		if j.Job.Submission.Partition() == p {
+			out = append(out, j)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/coordinator/ownership.go
@@ -0,0 +1,188 @@
+package coordinator
+
+import (
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/claimer"
+	"sardinelock.dev/sardinelock/internal/identifier"
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/recoverer"
+	"sardinelock.dev/sardinelock/internal/registrar"
+	"sardinelock.dev/sardinelock/internal/storer"
+)
+
+// Owns reports whether this entry owns the partition and takes its requests.
+func (c *Coordinator) Owns(p identifier.Partition) bool {
+	return c.recoverer.Phase(p) == recoverer.PhaseActive
+}
+
+// Owned returns the partitions that this entry owns, in whatever phase.
+func (c *Coordinator) Owned() []messenger.PartitionEpoch {
+	var out []messenger.PartitionEpoch
+	for p := range identifier.Partition(identifier.Partitions) {
+		if c.recoverer.Phase(p) != recoverer.PhaseNone {
+			out = append(out, messenger.PartitionEpoch{Partition: p, Epoch: c.recoverer.Epoch(p)})
+		}
+	}
+	return out
+}
+
+// applyRows compares the rows with what this entry has, after they changed.
+func (c *Coordinator) applyRows(now time.Time) {
+	rows := c.registrar.Take()
+	c.out.Reads = append(c.out.Reads, rows.Reads...)
+	c.out.Writes = append(c.out.Writes, rows.Writes...)
+	if !rows.Changed {
+		return
+	}
+	c.out.RoutesChanged = true
+	c.applyEntryRows(now)
+	c.applyRoster(now)
+	c.applyPartitionRows(now)
+	c.checkHandover(now)
+	c.routeRequests(now)
+	c.releaseHeld(now)
+	c.tellRevision()
+	c.propose(now)
+}
+
+func (c *Coordinator) applyEntryRows(now time.Time) {
+	for _, e := range c.registrar.Entries() {
+		if _, ok := c.sighted[e.Peer]; !ok {
+			c.sighted[e.Peer] = now
+		}
+	}
+	for peer := range c.sighted {
+		if _, ok := c.registrar.Entry(peer); !ok {
+			delete(c.sighted, peer)
+		}
+	}
+	routes := c.regionEntries()
+	for _, peer := range c.agentOrder {
+		c.agents[peer].gather().Routes = &messenger.Routes{Entries: routes}
+	}
+}
+
+// applyPartitionRows loses and gains partitions. A row with an epoch below one
+// that was seen elsewhere is out of date and says nothing.
+func (c *Coordinator) applyPartitionRows(now time.Time) {
+	var taken, fresh []messenger.PartitionEpoch
+	for p := range identifier.Partition(identifier.Partitions) {
+		row := c.registrar.Partition(p)
+		c.sawEpoch(now, p, row.Epoch)
+		if row.Epoch < c.highest[p] || row.Owner != c.self.Peer || row.Epoch == c.recoverer.Epoch(p) {
+			continue
+		}
+		gained := messenger.PartitionEpoch{Partition: p, Epoch: row.Epoch}
+		switch {
+		case c.resumeHandover(now, gained, row.Handover), c.gainHandover(now, gained, row.Handover):
+		case row.Epoch == 1:
+			fresh = append(fresh, gained)
+		default:
+			taken = append(taken, gained)
+		}
+	}
+	c.recoverer.BeginFresh(fresh)
+	c.recoverer.BeginTakeover(now, taken, c.registrar.Roster(c.self.Region).Roster)
+	if len(fresh)+len(taken) > 0 {
+		c.fenceAll()
+	}
+}
+
+// sawEpoch applies an epoch of a partition that any source reported. An entry
+// that owns the partition under a lower epoch owns it no more.
+func (c *Coordinator) sawEpoch(now time.Time, p identifier.Partition, epoch uint64) {
+	if epoch <= c.highest[p] {
+		return
+	}
+	c.highest[p] = epoch
+	if c.recoverer.Phase(p) == recoverer.PhaseNone || c.recoverer.Epoch(p) >= epoch {
+		return
+	}
+	row := c.registrar.Partition(p)
+	if row.Owner == c.self.Peer && row.Epoch == epoch {
+		return
+	}
+	c.lose(now, p)
+}
+
+// lose ends the ownership of a partition. The requests that wait are passed on to
+// the new owner, which learns from the agents what has started.
+func (c *Coordinator) lose(now time.Time, p identifier.Partition) {
+	c.recoverer.End(p)
+	for _, r := range c.owner.Release(now, p) {
+		c.placer.Drop(r.Job.Submission)
+		for _, w := range r.Waiters {
+			c.passOn(w, Request{Kind: RequestSubmit, Job: r.Job})
+		}
+	}
+	for _, h := range c.requests.takeHeld(p) {
+		c.passOn(h.waiter, h.request)
+	}
+	c.out.RoutesChanged = true
+}
+
+// propose makes the one write that is most needed, if any.
+func (c *Coordinator) propose(now time.Time) {
+	if !c.registrar.Idle() {
+		return
+	}
+	if row, ok := c.registrar.Entry(c.self.Peer); !ok || row != c.self {
+		c.registrar.Propose(storer.Transaction{Puts: []storer.Put{registrar.EntryPut(c.self)}})
+		return
+	}
+	if t, ok := c.handoverWrite(); ok {
+		c.registrar.Propose(t)
+		return
+	}
+	if t, ok := c.claim(now); ok {
+		c.registrar.Propose(t)
+		return
+	}
+	if t, ok := c.rosterWrite(now); ok {
+		c.registrar.Propose(t)
+		return
+	}
+	if t, ok := c.cleanup(now); ok {
+		c.registrar.Propose(t)
+		return
+	}
+	c.beginHandover(now)
+}
+
+// claim takes over the partitions of this region that have no owner, or whose
+// owner is out of reach, and that this entry should own. The write is conditional
+// on the roster, so that the agents to be asked are known, and it renews this
+// entry's row, so that what this entry relies on is on record.
+func (c *Coordinator) claim(now time.Time) (storer.Transaction, bool) {
+	var t storer.Transaction
+	if c.draining {
+		return t, false
+	}
+	live := c.live(now)
+	for p := range identifier.Partition(identifier.Partitions) {
+		row := c.registrar.Partition(p)
+		if !c.claimable(now, p, row) || claimer.Want(p, live) != c.self.Peer {
+			continue
+		}
+		t.Conditions = append(t.Conditions, registrar.PartitionCondition(p, row))
+		t.Puts = append(t.Puts, registrar.PartitionPut(p, registrar.Ownership{
+			Owner:  c.self.Peer,
+			Epoch:  row.Epoch + 1,
+			Region: c.self.Region,
+		}))
+	}
+	if len(t.Puts) == 0 {
+		return t, false
+	}
+	t.Conditions = append(t.Conditions, registrar.RosterCondition(c.registrar.Roster(c.self.Region)))
+	t.Puts = append(t.Puts, registrar.EntryPut(c.self))
+	return t, true
+}
+
+func (c *Coordinator) claimable(now time.Time, p identifier.Partition, row registrar.Partition) bool {
+	if row.Owner == "" {
+		return claimer.Home(p, c.limits.Regions) == c.self.Region
+	}
+	return row.Region == c.self.Region && row.Owner != c.self.Peer && c.suspected(now, row.Owner)
+}
--- /dev/null
+++ b/internal/coordinator/roster.go
@@ -0,0 +1,116 @@
+package coordinator
+
+import (
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/enroller"
+	"sardinelock.dev/sardinelock/internal/identifier"
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/registrar"
+	"sardinelock.dev/sardinelock/internal/storer"
+)
+
+// applyRoster relies on the roster that was read: leases rest on its witnesses
+// from now on, and its members may be given tasks.
+func (c *Coordinator) applyRoster(now time.Time) {
+	roster := c.registrar.Roster(c.self.Region)
+	c.leaser.SetWitnesses(roster.Witnesses)
+	c.self.Roster = roster.Version
+	for _, peer := range c.agentOrder {
+		c.admit(now, c.agents[peer])
+	}
+	for _, m := range roster.Members {
+		if _, ok := c.away[m.Peer]; !ok && c.agents[m.Peer] == nil {
+			c.away[m.Peer] = now
+		}
+	}
+	for peer := range c.away {
+		if !roster.HasMember(peer) {
+			delete(c.away, peer)
+		}
+	}
+}
+
+// keeps reports whether this entry looks after the roster: the first of the
+// entries of the region that live. Two entries may think so for a while; their
+// writes are conditional.
+func (c *Coordinator) keeps(now time.Time) bool {
+	live := c.live(now)
+	return len(live) > 0 && live[0] == c.self.Peer
+}
+
+// rosterWrite returns the write of a roster that differs from the current one.
+func (c *Coordinator) rosterWrite(now time.Time) (storer.Transaction, bool) {
+	if !c.keeps(now) {
+		return storer.Transaction{}, false
+	}
+	current := c.registrar.Roster(c.self.Region)
+	next, changed := enroller.Propose(c.limits.Enroller, enroller.Input{
+		Current:   current,
+		Connected: c.connectedAgents(),
+		GoneFor:   func(peer messenger.Peer) time.Duration { return c.goneFor(now, peer) },
+		Adopted:   c.lowestAdopted(),
+		Now:       now,
+	})
+	if !changed {
+		return storer.Transaction{}, false
+	}
+	return storer.Transaction{
+		Conditions: []storer.Condition{registrar.RosterCondition(current)},
+		Puts:       []storer.Put{registrar.RosterPut(c.self.Region, next)},
+	}, true
+}
+
+func (c *Coordinator) connectedAgents() []registrar.Member {
+	out := make([]registrar.Member, 0, len(c.agentOrder))
+	for _, peer := range c.agentOrder {
+		out = append(out, c.agents[peer].member)
+	}
+	return out
+}
+
+func (c *Coordinator) goneFor(now time.Time, peer messenger.Peer) time.Duration {
+	since, ok := c.away[peer]
+	if !ok {
+		return 0
+	}
+	return now.Sub(since)
+}
+
+// lowestAdopted returns the lowest roster version that an entry of this region
+// relies on.
+func (c *Coordinator) lowestAdopted() uint64 {
+	lowest := c.self.Roster
+	for _, e := range c.registrar.Entries() {
+		if e.Region == c.self.Region {
+			lowest = min(lowest, e.Roster)
+		}
+	}
+	return lowest
+}
+
+// cleanup removes the row of an entry that is gone and owns nothing.
+func (c *Coordinator) cleanup(now time.Time) (storer.Transaction, bool) {
+	if !c.keeps(now) {
+		return storer.Transaction{}, false
+	}
+	for _, e := range c.registrar.Entries() {
+		if e.Region != c.self.Region || !c.suspected(now, e.Peer) || c.ownsAny(e.Peer) {
+			continue
+		}
+		return storer.Transaction{
+			Conditions: []storer.Condition{c.registrar.EntryCondition(e.Peer)},
+			Deletes:    []string{registrar.EntryKey(e.Peer)},
+		}, true
+	}
+	return storer.Transaction{}, false
+}
+
+func (c *Coordinator) ownsAny(peer messenger.Peer) bool {
+	for p := range identifier.Partition(identifier.Partitions) {
+		if c.registrar.Partition(p).Owner == peer {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -1,279 +1,151 @@
-// Package leaser decides which entry owns which partition.
+// Package leaser decides whether an entry may start tasks now.
 //
-// A partition's row in the platform's table names its owner and an epoch that
-// grows with every change of owner. A leaser reads the rows, claims partitions
-// by conditional writes, and says for each partition who owns it and whether this
-// entry may start tasks of it now. The package does no I/O: calls of the platform
-// are asked for in the output and their outcomes come in as events.
+// A few agents of the region are its witnesses. An entry holds its lease while a
+// majority of them has answered it within the lease time and none has reported a
+// higher epoch for its partitions. The time of an answer counts from when the
+// question was sent, on the entry's own monotonic clock: an answer that waited in
+// a buffer while the entry was paused proves nothing about now. A new owner waits
+// until a majority of the same witnesses has acknowledged its epoch and the lease
+// time has passed since, so some witness either told the old owner or was last
+// heard by it a whole lease ago. No write renews a lease, so owners go on while
+// the platform's services are down.
 package leaser
 
 import (
-	"encoding/json"
-	"fmt"
-	"net/netip"
-	"strings"
+	"slices"
 	"time"
 
-	"sardinelock.dev/sardinelock/internal/identifier"
 	"sardinelock.dev/sardinelock/internal/messenger"
-	"sardinelock.dev/sardinelock/internal/storer"
-)
-
-// Prefixes of the rows in the table.
-const (
-	entryPrefix     = "entries/"
-	partitionPrefix = "partitions/"
 )
 
 // Limits are the settings of a leaser.
 type Limits struct {
-	// PollEvery is the period at which the rows are read.
-	PollEvery time.Duration
-}
-
-// Self is what this entry says about itself.
-type Self struct {
-	Peer       messenger.Peer `json:"peer"`
-	Region     string         `json:"region"`
-	DataCentre string         `json:"data-centre"`
-	PeerAddr   netip.AddrPort `json:"peer-address"`
+	// Lease is how long an answer of a witness counts.
+	Lease time.Duration
+	// Margin is taken off the lease at the holder, for clocks that run at
+	// different rates. A new owner waits for the whole lease.
+	Margin time.Duration
 }
 
-// ownership is the value of a partition's row.
-type ownership struct {
-	Owner  messenger.Peer `json:"owner"`
-	Epoch  uint64         `json:"epoch"`
-	Region string         `json:"region"`
+// Rules has the checks that the safety of leases rests on. Tests replace them
+// one at a time to show that each is needed.
+type Rules struct {
+	// Held reports whether a lease that ends at the given time is held.
+	Held func(now, until time.Time) bool
+	// Majority returns how many of n witnesses are needed; n is positive.
+	Majority func(n int) int
 }
 
-// Read asks for the rows below a prefix.
-type Read struct {
-	ID     uint64
-	Prefix string
-}
-
-// Write asks for a transaction.
-type Write struct {
-	ID          uint64
-	Transaction storer.Transaction
-}
-
-// Output is what the entry has to do.
-type Output struct {
-	Reads  []Read
-	Writes []Write
-	// Gained are partitions that this entry has come to own.
-	Gained []messenger.PartitionEpoch
-	// Lost are partitions that this entry owns no more.
-	Lost []messenger.PartitionEpoch
+// DefaultRules returns the rules of production.
+func DefaultRules() Rules {
+	return Rules{
+		Held:     func(now, until time.Time) bool { return now.Before(until) },
+		Majority: func(n int) int { return n/2 + 1 },
+	}
 }
 
-// Leaser is what one entry knows about ownership.
+// Leaser is the lease of one entry.
 type Leaser struct {
-	self     Self
-	limits   Limits
-	nextID   uint64
-	polledAt time.Time
-	reads    map[uint64]string // reads has the prefixes of reads under way.
-	claiming uint64            // claiming is the write under way; 0 if there is none.
-	joined   bool              // joined means that the row of this entry is written.
-	owners   [identifier.Partitions]partition
-	entries  map[messenger.Peer]Self
-	// RequestID is the seam that names transactions.
-	RequestID func() string
-	out       Output
-}
-
-type partition struct {
-	ownership
-	revision uint64 // revision of the row; 0 if it is absent.
+	limits    Limits
+	rules     Rules
+	witnesses []messenger.Peer // witnesses is sorted; while it is empty no lease is held.
+	confirmed map[messenger.Peer]time.Time
+	asked     map[messenger.Peer]time.Time // asked has the time of the latest question to each witness.
+	until     time.Time                    // until is the end of the lease as of the latest count.
+	scratch   []time.Time
 }
 
-// New returns a leaser that knows no rows yet.
-func New(self Self, limits Limits) *Leaser {
+// New returns a leaser without witnesses.
+func New(limits Limits, rules Rules) *Leaser {
 	return &Leaser{
-		self:      self,
 		limits:    limits,
-		reads:     make(map[uint64]string),
-		entries:   make(map[messenger.Peer]Self),
-		RequestID: storer.NewRequestID,
+		rules:     rules,
+		confirmed: make(map[messenger.Peer]time.Time),
+		asked:     make(map[messenger.Peer]time.Time),
 	}
 }
 
-// Owner returns the owner of a partition and its epoch, as far as is known.
-func (l *Leaser) Owner(p identifier.Partition) (messenger.Peer, uint64) {
-	return l.owners[p].Owner, l.owners[p].Epoch
-}
-
-// Owns reports whether this entry owns the partition and may start its tasks.
-func (l *Leaser) Owns(p identifier.Partition) bool {
-	return l.owners[p].Owner == l.self.Peer
-}
-
-// Owned returns the partitions that this entry owns.
-func (l *Leaser) Owned() []messenger.PartitionEpoch {
-	var out []messenger.PartitionEpoch
-	for p := range l.owners {
-		if l.owners[p].Owner == l.self.Peer {
-			out = append(out, messenger.PartitionEpoch{
-				Partition: identifier.Partition(p),
-				Epoch:     l.owners[p].Epoch,
-			})
-		}
+// SetWitnesses replaces the witnesses. The lease then rests on the new ones alone.
+func (l *Leaser) SetWitnesses(witnesses []messenger.Peer) {
+	if slices.Equal(l.witnesses, witnesses) {
+		return
 	}
-	return out
+	l.witnesses = slices.Clone(witnesses)
+	l.until = time.Time{}
+	l.count()
 }
 
-// Entries returns the entries that are known, this one included.
-func (l *Leaser) Entries() []messenger.EntryAddr {
-	var out []messenger.EntryAddr
-	for _, e := range l.entries {
-		out = append(out, messenger.EntryAddr{Peer: e.Peer, Addr: e.PeerAddr})
+// Asked records that a question was sent to an agent.
+func (l *Leaser) Asked(now time.Time, agent messenger.Peer) {
+	if l.isWitness(agent) {
+		l.asked[agent] = now
 	}
-	return out
 }
 
-// Tick asks for the rows at each period.
-func (l *Leaser) Tick(now time.Time) {
-	if now.Sub(l.polledAt) < l.limits.PollEvery {
-		return
-	}
-	l.polledAt = now
-	if !l.joined {
-		l.join()
+// Confirmed records an answer of an agent to a question sent at the given time.
+func (l *Leaser) Confirmed(agent messenger.Peer, sent time.Time) {
+	if sent.After(l.confirmed[agent]) {
+		l.confirmed[agent] = sent
 	}
-	l.read(entryPrefix)
-	l.read(partitionPrefix)
 }
 
-// StoreRead applies the outcome of a read.
-func (l *Leaser) StoreRead(_ time.Time, id uint64, r storer.Range, err error) {
-	prefix := l.reads[id]
-	delete(l.reads, id)
-	if err != nil {
-		return
-	}
-	switch prefix {
-	case entryPrefix:
-		l.applyEntries(r)
-	case partitionPrefix:
-		l.applyPartitions(r)
-		l.claim()
-	}
+// Forget drops what is known of an agent that is gone.
+func (l *Leaser) Forget(agent messenger.Peer) {
+	delete(l.confirmed, agent)
+	delete(l.asked, agent)
 }
 
-// StoreWritten applies the outcome of a write.
-func (l *Leaser) StoreWritten(_ time.Time, id uint64, o storer.Outcome, err error) {
-	if id == l.claiming {
-		l.claiming = 0
-	}
-	if err != nil {
-		return
-	}
-	if o.Applied {
-		l.joined = true
+// Held reports whether the lease is held.
+func (l *Leaser) Held(now time.Time) bool {
+	if l.rules.Held(now, l.until) && now.Before(l.until.Add(-l.term()/2)) {
+		return true
 	}
-	l.read(partitionPrefix)
+	l.count()
+	return l.rules.Held(now, l.until)
 }
 
-// Take returns what is to be done and clears it.
-func (l *Leaser) Take() Output {
-	out := l.out
-	l.out = Output{}
-	return out
+// Until returns the end of the lease as far as is known; it may be in the past.
+func (l *Leaser) Until() time.Time {
+	l.count()
+	return l.until
 }
 
-func (l *Leaser) join() {
-	l.write(storer.Transaction{
-		RequestID: l.RequestID(),
-		Puts:      []storer.Put{{Key: entryPrefix + string(l.self.Peer), Value: encode(l.self)}},
-	})
-}
-
-// claim asks for the partitions that nobody owns.
-func (l *Leaser) claim() {
-	if l.claiming != 0 {
-		return
-	}
-	t := storer.Transaction{RequestID: l.RequestID()}
-	for p := range l.owners {
-		if l.owners[p].Owner != "" {
-			continue
+// Due returns the witnesses to ask so that the lease goes on: those whose latest
+// answer is older than a third of the lease and who were not asked since.
+func (l *Leaser) Due(now time.Time) []messenger.Peer {
+	var out []messenger.Peer
+	third := l.limits.Lease / 3
+	for _, w := range l.witnesses {
+		if now.Sub(l.confirmed[w]) >= third && now.Sub(l.asked[w]) >= third {
+			out = append(out, w)
 		}
-		key := partitionKey(identifier.Partition(p))
-		t.Conditions = append(t.Conditions, storer.Condition{Key: key, Revision: l.owners[p].revision})
-		t.Puts = append(t.Puts, storer.Put{Key: key, Value: encode(ownership{
-			Owner:  l.self.Peer,
-			Epoch:  l.owners[p].Epoch + 1,
-			Region: l.self.Region,
-		})})
-	}
-	if len(t.Puts) > 0 {
-		l.claiming = l.write(t)
 	}
+	return out
 }
 
-func (l *Leaser) applyEntries(r storer.Range) {
-	clear(l.entries)
-	for _, row := range r.Rows {
-		var e Self
-		if json.Unmarshal(row.Value, &e) == nil {
-			l.entries[e.Peer] = e
-		}
-	}
-}
+// Majority returns how many of n witnesses are needed.
+func (l *Leaser) Majority(n int) int { return l.rules.Majority(n) }
 
-func (l *Leaser) applyPartitions(r storer.Range) {
-	for _, row := range r.Rows {
-		var p int
-		if _, err := fmt.Sscanf(strings.TrimPrefix(row.Key, partitionPrefix), "%d", &p); err != nil {
-			continue
-		}
-		var o ownership
-		if p < 0 || p >= identifier.Partitions || json.Unmarshal(row.Value, &o) != nil {
-			continue
-		}
-		l.setOwner(identifier.Partition(p), o, row.Revision)
-	}
+func (l *Leaser) term() time.Duration { return l.limits.Lease - l.limits.Margin }
+
+func (l *Leaser) isWitness(agent messenger.Peer) bool {
+	_, ok := slices.BinarySearch(l.witnesses, agent)
+	return ok
 }
 
-// setOwner replaces what is known of a partition unless it is older.
-func (l *Leaser) setOwner(p identifier.Partition, o ownership, revision uint64) {
-	before := l.owners[p]
-	if revision <= before.revision {
+// count sets the end of the lease from the answer that completes a majority.
+func (l *Leaser) count() {
+	l.until = time.Time{}
+	if len(l.witnesses) == 0 {
 		return
 	}
-	l.owners[p] = partition{ownership: o, revision: revision}
-	was, is := before.Owner == l.self.Peer, o.Owner == l.self.Peer
-	if is && o.Epoch != before.Epoch {
-		l.out.Gained = append(l.out.Gained, messenger.PartitionEpoch{Partition: p, Epoch: o.Epoch})
+	l.scratch = l.scratch[:0]
+	for _, w := range l.witnesses {
+		l.scratch = append(l.scratch, l.confirmed[w])
 	}
-	if was && !is {
-		l.out.Lost = append(l.out.Lost, messenger.PartitionEpoch{Partition: p, Epoch: before.Epoch})
-	}
-}
-
-func (l *Leaser) read(prefix string) {
-	l.nextID++
-	l.reads[l.nextID] = prefix
-	l.out.Reads = append(l.out.Reads, Read{ID: l.nextID, Prefix: prefix})
-}
-
-func (l *Leaser) write(t storer.Transaction) uint64 {
-	l.nextID++
-	l.out.Writes = append(l.out.Writes, Write{ID: l.nextID, Transaction: t})
-	return l.nextID
-}
-
-func partitionKey(p identifier.Partition) string {
-	return fmt.Sprintf("%s%03d", partitionPrefix, p)
-}
-
-// encode marshals a type of this package, which cannot fail.
-func encode(v any) json.RawMessage {
-	b, err := json.Marshal(v)
-	if err != nil {
-		panic(err)
+	slices.SortFunc(l.scratch, func(a, b time.Time) int { return b.Compare(a) })
+	oldest := l.scratch[l.rules.Majority(len(l.witnesses))-1]
+	if !oldest.IsZero() {
+		l.until = oldest.Add(l.term())
 	}
-	return b
 }
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -258,6 +258,14 @@
 	Attach bool `cbor:"8,keyasint,omitempty"`
 	// Cancel asks to cancel the submission.
 	Cancel bool `cbor:"9,keyasint,omitempty"`
+	// Fresh says that the sending entry made the id for this request, so that no
+	// other request can have brought it before.
+	Fresh bool `cbor:"10,keyasint,omitempty"`
+}
+
+// Moved sends a Forward back: the sender does not own the partition any more.
+type Moved struct {
+	Ticket uint64 `cbor:"1,keyasint"`
 }
 
 // TaskSpec is one task as the caller declared it.
@@ -284,6 +292,8 @@
 type Routes struct {
 	Entries []EntryAddr  `cbor:"1,keyasint,omitempty"`
 	Owners  []RouteOwner `cbor:"2,keyasint,omitempty"`
+	// Revision is the table revision that the sender has seen.
+	Revision uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // EntryAddr is where an entry accepts peers.
@@ -299,14 +309,33 @@
 	Owner     Peer                 `cbor:"3,keyasint"`
 }
 
-// Handover passes partitions with their records from an owner that shuts down to
-// a peer.
+// HandoverStep is a step of a handover.
+type HandoverStep string
+
+// The steps of a handover, in order.
+const (
+	HandoverOffer  HandoverStep = "offer"  // The owner has stopped and passes its records.
+	HandoverAccept HandoverStep = "accept" // The peer has the records.
+	HandoverCommit HandoverStep = "commit" // The table names the peer as owner.
+	HandoverCancel HandoverStep = "cancel" // The owner goes on; the records are void.
+)
+
+// Handover passes partitions with their records from one entry to another.
 type Handover struct {
-	ID         uint64           `cbor:"1,keyasint"`
-	Partitions []PartitionEpoch `cbor:"2,keyasint"`
-	Jobs       []HandoverJob    `cbor:"3,keyasint,omitempty"`
-	// Accepted is set in the answer of the peer.
-	Accepted bool `cbor:"4,keyasint,omitempty"`
+	ID         string              `cbor:"1,keyasint"` // ID is unique to the handover.
+	Step       HandoverStep        `cbor:"2,keyasint"`
+	Partitions []HandoverPartition `cbor:"3,keyasint,omitempty"`
+	Jobs       []HandoverJob       `cbor:"4,keyasint,omitempty"`
+}
+
+// HandoverPartition is one partition of a handover.
+type HandoverPartition struct {
+	Partition identifier.Partition `cbor:"1,keyasint"`
+	// Epoch is that of the owner that passes the partition on.
+	Epoch uint64 `cbor:"2,keyasint"`
+	// UncertainBefore is the end of ids whose past the owner does not know; zero
+	// if it knows all.
+	UncertainBefore time.Time `cbor:"3,keyasint,omitempty"`
 }
 
 // HandoverJob is one submission with all that its owner knows.
--- /dev/null
+++ b/internal/recoverer/recoverer.go
@@ -0,0 +1,325 @@
+// Package recoverer decides when an entry that has come to own partitions may
+// start their tasks, and what it does not know about their past.
+//
+// A partition that had another owner is taken over in steps. The new owner sends
+// its epoch to every agent that may hold records of the partition, and each agent
+// answers with what it has started and refuses lower epochs from then on. When a
+// majority of the witnesses has answered and the lease time has passed since, the
+// old owner cannot start anything any more and the partition is active. Agents
+// that have not answered by then may hold records that nobody else has: until all
+// of them have answered, ids that the old owner may have accepted and that nobody
+// reported are uncertain. Ids made after the takeover are not.
+package recoverer
+
+import (
+	"slices"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/identifier"
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/registrar"
+)
+
+// Limits are the settings of a recoverer.
+type Limits struct {
+	// Lease is the lease time of owners.
+	Lease time.Duration
+	// ClockDifference is by how much the wall clocks of two processes may differ.
+	ClockDifference time.Duration
+	// Window is the deduplication window.
+	Window time.Duration
+}
+
+// Rules has the checks that the safety of a takeover rests on. Tests replace
+// them one at a time to show that each is needed.
+type Rules struct {
+	// Majority returns how many of n witnesses must have acknowledged an epoch.
+	Majority func(n int) int
+	// Waited reports whether the wait that ends at the given time is over.
+	Waited func(now, end time.Time) bool
+	// Complete reports whether every record is known while n agents have not answered.
+	Complete func(n int) bool
+}
+
+// DefaultRules returns the rules of production.
+func DefaultRules() Rules {
+	return Rules{
+		Majority: func(n int) int { return n/2 + 1 },
+		Waited:   func(now, end time.Time) bool { return !now.Before(end) },
+		Complete: func(n int) bool { return n == 0 },
+	}
+}
+
+// Phase is how far an entry has come with a partition.
+type Phase string
+
+// The phases of a partition at an entry.
+const (
+	PhaseNone    Phase = "none"    // The entry does not own the partition.
+	PhaseFencing Phase = "fencing" // Too few witnesses have acknowledged the epoch.
+	PhaseWaiting Phase = "waiting" // The lease of the former owner may still run.
+	PhaseActive  Phase = "active"  // Tasks may be started.
+	PhaseStopped Phase = "stopped" // The partition is being handed over; nothing is started.
+)
+
+// Status is what operators see of a partition.
+type Status struct {
+	Phase Phase
+	Epoch uint64
+	// Missing are the agents whose records are not known, sorted.
+	Missing []messenger.Peer
+	// UncertainBefore is the end of the uncertain ids; zero if there are none.
+	UncertainBefore time.Time
+}
+
+// Recoverer holds the state of every partition at one entry.
+type Recoverer struct {
+	limits  Limits
+	rules   Rules
+	tenures [identifier.Partitions]tenure
+	open    []*takeover // open has the takeovers that wait for something.
+}
+
+// tenure is what the entry has of one partition.
+type tenure struct {
+	phase    Phase // phase is "" like PhaseNone until the entry first owns the partition.
+	epoch    uint64
+	takeover *takeover // takeover is nil for a partition without an uncertain past.
+	// inherited is the end of uncertain ids that came with a handover.
+	inherited time.Time
+}
+
+// takeover is a set of partitions that were gained together.
+type takeover struct {
+	begun     time.Time
+	witnesses [][]messenger.Peer // witnesses has one or two sets; a majority of each is needed.
+	missing   []messenger.Peer   // missing is sorted.
+	fencedAt  time.Time          // fencedAt is when the majorities were complete; zero until then.
+	active    bool
+	// uncertainBefore is set when the takeover becomes active.
+	uncertainBefore time.Time
+}
+
+// New returns a recoverer that owns nothing.
+func New(limits Limits, rules Rules) *Recoverer {
+	return &Recoverer{limits: limits, rules: rules}
+}
+
+// Phase returns the phase of a partition.
+func (r *Recoverer) Phase(p identifier.Partition) Phase {
+	if phase := r.tenures[p].phase; phase != "" {
+		return phase
+	}
+	return PhaseNone
+}
+
+// Epoch returns the epoch under which the entry owns the partition.
+func (r *Recoverer) Epoch(p identifier.Partition) uint64 { return r.tenures[p].epoch }
+
+// Status returns what operators see of a partition.
+func (r *Recoverer) Status(now time.Time, p identifier.Partition) Status {
+	t := &r.tenures[p]
+	s := Status{Phase: r.Phase(p), Epoch: t.epoch}
+	if until := r.uncertainBefore(now, t); !until.IsZero() {
+		s.UncertainBefore = until
+	}
+	if t.takeover != nil {
+		s.Missing = slices.Clone(t.takeover.missing)
+	}
+	return s
+}
+
+// BeginFresh starts the tenure of partitions that nobody owned before, or whose
+// past is known in full.
+func (r *Recoverer) BeginFresh(partitions []messenger.PartitionEpoch) {
+	for _, p := range partitions {
+		r.tenures[p.Partition] = tenure{phase: PhaseActive, epoch: p.Epoch}
+	}
+}
+
+// BeginHandover starts the tenure of a partition that its former owner passed on
+// after it had stopped. Ids before the given time are uncertain; zero means none.
+func (r *Recoverer) BeginHandover(p messenger.PartitionEpoch, uncertainBefore time.Time) {
+	r.tenures[p.Partition] = tenure{phase: PhaseActive, epoch: p.Epoch, inherited: uncertainBefore}
+}
+
+// BeginTakeover starts the tenure of partitions whose former owner is gone. The
+// roster is the one that the change of owner was conditional on.
+func (r *Recoverer) BeginTakeover(now time.Time, partitions []messenger.PartitionEpoch, roster registrar.Roster) {
+	if len(partitions) == 0 {
+		return
+	}
+	t := &takeover{
+		begun:     now,
+		witnesses: [][]messenger.Peer{slices.Clone(roster.Witnesses)},
+	}
+	if len(roster.Previous) > 0 {
+		t.witnesses = append(t.witnesses, slices.Clone(roster.Previous))
+	}
+	for _, m := range roster.Members {
+		t.missing = append(t.missing, m.Peer)
+	}
+	for _, d := range roster.Departed {
+		t.missing = append(t.missing, d.Peer)
+	}
+	slices.Sort(t.missing)
+	t.missing = slices.Compact(t.missing)
+	for _, p := range partitions {
+		r.tenures[p.Partition] = tenure{phase: PhaseFencing, epoch: p.Epoch, takeover: t}
+	}
+	r.open = append(r.open, t)
+	r.advance(now, t)
+}
+
+// End ends the tenure of a partition.
+func (r *Recoverer) End(p identifier.Partition) { r.tenures[p] = tenure{} }
+
+// Stop stops an active partition for a handover, and Resume makes it active again
+// under the given epoch.
+func (r *Recoverer) Stop(p identifier.Partition) { r.tenures[p].phase = PhaseStopped }
+
+// Resume makes a stopped partition active again under a new epoch.
+func (r *Recoverer) Resume(p identifier.Partition, epoch uint64) {
+	r.tenures[p].phase = PhaseActive
+	r.tenures[p].epoch = epoch
+}
+
+// Settled reports whether the past of an active partition is known in full, so
+// that it may be handed over without a loss.
+func (r *Recoverer) Settled(now time.Time, p identifier.Partition) bool {
+	return r.uncertainBefore(now, &r.tenures[p]).IsZero()
+}
+
+// UncertainBefore returns the end of the partition's uncertain ids; zero if there
+// are none.
+func (r *Recoverer) UncertainBefore(now time.Time, p identifier.Partition) time.Time {
+	return r.uncertainBefore(now, &r.tenures[p])
+}
+
+// Uncertain reports whether an id of the partition that nobody reported may have
+// run under a former owner.
+func (r *Recoverer) Uncertain(now time.Time, s identifier.Submission) bool {
+	return s.Time().Before(r.UncertainBefore(now, s.Partition()))
+}
+
+// Missing reports whether the records of an agent are awaited.
+func (r *Recoverer) Missing(agent messenger.Peer) bool {
+	return slices.ContainsFunc(r.open, func(t *takeover) bool {
+		_, missing := slices.BinarySearch(t.missing, agent)
+		return missing
+	})
+}
+
+// Fenced applies an agent's answer to the epochs that it was sent together. An
+// agent has answered for a takeover once one answer covers all its partitions.
+func (r *Recoverer) Fenced(now time.Time, agent messenger.Peer, answer []messenger.Fenced) {
+	if !r.Missing(agent) {
+		return
+	}
+	var answered [identifier.Partitions]bool
+	for i := range answer {
+		answered[answer[i].Partition] = true
+	}
+	for _, t := range r.open {
+		i, missing := slices.BinarySearch(t.missing, agent)
+		if !missing || !r.covers(t, &answered) {
+			continue
+		}
+		t.missing = slices.Delete(t.missing, i, i+1)
+		r.advance(now, t)
+	}
+}
+
+// covers reports whether every partition of the takeover is marked.
+func (r *Recoverer) covers(t *takeover, marked *[identifier.Partitions]bool) bool {
+	for p := range r.tenures {
+		if r.tenures[p].takeover == t && !marked[p] {
+			return false
+		}
+	}
+	return true
+}
+
+// Tick applies the passing of time. It reports whether a partition became active.
+func (r *Recoverer) Tick(now time.Time) bool {
+	activated := false
+	for _, t := range r.open {
+		wasActive := t.active
+		r.advance(now, t)
+		activated = activated || t.active != wasActive
+	}
+	r.open = slices.DeleteFunc(r.open, func(t *takeover) bool { return r.done(now, t) })
+	return activated
+}
+
+// inUse reports whether a partition of the takeover is still owned.
+func (r *Recoverer) inUse(t *takeover) bool {
+	for p := range r.tenures {
+		if r.tenures[p].takeover == t {
+			return true
+		}
+	}
+	return false
+}
+
+// advance moves a takeover to its next phase as far as it may go.
+func (r *Recoverer) advance(now time.Time, t *takeover) {
+	if t.active {
+		return
+	}
+	if t.fencedAt.IsZero() && r.hasMajorities(t) {
+		t.fencedAt = now
+		r.setPhase(t, PhaseWaiting)
+	}
+	if t.fencedAt.IsZero() || !r.rules.Waited(now, t.fencedAt.Add(r.limits.Lease)) {
+		return
+	}
+	t.active = true
+	// Each of two clocks may be off: that of the caller who made the id against
+	// the former owner's, and the former owner's against this entry's.
+	t.uncertainBefore = now.Add(2 * r.limits.ClockDifference)
+	r.setPhase(t, PhaseActive)
+}
+
+func (r *Recoverer) setPhase(t *takeover, phase Phase) {
+	for p := range r.tenures {
+		if r.tenures[p].takeover == t {
+			r.tenures[p].phase = phase
+		}
+	}
+}
+
+func (r *Recoverer) hasMajorities(t *takeover) bool {
+	for _, set := range t.witnesses {
+		answered := 0
+		for _, w := range set {
+			if _, missing := slices.BinarySearch(t.missing, w); !missing {
+				answered++
+			}
+		}
+		// A region without witnesses never had an agent that could start anything.
+		if len(set) > 0 && answered < r.rules.Majority(len(set)) {
+			return false
+		}
+	}
+	return true
+}
+
+// done reports whether nothing is left to wait for.
+func (r *Recoverer) done(now time.Time, t *takeover) bool {
+	if !r.inUse(t) {
+		return true
+	}
+	return t.active && (len(t.missing) == 0 || now.Sub(t.uncertainBefore) > r.limits.Window)
+}
+
+func (r *Recoverer) uncertainBefore(now time.Time, t *tenure) time.Time {
+	until := t.inherited
+	if k := t.takeover; k != nil && k.active && !r.rules.Complete(len(k.missing)) && k.uncertainBefore.After(until) {
+		until = k.uncertainBefore
+	}
+	if now.Sub(until) > r.limits.Window {
+		return time.Time{}
+	}
+	return until
+}
--- a/pkg/submitter/job.go
+++ b/pkg/submitter/job.go
@@ -78,6 +78,7 @@
 	ReasonDraining           Reason = "draining"            // The entry is shutting down.
 	ReasonDuplicateRequest   Reason = "duplicate-request"   // The request key was used by another submission.
 	ReasonConflictingRequest Reason = "conflicting-request" // The id was used with another body, service or team.
+	ReasonNoSuchSubmission   Reason = "no-such-submission"  // No submission of the caller's team has the id.
 	ReasonConnectionLost     Reason = "connection-lost"     // The client lost its connection and may not resubmit.
 	ReasonMemoryLimit        Reason = "record-memory-limit" // The memory for records is full.
 )
