Refuse starts before admission and report raised epochs

Cause: an agent that restarted had no epochs and would have started for an owner that was replaced long ago, and an owner learnt of a higher epoch by a refusal only. Change: the guard starts nothing before a frame with Admit, lists raised epochs beside each echo, answers a fence of a lower epoch with the higher one and no records, gives request key, digest and service back in records, and can give the unsettled records only. Its checks are seams in Rules; the duplicate check comes first, since every other refusal is taken as proof. Records are kept by partition, expire from a queue, and are bounded in bytes. The entry admits each agent at connection until the roster does.

--- a/cmd/sardinelock/cmd/settings.go
+++ b/cmd/sardinelock/cmd/settings.go
@@ -24,7 +24,8 @@
 const (
 	dedupWindow     = 5 * time.Minute
 	maxJobs         = 1 << 20
-	maxRecords      = 1 << 18
+	clockDifference = 30 * time.Second
+	maxRecordBytes  = 64 << 20
 	maxWaiting      = 1024
 	maxQueued       = 100_000
 	lostAfter       = 2 * time.Second
@@ -172,8 +173,8 @@
 
 func agentLimits() guard.Limits {
 	return guard.Limits{
-		Window:     dedupWindow,
-		MaxRecords: maxRecords,
-		MaxWaiting: maxWaiting,
+		Window:         dedupWindow + 2*clockDifference,
+		MaxRecordBytes: maxRecordBytes,
+		MaxWaiting:     maxWaiting,
 	}
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -116,6 +116,7 @@
 	c.owner.AgentUp(h.Peer)
 	c.placer.AgentUp(now, h.Peer, placer.Place{Region: h.Region, DataCentre: h.DataCentre, Rack: h.Rack})
 	c.fence(h.Peer, c.leaser.Owned())
+	c.agentFrame(h.Peer).Admit = &messenger.Admit{}
 	c.agentFrame(h.Peer).Routes = &messenger.Routes{Entries: c.leaser.Entries()}
 }
 
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -22,10 +22,12 @@
 // Limits are the settings of a guard.
 type Limits struct {
 	// Window is how long a record is kept after its last use. It must be longer
-	// than any start-by budget.
+	// than the owners' window by the permitted clock difference and the longest
+	// start-by budget, so that no id is accepted whose record is gone.
 	Window time.Duration
-	// MaxRecords bounds the records; at the bound new submissions are refused.
-	MaxRecords int
+	// MaxRecordBytes bounds the memory of the records and of the results that the
+	// owners may not have. At the bound new work is refused; nothing is forgotten.
+	MaxRecordBytes int
 	// MaxWaiting bounds the starts that wait for a slot.
 	MaxWaiting int
 }
@@ -67,15 +69,18 @@
 	expires  time.Time // expires is when the announcement lapses; zero if there is none.
 	state    messenger.UpstreamState
 
-	epochs  [identifier.Partitions]uint64
-	holders [identifier.Partitions]messenger.Peer
-	records map[identifier.Submission]*record
-	entries map[messenger.Peer]*link
-	order   []messenger.Peer // order lists the connected entries in order of arrival.
+	admitted bool // admitted means that the agent is part of the roster.
+	epochs   [identifier.Partitions]uint64
+	holders  [identifier.Partitions]messenger.Peer // holders has who gets the results of a partition.
+	records  *recordTable
+	entries  map[messenger.Peer]*link
+	order    []messenger.Peer // order lists the connected entries in order of arrival.
 
-	waiting []pending
+	waiting startQueue
 	running int // running is at most upstream.Slots at the time of each start.
-	out     Output
+	// Rules are the checks of a start.
+	Rules Rules
+	out   Output
 }
 
 // link is what the guard keeps for a connected entry.
@@ -83,17 +88,7 @@
 	frame  *messenger.Frame // frame gathers what goes out at the next Take; nil if nothing does.
 	ping   uint64
 	echoed uint64
-}
-
-// pending is a start that waits for a slot.
-type pending struct {
-	from    messenger.Peer
-	ref     TaskRef
-	epoch   uint64
-	path    string
-	startBy time.Duration
-	endBy   time.Duration
-	task    messenger.TaskStart
+	raised partitionSet // raised has the partitions whose epoch rose since the last contact.
 }
 
 // New returns a guard without an upstream. The given time is the zero of the
@@ -103,8 +98,9 @@
 		limits:  limits,
 		started: now,
 		state:   messenger.UpstreamAbsent,
-		records: make(map[identifier.Submission]*record),
+		records: newRecordTable(limits.MaxRecordBytes),
 		entries: make(map[messenger.Peer]*link),
+		Rules:   DefaultRules(),
 	}
 }
 
@@ -122,19 +118,33 @@
 func (g *Guard) Running() int { return g.running }
 
 // Waiting returns the number of starts that wait for a slot.
-func (g *Guard) Waiting() int { return len(g.waiting) }
+func (g *Guard) Waiting() int { return g.waiting.len() }
+
+// Admitted reports whether the agent is part of the roster.
+func (g *Guard) Admitted() bool { return g.admitted }
+
+// Records returns the number of records and the bytes that they take.
+func (g *Guard) Records() (count, bytes int) { return g.records.count, g.records.bytes }
 
 // Upstream returns the announcement and its state.
 func (g *Guard) Upstream() (invoker.Announcement, messenger.UpstreamState) {
 	return g.upstream, g.state
 }
 
-// EntryUp adds a connection to an entry.
+// EntryUp adds a connection to an entry. Its first frame lists all epochs as
+// raised, because a hello may be older than the connection.
 func (g *Guard) EntryUp(_ time.Time, entry messenger.Peer) {
 	if _, ok := g.entries[entry]; !ok {
 		g.order = append(g.order, entry)
 	}
-	g.entries[entry] = &link{}
+	l := &link{}
+	g.entries[entry] = l
+	for p, epoch := range g.epochs {
+		if epoch > 0 {
+			l.raised.add(identifier.Partition(p))
+		}
+	}
+	g.dropWaiting(entry)
 	g.frameTo(entry).Capacity = g.capacity()
 }
 
@@ -148,13 +158,11 @@
 			break
 		}
 	}
-	kept := g.waiting[:0]
-	for _, p := range g.waiting {
-		if p.from != entry {
-			kept = append(kept, p)
-		}
-	}
-	g.waiting = kept
+	g.dropWaiting(entry)
+}
+
+func (g *Guard) dropWaiting(entry messenger.Peer) {
+	g.waiting.filter(func(p *pending) bool { return p.from != entry })
 }
 
 // Receive applies a frame from an entry.
@@ -166,8 +174,11 @@
 	if f.Contact != nil {
 		l.ping = max(l.ping, f.Contact.Ping)
 	}
+	if f.Admit != nil {
+		g.admit(now, f.Admit)
+	}
 	if f.Fence != nil {
-		g.fence(from, f.Fence)
+		g.fence(now, from, f.Fence)
 	}
 	for i := range f.Starts {
 		g.start(now, from, &f.Starts[i])
@@ -202,16 +213,16 @@
 		g.state = messenger.UpstreamAbsent
 		g.broadcastCapacity()
 	}
+	g.refuseWaiting(now)
 	g.startWaiting(now)
-	g.forget(now)
+	g.records.forget(g.Clock(now), g.limits.Window)
 }
 
 // Ended applies the end of a call of the upstream.
 func (g *Guard) Ended(now time.Time, ref TaskRef, result messenger.TaskResult) {
 	g.running--
-	r := g.records[ref.Submission]
-	if r != nil {
-		r.end(now, result)
+	if r := g.records.get(ref.Submission.Partition(), ref.Submission); r != nil {
+		g.records.bytes += r.end(g.Clock(now), result)
 	}
 	g.sendResult(ref.Submission, result)
 	g.startWaiting(now)
@@ -225,7 +236,7 @@
 			continue
 		}
 		f := g.frameTo(entry)
-		f.Contact = &messenger.Contact{Echo: l.ping, Clock: g.Clock(now)}
+		f.Contact = &messenger.Contact{Echo: l.ping, Clock: g.Clock(now), Raised: g.takeRaised(l)}
 		l.echoed = l.ping
 		l.frame = nil
 		g.out.Sends = append(g.out.Sends, Send{To: entry, Frame: f})
@@ -235,107 +246,114 @@
 	return out
 }
 
-// fence raises epochs and answers with the records of the partitions.
-func (g *Guard) fence(from messenger.Peer, f *messenger.Fence) {
+// admit applies that the agent is part of the roster. Holders stay as they are:
+// an admission says nothing about who the owners are.
+func (g *Guard) admit(now time.Time, a *messenger.Admit) {
+	g.admitted = true
+	for p, epoch := range a.Epochs[:min(len(a.Epochs), identifier.Partitions)] {
+		g.raise(identifier.Partition(p), epoch)
+	}
+	g.refuseWaiting(now)
+}
+
+// fence raises epochs and answers with the records of the partitions. A fence of
+// a lower epoch than is known gets the higher epoch and no records.
+func (g *Guard) fence(now time.Time, from messenger.Peer, f *messenger.Fence) {
+	frame := g.frameTo(from)
 	for _, p := range f.Partitions {
 		if int(p.Partition) >= identifier.Partitions {
 			continue
 		}
-		if p.Epoch >= g.epochs[p.Partition] {
-			g.epochs[p.Partition] = p.Epoch
+		answer := messenger.Fenced{Partition: p.Partition}
+		if !g.Rules.StaleEpoch(p.Epoch, g.epochs[p.Partition]) {
+			g.raise(p.Partition, p.Epoch)
 			g.holders[p.Partition] = from
+			answer.Records = g.records.of(p.Partition, f.UnsettledOnly)
 		}
-		answer := messenger.Fenced{Partition: p.Partition, Epoch: g.epochs[p.Partition]}
-		answer.Records = g.recordsOf(p.Partition)
-		frame := g.frameTo(from)
+		answer.Epoch = g.epochs[p.Partition]
 		frame.Fenced = append(frame.Fenced, answer)
 	}
+	g.refuseWaiting(now)
+}
+
+// raise raises the epoch of a partition and notes it for every connection.
+func (g *Guard) raise(p identifier.Partition, epoch uint64) {
+	if epoch <= g.epochs[p] {
+		return
+	}
+	g.epochs[p] = epoch
+	for _, entry := range g.order {
+		g.entries[entry].raised.add(p)
+	}
+}
+
+// takeRaised returns what the connection has not been told and clears it.
+func (g *Guard) takeRaised(l *link) []messenger.PartitionEpoch {
+	if l.raised.empty() {
+		return nil
+	}
+	var out []messenger.PartitionEpoch
+	for p, epoch := range g.epochs {
+		if l.raised.has(identifier.Partition(p)) {
+			out = append(out, messenger.PartitionEpoch{Partition: identifier.Partition(p), Epoch: epoch})
+		}
+	}
+	l.raised = partitionSet{}
+	return out
 }
 
-// start checks one start and runs, queues or refuses each of its tasks.
+// start checks one start and queues or refuses each of its tasks.
 func (g *Guard) start(now time.Time, from messenger.Peer, s *messenger.Start) {
-	for _, t := range s.Tasks {
+	for i := range s.Tasks {
 		p := pending{
-			from:    from,
-			ref:     TaskRef{Submission: s.Submission, Index: t.Index},
-			epoch:   s.Epoch,
-			path:    s.Path,
-			startBy: s.StartBy,
-			endBy:   s.EndBy,
-			task:    t,
+			from:  from,
+			ref:   TaskRef{Submission: s.Submission, Index: s.Tasks[i].Index},
+			start: s,
+			task:  &s.Tasks[i],
 		}
 		refusal := g.check(now, &p)
-		if refusal == "" && len(g.waiting) >= g.limits.MaxWaiting {
+		if refusal == "" && g.waiting.len() >= g.limits.MaxWaiting {
 			refusal = messenger.RefusalFull
 		}
 		if refusal != "" {
 			g.refuse(&p, refusal)
 			continue
 		}
-		g.waiting = append(g.waiting, p)
-	}
-}
-
-// check returns why a start must be refused now, or "" if it may go ahead.
-func (g *Guard) check(now time.Time, p *pending) messenger.Refusal {
-	partition := p.ref.Submission.Partition()
-	r := g.records[p.ref.Submission]
-	switch {
-	case p.epoch < g.epochs[partition]:
-		return messenger.RefusalStaleEpoch
-	case r != nil && r.started(p.ref.Index):
-		return messenger.RefusalDuplicate
-	case r != nil && r.cancelled:
-		return messenger.RefusalCancelled
-	case g.Clock(now) > p.startBy:
-		return messenger.RefusalExpired
-	case g.state == messenger.UpstreamLeaving:
-		return messenger.RefusalLeaving
-	case g.state == messenger.UpstreamAbsent || now.After(g.expires):
-		return messenger.RefusalLapsed
-	case r == nil && len(g.records) >= g.limits.MaxRecords:
-		return messenger.RefusalMemory
+		g.raise(s.Submission.Partition(), s.Epoch)
+		g.holders[s.Submission.Partition()] = from
+		g.waiting.push(p)
 	}
-	return ""
 }
 
 // startWaiting starts waiting tasks while slots are free. Each is checked again:
 // what held when it arrived may no longer hold.
 func (g *Guard) startWaiting(now time.Time) {
-	n := 0
-	for n < len(g.waiting) {
-		p := &g.waiting[n]
+	for g.waiting.len() > 0 {
+		p := g.waiting.first()
 		if refusal := g.check(now, p); refusal != "" {
 			g.refuse(p, refusal)
-			n++
+			g.waiting.pop()
 			continue
 		}
 		if g.running >= g.upstream.Slots {
-			break
+			return
 		}
 		g.run(now, p)
-		n++
+		g.waiting.pop()
 	}
-	g.waiting = append(g.waiting[:0], g.waiting[n:]...)
 }
 
 // run records the start of a task and asks for the call.
 func (g *Guard) run(now time.Time, p *pending) {
-	partition := p.ref.Submission.Partition()
-	g.epochs[partition] = p.epoch
-	g.holders[partition] = p.from
-	r := g.records[p.ref.Submission]
-	if r == nil {
-		r = &record{}
-		g.records[p.ref.Submission] = r
-	}
-	r.start(now, p.ref.Index)
+	r := g.records.add(g.Clock(now), g.limits.Window, p.ref.Submission)
+	g.records.describe(r, p.start)
+	r.start(g.Clock(now), p.ref.Index)
 	g.running++
 	g.out.Invocations = append(g.out.Invocations, Invocation{
 		Ref:     p.ref,
-		Path:    p.path,
+		Path:    p.start.Path,
 		Payload: p.task.Payload,
-		EndBy:   g.started.Add(p.endBy),
+		EndBy:   g.started.Add(p.start.EndBy),
 	})
 }
 
@@ -347,31 +365,28 @@
 	})
 }
 
-// cancel stops the running tasks of a submission and bars the others.
+// cancel stops the running tasks of a submission and bars the others. The record
+// is kept even beyond the memory limit: it bars starts that are under way.
 func (g *Guard) cancel(now time.Time, from messenger.Peer, c *messenger.Cancel) {
-	if c.Epoch < g.epochs[c.Submission.Partition()] {
+	if g.Rules.StaleEpoch(c.Epoch, g.epochs[c.Submission.Partition()]) {
 		return
 	}
-	r := g.records[c.Submission]
-	if r == nil {
-		r = &record{}
-		g.records[c.Submission] = r
-	}
+	r := g.records.add(g.Clock(now), g.limits.Window, c.Submission)
 	r.cancelled = true
-	r.used = now
+	r.used = g.Clock(now)
 	for _, index := range r.running {
 		g.out.Aborts = append(g.out.Aborts, TaskRef{Submission: c.Submission, Index: index})
 	}
 	frame := g.frameTo(from)
 	frame.CancelAcks = append(frame.CancelAcks, messenger.CancelAck{
 		Submission: c.Submission,
-		Started:    r.startedTasks(),
+		Started:    r.started.indexes(),
 	})
 }
 
 func (g *Guard) settle(s *messenger.Settlement) {
-	if r := g.records[s.Submission]; r != nil {
-		r.dropPayloads()
+	if r := g.records.get(s.Submission.Partition(), s.Submission); r != nil {
+		g.records.bytes -= r.settle()
 	}
 }
 
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -14,7 +14,7 @@
 	"sardinelock.dev/sardinelock/pkg/submitter"
 )
 
-var testLimits = Limits{Window: time.Minute, MaxRecords: 4, MaxWaiting: 4}
+var testLimits = Limits{Window: time.Minute, MaxRecordBytes: 4 * recordBytes, MaxWaiting: 4}
 
 func TestScripts(t *testing.T) {
 	scripter.Run(t, "testdata/*.txtar", runScript)
@@ -52,6 +52,20 @@
 		b.guard.EntryUp(b.now, messenger.Peer(l.Args[0]))
 	case "down":
 		b.guard.EntryDown(b.now, messenger.Peer(l.Args[0]))
+	case "admit":
+		a := &messenger.Admit{Epochs: make([]uint64, identifier.Partitions)}
+		if job := l.Arg("job"); job != "" {
+			a.Epochs[b.id(job).Partition()] = uint64(b.number(l.Arg("epoch")))
+		}
+		b.guard.Receive(b.now, messenger.Peer(l.Arg("from")), &messenger.Frame{Admit: a})
+	case "ping":
+		b.guard.Receive(b.now, messenger.Peer(l.Arg("from")), &messenger.Frame{Contact: &messenger.Contact{
+			Ping: uint64(b.number(l.Arg("number"))),
+		}})
+	case "settle":
+		b.guard.Receive(b.now, messenger.Peer(l.Arg("from")), &messenger.Frame{Settled: []messenger.Settlement{{
+			Submission: b.id(l.Arg("job")),
+		}}})
 	case "announce":
 		b.guard.Announce(b.now, invoker.Announcement{
 			Slots:      b.number(l.Arg("slots")),
@@ -63,7 +77,8 @@
 	case "fence":
 		id := b.id(l.Arg("job"))
 		b.guard.Receive(b.now, messenger.Peer(l.Arg("from")), &messenger.Frame{Fence: &messenger.Fence{
-			Partitions: []messenger.PartitionEpoch{{Partition: id.Partition(), Epoch: uint64(b.number(l.Arg("epoch")))}},
+			Partitions:    []messenger.PartitionEpoch{{Partition: id.Partition(), Epoch: uint64(b.number(l.Arg("epoch")))}},
+			UnsettledOnly: l.Arg("unsettled-only") == "true",
 		}})
 	case "cancel":
 		b.guard.Receive(b.now, messenger.Peer(l.Arg("from")), &messenger.Frame{Cancels: []messenger.Cancel{{
@@ -87,6 +102,8 @@
 		Epoch:      uint64(b.number(l.Arg("epoch"))),
 		StartBy:    startBy,
 		EndBy:      startBy + time.Minute,
+		RequestKey: l.Arg("key"),
+		Digest:     7,
 	}
 	for text := range strings.SplitSeq(l.Arg("tasks"), ",") {
 		s.Tasks = append(s.Tasks, messenger.TaskStart{Index: uint16(b.number(text))})
@@ -113,6 +130,9 @@
 	if c := s.Frame.Capacity; c != nil {
 		fmt.Fprintf(&b.out, "  to %s: capacity %s slots=%d\n", s.To, c.State, c.Slots)
 	}
+	if c := s.Frame.Contact; c != nil && (c.Echo > 0 || len(c.Raised) > 0) {
+		fmt.Fprintf(&b.out, "  to %s: echo %d raised=%v\n", s.To, c.Echo, epochsOf(c.Raised))
+	}
 	for _, r := range s.Frame.Results {
 		for _, task := range r.Tasks {
 			fmt.Fprintf(&b.out, "  to %s: %s/%d %s %s\n", s.To, b.names[r.Submission], task.Index, task.Kind, task.Refusal)
@@ -124,7 +144,8 @@
 	for _, f := range s.Frame.Fenced {
 		fmt.Fprintf(&b.out, "  to %s: fenced epoch=%d\n", s.To, f.Epoch)
 		for _, r := range f.Records {
-			fmt.Fprintf(&b.out, "    record %s running=%v ended=%d\n", b.names[r.Submission], r.Running, len(r.Ended))
+			fmt.Fprintf(&b.out, "    record %s running=%v ended=%d key=%q digest=%d cancelled=%t\n",
+				b.names[r.Submission], r.Running, len(r.Ended), r.RequestKey, r.Digest, r.Cancelled)
 		}
 	}
 }
@@ -134,7 +155,15 @@
 	if id, ok := b.ids[name]; ok {
 		return id
 	}
-	id := identifier.New(b.now)
+	// Each name gets a partition of its own, so that output never depends on ids.
+	id, _ := identifier.NewIn(b.now, func(p identifier.Partition) bool {
+		for other := range b.names {
+			if other.Partition() == p {
+				return false
+			}
+		}
+		return true
+	})
 	b.ids[name] = id
 	b.names[id] = name
 	return id
@@ -155,3 +184,11 @@
 	}
 	return d
 }
+
+func epochsOf(raised []messenger.PartitionEpoch) []uint64 {
+	var out []uint64
+	for _, p := range raised {
+		out = append(out, p.Epoch)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/guard/queue.go
@@ -0,0 +1,78 @@
+package guard
+
+import (
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/identifier"
+	"sardinelock.dev/sardinelock/internal/messenger"
+)
+
+// pending is one task of a start that waits for a slot.
+type pending struct {
+	from  messenger.Peer
+	ref   TaskRef
+	start *messenger.Start // start is shared by the tasks of one message and is not changed.
+	task  *messenger.TaskStart
+}
+
+// startQueue has the starts that wait, in order of arrival.
+type startQueue struct {
+	items []pending // the first head items have left.
+	head  int
+}
+
+func (q *startQueue) len() int { return len(q.items) - q.head }
+
+func (q *startQueue) push(p pending) { q.items = append(q.items, p) }
+
+func (q *startQueue) first() *pending { return &q.items[q.head] }
+
+// pop removes the first start. It moves the others only when half of the array
+// is unused.
+func (q *startQueue) pop() {
+	q.items[q.head] = pending{}
+	q.head++
+	if q.head > len(q.items)/2 {
+		n := copy(q.items, q.items[q.head:])
+		clear(q.items[n:])
+		q.items = q.items[:n]
+		q.head = 0
+	}
+}
+
+// filter keeps the starts for which keep is true, in order.
+func (q *startQueue) filter(keep func(*pending) bool) {
+	kept := q.items[:0]
+	for i := q.head; i < len(q.items); i++ {
+		if keep(&q.items[i]) {
+			kept = append(kept, q.items[i])
+		}
+	}
+	clear(q.items[len(kept):])
+	q.items = kept
+	q.head = 0
+}
+
+// refuseWaiting refuses the waiting starts that may no longer go ahead, so that
+// their owners learn it before a slot is free.
+func (g *Guard) refuseWaiting(now time.Time) {
+	if g.waiting.len() == 0 {
+		return
+	}
+	g.waiting.filter(func(p *pending) bool {
+		refusal := g.check(now, p)
+		if refusal != "" {
+			g.refuse(p, refusal)
+		}
+		return refusal == ""
+	})
+}
+
+// partitionSet is a set of partitions.
+type partitionSet [identifier.Partitions / 64]uint64
+
+func (s *partitionSet) add(p identifier.Partition) { s[p/64] |= 1 << (p % 64) }
+
+func (s *partitionSet) has(p identifier.Partition) bool { return s[p/64]&(1<<(p%64)) != 0 }
+
+func (s *partitionSet) empty() bool { return *s == partitionSet{} }
--- a/internal/guard/record.go
+++ b/internal/guard/record.go
@@ -1,88 +1,94 @@
 package guard
 
 import (
+	"math/bits"
 	"slices"
 	"time"
 
-	"sardinelock.dev/sardinelock/internal/identifier"
 	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/pkg/submitter"
 )
 
+// maxTasks bounds the task indexes that the guard accepts.
+const maxTasks = submitter.MaxTasks
+
+// taskSet is a set of task indexes below maxTasks.
+type taskSet [(maxTasks + 63) / 64]uint64
+
+func (s *taskSet) has(index uint16) bool { return s[index/64]&(1<<(index%64)) != 0 }
+
+func (s *taskSet) add(index uint16) { s[index/64] |= 1 << (index % 64) }
+
+// indexes returns the members in ascending order.
+func (s *taskSet) indexes() []uint16 {
+	var out []uint16
+	for i, word := range s {
+		for word != 0 {
+			out = append(out, uint16(i*64+bits.TrailingZeros64(word)))
+			word &= word - 1
+		}
+	}
+	return out
+}
+
 // record is what the guard remembers of one submission.
 type record struct {
-	used      time.Time // used is the time of the last event; the window counts from it.
-	running   []uint16  // running has the tasks that started and have not ended.
-	ended     []messenger.TaskResult
+	used      time.Duration          // used is the agent's clock at the last event; the window counts from it.
+	started   taskSet                // started has every task that was ever started.
+	running   []uint16               // running has the tasks that started and have not ended.
+	ended     []messenger.TaskResult // ended has the results that the owner may not have; it is nil once settled.
+	key       string                 // key is the request key of the first start.
+	service   string                 // service is shared between records.
+	digest    uint64
 	cancelled bool // cancelled bars every further start.
 	settled   bool // settled means that the owner has the results.
 }
 
-// started reports whether the task was ever started.
-func (r *record) started(index uint16) bool {
-	if slices.Contains(r.running, index) {
-		return true
-	}
-	return slices.ContainsFunc(r.ended, func(t messenger.TaskResult) bool { return t.Index == index })
-}
-
-func (r *record) start(now time.Time, index uint16) {
-	r.used = now
+func (r *record) start(clock time.Duration, index uint16) {
+	r.used = clock
+	r.started.add(index)
 	r.running = append(r.running, index)
 }
 
-func (r *record) end(now time.Time, result messenger.TaskResult) {
-	r.used = now
+// end records the end of a task and returns the bytes that its result takes.
+func (r *record) end(clock time.Duration, result messenger.TaskResult) int {
+	r.used = clock
 	if i := slices.Index(r.running, result.Index); i >= 0 {
 		r.running = slices.Delete(r.running, i, i+1)
 	}
 	if r.settled {
-		result.Payload = nil
+		return 0
 	}
 	r.ended = append(r.ended, result)
+	return resultBytes(&result)
 }
 
-// dropPayloads frees the results that the owner has.
-func (r *record) dropPayloads() {
-	r.settled = true
+// settle drops the results, which the owner has, and returns the bytes freed.
+func (r *record) settle() int {
+	freed := 0
 	for i := range r.ended {
-		r.ended[i].Payload = nil
-	}
-}
-
-func (r *record) startedTasks() []uint16 {
-	out := slices.Clone(r.running)
-	for _, t := range r.ended {
-		out = append(out, t.Index)
-	}
-	slices.Sort(out)
-	return out
-}
-
-// recordsOf returns the records of one partition in the order of their ids.
-func (g *Guard) recordsOf(p identifier.Partition) []messenger.Record {
-	var out []messenger.Record
-	for id, r := range g.records {
-		if id.Partition() != p {
-			continue
-		}
-		out = append(out, messenger.Record{
-			Submission: id,
-			Cancelled:  r.cancelled,
-			Running:    slices.Clone(r.running),
-			Ended:      slices.Clone(r.ended),
-		})
+		freed += resultBytes(&r.ended[i])
 	}
-	slices.SortFunc(out, func(a, b messenger.Record) int {
-		return slices.Compare(a.Submission[:], b.Submission[:])
-	})
-	return out
+	r.ended = nil
+	r.settled = true
+	return freed
 }
 
-// forget drops the records that no start can concern any more.
-func (g *Guard) forget(now time.Time) {
-	for id, r := range g.records {
-		if len(r.running) == 0 && now.Sub(r.used) > g.limits.Window {
-			delete(g.records, id)
+// message returns the record as an answer to a fence. A task that has ended and
+// is settled is reported without its payload.
+func (r *record) message(id messenger.Record) messenger.Record {
+	id.Cancelled = r.cancelled
+	id.Running = slices.Clone(r.running)
+	id.Ended = slices.Clone(r.ended)
+	id.RequestKey = r.key
+	id.Digest = r.digest
+	id.Service = r.service
+	if r.settled {
+		for _, index := range r.started.indexes() {
+			if !slices.Contains(r.running, index) {
+				id.Ended = append(id.Ended, messenger.TaskResult{Index: index, Kind: messenger.ResultDone})
+			}
 		}
 	}
+	return id
 }
--- /dev/null
+++ b/internal/guard/records.go
@@ -0,0 +1,129 @@
+package guard
+
+import (
+	"slices"
+	"time"
+	"unsafe"
+
+	"sardinelock.dev/sardinelock/internal/identifier"
+	"sardinelock.dev/sardinelock/internal/messenger"
+)
+
+// Sizes in bytes of what the records hold, for the memory limit. The size of a
+// map entry allows for the table's free slots.
+const (
+	mapEntryBytes   = 48
+	recordBytes     = int(unsafe.Sizeof(record{})) + int(unsafe.Sizeof(expiry{})) + mapEntryBytes + runningBytes
+	runningBytes    = 16 // runningBytes is the smallest array behind record.running with its allocation class.
+	taskResultBytes = int(unsafe.Sizeof(messenger.TaskResult{}))
+)
+
+// recordTable has the records of all partitions. Records leave in the order of
+// their last use, so that expiry never scans them.
+type recordTable struct {
+	limitBytes int
+	bytes      int // bytes is what the records take, by the sizes above.
+	partitions [identifier.Partitions]map[identifier.Submission]*record
+	count      int
+	queue      []expiry // queue has one entry a record, in order of at; the first head entries are done.
+	head       int
+	services   map[string]string // services has one copy of each service name.
+}
+
+// expiry says when a record must be looked at again.
+type expiry struct {
+	id identifier.Submission
+	at time.Duration // at is on the agent's clock.
+}
+
+func newRecordTable(limitBytes int) *recordTable {
+	return &recordTable{limitBytes: limitBytes, services: make(map[string]string)}
+}
+
+func (t *recordTable) get(p identifier.Partition, id identifier.Submission) *record {
+	return t.partitions[p][id]
+}
+
+// full reports whether the limit leaves no room for more work.
+func (t *recordTable) full(isNew bool) bool {
+	if isNew {
+		return t.bytes+recordBytes > t.limitBytes
+	}
+	return t.bytes > t.limitBytes
+}
+
+// add returns the record of a submission and makes it if there is none.
+func (t *recordTable) add(clock, window time.Duration, id identifier.Submission) *record {
+	p := id.Partition()
+	if r := t.partitions[p][id]; r != nil {
+		return r
+	}
+	if t.partitions[p] == nil {
+		t.partitions[p] = make(map[identifier.Submission]*record)
+	}
+	r := &record{used: clock}
+	t.partitions[p][id] = r
+	t.count++
+	t.bytes += recordBytes
+	t.queue = append(t.queue, expiry{id: id, at: clock + window})
+	return r
+}
+
+// describe keeps what a start says about its submission.
+func (t *recordTable) describe(r *record, s *messenger.Start) {
+	if r.service != "" {
+		return
+	}
+	name, ok := t.services[s.Service]
+	if !ok {
+		name = s.Service
+		t.services[name] = name
+	}
+	r.service = name
+	r.key = s.RequestKey
+	r.digest = s.Digest
+	t.bytes += len(r.key)
+}
+
+// forget drops the records that were not used within the window.
+func (t *recordTable) forget(clock, window time.Duration) {
+	for t.head < len(t.queue) && t.queue[t.head].at < clock {
+		e := t.queue[t.head]
+		t.head++
+		p := e.id.Partition()
+		r := t.partitions[p][e.id]
+		switch {
+		case len(r.running) > 0:
+			t.queue = append(t.queue, expiry{id: e.id, at: clock + window})
+		case r.used+window >= clock:
+			t.queue = append(t.queue, expiry{id: e.id, at: clock + window})
+		default:
+			t.bytes -= recordBytes + len(r.key) + r.settle()
+			t.count--
+			delete(t.partitions[p], e.id)
+		}
+	}
+	if t.head > len(t.queue)/2 {
+		t.queue = append(t.queue[:0], t.queue[t.head:]...)
+		t.head = 0
+	}
+}
+
+// of returns the records of one partition in the order of their ids.
+func (t *recordTable) of(p identifier.Partition, unsettledOnly bool) []messenger.Record {
+	var out []messenger.Record
+	for id, r := range t.partitions[p] {
+		if unsettledOnly && r.settled && len(r.running) == 0 {
+			continue
+		}
+		out = append(out, r.message(messenger.Record{Submission: id}))
+	}
+	slices.SortFunc(out, func(a, b messenger.Record) int {
+		return slices.Compare(a.Submission[:], b.Submission[:])
+	})
+	return out
+}
+
+func resultBytes(r *messenger.TaskResult) int {
+	return taskResultBytes + len(r.Payload) + len(r.Detail)
+}
--- /dev/null
+++ b/internal/guard/rules.go
@@ -0,0 +1,67 @@
+package guard
+
+import (
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/messenger"
+)
+
+// Rules are the checks of a start, each as a seam. Production code uses
+// [DefaultRules]; tests replace single rules to show what each is needed for.
+type Rules struct {
+	// Duplicate reports whether a start must be refused because the task had
+	// started before.
+	Duplicate func(started bool) bool
+	// Unadmitted reports whether a start must be refused because the agent is not
+	// part of the roster.
+	Unadmitted func(admitted bool) bool
+	// StaleEpoch reports whether a message of the epoch must be refused under the
+	// highest epoch seen.
+	StaleEpoch func(epoch, highest uint64) bool
+	// Cancelled reports whether a start must be refused because the submission was
+	// cancelled.
+	Cancelled func(cancelled bool) bool
+	// Expired reports whether a start must be refused at the time of the agent's
+	// clock.
+	Expired func(clock, startBy time.Duration) bool
+}
+
+// DefaultRules returns the checks that the system relies on.
+func DefaultRules() Rules {
+	return Rules{
+		Duplicate:  func(started bool) bool { return started },
+		Unadmitted: func(admitted bool) bool { return !admitted },
+		StaleEpoch: func(epoch, highest uint64) bool { return epoch < highest },
+		Cancelled:  func(cancelled bool) bool { return cancelled },
+		Expired:    func(clock, startBy time.Duration) bool { return clock > startBy },
+	}
+}
+
+// check returns why a start must be refused now, or "" if it may go ahead. The
+// check for a duplicate comes first, because every other refusal is proof that
+// the task did not start.
+func (g *Guard) check(now time.Time, p *pending) messenger.Refusal {
+	partition := p.ref.Submission.Partition()
+	r := g.records.get(partition, p.ref.Submission)
+	switch {
+	case p.ref.Index >= maxTasks:
+		return messenger.RefusalInvalid
+	case g.Rules.Duplicate(r != nil && r.started.has(p.ref.Index)):
+		return messenger.RefusalDuplicate
+	case g.Rules.Unadmitted(g.admitted):
+		return messenger.RefusalUnadmitted
+	case g.Rules.StaleEpoch(p.start.Epoch, g.epochs[partition]):
+		return messenger.RefusalStaleEpoch
+	case g.Rules.Cancelled(r != nil && r.cancelled):
+		return messenger.RefusalCancelled
+	case g.Rules.Expired(g.Clock(now), p.start.StartBy):
+		return messenger.RefusalExpired
+	case g.state == messenger.UpstreamLeaving:
+		return messenger.RefusalLeaving
+	case g.state == messenger.UpstreamAbsent || now.After(g.expires):
+		return messenger.RefusalLapsed
+	case g.records.full(r == nil):
+		return messenger.RefusalMemory
+	}
+	return ""
+}
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -52,6 +52,7 @@
 	Settled    []Settlement `cbor:"16,keyasint,omitempty"`
 	Query      []AdminQuery `cbor:"17,keyasint,omitempty"`
 	Reports    []AdminReply `cbor:"18,keyasint,omitempty"`
+	Admit      *Admit       `cbor:"19,keyasint,omitempty"`
 }
 
 // Hello is the first message in both directions of a connection.
@@ -137,6 +138,7 @@
 	RefusalCancelled  Refusal = "cancelled"
 	RefusalMemory     Refusal = "record-memory-limit"
 	RefusalUnadmitted Refusal = "not-admitted" // The agent is not yet part of the roster.
+	RefusalInvalid    Refusal = "invalid"      // The task index is beyond the largest job.
 )
 
 // Result carries the outcomes of tasks of one submission.
@@ -314,8 +316,19 @@
 	Job Forward `cbor:"1,keyasint"`
 	// Answer is set if the job is answered.
 	Answer *Answer `cbor:"2,keyasint,omitempty"`
-	// Tasks has the tasks that were sent to an agent.
+	// Tasks has the tasks that were sent to an agent, for a job without an answer.
 	Tasks []HandoverTask `cbor:"3,keyasint,omitempty"`
+	// Digest is the digest of the job, as in its Start.
+	Digest uint64 `cbor:"4,keyasint,omitempty"`
+	// Age is the time since the answer, or since the job was last heard of.
+	Age time.Duration `cbor:"5,keyasint,omitempty"`
+	// Recovered means that the job is known from agents' records only: Job.Tasks
+	// is absent and Tasks says all that is known.
+	Recovered bool `cbor:"6,keyasint,omitempty"`
+	// Cancelled means that an agent will start no more of a recovered job.
+	Cancelled bool `cbor:"7,keyasint,omitempty"`
+	// AnswerLost means that the answer was given and is no longer kept.
+	AnswerLost bool `cbor:"8,keyasint,omitempty"`
 }
 
 // HandoverTask is one task that was sent to an agent.
