Let the owner recover, hand over and abandon jobs, and hold request keys

Cause: a job was known only at the entry that took it, so that a new owner could neither continue it nor tell whether it had run. Change: the owner builds recovered jobs from agents' records and from a former owner's export, resumes them when their submission arrives again, reconciles tasks sent over a lost connection, holds request keys, answers each request at its own deadline, and cancels a job that no request waits for.

--- a/cmd/sardinelock/cmd/settings.go
+++ b/cmd/sardinelock/cmd/settings.go
@@ -23,7 +23,9 @@
 // The defaults of limits that are no flags.
 const (
 	dedupWindow     = 5 * time.Minute
-	maxJobs         = 1 << 20
+	maxJobBytes     = 512 << 20
+	maxAnswerBytes  = 512 << 20
+	abandonGrace    = 5 * time.Second
 	clockDifference = 30 * time.Second
 	maxRecordBytes  = 64 << 20
 	maxWaiting      = 1024
@@ -161,7 +163,10 @@
 	return coordinator.Limits{
 		Owner: owner.Limits{
 			Window:          dedupWindow,
-			MaxJobs:         maxJobs,
+			ClockDifference: clockDifference,
+			MaxRecordBytes:  maxJobBytes,
+			MaxAnswerBytes:  maxAnswerBytes,
+			AbandonGrace:    abandonGrace,
 			LostAfter:       lostAfter,
 			MaxReplacements: maxReplacements,
 		},
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -150,8 +150,10 @@
 	c.forward(now, ticket, j)
 }
 
-// Cancel ends a job of this entry.
-func (c *Coordinator) Cancel(now time.Time, s identifier.Submission) { c.owner.Cancel(now, s) }
+// Cancel ends a job of this entry. It returns false if the team has no such job.
+func (c *Coordinator) Cancel(now time.Time, s identifier.Submission, team string) bool {
+	return c.owner.Cancel(now, s, team)
+}
 
 // StoreRead applies the outcome of a read.
 func (c *Coordinator) StoreRead(now time.Time, id uint64, r storer.Range, err error) {
@@ -194,6 +196,7 @@
 	if f.Credit != nil {
 		c.placer.SetCredit(now, from, f.Credit.Limit)
 	}
+	c.receiveFenced(now, from, f.Fenced)
 	for i := range f.Results {
 		c.result(now, from, &f.Results[i])
 	}
@@ -277,7 +280,10 @@
 		if !ok {
 			continue
 		}
-		c.owner.Sent(a.Submission, a.Agent, a.Tasks)
+		a.Tasks = c.owner.Sent(now, a.Submission, a.Agent, a.Tasks)
+		if len(a.Tasks) == 0 {
+			continue
+		}
 		f := c.agentFrame(a.Agent)
 		f.Starts = append(f.Starts, c.start(now, &j, a))
 	}
@@ -295,6 +301,8 @@
 		StartBy:    clock + c.limits.StartBudget,
 		EndBy:      clock + j.Deadline.Sub(now),
 		Tasks:      make([]messenger.TaskStart, len(a.Tasks)),
+		RequestKey: j.RequestKey,
+		Digest:     owner.Digest(j),
 	}
 	for i, index := range a.Tasks {
 		spec := &j.Tasks[index]
--- a/internal/guard/record.go
+++ b/internal/guard/record.go
@@ -83,6 +83,7 @@
 	id.RequestKey = r.key
 	id.Digest = r.digest
 	id.Service = r.service
+	id.Settled = r.settled
 	if r.settled {
 		for _, index := range r.started.indexes() {
 			if !slices.Contains(r.running, index) {
--- a/internal/identifier/identifier.go
+++ b/internal/identifier/identifier.go
@@ -97,3 +97,19 @@
 
 // IsZero reports whether the id is unset.
 func (s Submission) IsZero() bool { return s == Submission{} }
+
+// KeyPartition returns the partition that a request key falls into. A submission
+// with a request key must fall into the same one, so that one owner decides both.
+func KeyPartition(key string) Partition {
+	return Partition(xxhash.Sum64String(key) % Partitions)
+}
+
+// NewForKey returns an id made at the given time for a submission with a request
+// key. An empty key allows any partition.
+func NewForKey(now time.Time, key string) (Submission, bool) {
+	if key == "" {
+		return New(now), true
+	}
+	want := KeyPartition(key)
+	return NewIn(now, func(p Partition) bool { return p == want })
+}
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -244,6 +244,8 @@
 	Digest     uint64 `cbor:"6,keyasint,omitempty"`
 	// Service is that of the Start.
 	Service string `cbor:"7,keyasint,omitempty"`
+	// Settled means that an owner had the results, so that payloads are absent.
+	Settled bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Forward carries a submission from the entry that received it to the owner.
--- /dev/null
+++ b/internal/owner/recover.go
@@ -0,0 +1,164 @@
+package owner
+
+import (
+	"slices"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/pkg/submitter"
+)
+
+// Recover applies what an agent remembers of a submission. A submission that is
+// not known becomes a recovered job, which costs only its record until it is
+// submitted again.
+func (o *Owner) Recover(now time.Time, agent messenger.Peer, r messenger.Record) {
+	j := o.jobs[r.Submission]
+	switch {
+	case j == nil:
+		j = &job{
+			phase:  phaseRecovered,
+			spec:   Job{Submission: r.Submission, Service: r.Service, RequestKey: r.RequestKey},
+			digest: r.Digest,
+		}
+		o.add(j)
+		o.keep(now, j)
+		o.holdKey(j)
+	case j.phase == phaseAnswered:
+		o.recoverAnswered(j, agent, &r)
+		return
+	case r.Digest != 0 && j.digest != 0 && r.Digest != j.digest:
+		o.conflict(now, j)
+		return
+	}
+	o.merge(now, j, agent, &r)
+	o.weigh(j)
+}
+
+// recoverAnswered lets the agent drop its results and stops what still runs.
+func (o *Owner) recoverAnswered(j *job, agent messenger.Peer, r *messenger.Record) {
+	x := AgentJob{Agent: agent, Submission: j.spec.Submission}
+	if !r.Settled {
+		o.out.Settles = append(o.out.Settles, x)
+	}
+	if len(r.Running) > 0 && !r.Cancelled {
+		o.out.Cancels = append(o.out.Cancels, x)
+	}
+}
+
+// conflict answers an open job whose id an agent knows with another body.
+func (o *Owner) conflict(now time.Time, j *job) {
+	if j.phase == phaseOpen {
+		o.out.Drops = append(o.out.Drops, j.spec.Submission)
+		o.answer(now, j, unknown(j.spec.Submission, submitter.ReasonConflictingRequest,
+			"the submission id was used before with another body, service or team"))
+	}
+}
+
+// merge takes over the tasks of a record that are not known yet, and those that
+// were sent to the agent.
+func (o *Owner) merge(now time.Time, j *job, agent messenger.Peer, r *messenger.Record) {
+	if j.digest == 0 {
+		j.digest = r.Digest
+	}
+	j.cancelled = j.cancelled || r.Cancelled
+	for _, index := range r.Running {
+		if t := o.recoverTask(j, agent, index); t != nil {
+			t.state = taskSent
+			t.unsure = false
+			t.agent = agent
+		}
+	}
+	for i := range r.Ended {
+		if j.phase == phaseAnswered {
+			return
+		}
+		t := o.recoverTask(j, agent, r.Ended[i].Index)
+		if t == nil {
+			continue
+		}
+		t.agent = agent
+		if r.Settled {
+			o.loseAnswer(now, j, t)
+			continue
+		}
+		o.taskEnded(now, j, t, &r.Ended[i])
+	}
+	if len(r.Running) > 0 && j.phase != phaseAnswered {
+		o.linkAgent(now, j, agent)
+	}
+	if j.phase == phaseOpen {
+		o.conclude(now, j)
+	}
+}
+
+// recoverTask returns the task that a record of the agent decides, or nil if the
+// task is known to be elsewhere or to have ended.
+func (o *Owner) recoverTask(j *job, agent messenger.Peer, index uint16) *task {
+	if int(index) >= submitter.MaxTasks || j.phase == phaseOpen && int(index) >= len(j.tasks) {
+		return nil
+	}
+	j.grow(int(index) + 1)
+	t := &j.tasks[index]
+	if t.state == taskWaiting || t.state == taskSent && t.agent == agent {
+		return t
+	}
+	return nil
+}
+
+// loseAnswer notes that a task ended and that its result was given away.
+func (o *Owner) loseAnswer(now time.Time, j *job, t *task) {
+	t.state = taskDone
+	j.answerLost = true
+	if j.phase == phaseOpen {
+		o.out.Drops = append(o.out.Drops, j.spec.Submission)
+		o.answer(now, j, answerLost(j.spec.Submission))
+	}
+}
+
+// resume opens a recovered job with its specification and returns the tasks that
+// no agent has started.
+func (o *Owner) resume(now time.Time, j *job, w Waiter, in Job) []uint16 {
+	if len(j.tasks) > len(in.Tasks) {
+		o.out.Answers = append(o.out.Answers, Answered{Waiter: w, Answer: unknown(in.Submission,
+			submitter.ReasonConflictingRequest, "the submission id was used before with more tasks")})
+		return nil
+	}
+	lost := j.answerLost
+	o.begin(now, j, in)
+	o.wait(now, j, w, in.Deadline)
+	if holder, held := o.keys[in.RequestKey]; held && holder != in.Submission {
+		o.end(now, j, submitter.ReasonDuplicateRequest, "the request key is used by submission "+holder.String(), 0)
+		return nil
+	}
+	o.holdKey(j)
+	if lost {
+		o.answer(now, j, answerLost(in.Submission))
+		return nil
+	}
+	o.conclude(now, j)
+	if j.phase != phaseOpen {
+		return nil
+	}
+	return j.unsent()
+}
+
+// Released is a job without an answer that leaves this owner, with the requests
+// that wait for it.
+type Released struct {
+	Job     Job
+	Waiters []Waiter
+}
+
+// sortedJobs returns the jobs that keep accepts, in the order of their ids.
+func (o *Owner) sortedJobs(keep func(*job) bool) []*job {
+	var out []*job
+	for _, j := range o.jobs {
+		if keep(j) {
+			out = append(out, j)
+		}
+	}
+	slices.SortFunc(out, func(x, y *job) int {
+		return slices.Compare(x.spec.Submission[:], y.spec.Submission[:])
+	})
+	return out
+}
