--- a/cmd/sardinelock/cmd/settings.go
+++ b/cmd/sardinelock/cmd/settings.go
@@ -13,24 +13,40 @@
 	"github.com/spf13/pflag"
 
 	"sardinelock.dev/sardinelock/internal/coordinator"
+	"sardinelock.dev/sardinelock/internal/enroller"
 	"sardinelock.dev/sardinelock/internal/guard"
 	"sardinelock.dev/sardinelock/internal/leaser"
 	"sardinelock.dev/sardinelock/internal/messenger"
 	"sardinelock.dev/sardinelock/internal/owner"
 	"sardinelock.dev/sardinelock/internal/placer"
+	"sardinelock.dev/sardinelock/internal/recoverer"
+	"sardinelock.dev/sardinelock/internal/registrar"
 )
 
 // The defaults of limits that are no flags.
 const (
 	dedupWindow     = 5 * time.Minute
-	maxJobs         = 1 << 20
-	maxRecords      = 1 << 18
+	maxJobBytes     = 512 << 20
+	maxAnswerBytes  = 512 << 20
+	abandonGrace    = 5 * time.Second
+	clockDifference = 2 * time.Second
+	maxRecordBytes  = 64 << 20
 	maxWaiting      = 1024
 	maxQueued       = 100_000
 	lostAfter       = 2 * time.Second
 	maxReplacements = 16
 	startBudget     = 5 * time.Second
 	pollEvery       = time.Second
+	retryEvery      = 250 * time.Millisecond
+	lease           = 3 * time.Second
+	leaseMargin     = 100 * time.Millisecond
+	agentGoneAfter  = 30 * time.Second
+	witnessGone     = 5 * time.Second
+	witnesses       = 15
+	suspectAfter    = time.Second
+	pingEntries     = 250 * time.Millisecond
+	steadyAfter     = time.Second
+	answerSlack     = 50 * time.Millisecond
 	drainTimeout    = 30 * time.Second
 )
 
@@ -160,20 +176,39 @@
 	return coordinator.Limits{
 		Owner: owner.Limits{
 			Window:          dedupWindow,
-			MaxJobs:         maxJobs,
+			ClockDifference: clockDifference,
+			MaxRecordBytes:  maxJobBytes,
+			MaxAnswerBytes:  maxAnswerBytes,
+			AbandonGrace:    abandonGrace,
 			LostAfter:       lostAfter,
 			MaxReplacements: maxReplacements,
 		},
-		Placer:      placer.Limits{MaxQueued: maxQueued},
-		Leaser:      leaser.Limits{PollEvery: pollEvery},
-		StartBudget: startBudget,
+		Placer:    placer.Limits{MaxQueued: maxQueued},
+		Registrar: registrar.Limits{PollEvery: pollEvery, RetryEvery: retryEvery},
+		Leaser:    leaser.Limits{Lease: lease, Margin: leaseMargin},
+		Recoverer: recoverer.Limits{
+			Lease:           lease,
+			ClockDifference: clockDifference,
+			Window:          dedupWindow + 2*clockDifference,
+		},
+		Enroller: enroller.Limits{
+			GoneAfter:        agentGoneAfter,
+			WitnessGoneAfter: witnessGone,
+			Window:           dedupWindow + 2*clockDifference,
+			Witnesses:        witnesses,
+		},
+		StartBudget:      startBudget,
+		SuspectAfter:     suspectAfter,
+		PingEntriesEvery: pingEntries,
+		SteadyAfter:      steadyAfter,
+		AnswerSlack:      answerSlack,
 	}
 }
 
 func agentLimits() guard.Limits {
 	return guard.Limits{
-		Window:     dedupWindow,
-		MaxRecords: maxRecords,
-		MaxWaiting: maxWaiting,
+		Window:         dedupWindow + 2*clockDifference,
+		MaxRecordBytes: maxRecordBytes,
+		MaxWaiting:     maxWaiting,
 	}
 }
--- a/internal/coordinator/agents.go
+++ b/internal/coordinator/agents.go
@@ -179,6 +179,7 @@
 		for _, record := range f.Records {
 			c.owner.Recover(now, a.peer, record)
 		}
+		c.owner.Reconciled(now, a.peer, f.Partition)
 	}
 	c.recoverer.Fenced(now, a.peer, answer)
 	c.releaseHeld(now)
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -276,7 +276,10 @@
 		if !ok || link == nil {
 			continue
 		}
-		c.owner.Sent(a.Submission, a.Agent, a.Tasks)
+		a.Tasks = c.owner.Sent(now, a.Submission, a.Agent, a.Tasks)
+		if len(a.Tasks) == 0 {
+			continue
+		}
 		f := link.gather()
 		f.Starts = append(f.Starts, c.start(now, link, &j, a))
 	}
--- a/internal/coordinator/handover.go
+++ b/internal/coordinator/handover.go
@@ -61,7 +61,7 @@
 
 // beginHandover begins to pass partitions to an entry that should own them.
 func (c *Coordinator) beginHandover(now time.Time) {
-	if c.handover.out != nil {
+	if c.handover.out != nil || !c.registrar.Reachable() {
 		return
 	}
 	to, partitions := c.chooseHandover(now)
@@ -187,9 +187,6 @@
 		c.endHandover(out)
 		return
 	}
-	if out.state == outgoingWriting && c.registrar.Idle() {
-		out.state = outgoingReclaim
-	}
 	if out.state == outgoingOffered || out.state == outgoingAccepted {
 		c.handoverUnwanted(now, out)
 	}
@@ -284,26 +281,40 @@
 	}
 }
 
-// tickHandover forgets offers that were not followed by a change of the rows. An
-// owner that still makes one then finds a new owner without its records.
+// tickHandover applies the passing of time to handovers.
 func (c *Coordinator) tickHandover(now time.Time) {
+	if out := c.handover.out; out != nil {
+		switch {
+		case out.state == outgoingOffered && !c.responsive(now, out.to):
+			c.cancelHandover(now, out)
+		case out.state == outgoingWriting && c.registrar.Idle():
+			out.state = outgoingReclaim
+		}
+	}
 	for id, o := range c.handover.offered {
-		if now.Sub(o.at) > c.limits.Recoverer.Window {
+		if c.offerEnded(now, o) {
 			delete(c.handover.offered, id)
 		}
 	}
 }
 
-// importJobs takes over jobs with all that is known of them, and places the tasks
-// that were not sent to any agent.
+// offerEnded reports whether the rows of an offer can change to this entry no
+// more. An owner that makes a late write finds a new owner without its records,
+// which then takes the partitions over.
+func (c *Coordinator) offerEnded(now time.Time, o *offer) bool {
+	if now.Sub(o.at) > c.limits.Recoverer.Window {
+		return true
+	}
+	return !slices.ContainsFunc(o.partitions, func(hp messenger.HandoverPartition) bool {
+		return c.highest[hp.Partition] <= hp.Epoch
+	})
+}
+
+// importJobs takes over jobs with all that is known of them. The requests that
+// wait bring their tasks again.
 func (c *Coordinator) importJobs(now time.Time, jobs []messenger.HandoverJob) {
 	for i := range jobs {
-		for _, index := range c.owner.Import(now, jobs[i]) {
-			s := jobs[i].Job.Submission
-			if j, ok := c.owner.Job(s); ok {
-				c.placer.Requeue(now, placerJob(&j, nil), index)
-			}
-		}
+		c.owner.Import(now, jobs[i])
 	}
 }
 
--- a/internal/coordinator/requests.go
+++ b/internal/coordinator/requests.go
@@ -111,9 +111,23 @@
 	c.route(now, ticket)
 }
 
-// Abandon records that the caller of a request has gone.
+// Abandon records that the caller of a request has gone. A job that nobody waits
+// for any more is cancelled after a while.
 func (c *Coordinator) Abandon(now time.Time, ticket uint64) {
-	c.owner.Abandon(now, owner.Waiter{Ticket: ticket})
+	f := c.requests.forwards[ticket]
+	if f == nil {
+		c.owner.Abandon(now, owner.Waiter{Ticket: ticket})
+		return
+	}
+	delete(c.requests.forwards, ticket)
+	if e := c.entries[f.to]; e != nil {
+		frame := e.gather()
+		frame.Forwards = append(frame.Forwards, messenger.Forward{
+			Ticket:     ticket,
+			Submission: f.request.Job.Submission,
+			Abandon:    true,
+		})
+	}
 }
 
 // local applies a request for a partition that this entry owns.
@@ -123,9 +137,8 @@
 		c.requests.hold(j.Submission.Partition(), heldRequest{waiter: w, request: r})
 		return
 	}
-	if !r.Fresh && !c.owner.Known(j.Submission) && c.recoverer.Uncertain(now, j.Submission) {
-		c.deliver(w, unknown(j.Submission, submitter.ReasonOwnerChanged,
-			"the former owner of the submission is gone and not every agent's records are known"))
+	if !r.Fresh && c.recoverer.Uncertain(now, j.Submission) {
+		c.localUncertain(now, w, j)
 		return
 	}
 	switch r.Kind {
@@ -147,6 +160,16 @@
 	}
 }
 
+// localUncertain applies a request for an id that may have run under a former
+// owner. What is known of it is awaited; nothing more of it is started.
+func (c *Coordinator) localUncertain(now time.Time, w owner.Waiter, j owner.Job) {
+	if c.owner.Attach(now, w, j.Submission, j.Team, j.Deadline) {
+		return
+	}
+	c.deliver(w, unknown(j.Submission, submitter.ReasonOwnerChanged,
+		"the former owner of the submission is gone and not every agent's records are known"))
+}
+
 // attach answers for a known submission. A submission that is not known here, or
 // that is another team's, is answered the same way.
 func (c *Coordinator) attach(now time.Time, w owner.Waiter, j owner.Job) {
@@ -227,6 +250,10 @@
 
 func (c *Coordinator) receiveForward(now time.Time, e *entryLink, m *messenger.Forward) {
 	w := owner.Waiter{Peer: e.peer, Ticket: m.Ticket}
+	if m.Abandon {
+		c.owner.Abandon(now, w)
+		return
+	}
 	if c.recoverer.Phase(m.Submission.Partition()) == recoverer.PhaseNone {
 		f := e.gather()
 		f.Moved = append(f.Moved, messenger.Moved{Ticket: m.Ticket})
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -202,6 +202,23 @@
 	a.freeAccelerators += need.Accelerators
 }
 
+// Cancelled applies an agent's answer to the cancellation of a submission: of its
+// outstanding tasks there, all but the started ones will never start.
+func (p *Placer) Cancelled(_ time.Time, peer messenger.Peer, s identifier.Submission, started []uint16) {
+	a := p.agents[peer]
+	if a == nil {
+		return
+	}
+	for ref, need := range a.sent {
+		if ref.submission != s || slices.Contains(started, ref.index) {
+			continue
+		}
+		delete(a.sent, ref)
+		a.freeMemory += need.MemoryBytes
+		a.freeAccelerators += need.Accelerators
+	}
+}
+
 // Dispatch takes tasks from the queues as far as credits allow and returns them
 // as one batch for each job and agent.
 func (p *Placer) Dispatch(_ time.Time) []Assignment {
