Say nothing but complete without the lease, and keep refusals true over takeovers

Change: ids made before a takeover that no agent reports are answered not-run when every record is known and unknown otherwise; answers other than complete need the lease; keyed submissions need complete records. Conclusion: a caller whose id falls into the seconds of a takeover gets not-run with Retry-After and tries a new id.

--- a/cmd/sardinelock/cmd/settings.go
+++ b/cmd/sardinelock/cmd/settings.go
@@ -29,7 +29,7 @@
 	maxJobBytes     = 512 << 20
 	maxAnswerBytes  = 512 << 20
 	abandonGrace    = 5 * time.Second
-	clockDifference = 2 * time.Second
+	clockDifference = time.Second
 	maxRecordBytes  = 64 << 20
 	maxWaiting      = 1024
 	maxQueued       = 100_000
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -90,6 +90,7 @@
 	self    registrar.Entry // self is what the entry's row should say.
 	limits  Limits
 	started time.Time // started is the time of the first tick.
+	now     time.Time // now is the time of the event that is being applied.
 
 	registrar *registrar.Registrar
 	leaser    *leaser.Leaser
@@ -121,7 +122,7 @@
 	if len(limits.Regions) == 0 {
 		limits.Regions = []string{self.Region}
 	}
-	return &Coordinator{
+	c := &Coordinator{
 		self:      self,
 		limits:    limits,
 		registrar: registrar.New(self, limits.Registrar, rules.Registrar),
@@ -137,6 +138,8 @@
 		handover:  newHandovers(),
 		paths:     make(map[string]string),
 	}
+	c.owner.Rules.Holds = func(identifier.Partition) bool { return c.leaser.Held(c.now) }
+	return c
 }
 
 // SetPath sets the HTTP path of a service at its upstreams.
@@ -169,6 +172,7 @@
 
 // Receive applies a frame from a peer.
 func (c *Coordinator) Receive(now time.Time, from messenger.Peer, f *messenger.Frame) {
+	c.now = now
 	if a := c.agents[from]; a != nil {
 		c.receiveAgent(now, a, f)
 		return
@@ -180,12 +184,14 @@
 
 // StoreRead applies the outcome of a read.
 func (c *Coordinator) StoreRead(now time.Time, id uint64, r storer.Range, err error) {
+	c.now = now
 	c.registrar.StoreRead(now, id, r, err)
 	c.applyRows(now)
 }
 
 // StoreWritten applies the outcome of a write.
 func (c *Coordinator) StoreWritten(now time.Time, id uint64, o storer.Outcome, err error) {
+	c.now = now
 	c.registrar.StoreWritten(now, id, o, err)
 	c.applyRows(now)
 }
@@ -208,6 +214,7 @@
 
 // Tick applies the passing of time.
 func (c *Coordinator) Tick(now time.Time) {
+	c.now = now
 	if c.started.IsZero() {
 		c.started = now
 	}
@@ -226,6 +233,7 @@
 // Take runs the controllers on what has happened, returns what is to be done and
 // clears it.
 func (c *Coordinator) Take(now time.Time) Output {
+	c.now = now
 	c.applyOwner(now)
 	if c.leaser.Held(now) {
 		c.dispatch(now)
@@ -245,7 +253,7 @@
 func (c *Coordinator) applyOwner(now time.Time) {
 	out := c.owner.Take()
 	for _, a := range out.Answers {
-		c.deliver(a.Waiter, a.Answer)
+		c.deliver(now, a.Waiter, a.Answer)
 	}
 	for _, r := range out.Requeues {
 		if j, ok := c.owner.Job(r.Submission); ok {
--- a/internal/coordinator/handover.go
+++ b/internal/coordinator/handover.go
@@ -75,10 +75,12 @@
 		state: outgoingOffered,
 	}
 	for _, p := range partitions {
+		past := c.recoverer.Inheritance(now, p)
 		out.partitions = append(out.partitions, messenger.HandoverPartition{
-			Partition:       p,
-			Epoch:           c.recoverer.Epoch(p),
-			UncertainBefore: c.recoverer.UncertainBefore(now, p),
+			Partition:  p,
+			Epoch:      c.recoverer.Epoch(p),
+			PastBefore: past.Before,
+			Incomplete: past.Incomplete,
 		})
 		out.jobs = append(out.jobs, c.stop(now, p)...)
 	}
@@ -93,7 +95,7 @@
 }
 
 // chooseHandover returns the entry that wants most and what it should get.
-// Partitions whose past is uncertain stay, unless this entry drains.
+// Partitions whose past is not known in full stay, unless this entry drains.
 func (c *Coordinator) chooseHandover(now time.Time) (messenger.Peer, []identifier.Partition) {
 	live := c.live(now)
 	var to messenger.Peer
@@ -102,7 +104,7 @@
 		if c.recoverer.Phase(p) != recoverer.PhaseActive || len(out) == maxHandoverPartitions {
 			continue
 		}
-		if !c.draining && !c.recoverer.Settled(now, p) {
+		if !c.draining && c.recoverer.Inheritance(now, p).Incomplete {
 			continue
 		}
 		want := claimer.Want(p, live)
@@ -243,7 +245,7 @@
 	}
 	for _, hp := range o.partitions {
 		if hp.Partition == gained.Partition && hp.Epoch+1 == gained.Epoch {
-			c.recoverer.BeginHandover(gained, hp.UncertainBefore)
+			c.recoverer.BeginHandover(gained, recoverer.Inheritance{Before: hp.PastBefore, Incomplete: hp.Incomplete})
 			c.importJobs(now, jobsOf(o.jobs, gained.Partition))
 			c.fenceAll()
 			return true
--- a/internal/coordinator/requests.go
+++ b/internal/coordinator/requests.go
@@ -103,6 +103,7 @@
 
 // Request applies a request of a caller.
 func (c *Coordinator) Request(now time.Time, ticket uint64, r Request) {
+	c.now = now
 	if c.recoverer.Phase(r.Job.Submission.Partition()) != recoverer.PhaseNone {
 		c.local(now, owner.Waiter{Ticket: ticket}, r)
 		return
@@ -137,7 +138,8 @@
 		c.requests.hold(j.Submission.Partition(), heldRequest{waiter: w, request: r})
 		return
 	}
-	if !r.Fresh && c.recoverer.Uncertain(now, j.Submission) {
+	past := c.past(now, &r)
+	if past == recoverer.PastUnknown {
 		c.localUncertain(now, w, j)
 		return
 	}
@@ -150,23 +152,42 @@
 		c.attach(now, w, j)
 		return
 	}
+	known := c.owner.Known(j.Submission)
 	tasks := c.owner.Submit(now, w, j)
 	if len(tasks) == 0 {
 		return
 	}
+	if past == recoverer.PastRefused && !known {
+		c.owner.Refuse(now, j.Submission, submitter.ReasonOwnerChanged,
+			"the former owner of the submission is gone and it did not run", time.Second)
+		return
+	}
 	refusal := c.placer.Enqueue(now, placerJob(&j, tasks))
 	if refusal.Reason != "" {
 		c.owner.Refuse(now, j.Submission, refusal.Reason, refusal.Detail, refusal.RetryAfter)
 	}
 }
 
+// past returns what may have become of a request's id, or of its request key,
+// under a former owner. A new id does not help an old key: the key may have been
+// used under another id.
+func (c *Coordinator) past(now time.Time, r *Request) recoverer.Past {
+	if r.Job.RequestKey != "" && c.recoverer.Inheritance(now, r.Job.Submission.Partition()).Incomplete {
+		return recoverer.PastUnknown
+	}
+	if r.Fresh {
+		return recoverer.PastNone
+	}
+	return c.recoverer.Past(now, r.Job.Submission)
+}
+
 // localUncertain applies a request for an id that may have run under a former
 // owner. What is known of it is awaited; nothing more of it is started.
 func (c *Coordinator) localUncertain(now time.Time, w owner.Waiter, j owner.Job) {
 	if c.owner.Attach(now, w, j.Submission, j.Team, j.Deadline) {
 		return
 	}
-	c.deliver(w, unknown(j.Submission, submitter.ReasonOwnerChanged,
+	c.deliver(now, w, unknown(j.Submission, submitter.ReasonOwnerChanged,
 		"the former owner of the submission is gone and not every agent's records are known"))
 }
 
@@ -174,7 +195,7 @@
 // that is another team's, is answered the same way.
 func (c *Coordinator) attach(now time.Time, w owner.Waiter, j owner.Job) {
 	if !c.owner.Attach(now, w, j.Submission, j.Team, j.Deadline) {
-		c.deliver(w, unknown(j.Submission, submitter.ReasonNoSuchSubmission, "no such submission is known"))
+		c.deliver(now, w, unknown(j.Submission, submitter.ReasonNoSuchSubmission, "no such submission is known"))
 	}
 }
 
@@ -306,13 +327,18 @@
 			c.requests.hold(p, h)
 			continue
 		}
-		c.deliver(h.waiter, unknown(h.request.Job.Submission, submitter.ReasonOwnerChanged,
+		c.deliver(now, h.waiter, unknown(h.request.Job.Submission, submitter.ReasonOwnerChanged,
 			"the owner of the submission was being replaced when the deadline passed"))
 	}
 }
 
-// deliver gives an answer to who waits for it.
-func (c *Coordinator) deliver(w owner.Waiter, a *messenger.Answer) {
+// deliver gives an answer to who waits for it. Without the lease another entry may
+// own the submission by now and may still run it, so only a complete answer is true.
+func (c *Coordinator) deliver(now time.Time, w owner.Waiter, a *messenger.Answer) {
+	if a.Outcome != string(submitter.OutcomeComplete) && !c.leaser.Held(now) {
+		a = unknown(a.Submission, submitter.ReasonOwnerChanged,
+			"the entry cannot tell whether it still owns the submission; it found: "+a.Reason)
+	}
 	if w.Peer == "" {
 		c.out.Answers = append(c.out.Answers, TicketAnswer{Ticket: w.Ticket, Answer: a})
 		return
--- a/internal/coordinator/status.go
+++ b/internal/coordinator/status.go
@@ -18,8 +18,9 @@
 	Phase recoverer.Phase
 	// Missing are the agents whose records of the partition are not known.
 	Missing []messenger.Peer
-	// UncertainBefore is the end of the uncertain ids; zero if there are none.
-	UncertainBefore time.Time
+	// PastBefore is the end of the ids that may have been with a former owner; zero
+	// if there are none.
+	PastBefore time.Time
 }
 
 // LeaseStatus is what operators see of an entry's lease.
@@ -40,13 +41,13 @@
 		row := c.registrar.Partition(p)
 		s := c.recoverer.Status(now, p)
 		out[p] = PartitionStatus{
-			Partition:       p,
-			Region:          row.Region,
-			Owner:           row.Owner,
-			Epoch:           row.Epoch,
-			Phase:           s.Phase,
-			Missing:         s.Missing,
-			UncertainBefore: s.UncertainBefore,
+			Partition:  p,
+			Region:     row.Region,
+			Owner:      row.Owner,
+			Epoch:      row.Epoch,
+			Phase:      s.Phase,
+			Missing:    s.Missing,
+			PastBefore: s.PastBefore,
 		}
 	}
 	return out
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -341,9 +341,11 @@
 	Partition identifier.Partition `cbor:"1,keyasint"`
 	// Epoch is that of the owner that passes the partition on.
 	Epoch uint64 `cbor:"2,keyasint"`
-	// UncertainBefore is the end of ids whose past the owner does not know; zero
-	// if it knows all.
-	UncertainBefore time.Time `cbor:"3,keyasint,omitempty"`
+	// PastBefore is the end of the ids that may have been with an owner before the
+	// sender; zero if there are none.
+	PastBefore time.Time `cbor:"3,keyasint,omitempty"`
+	// Incomplete means that some agent's records of those ids are not known.
+	Incomplete bool `cbor:"4,keyasint,omitempty"`
 }
 
 // HandoverJob is one submission with all that its owner knows.
--- a/internal/recoverer/recoverer.go
+++ b/internal/recoverer/recoverer.go
@@ -5,10 +5,12 @@
 // its epoch to every agent that may hold records of the partition, and each agent
 // answers with what it has started and refuses lower epochs from then on. When a
 // majority of the witnesses has answered and the lease time has passed since, the
-// old owner cannot start anything any more and the partition is active. Agents
-// that have not answered by then may hold records that nobody else has: until all
-// of them have answered, ids that the old owner may have accepted and that nobody
-// reported are uncertain. Ids made after the takeover are not.
+// old owner cannot start or refuse anything any more and the partition is active.
+//
+// Ids that the old owner may have accepted and that nobody reported have a past.
+// While an agent that may hold records has not answered, they may have run. Once
+// all have answered, they did not run; but the old owner may have said so, and
+// then they must not run later either. Ids made after the takeover have no past.
 package recoverer
 
 import (
@@ -62,14 +64,24 @@
 	PhaseStopped Phase = "stopped" // The partition is being handed over; nothing is started.
 )
 
+// Past says what may have become of an id under a former owner.
+type Past string
+
+// The kinds of past of an id that no agent has reported.
+const (
+	PastNone    Past = "none"    // No former owner can have had the id.
+	PastRefused Past = "refused" // The id did not run; a former owner may have said so.
+	PastUnknown Past = "unknown" // The id may have run.
+)
+
 // Status is what operators see of a partition.
 type Status struct {
 	Phase Phase
 	Epoch uint64
 	// Missing are the agents whose records are not known, sorted.
 	Missing []messenger.Peer
-	// UncertainBefore is the end of the uncertain ids; zero if there are none.
-	UncertainBefore time.Time
+	// PastBefore is the end of the ids that have a past; zero if there are none.
+	PastBefore time.Time
 }
 
 // Recoverer holds the state of every partition at one entry.
@@ -85,8 +97,16 @@
 	phase    Phase // phase is "" like PhaseNone until the entry first owns the partition.
 	epoch    uint64
 	takeover *takeover // takeover is nil for a partition without an uncertain past.
-	// inherited is the end of uncertain ids that came with a handover.
-	inherited time.Time
+	// inherited is what came with a handover.
+	inherited Inheritance
+}
+
+// Inheritance is what an owner that hands a partition over knows of its past.
+type Inheritance struct {
+	// Before is the end of the ids that have a past; zero if there are none.
+	Before time.Time
+	// Incomplete means that some agent's records are not known.
+	Incomplete bool
 }
 
 // takeover is a set of partitions that were gained together.
@@ -96,8 +116,8 @@
 	missing   []messenger.Peer   // missing is sorted.
 	fencedAt  time.Time          // fencedAt is when the majorities were complete; zero until then.
 	active    bool
-	// uncertainBefore is set when the takeover becomes active.
-	uncertainBefore time.Time
+	// pastBefore is set when the takeover becomes active.
+	pastBefore time.Time
 }
 
 // New returns a recoverer that owns nothing.
@@ -120,9 +140,7 @@
 func (r *Recoverer) Status(now time.Time, p identifier.Partition) Status {
 	t := &r.tenures[p]
 	s := Status{Phase: r.Phase(p), Epoch: t.epoch}
-	if until := r.uncertainBefore(now, t); !until.IsZero() {
-		s.UncertainBefore = until
-	}
+	s.PastBefore = r.Inheritance(now, p).Before
 	if t.takeover != nil {
 		s.Missing = slices.Clone(t.takeover.missing)
 	}
@@ -138,9 +156,9 @@
 }
 
 // BeginHandover starts the tenure of a partition that its former owner passed on
-// after it had stopped. Ids before the given time are uncertain; zero means none.
-func (r *Recoverer) BeginHandover(p messenger.PartitionEpoch, uncertainBefore time.Time) {
-	r.tenures[p.Partition] = tenure{phase: PhaseActive, epoch: p.Epoch, inherited: uncertainBefore}
+// after it had stopped.
+func (r *Recoverer) BeginHandover(p messenger.PartitionEpoch, in Inheritance) {
+	r.tenures[p.Partition] = tenure{phase: PhaseActive, epoch: p.Epoch, inherited: in}
 }
 
 // BeginTakeover starts the tenure of partitions whose former owner is gone. The
@@ -184,22 +202,30 @@
 	r.tenures[p].epoch = epoch
 }
 
-// Settled reports whether the past of an active partition is known in full, so
-// that it may be handed over without a loss.
-func (r *Recoverer) Settled(now time.Time, p identifier.Partition) bool {
-	return r.uncertainBefore(now, &r.tenures[p]).IsZero()
-}
-
-// UncertainBefore returns the end of the partition's uncertain ids; zero if there
-// are none.
-func (r *Recoverer) UncertainBefore(now time.Time, p identifier.Partition) time.Time {
-	return r.uncertainBefore(now, &r.tenures[p])
+// Inheritance returns what is known of a partition's past.
+func (r *Recoverer) Inheritance(now time.Time, p identifier.Partition) Inheritance {
+	t := &r.tenures[p]
+	in := t.inherited
+	if k := t.takeover; k != nil && k.active {
+		in.Before = latest(in.Before, k.pastBefore)
+		in.Incomplete = in.Incomplete || !r.rules.Complete(len(k.missing))
+	}
+	if now.Sub(in.Before) > r.limits.Window {
+		return Inheritance{}
+	}
+	return in
 }
 
-// Uncertain reports whether an id of the partition that nobody reported may have
-// run under a former owner.
-func (r *Recoverer) Uncertain(now time.Time, s identifier.Submission) bool {
-	return s.Time().Before(r.UncertainBefore(now, s.Partition()))
+// Past returns what may have become of an id that nobody reported.
+func (r *Recoverer) Past(now time.Time, s identifier.Submission) Past {
+	in := r.Inheritance(now, s.Partition())
+	switch {
+	case !s.Time().Before(in.Before):
+		return PastNone
+	case in.Incomplete:
+		return PastUnknown
+	}
+	return PastRefused
 }
 
 // Missing reports whether the records of an agent are awaited.
@@ -277,7 +303,7 @@
 	t.active = true
 	// Each of two clocks may be off: that of the caller who made the id against
 	// the former owner's, and the former owner's against this entry's.
-	t.uncertainBefore = now.Add(2 * r.limits.ClockDifference)
+	t.pastBefore = now.Add(2 * r.limits.ClockDifference)
 	r.setPhase(t, PhaseActive)
 }
 
@@ -310,16 +336,12 @@
 	if !r.inUse(t) {
 		return true
 	}
-	return t.active && (len(t.missing) == 0 || now.Sub(t.uncertainBefore) > r.limits.Window)
+	return t.active && (len(t.missing) == 0 || now.Sub(t.pastBefore) > r.limits.Window)
 }
 
-func (r *Recoverer) uncertainBefore(now time.Time, t *tenure) time.Time {
-	until := t.inherited
-	if k := t.takeover; k != nil && k.active && !r.rules.Complete(len(k.missing)) && k.uncertainBefore.After(until) {
-		until = k.uncertainBefore
-	}
-	if now.Sub(until) > r.limits.Window {
-		return time.Time{}
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return until
+	return b
 }
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -276,8 +276,11 @@
 		}
 	case strings.HasPrefix(row.Key, partitionPrefix):
 		p, ok := parsePartitionKey(row.Key)
+		if !ok || row.Revision == r.partitions[p].Revision {
+			return
+		}
 		var o Ownership
-		if ok && json.Unmarshal(row.Value, &o) == nil {
+		if json.Unmarshal(row.Value, &o) == nil {
 			r.partitions[p] = Partition{Ownership: o, Revision: row.Revision}
 		}
 	case strings.HasPrefix(row.Key, rosterPrefix):
