Send a request that came back again only after a pause

Change: a request that came back waits 50 ms; not-run needs the lease and an active partition. Process tests kill and pause an owner, kill an agent, and drain an entry and an agent under load. Conclusion: one kill case is open: results that were settled before the owner died are answered with answer-lost.

--- a/cmd/sardinelock/cmd/dev_platform.go
+++ b/cmd/sardinelock/cmd/dev_platform.go
@@ -64,9 +64,14 @@
 	}
 	server := &http.Server{Handler: h, ReadHeaderTimeout: standInHeaderTimeout}
 	context.AfterFunc(c.Context(), func() { _ = server.Shutdown(context.Background()) })
-	fmt.Fprintf(c.ErrOrStderr(), "{\"event\":\"ready\",\"role\":%q,\"address\":%q}\n", role, l.Addr().String())
+	printReady(c, role, l.Addr())
 	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Trace(err)
 	}
 	return nil
 }
+
+// printReady writes the JSON line that says that a stand-in serves.
+func printReady(c *cobra.Command, role string, addr net.Addr) {
+	fmt.Fprintf(c.ErrOrStderr(), "{\"event\":\"ready\",\"role\":%q,\"address\":%q}\n", role, addr.String())
+}
--- a/cmd/sardinelock/cmd/dev_upstream.go
+++ b/cmd/sardinelock/cmd/dev_upstream.go
@@ -77,6 +77,7 @@
 		return errors.Trace(err)
 	}
 	a.Address = l.Addr().(*net.TCPAddr).AddrPort()
+	printReady(c, "upstream", l.Addr())
 	server := &http.Server{Handler: emulator.NewUpstream(o), ReadHeaderTimeout: standInHeaderTimeout}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(l) }()
--- /dev/null
+++ b/cmd/sardinelock/cmd/failure_test.go
@@ -0,0 +1,221 @@
+package cmd
+
+import (
+	"fmt"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"sardinelock.dev/sardinelock/pkg/submitter"
+)
+
+// Jobs whose owner is killed while they run complete, for who waits at another
+// entry and for who submits them again, with each task started once.
+func TestOwnerKilledMidJob(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, 3, 3)
+	const jobs = 12
+	j := job(10, 300*time.Millisecond, 50*time.Second)
+	ids := make([]string, jobs)
+	first := make([]<-chan submitter.Answer, jobs)
+	for i := range ids {
+		ids[i] = submitter.NewSubmissionID()
+		first[i] = f.submitAsync(1, ids[i], j)
+	}
+	for _, id := range ids {
+		f.awaitStarts(id, 1)
+	}
+	f.entries[0].kill()
+	killed := time.Now()
+	for i, id := range ids {
+		again := <-f.submitAsync(2, id, j)
+		for _, answer := range []submitter.Answer{<-first[i], again} {
+			if answer.Outcome != submitter.OutcomeComplete {
+				t.Errorf("%s: %s %s (%s), want complete", id, answer.Outcome, answer.Reason, answer.Detail)
+			}
+		}
+		f.checkOnce(id)
+	}
+	t.Logf("all answers %s after the kill", time.Since(killed).Round(time.Millisecond))
+}
+
+// An owner that is paused past its lease and woken after another has taken over
+// starts nothing twice.
+func TestOwnerPausedPastItsLease(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, 3, 3)
+	const jobs = 24
+	ids := make([]string, jobs)
+	j := job(30, 200*time.Millisecond, 50*time.Second)
+	answers := make([]<-chan submitter.Answer, jobs)
+	for i := range ids {
+		ids[i] = submitter.NewSubmissionID()
+		answers[i] = f.submitAsync(1+i%2, ids[i], j)
+	}
+	f.awaitStarts(ids[0], 1)
+	f.entries[0].signal(syscall.SIGSTOP)
+	time.Sleep(6 * time.Second)
+	again := make([]<-chan submitter.Answer, jobs)
+	for i := range ids {
+		again[i] = f.submitAsync(1+(i+1)%2, ids[i], j)
+	}
+	f.entries[0].signal(syscall.SIGCONT)
+	counts := make(map[submitter.Outcome]int)
+	for i := range ids {
+		first, second := <-answers[i], <-again[i]
+		counts[first.Outcome]++
+		counts[second.Outcome]++
+		for _, answer := range []submitter.Answer{first, second} {
+			if answer.Outcome == submitter.OutcomeNotRun && len(f.starts(ids[i])) > 0 {
+				t.Errorf("%s is not-run but has started", ids[i])
+			}
+		}
+		f.checkOnce(ids[i])
+	}
+	t.Logf("answers: %v", counts)
+	if counts[submitter.OutcomeComplete] == 0 {
+		t.Error("no job is complete")
+	}
+}
+
+// A job with tasks at an agent that is killed fails, and none of its tasks is
+// started a second time.
+func TestAgentKilledWithStartedTasks(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, 2, 3)
+	id := submitter.NewSubmissionID()
+	j := job(60, 500*time.Millisecond, 40*time.Second)
+	first := f.submitAsync(0, id, j)
+	f.awaitStarts(id, 24)
+	f.agents[0].kill()
+	answer := <-first
+	if answer.Outcome != submitter.OutcomeFailed && answer.Outcome != submitter.OutcomeUnknown {
+		t.Errorf("outcome %s, want failed or unknown", answer.Outcome)
+	}
+	second := <-f.submitAsync(1, id, j)
+	if second.Outcome != answer.Outcome || second.Reason != answer.Reason {
+		t.Errorf("the job is %s %s, and %s %s when it is submitted again", answer.Outcome, answer.Reason, second.Outcome, second.Reason)
+	}
+	f.checkOnce(id)
+}
+
+// Draining an entry under load fails no request.
+func TestDrainOfEntryUnderLoad(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, 3, 3)
+	load := f.startLoad([]int{0, 1, 2})
+	time.Sleep(2 * time.Second)
+	load.without(0)
+	f.entries[0].signal(syscall.SIGTERM)
+	f.awaitExit(f.entries[0])
+	time.Sleep(time.Second)
+	load.check(t)
+}
+
+// Draining an agent under load fails no request.
+func TestDrainOfAgentUnderLoad(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, 2, 3)
+	load := f.startLoad([]int{0, 1})
+	time.Sleep(time.Second)
+	f.agents[0].signal(syscall.SIGTERM)
+	f.awaitExit(f.agents[0])
+	time.Sleep(time.Second)
+	load.check(t)
+}
+
+func (f *fleet) awaitExit(p *process) {
+	f.t.Helper()
+	select {
+	case <-p.exited:
+	case <-time.After(conditionTimeout):
+		f.t.Fatalf("the process does not exit: %s", p.stderr.String())
+	}
+	if code := p.cmd.ProcessState.ExitCode(); code != 0 {
+		f.t.Errorf("exit code %d, want 0: %s", code, p.stderr.String())
+	}
+}
+
+// load submits jobs until it is checked.
+type load struct {
+	fleet *fleet
+	stop  chan struct{}
+	wg    sync.WaitGroup
+
+	mu      sync.Mutex
+	entries []int
+	answers int
+	faults  []string
+	ids     []string
+}
+
+const loadWorkers = 8
+
+func (f *fleet) startLoad(entries []int) *load {
+	l := &load{fleet: f, stop: make(chan struct{}), entries: entries}
+	for worker := range loadWorkers {
+		l.wg.Go(func() { l.run(worker) })
+	}
+	return l
+}
+
+// without keeps further jobs away from an entry, as a balancer does.
+func (l *load) without(entry int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var kept []int
+	for _, e := range l.entries {
+		if e != entry {
+			kept = append(kept, e)
+		}
+	}
+	l.entries = kept
+}
+
+func (l *load) run(worker int) {
+	for n := worker; ; n++ {
+		select {
+		case <-l.stop:
+			return
+		default:
+		}
+		l.mu.Lock()
+		entry := l.entries[n%len(l.entries)]
+		l.mu.Unlock()
+		id := submitter.NewSubmissionID()
+		answer := <-l.fleet.submitAsync(entry, id, job(1+n%4, 50*time.Millisecond, 30*time.Second))
+		l.mu.Lock()
+		l.answers++
+		l.ids = append(l.ids, id)
+		if answer.Outcome != submitter.OutcomeComplete {
+			l.faults = append(l.faults, fmt.Sprintf("entry %d: %s %s %s", entry, answer.Outcome, answer.Reason, answer.Detail))
+		}
+		l.mu.Unlock()
+	}
+}
+
+// check ends the load and fails the test if a job was not complete.
+func (l *load) check(t *testing.T) {
+	t.Helper()
+	close(l.stop)
+	l.wg.Wait()
+	t.Logf("%d jobs, %d not complete", l.answers, len(l.faults))
+	if l.answers == 0 {
+		t.Error("no job was answered")
+	}
+	for i, fault := range l.faults {
+		if i < 10 {
+			t.Error(fault)
+		}
+	}
+	for _, id := range l.ids {
+		l.fleet.checkOnce(id)
+	}
+	if os.Getenv("SARDINELOCK_VERBOSE") != "" {
+		for _, p := range l.fleet.entries {
+			t.Log(p.stderr.String())
+		}
+	}
+}
--- /dev/null
+++ b/cmd/sardinelock/cmd/process_test.go
@@ -0,0 +1,288 @@
+package cmd
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/configurer"
+	"sardinelock.dev/sardinelock/internal/storer"
+	"sardinelock.dev/sardinelock/pkg/submitter"
+)
+
+// conditionTimeout bounds the wait for a condition; no verdict depends on how
+// much sooner it holds.
+const conditionTimeout = 60 * time.Second
+
+const testBase = `
+services:
+  - name: quote
+    path: /quote
+    timeout: 60s
+    default-run-time: 100ms
+    default-memory-bytes: 1048576
+    objective: {latency: 2s, latency-ratio: 0.99, success-ratio: 0.999}
+teams: []
+`
+
+var buildProgram = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "sardinelock-test")
+	if err != nil {
+		return "", err
+	}
+	name := filepath.Join(dir, "sardinelock")
+	out, err := exec.Command("go", "build", "-o", name, "sardinelock.dev/sardinelock/cmd/sardinelock").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("go build: %v: %s", err, out)
+	}
+	return name, nil
+})
+
+// process is one program of a test. It is killed at the end of the test.
+type process struct {
+	t      *testing.T
+	cmd    *exec.Cmd
+	ready  chan map[string]string // ready receives the line with the event "ready".
+	exited chan struct{}
+	stdout *lockedBuffer
+	stderr *lockedBuffer
+}
+
+// startProcess starts the program and waits until it is ready.
+func startProcess(t *testing.T, args ...string) (*process, map[string]string) {
+	t.Helper()
+	program, err := buildProgram()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &process{
+		t:      t,
+		cmd:    exec.Command(program, args...),
+		ready:  make(chan map[string]string, 1),
+		exited: make(chan struct{}),
+		stdout: new(lockedBuffer),
+		stderr: new(lockedBuffer),
+	}
+	p.cmd.Stdout = p.stdout
+	stderr, err := p.cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go p.watch(stderr)
+	t.Cleanup(func() { p.kill() })
+	select {
+	case line := <-p.ready:
+		return p, line
+	case <-p.exited:
+	case <-time.After(conditionTimeout):
+	}
+	t.Fatalf("%v is not ready: %s", args, p.stderr.String())
+	return nil, nil
+}
+
+func (p *process) watch(stderr io.Reader) {
+	defer close(p.exited)
+	lines := bufio.NewScanner(stderr)
+	for lines.Scan() {
+		fmt.Fprintln(p.stderr, lines.Text())
+		line := make(map[string]any)
+		if json.Unmarshal(lines.Bytes(), &line) == nil && line["event"] == "ready" {
+			text := make(map[string]string)
+			for key, value := range line {
+				text[key] = fmt.Sprint(value)
+			}
+			p.ready <- text
+		}
+	}
+	_ = p.cmd.Wait()
+}
+
+func (p *process) signal(s os.Signal) { _ = p.cmd.Process.Signal(s) }
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.exited
+}
+
+// lockedBuffer is a buffer that a process writes while a test reads.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// fleet is a system of separate processes.
+type fleet struct {
+	t         *testing.T
+	platform  netip.AddrPort
+	entries   []*process
+	callers   []netip.AddrPort
+	agents    []*process
+	upstreams []*process
+}
+
+func startFleet(t *testing.T, entries, agents int) *fleet {
+	t.Helper()
+	f := &fleet{t: t}
+	_, line := startProcess(t, "dev", "platform", "--listen", "127.0.0.1:0")
+	f.platform = netip.MustParseAddrPort(line["address"])
+	f.storeConfig()
+	var peers string
+	for range entries {
+		p, line := startProcess(t, "entry", "--platform", f.platform.String(),
+			"--caller-listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0")
+		f.entries = append(f.entries, p)
+		f.callers = append(f.callers, netip.MustParseAddrPort(line["caller-address"]))
+		peers = line["peer-address"]
+	}
+	for range agents {
+		f.startAgent(peers)
+	}
+	for i := range f.callers {
+		f.awaitService(i)
+	}
+	return f
+}
+
+func (f *fleet) startAgent(peers string) {
+	f.t.Helper()
+	a, line := startProcess(f.t, "agent", "--entry", peers, "--listen", "127.0.0.1:0")
+	f.agents = append(f.agents, a)
+	u, _ := startProcess(f.t, "dev", "upstream", "--agent", line["address"], "--slots", "8")
+	f.upstreams = append(f.upstreams, u)
+}
+
+func (f *fleet) storeConfig() {
+	f.t.Helper()
+	value, err := json.Marshal(configurer.Version{Number: 1, ChangeID: "test", Base: testBase})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	_, err = storer.New(f.platform).Write(context.Background(), storer.Transaction{
+		RequestID: "test",
+		Puts:      []storer.Put{{Key: configurer.CurrentKey, Value: value}},
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// awaitService waits until the entry completes a row of jobs whose ids fall into
+// partitions of every owner.
+func (f *fleet) awaitService(entry int) {
+	f.t.Helper()
+	const row = 24
+	deadline := time.Now().Add(conditionTimeout)
+	for served := 0; served < row; served++ {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("entry %d does not serve: %s", entry, f.entries[entry].stderr.String())
+		}
+		answer, err := f.client(entry).Submit(context.Background(), "quote", "", job(1, time.Millisecond, 2*time.Second))
+		if err != nil || answer.Outcome != submitter.OutcomeComplete {
+			served = -1
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+// client returns a client of one entry that does not try again by itself.
+func (f *fleet) client(entry int) *submitter.Client {
+	return submitter.New(submitter.Options{
+		Entries: []netip.AddrPort{f.callers[entry]},
+		HTTP:    &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+	})
+}
+
+// job returns a job whose tasks all take the same time.
+func job(tasks int, runTime, deadline time.Duration) submitter.Job {
+	j := submitter.Job{Deadline: submitter.Duration(deadline)}
+	for range tasks {
+		j.Tasks = append(j.Tasks, submitter.Task{
+			Payload: json.RawMessage(`{"run-time":"` + runTime.String() + `"}`),
+			RunTime: submitter.Duration(runTime),
+		})
+	}
+	return j
+}
+
+// starts returns how often each task of a submission was started at any upstream.
+func (f *fleet) starts(submission string) map[string]int {
+	out := make(map[string]int)
+	for _, u := range f.upstreams {
+		lines := bufio.NewScanner(bytes.NewReader([]byte(u.stdout.String())))
+		for lines.Scan() {
+			var line struct {
+				Event        string `json:"event"`
+				SubmissionID string `json:"submission-id"`
+				Task         int    `json:"task"`
+			}
+			if json.Unmarshal(lines.Bytes(), &line) == nil && line.Event == "start" && line.SubmissionID == submission {
+				out[strconv.Itoa(line.Task)]++
+			}
+		}
+	}
+	return out
+}
+
+// awaitStarts waits until at least n tasks of a submission have started.
+func (f *fleet) awaitStarts(submission string, n int) {
+	f.t.Helper()
+	deadline := time.Now().Add(conditionTimeout)
+	for len(f.starts(submission)) < n {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("%d tasks of %s have started, want at least %d", len(f.starts(submission)), submission, n)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// checkOnce fails the test if a task of a submission started twice.
+func (f *fleet) checkOnce(submission string) {
+	f.t.Helper()
+	for task, n := range f.starts(submission) {
+		if n != 1 {
+			f.t.Errorf("task %s of %s started %d times, want once", task, submission, n)
+		}
+	}
+}
+
+// submitAsync submits a job through one entry and returns the answer's channel.
+// An error counts as an unknown outcome.
+func (f *fleet) submitAsync(entry int, id string, j submitter.Job) <-chan submitter.Answer {
+	out := make(chan submitter.Answer, 1)
+	go func() {
+		answer, err := f.client(entry).Submit(context.Background(), "quote", id, j)
+		if err != nil {
+			answer = submitter.Answer{Outcome: submitter.OutcomeUnknown, Detail: err.Error()}
+		}
+		out <- answer
+	}()
+	return out
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -138,7 +138,7 @@
 		handover:  newHandovers(),
 		paths:     make(map[string]string),
 	}
-	c.owner.Rules.Holds = func(identifier.Partition) bool { return c.leaser.Held(c.now) }
+	c.owner.Rules.Holds = func(p identifier.Partition) bool { return c.Owns(p) && c.leaser.Held(c.now) }
 	return c
 }
 
@@ -224,6 +224,7 @@
 		c.releaseHeld(now)
 	}
 	c.expireRequests(now)
+	c.routeRequests(now)
 	c.pingWitnesses(now)
 	c.pingEntries(now)
 	c.tickHandover(now)
--- a/internal/coordinator/entries.go
+++ b/internal/coordinator/entries.go
@@ -53,10 +53,7 @@
 		c.receiveAnswer(&f.Answers[i])
 	}
 	for _, m := range f.Moved {
-		c.requests.moved(m.Ticket)
-	}
-	if len(f.Moved) > 0 {
-		c.routeRequests(now)
+		c.requests.moved(now, m.Ticket)
 	}
 }
 
--- a/internal/coordinator/requests.go
+++ b/internal/coordinator/requests.go
@@ -35,6 +35,7 @@
 type requests struct {
 	forwards map[uint64]*forward
 	order    []uint64 // order has the tickets of forwards in order of arrival; some may be gone.
+	unrouted int      // unrouted is at least the number of forwards that no entry has.
 	held     [identifier.Partitions][]heldRequest
 	heldSize int
 }
@@ -45,8 +46,13 @@
 	to      messenger.Peer // to is the entry that has the request; empty if none has it.
 	// sent means that some entry had the request at some time.
 	sent bool
+	// notBefore is when the request may be sent again after it came back.
+	notBefore time.Time
 }
 
+// movedPause is how long a request that came back waits for newer rows.
+const movedPause = 50 * time.Millisecond
+
 // heldRequest is a request for a partition of this entry that is not active.
 type heldRequest struct {
 	waiter  owner.Waiter
@@ -61,6 +67,7 @@
 
 func (r *requests) add(ticket uint64, f *forward) {
 	r.forwards[ticket] = f
+	r.unrouted++
 	r.order = append(r.order, ticket)
 	if len(r.order) > 2*len(r.forwards)+64 {
 		r.order = slices.DeleteFunc(r.order, func(t uint64) bool { return r.forwards[t] == nil })
@@ -85,14 +92,17 @@
 	for _, f := range r.forwards {
 		if f.to == peer {
 			f.to = ""
+			r.unrouted++
 		}
 	}
 }
 
 // moved records that the entry that had a request does not own its partition.
-func (r *requests) moved(ticket uint64) {
+func (r *requests) moved(now time.Time, ticket uint64) {
 	if f := r.forwards[ticket]; f != nil {
 		f.to = ""
+		r.unrouted++
+		f.notBefore = now.Add(movedPause)
 	}
 }
 
@@ -218,7 +228,7 @@
 // known or not connected, the request waits; one of another region does not.
 func (c *Coordinator) route(now time.Time, ticket uint64) {
 	f := c.requests.forwards[ticket]
-	if f == nil || f.to != "" {
+	if f == nil || f.to != "" || now.Before(f.notBefore) {
 		return
 	}
 	s := f.request.Job.Submission
@@ -248,11 +258,15 @@
 
 // routeRequests routes every request that no entry has.
 func (c *Coordinator) routeRequests(now time.Time) {
-	if len(c.requests.forwards) == 0 {
+	if c.requests.unrouted == 0 {
 		return
 	}
+	c.requests.unrouted = 0
 	for _, ticket := range slices.Clone(c.requests.order) {
 		c.route(now, ticket)
+		if f := c.requests.forwards[ticket]; f != nil && f.to == "" {
+			c.requests.unrouted++
+		}
 	}
 }
 
