Place tasks through heaps, fair queues and ejection

The placer looked at every agent for each task, walked a map of services and knew one queue a service.

Agents are now ranked by free credit in a heap a service. Teams take turns by the slot time they have used, in steps of a quantum; a team's jobs are ordered by remaining work and age. Results teach run time and memory of a service, eject agents that fail or are slow, and probes let them back. Jobs that cannot end in time, never fit or exceed a quota are refused. Placing again is bounded by a budget.

--- /dev/null
+++ b/internal/placer/agent.go
@@ -0,0 +1,156 @@
+package placer
+
+import (
+	"sardinelock.dev/sardinelock/internal/identifier"
+	"sardinelock.dev/sardinelock/internal/messenger"
+)
+
+// agent is what the placer knows of one agent and its upstream.
+type agent struct {
+	peer     messenger.Peer
+	place    Place
+	capacity messenger.Capacity
+	credit   int
+	credited bool // credited means that the agent itself has set the credit.
+	// sent has the tasks that are outstanding at the agent.
+	sent map[taskRef]outstanding
+	// freeMemory and freeAccelerators are what the outstanding tasks leave.
+	freeMemory       int64
+	freeAccelerators int
+	seats            []*seat // seats has one entry a service that the agent serves.
+	used             uint64  // used is the number of the latest decision for the agent.
+	health           health
+
+	// batch is the latest assignment of the running dispatch for the agent; it
+	// counts only if dispatch is the number of the running dispatch.
+	batch    int
+	dispatch uint64
+}
+
+// seat is an agent among the agents of one service.
+type seat struct {
+	agent    *agent
+	service  *service
+	position int // position is that in service.seats, -1 while the agent takes no task.
+	failing  int // failing counts the service's failures in a row at the agent.
+	samples  int // samples counts the service's results at the agent.
+}
+
+type taskRef struct {
+	submission identifier.Submission
+	index      uint16
+}
+
+// outstanding is a task at an agent.
+type outstanding struct {
+	need  Need // need is what is set aside for the task.
+	queue *teamQueue
+}
+
+// free returns how many more tasks the agent may get.
+func (a *agent) free() int { return min(a.credit, a.health.allowed) - len(a.sent) }
+
+func (a *agent) holds(need Need) bool {
+	return need.MemoryBytes <= a.freeMemory && need.Accelerators <= a.freeAccelerators
+}
+
+func (a *agent) serving() bool { return a.capacity.State == messenger.UpstreamServing }
+
+// seatBefore orders the agents of a service: probes first, then those with the
+// most free credit, then the one that was chosen longest ago.
+func seatBefore(a, b *seat) bool {
+	x, y := a.agent, b.agent
+	xProbe, yProbe := x.health.state == stateProbing, y.health.state == stateProbing
+	if xProbe != yProbe {
+		return xProbe
+	}
+	if xf, yf := x.free(), y.free(); xf != yf {
+		return xf > yf
+	}
+	return x.used < y.used
+}
+
+// rerank moves an agent to where its free credit puts it in each service.
+func (p *Placer) rerank(a *agent) {
+	want := a.serving() && a.free() > 0
+	for _, s := range a.seats {
+		switch {
+		case want && s.position < 0:
+			s.service.seats.push(s)
+		case want:
+			s.service.seats.fix(s.position)
+		case s.position >= 0:
+			s.service.seats.remove(s.position)
+		}
+	}
+}
+
+// reseat gives the agent a seat in each service that it serves.
+func (p *Placer) reseat(a *agent) {
+	for _, s := range a.seats {
+		if s.position >= 0 {
+			s.service.seats.remove(s.position)
+		}
+		s.service.members = removeSeat(s.service.members, s)
+	}
+	old := a.seats
+	a.seats = nil
+	for _, name := range a.capacity.Services {
+		s := findSeat(old, name)
+		if s == nil {
+			s = &seat{agent: a, service: p.service(name), position: -1}
+		}
+		a.seats = append(a.seats, s)
+		s.service.members = append(s.service.members, s)
+	}
+	p.rerank(a)
+}
+
+func findSeat(seats []*seat, service string) *seat {
+	for _, s := range seats {
+		if s.service.name == service {
+			return s
+		}
+	}
+	return nil
+}
+
+func removeSeat(seats []*seat, s *seat) []*seat {
+	for i, o := range seats {
+		if o == s {
+			return append(seats[:i], seats[i+1:]...)
+		}
+	}
+	return seats
+}
+
+// release takes a task off its agent and returns what was set aside for it.
+func (a *agent) release(ref taskRef) (outstanding, bool) {
+	o, ok := a.sent[ref]
+	if !ok {
+		return o, false
+	}
+	delete(a.sent, ref)
+	a.freeMemory += o.need.MemoryBytes
+	a.freeAccelerators += o.need.Accelerators
+	return o, true
+}
+
+// hold sets aside what a task needs.
+func (a *agent) hold(ref taskRef, o outstanding) {
+	a.sent[ref] = o
+	a.freeMemory -= o.need.MemoryBytes
+	a.freeAccelerators -= o.need.Accelerators
+}
+
+// refused applies the reason of a refusal before the agent's next message does.
+func (a *agent) refused(r messenger.Refusal) {
+	switch r {
+	case messenger.RefusalLeaving:
+		a.capacity.State = messenger.UpstreamLeaving
+	case messenger.RefusalLapsed:
+		a.capacity.State = messenger.UpstreamAbsent
+	case messenger.RefusalFull, messenger.RefusalMemory:
+		a.credit = max(0, min(a.credit-1, len(a.sent)))
+	}
+}
--- /dev/null
+++ b/internal/placer/estimate.go
@@ -0,0 +1,92 @@
+package placer
+
+import (
+	"math"
+	"time"
+)
+
+// estimate is what the results of a service say about its tasks. Declared values
+// are the first guess. The run time of a task is either its declared value times
+// the usual error of declarations, or the usual run time, whichever has been
+// nearer to the truth.
+type estimate struct {
+	minSamples int
+	samples    int
+	usual      float64 // usual is the mean run time in seconds.
+	ratio      float64 // ratio is the mean of true by declared run time, on a log scale.
+	usualError float64 // usualError is the mean error of usual, on a log scale.
+	ratioError float64 // ratioError is the mean error of declared times ratio, on a log scale.
+	memory     float64 // memory is the usual peak in bytes; 0 if none was reported.
+	memoryDev  float64 // memoryDev is the mean deviation from memory.
+	peaks      int     // peaks counts the reports of memory.
+}
+
+const (
+	defaultRunTime = 300 * time.Millisecond
+	learnRate      = 0.02
+	memoryMargin   = 4
+)
+
+// runTime returns the expected run time of a task with a declared one.
+func (e *estimate) runTime(declared time.Duration) time.Duration {
+	if e.samples < e.minSamples {
+		if declared <= 0 {
+			return defaultRunTime
+		}
+		return declared
+	}
+	if declared <= 0 || e.usualError < e.ratioError {
+		return seconds(e.usual)
+	}
+	return seconds(declared.Seconds() * math.Exp(e.ratio))
+}
+
+// usualRunTime returns the mean run time of the service's tasks.
+func (e *estimate) usualRunTime() time.Duration {
+	if e.samples < e.minSamples {
+		return 0
+	}
+	return seconds(e.usual)
+}
+
+// memoryBytes returns the memory to set aside for a task with a declared need.
+func (e *estimate) memoryBytes(declared int64) int64 {
+	if e.peaks < e.minSamples {
+		return declared
+	}
+	return int64(e.memory + memoryMargin*e.memoryDev)
+}
+
+// learn applies the true values of a task.
+func (e *estimate) learn(declared, actual time.Duration, peak int64) {
+	if actual > 0 {
+		e.learnRunTime(declared, actual)
+	}
+	if peak > 0 {
+		e.peaks++
+		rate := max(learnRate, 1/float64(e.peaks))
+		e.memoryDev += rate * (math.Abs(float64(peak)-e.memory) - e.memoryDev)
+		e.memory += rate * (float64(peak) - e.memory)
+		if e.peaks == 1 {
+			e.memoryDev = 0
+		}
+	}
+}
+
+func (e *estimate) learnRunTime(declared, actual time.Duration) {
+	e.samples++
+	rate := max(learnRate, 1/float64(e.samples))
+	truth := math.Log(actual.Seconds())
+	if e.usual > 0 {
+		e.usualError += rate * (math.Abs(truth-math.Log(e.usual)) - e.usualError)
+	}
+	e.usual += rate * (actual.Seconds() - e.usual)
+	if declared <= 0 {
+		return
+	}
+	ratio := truth - math.Log(declared.Seconds())
+	e.ratioError += rate * (math.Abs(ratio-e.ratio) - e.ratioError)
+	e.ratio += rate * (ratio - e.ratio)
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/placer/limits.go
@@ -0,0 +1,90 @@
+package placer
+
+import (
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/budgeter"
+)
+
+// Limits are the settings of a placer. A field that is zero takes the value of
+// [DefaultLimits].
+type Limits struct {
+	// MaxQueued bounds the tasks that wait in all queues.
+	MaxQueued int
+	// Ageing is how much one second of waiting counts against one second of
+	// remaining work when jobs of a team are ordered. Zero work order is first
+	// come, first served.
+	Ageing float64
+	// Quantum is the slot time by which one team may be ahead of another before
+	// its jobs yield.
+	Quantum time.Duration
+	// DeadlineRatio is the share of a job's deadline, from 0 to 1, that the
+	// expected wait and run time may take when the job is admitted.
+	DeadlineRatio float64
+	// MinSamples is how many results of a service replace declared values.
+	MinSamples int
+	// FailureStreak is how many failures in a row eject an agent.
+	FailureStreak int
+	// FailureRatio ejects an agent once so large a share of its recent results
+	// are failures.
+	FailureRatio float64
+	// SlowFactor ejects an agent whose tasks take so many times longer than the
+	// same service's tasks elsewhere.
+	SlowFactor float64
+	// ProbeAfter is how long an agent is ejected before the first probe; each
+	// probe that fails doubles it up to MaxProbeAfter.
+	ProbeAfter    time.Duration
+	MaxProbeAfter time.Duration
+	// MaxEjectedRatio bounds the share of the serving agents that are ejected.
+	MaxEjectedRatio float64
+	// SlowStart is how many tasks a new agent may have outstanding. The number
+	// doubles with as many successes.
+	SlowStart int
+	// Replacements bounds the tasks that are placed again.
+	Replacements budgeter.Limits
+}
+
+// DefaultLimits returns the settings that suit most deployments.
+func DefaultLimits() Limits {
+	return Limits{
+		MaxQueued:       50_000,
+		Ageing:          0.25,
+		Quantum:         4 * time.Second,
+		DeadlineRatio:   0.7,
+		MinSamples:      20,
+		FailureStreak:   3,
+		FailureRatio:    0.5,
+		SlowFactor:      4,
+		ProbeAfter:      10 * time.Second,
+		MaxProbeAfter:   2 * time.Minute,
+		MaxEjectedRatio: 0.34,
+		SlowStart:       4,
+		Replacements:    budgeter.Limits{Ratio: 0.1, Burst: 100, Backoff: 20 * time.Millisecond, MaxBackoff: time.Second},
+	}
+}
+
+// withDefaults returns the limits with the defaults for what is unset.
+func (l Limits) withDefaults() Limits {
+	d := DefaultLimits()
+	setDefault(&l.MaxQueued, d.MaxQueued)
+	setDefault(&l.Ageing, d.Ageing)
+	setDefault(&l.Quantum, d.Quantum)
+	setDefault(&l.DeadlineRatio, d.DeadlineRatio)
+	setDefault(&l.MinSamples, d.MinSamples)
+	setDefault(&l.FailureStreak, d.FailureStreak)
+	setDefault(&l.FailureRatio, d.FailureRatio)
+	setDefault(&l.SlowFactor, d.SlowFactor)
+	setDefault(&l.ProbeAfter, d.ProbeAfter)
+	setDefault(&l.MaxProbeAfter, d.MaxProbeAfter)
+	setDefault(&l.MaxEjectedRatio, d.MaxEjectedRatio)
+	setDefault(&l.SlowStart, d.SlowStart)
+	setDefault(&l.Replacements, d.Replacements)
+	return l
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var unset T
+	if *field == unset {
+		*field = value
+	}
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -1,29 +1,30 @@
 // Package placer decides which waiting task goes to which agent, and when.
 //
-// Tasks wait in one queue a service. An agent gives each entry a credit: the
-// number of tasks the entry may have outstanding there. A task leaves the queue
-// only when an agent that serves it has a free credit and enough free memory and
-// accelerators, so it binds to an agent as late as possible. The package does no
-// I/O: events come in with a time, and [Placer.Dispatch] returns what to send.
+// Tasks wait in one queue a service and team. An agent gives each entry a credit:
+// the number of tasks the entry may have outstanding there. A task leaves its
+// queue only when an agent that serves it has a free credit and enough free
+// memory and accelerators, so it binds to an agent as late as possible. Teams
+// take turns by the slot time they have used; the jobs of a team are ordered by
+// the work that is left of them and by their age. Agents are ranked by free
+// credit in a heap a service, so that a decision takes logarithmic time.
+//
+// The results of tasks correct what callers declare, eject agents that fail or
+// are slow, and give back credits. The package does no I/O: events come in with
+// a time, and [Placer.Dispatch] returns what to send.
 package placer
 
 import (
-	"cmp"
+	"math"
 	"slices"
 	"time"
 
+	"sardinelock.dev/sardinelock/internal/budgeter"
 	"sardinelock.dev/sardinelock/internal/identifier"
 	"sardinelock.dev/sardinelock/internal/messenger"
 	"sardinelock.dev/sardinelock/pkg/submitter"
 )
 
-// Limits are the settings of a placer.
-type Limits struct {
-	// MaxQueued bounds the tasks that wait in all queues.
-	MaxQueued int
-}
-
-// Need is what a task takes while it runs, as declared or learned.
+// Need is what a task takes while it runs, as declared.
 type Need struct {
 	RunTime      time.Duration
 	MemoryBytes  int64
@@ -74,64 +75,88 @@
 
 // Placer is the state of all queues and of all agents that this entry knows.
 type Placer struct {
-	limits Limits
-	agents map[messenger.Peer]*agent
-	order  []*agent // order has the agents in order of arrival.
-	queues map[string][]*queued
-	jobs   map[identifier.Submission]*queued
-	queue  int // queue is the number of tasks that wait.
-}
-
-type agent struct {
-	peer     messenger.Peer
-	place    Place
-	capacity messenger.Capacity
-	credit   int
-	// sent has the tasks that are outstanding at the agent with their needs.
-	sent map[taskRef]Need
-	// freeMemory and freeAccelerators are what the outstanding tasks leave.
-	freeMemory       int64
-	freeAccelerators int
-}
-
-type taskRef struct {
-	submission identifier.Submission
-	index      uint16
-}
-
-type queued struct {
-	job     Job
-	waiting []uint16 // waiting has the tasks to place, in order.
+	limits       Limits
+	agents       map[messenger.Peer]*agent
+	order        []*agent // order has the agents in order of arrival.
+	services     map[string]*service
+	serviceOrder []*service
+	teams        map[string]*team
+	entries      int // entries is the number of entries that divide the quotas.
+	quotas       []Quota
+	jobs         map[identifier.Submission]*queued
+	waiting      int // waiting is the number of tasks that wait.
+	ejected      int // ejected is the number of agents that are ejected or probed.
+	established  bool
+	retries      *budgeter.Budgeter
+	delayed      []delayedTask // delayed has the tasks that are placed again later.
+	throttled    []*teamQueue  // throttled has the teams whose quota is used up.
+	started      time.Time     // started is the time of the first event.
+	sequence     uint64
+	output       output
 }
 
 // New returns a placer without agents.
 func New(limits Limits) *Placer {
+	limits = limits.withDefaults()
 	return &Placer{
-		limits: limits,
-		agents: make(map[messenger.Peer]*agent),
-		queues: make(map[string][]*queued),
-		jobs:   make(map[identifier.Submission]*queued),
+		limits:   limits,
+		agents:   make(map[messenger.Peer]*agent),
+		services: make(map[string]*service),
+		teams:    make(map[string]*team),
+		entries:  1,
+		jobs:     make(map[identifier.Submission]*queued),
+		retries:  budgeter.New(limits.Replacements, 1),
 	}
 }
 
 // Queued returns the number of tasks that wait.
-func (p *Placer) Queued() int { return p.queue }
+func (p *Placer) Queued() int { return p.waiting + len(p.delayed) }
+
+// Serving returns the number of agents whose upstream takes work.
+func (p *Placer) Serving() int {
+	n := 0
+	for _, a := range p.order {
+		if a.serving() {
+			n++
+		}
+	}
+	return n
+}
 
-// AgentUp adds an agent, which serves nothing until its capacity is set.
+// AgentUp adds an agent, which serves nothing until its capacity is set. An
+// agent that comes later than the first task result starts with few tasks.
 func (p *Placer) AgentUp(_ time.Time, peer messenger.Peer, place Place) {
 	p.AgentDown(time.Time{}, peer)
-	a := &agent{peer: peer, place: place, sent: make(map[taskRef]Need)}
+	a := &agent{peer: peer, place: place, sent: make(map[taskRef]outstanding)}
+	a.health = health{state: stateNormal, allowed: unlimited}
+	if p.established {
+		a.health = health{state: stateReturning, allowed: p.limits.SlowStart}
+	}
 	p.agents[peer] = a
 	p.order = append(p.order, a)
 }
 
 // AgentDown removes an agent and what was outstanding there.
 func (p *Placer) AgentDown(_ time.Time, peer messenger.Peer) {
+	a := p.agents[peer]
+	if a == nil {
+		return
+	}
+	if a.health.state == stateEjected || a.health.state == stateProbing {
+		p.ejected--
+	}
+	for _, o := range a.sent {
+		freeQuota(o.queue)
+	}
+	a.capacity.Services = nil
+	a.capacity.State = messenger.UpstreamAbsent
+	p.reseat(a)
 	delete(p.agents, peer)
-	p.order = slices.DeleteFunc(p.order, func(a *agent) bool { return a.peer == peer })
+	p.order = slices.DeleteFunc(p.order, func(o *agent) bool { return o == a })
 }
 
-// SetCapacity applies what an agent says about its upstream.
+// SetCapacity applies what an agent says about its upstream. Until the agent
+// sets a credit, every slot is one.
 func (p *Placer) SetCapacity(_ time.Time, peer messenger.Peer, c messenger.Capacity) {
 	a := p.agents[peer]
 	if a == nil {
@@ -139,182 +164,108 @@
 	}
 	a.freeMemory += c.MemoryBytes - a.capacity.MemoryBytes
 	a.freeAccelerators += c.Accelerators - a.capacity.Accelerators
+	same := slices.Equal(a.capacity.Services, c.Services)
 	a.capacity = c
-	a.credit = c.Slots
+	if !a.credited {
+		a.credit = c.Slots
+	}
+	if !same {
+		p.reseat(a)
+	}
+	p.rerank(a)
 }
 
 // SetCredit applies the number of tasks that may be outstanding at an agent.
 func (p *Placer) SetCredit(_ time.Time, peer messenger.Peer, limit int) {
-	if a := p.agents[peer]; a != nil {
-		a.credit = limit
+	a := p.agents[peer]
+	if a == nil {
+		return
 	}
+	a.credit = limit
+	a.credited = true
+	p.rerank(a)
 }
 
 // Enqueue takes the tasks of a job into the queue or says why not.
-func (p *Placer) Enqueue(_ time.Time, j Job) Refusal {
-	if refusal := p.admit(&j); refusal.Reason != "" {
+func (p *Placer) Enqueue(now time.Time, j Job) Refusal {
+	p.touch(now)
+	s := p.service(j.Service)
+	s.learned.minSamples = p.limits.MinSamples
+	if refusal := p.admit(now, s, &j); refusal.Reason != "" {
 		return refusal
 	}
-	q := &queued{job: j, waiting: slices.Clone(j.Tasks)}
+	if len(j.Tasks) == 0 {
+		return Refusal{}
+	}
+	p.sequence++
+	q := &queued{
+		job:      j,
+		waiting:  slices.Clone(j.Tasks),
+		work:     s.workOf(&j, j.Tasks),
+		arrived:  now.Sub(p.started),
+		sequence: p.sequence,
+		position: -1,
+		queue:    p.queueOf(s, j.Team),
+	}
 	p.jobs[j.Submission] = q
-	p.queues[j.Service] = append(p.queues[j.Service], q)
-	p.queue += len(q.waiting)
+	p.add(q)
 	return Refusal{}
 }
 
-// Requeue puts a task of a known job back to the front of its queue.
-func (p *Placer) Requeue(_ time.Time, j Job, index uint16) {
-	q := p.jobs[j.Submission]
-	if q == nil {
-		q = &queued{job: j}
-		p.jobs[j.Submission] = q
-		p.queues[j.Service] = slices.Insert(p.queues[j.Service], 0, q)
-	}
-	q.waiting = append(q.waiting, index)
-	p.queue++
-}
-
 // Drop removes the waiting tasks of a job.
 func (p *Placer) Drop(s identifier.Submission) {
+	p.delayed = slices.DeleteFunc(p.delayed, func(d delayedTask) bool { return d.job.Submission == s })
 	q := p.jobs[s]
 	if q == nil {
 		return
 	}
-	p.queue -= len(q.waiting)
 	delete(p.jobs, s)
-	service := q.job.Service
-	p.queues[service] = slices.DeleteFunc(p.queues[service], func(o *queued) bool { return o == q })
+	p.count(q, -len(q.waiting), -q.work)
+	p.takeOut(q)
 }
 
 // Ended applies the end of a task and frees its place.
-func (p *Placer) Ended(_ time.Time, e End) {
+func (p *Placer) Ended(now time.Time, e End) {
+	p.touch(now)
 	a := p.agents[e.Agent]
 	if a == nil {
 		return
 	}
-	ref := taskRef{e.Submission, e.Index}
-	need, ok := a.sent[ref]
+	o, ok := a.release(taskRef{e.Submission, e.Index})
 	if !ok {
 		return
 	}
-	delete(a.sent, ref)
-	a.freeMemory += need.MemoryBytes
-	a.freeAccelerators += need.Accelerators
-}
-
-// Dispatch takes tasks from the queues as far as credits allow and returns them
-// as one batch for each job and agent.
-func (p *Placer) Dispatch(_ time.Time) []Assignment {
-	var out []Assignment
-	for service, queue := range p.queues {
-		n := 0
-		for n < len(queue) && p.dispatchJob(queue[n], &out) {
-			delete(p.jobs, queue[n].job.Submission)
-			n++
-		}
-		p.queues[service] = slices.Delete(queue, 0, n)
+	freeQuota(o.queue)
+	if e.Kind == messenger.ResultRefused {
+		a.refused(e.Refusal)
+	} else {
+		p.learn(now, a, o, &e)
 	}
-	return out
+	p.rerank(a)
 }
 
-// dispatchJob places what it can and reports whether nothing of the job waits.
-func (p *Placer) dispatchJob(q *queued, out *[]Assignment) bool {
-	first := len(*out)
-	for len(q.waiting) > 0 {
-		index := q.waiting[0]
-		need := q.job.Needs[index]
-		a := p.pick(q.job.Service, need)
-		if a == nil {
-			return false
-		}
-		a.sent[taskRef{q.job.Submission, index}] = need
-		a.freeMemory -= need.MemoryBytes
-		a.freeAccelerators -= need.Accelerators
-		q.waiting = q.waiting[1:]
-		p.queue--
-		addTask(out, first, a.peer, q.job.Submission, index)
+// learn applies what the result of a task that ran says about its service, its
+// agent and its team's use of slots.
+func (p *Placer) learn(now time.Time, a *agent, o outstanding, e *End) {
+	p.established = true
+	s := o.queue.service
+	expected := s.learned.runTime(o.need.RunTime)
+	p.charge(o.queue, e.RunTime-expected)
+	usual := s.learned.usualRunTime()
+	if usual > 0 {
+		usual = max(usual, expected)
 	}
-	return true
-}
-
-// pick returns the agent with the most free credit that can hold the task now.
-func (p *Placer) pick(service string, need Need) *agent {
-	var best *agent
-	for _, a := range p.order {
-		if !a.serves(service) || a.free() <= 0 || !a.holds(need) {
-			continue
-		}
-		if best == nil || cmp.Compare(a.free(), best.free()) > 0 {
-			best = a
-		}
+	if e.Kind == messenger.ResultDone && a.health.state != stateProbing && a.health.slowness < math.Log(p.limits.SlowFactor) {
+		s.learned.learn(o.need.RunTime, e.RunTime, e.PeakMemoryBytes)
 	}
-	return best
-}
-
-// admit says whether a job may enter the queue.
-func (p *Placer) admit(j *Job) Refusal {
-	if p.queue+len(j.Tasks) > p.limits.MaxQueued {
-		return Refusal{
-			Reason:     submitter.ReasonOverloaded,
-			Detail:     "the queue holds as many tasks as its limit allows",
-			RetryAfter: time.Second,
-		}
+	if seat := findSeat(a.seats, s.name); seat != nil {
+		p.observe(now, seat, e, usual)
 	}
-	served := false
-	for _, a := range p.order {
-		served = served || a.serves(j.Service)
-	}
-	if !served {
-		return Refusal{
-			Reason:     submitter.ReasonNoUpstream,
-			Detail:     "no upstream serves " + j.Service + " now",
-			RetryAfter: time.Second,
-		}
-	}
-	for i, need := range j.Needs {
-		if !p.fitsSomewhere(j.Service, need) {
-			return neverFits(i)
-		}
-	}
-	return Refusal{}
 }
 
-func (p *Placer) fitsSomewhere(service string, need Need) bool {
-	return slices.ContainsFunc(p.order, func(a *agent) bool {
-		return a.serves(service) &&
-			need.MemoryBytes <= a.capacity.MemoryBytes &&
-			need.Accelerators <= a.capacity.Accelerators
-	})
-}
-
-func (a *agent) serves(service string) bool {
-	return a.capacity.State == messenger.UpstreamServing && slices.Contains(a.capacity.Services, service)
-}
-
-func (a *agent) free() int { return a.credit - len(a.sent) }
-
-func (a *agent) holds(need Need) bool {
-	return need.MemoryBytes <= a.freeMemory && need.Accelerators <= a.freeAccelerators
-}
-
-// addTask adds a task to the agent's batch among out[first:], or begins one.
-func addTask(out *[]Assignment, first int, peer messenger.Peer, s identifier.Submission, index uint16) {
-	for i := first; i < len(*out); i++ {
-		if (*out)[i].Agent == peer {
-			(*out)[i].Tasks = append((*out)[i].Tasks, index)
-			return
-		}
-	}
-	*out = append(*out, Assignment{Agent: peer, Submission: s, Tasks: []uint16{index}})
-}
-
-// Serving returns the number of agents whose upstream takes work.
-func (p *Placer) Serving() int {
-	n := 0
-	for _, a := range p.order {
-		if a.capacity.State == messenger.UpstreamServing {
-			n++
-		}
+// touch records the time of the first event, from which ages count.
+func (p *Placer) touch(now time.Time) {
+	if p.started.IsZero() {
+		p.started = now
 	}
-	return n
 }
--- a/internal/placer/refusal.go
+++ b/internal/placer/refusal.go
@@ -2,10 +2,151 @@
 
 import (
 	"strconv"
+	"time"
 
 	"sardinelock.dev/sardinelock/pkg/submitter"
 )
 
+// admit says whether a job may enter the queue. What it refuses could not end in
+// time or could never run; the caller learns it at once.
+func (p *Placer) admit(now time.Time, s *service, j *Job) Refusal {
+	if p.Queued()+len(j.Tasks) > p.limits.MaxQueued {
+		return Refusal{
+			Reason:     submitter.ReasonOverloaded,
+			Detail:     "the queue holds as many tasks as its limit allows",
+			RetryAfter: time.Second,
+		}
+	}
+	if !s.served() {
+		return Refusal{
+			Reason:     submitter.ReasonNoUpstream,
+			Detail:     "no upstream serves " + j.Service + " now",
+			RetryAfter: time.Second,
+		}
+	}
+	if index := s.firstThatNeverFits(j); index >= 0 {
+		return neverFits(index)
+	}
+	return p.admitByTime(now, s, j)
+}
+
+// admitByTime refuses a job whose deadline the queue or the quota makes it miss.
+func (p *Placer) admitByTime(now time.Time, s *service, j *Job) Refusal {
+	if j.Deadline.IsZero() {
+		return Refusal{}
+	}
+	budget := time.Duration(p.limits.DeadlineRatio * float64(j.Deadline.Sub(now)))
+	work := s.workOf(j, j.Tasks)
+	longest := s.longest(j)
+	team := p.queueOf(s, j.Team)
+	if wait, limited := team.quotaWait(work, len(j.Tasks)); limited && wait+longest > budget {
+		return Refusal{
+			Reason:     submitter.ReasonQuotaExceeded,
+			Detail:     "team " + j.Team + " has as much work waiting as its quota allows to end in time",
+			RetryAfter: retryAfter(wait + longest - budget),
+		}
+	}
+	slots := max(1, s.slots())
+	wait := (s.workAhead(team) + work) / time.Duration(slots)
+	if wait+longest > budget {
+		return Refusal{
+			Reason:     submitter.ReasonOverloaded,
+			Detail:     "the queue is too long to meet the deadline",
+			RetryAfter: retryAfter(wait + longest - budget),
+		}
+	}
+	return Refusal{}
+}
+
+const (
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 30 * time.Second
+)
+
+func retryAfter(excess time.Duration) time.Duration {
+	return min(max(excess, minRetryAfter), maxRetryAfter).Round(time.Millisecond)
+}
+
+// workAhead returns the waiting work that may start before a new job of a team:
+// the team's own, and of each other team at most as much, since teams take turns.
+func (s *service) workAhead(t *teamQueue) time.Duration {
+	if len(s.queues) == 1 || t.waiting == s.waiting {
+		return t.work
+	}
+	ahead := t.work
+	floor := max(t.work, s.work/time.Duration(len(s.queues)))
+	for _, q := range s.queues {
+		if q != t {
+			ahead += min(q.work, floor)
+		}
+	}
+	return ahead
+}
+
+// quotaWait returns how long the team's quota makes a new job take.
+func (t *teamQueue) quotaWait(work time.Duration, tasks int) (time.Duration, bool) {
+	var wait time.Duration
+	if t.team.slots > 0 {
+		wait = (t.work + work) / time.Duration(t.team.slots)
+	}
+	if t.team.rate > 0 {
+		wait = max(wait, seconds((float64(t.waiting+tasks)-t.team.tokens)/t.team.rate))
+	}
+	return wait, t.team.slots > 0 || t.team.rate > 0
+}
+
+func (s *service) longest(j *Job) time.Duration {
+	var longest time.Duration
+	for _, index := range j.Tasks {
+		longest = max(longest, s.learned.runTime(j.Needs[index].RunTime))
+	}
+	return longest
+}
+
+func (s *service) served() bool {
+	for _, m := range s.members {
+		if m.agent.serving() {
+			return true
+		}
+	}
+	return false
+}
+
+// firstThatNeverFits returns the first task that no known upstream can hold even
+// when it runs alone, or -1.
+func (s *service) firstThatNeverFits(j *Job) int {
+	var most Need
+	for i := range j.Needs {
+		n := s.corrected(j.Needs[i])
+		most.MemoryBytes = max(most.MemoryBytes, n.MemoryBytes)
+		most.Accelerators = max(most.Accelerators, n.Accelerators)
+	}
+	if s.fitsSomewhere(most) {
+		return -1
+	}
+	for i := range j.Needs {
+		if !s.fitsSomewhere(s.corrected(j.Needs[i])) {
+			return i
+		}
+	}
+	return -1
+}
+
+func (s *service) corrected(n Need) Need {
+	n.MemoryBytes = s.learned.memoryBytes(n.MemoryBytes)
+	return n
+}
+
+func (s *service) fitsSomewhere(need Need) bool {
+	for _, m := range s.members {
+		c := &m.agent.capacity
+		if m.agent.serving() && need.MemoryBytes <= c.MemoryBytes && need.Accelerators <= c.Accelerators {
+			return true
+		}
+	}
+	return false
+}
+
 // neverFits refuses a job because no known upstream can hold one of its tasks.
 func neverFits(index int) Refusal {
 	return Refusal{
