--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -28,6 +28,10 @@
 	// MaxRecordBytes bounds the memory of the records and of the results that the
 	// owners may not have. At the bound new work is refused; nothing is forgotten.
 	MaxRecordBytes int
+	// RetainFor and RetainBytes bound the results that are kept although their
+	// owner has them, so that a new owner can answer when that one dies.
+	RetainFor   time.Duration
+	RetainBytes int
 	// MaxWaiting bounds the starts that wait for a slot.
 	MaxWaiting int
 }
@@ -187,7 +191,7 @@
 		g.cancel(now, from, &f.Cancels[i])
 	}
 	for i := range f.Settled {
-		g.settle(&f.Settled[i])
+		g.settle(now, &f.Settled[i])
 	}
 	g.startWaiting(now)
 }
@@ -215,6 +219,7 @@
 	}
 	g.refuseWaiting(now)
 	g.startWaiting(now)
+	g.records.release(g.Clock(now), g.limits.RetainBytes)
 	g.records.forget(g.Clock(now), g.limits.Window)
 }
 
@@ -384,10 +389,14 @@
 	})
 }
 
-func (g *Guard) settle(s *messenger.Settlement) {
-	if r := g.records.get(s.Submission.Partition(), s.Submission); r != nil {
-		g.records.bytes -= r.settle()
+func (g *Guard) settle(now time.Time, s *messenger.Settlement) {
+	r := g.records.get(s.Submission.Partition(), s.Submission)
+	if r == nil || r.known {
+		return
 	}
+	r.known = true
+	g.records.retain(s.Submission, g.Clock(now)+g.limits.RetainFor, r.resultBytes())
+	g.records.release(g.Clock(now), g.limits.RetainBytes)
 }
 
 // sendResult sends a result to the holder of the submission's partition.
--- a/internal/guard/records.go
+++ b/internal/guard/records.go
@@ -21,13 +21,15 @@
 // recordTable has the records of all partitions. Records leave in the order of
 // their last use, so that expiry never scans them.
 type recordTable struct {
-	limitBytes int
-	bytes      int // bytes is what the records take, by the sizes above.
-	partitions [identifier.Partitions]map[identifier.Submission]*record
-	count      int
-	queue      []expiry // queue has one entry a record, in order of at; the first head entries are done.
-	head       int
-	services   map[string]string // services has one copy of each service name.
+	limitBytes    int
+	bytes         int // bytes is what the records take, by the sizes above.
+	partitions    [identifier.Partitions]map[identifier.Submission]*record
+	count         int
+	queue         []expiry // queue has one entry a record, in order of at; the first head entries are done.
+	head          int
+	retained      []retainedResult  // retained has the results that owners have, oldest first.
+	retainedBytes int               // retainedBytes is the bytes of retained results.
+	services      map[string]string // services has one copy of each service name.
 }
 
 // expiry says when a record must be looked at again.
@@ -36,6 +38,13 @@
 	at time.Duration // at is on the agent's clock.
 }
 
+// retainedResult are the results of a record that its owner has.
+type retainedResult struct {
+	id    identifier.Submission
+	until time.Duration // until is on the agent's clock.
+	bytes int
+}
+
 func newRecordTable(limitBytes int) *recordTable {
 	return &recordTable{limitBytes: limitBytes, services: make(map[string]string)}
 }
@@ -85,6 +94,27 @@
 	t.bytes += len(r.key)
 }
 
+// retain keeps the results of a record for a while although its owner has them.
+func (t *recordTable) retain(id identifier.Submission, until time.Duration, bytes int) {
+	t.retained = append(t.retained, retainedResult{id: id, until: until, bytes: bytes})
+	t.retainedBytes += bytes
+}
+
+// release drops the retained results whose time has passed, and the oldest of
+// the others beyond the limit.
+func (t *recordTable) release(clock time.Duration, limitBytes int) {
+	n := 0
+	for n < len(t.retained) && (t.retained[n].until <= clock || t.retainedBytes > limitBytes) {
+		kept := t.retained[n]
+		n++
+		t.retainedBytes -= kept.bytes
+		if r := t.get(kept.id.Partition(), kept.id); r != nil {
+			t.bytes -= r.settle()
+		}
+	}
+	t.retained = slices.Delete(t.retained, 0, n)
+}
+
 // forget drops the records that were not used within the window.
 func (t *recordTable) forget(clock, window time.Duration) {
 	for t.head < len(t.queue) && t.queue[t.head].at < clock {
@@ -113,7 +143,7 @@
 func (t *recordTable) of(p identifier.Partition, unsettledOnly bool) []messenger.Record {
 	var out []messenger.Record
 	for id, r := range t.partitions[p] {
-		if unsettledOnly && r.settled && len(r.running) == 0 {
+		if unsettledOnly && r.known && len(r.running) == 0 {
 			continue
 		}
 		out = append(out, r.message(messenger.Record{Submission: id}))
