Read the configuration by tables, with overlays and all faults at once

Cause: the configuration was one file, decoded up to its first error, without overlays, operators or limits, and its whole text was read by every poll.

Change: the tables of internal/configurer/schema.go say which keys there are, what values they take and which of them an overlay may set. One walk over the syntax tree of goccy/go-yaml reads base and overlay by them, gathers every fault with line and column, names the nearest known key, and remembers where each value came from. Config has operators with roles, limits, queue and ejection. A version is stored as a small head, a history row and a document, so that a poll reads the head only.

Conclusion: faults of a file are seen together; a site can tune, and the check refuses an overlay that would change what a service or quota means.

--- a/internal/configurer/config.go
+++ b/internal/configurer/config.go
@@ -1,103 +1,180 @@
-// Package configurer reads the operators' configuration.
+// Package configurer reads and checks the operators' configuration.
 //
 // The configuration is one base file that all sites share and a small overlay
-// for each site, both YAML in kebab case. The base says what services and teams
-// there are and what they mean; an overlay tunes limits at its site. Accepted
-// versions are rows of the platform's table ([Version]); a [Config] is the
-// effective configuration of one site.
+// for each site, both YAML in kebab case. The base says what services, teams and
+// operators there are and what they mean; an overlay tunes limits at its site. A
+// site is a data centre. [Compose] applies an overlay to a base and returns the
+// site's [Effective] configuration, which knows for each value the file it came
+// from. [CheckAll] checks a base with all overlays. Every fault of a file is
+// reported at once, each with line and column.
+//
+// What keys there are, what values they take and which of them an overlay may
+// set stands in one place, the tables of schema.go. Accepted versions are rows of
+// the platform's table ([Head], [Version]).
 package configurer
 
 import (
-	"bytes"
+	"cmp"
 	"slices"
 	"time"
-
-	"github.com/goccy/go-yaml"
 )
 
 // Config is the effective configuration of one site.
 type Config struct {
 	// Services are sorted by name; names are unique.
-	Services []Service `yaml:"services"`
+	Services []Service
 	// Teams are sorted by name; names are unique.
-	Teams []Team `yaml:"teams"`
+	Teams []Team
+	// Operators are sorted by name; names are unique.
+	Operators []Operator
+	Limits    Limits
+	Queue     Queue
+	Ejection  Ejection
 }
 
 // Service is a kind of work that upstreams run.
 type Service struct {
-	Name string `yaml:"name"`
-	// Path is the HTTP path of the service at its upstreams.
-	Path string `yaml:"path"`
-	// Timeout is the deadline of jobs that bring none.
-	Timeout time.Duration `yaml:"timeout"`
+	Name string
+	// Path is the HTTP path of the service at its upstreams. It begins with "/".
+	Path string
+	// Timeout is the deadline of jobs that bring none. It is positive.
+	Timeout time.Duration
 	// DefaultRunTime and DefaultMemoryBytes are taken for tasks that declare none.
-	DefaultRunTime     time.Duration `yaml:"default-run-time"`
-	DefaultMemoryBytes int64         `yaml:"default-memory-bytes"`
-	Objective          Objective     `yaml:"objective"`
+	DefaultRunTime     time.Duration
+	DefaultMemoryBytes int64
+	Objective          Objective
 }
 
 // Objective is what a service promises its callers.
 type Objective struct {
-	// Latency is the response time that counts as good.
-	Latency time.Duration `yaml:"latency"`
+	// Latency is the response time that counts as good. It is positive.
+	Latency time.Duration
 	// LatencyRatio is the share of jobs that must be as fast, from 0 to 1.
-	LatencyRatio float64 `yaml:"latency-ratio"`
+	LatencyRatio float64
 	// SuccessRatio is the share of jobs that must be complete, from 0 to 1.
-	SuccessRatio float64 `yaml:"success-ratio"`
+	SuccessRatio float64
 }
 
 // Team is a group of callers.
 type Team struct {
-	Name string `yaml:"name"`
+	Name string
 	// Slots bounds the team's running tasks over all entries; 0 means no bound.
-	Slots int `yaml:"slots"`
+	Slots int
 	// StartsPerSecond bounds the team's task starts over all entries; 0 means no bound.
-	StartsPerSecond float64 `yaml:"starts-per-second"`
-	// TokenHashes are the SHA-256 hashes, in hexadecimal, of valid bearer tokens.
-	TokenHashes []string `yaml:"token-hashes"`
+	StartsPerSecond float64
+	// TokenHashes are the SHA-256 hashes, in lower-case hexadecimal, of valid
+	// bearer tokens. No two teams or operators share one.
+	TokenHashes []string
 }
 
-// Service returns the service of the given name.
-func (c *Config) Service(name string) (*Service, bool) {
-	i, ok := slices.BinarySearchFunc(c.Services, name, func(s Service, n string) int {
-		return compareNames(s.Name, n)
-	})
-	if !ok {
-		return nil, false
+// Role is what an operator may do.
+type Role string
+
+// The roles of operators.
+const (
+	RoleViewer   Role = "viewer"   // A viewer may read.
+	RoleOperator Role = "operator" // An operator may read and change.
+)
+
+// Operator is a person or program that uses the administration API.
+type Operator struct {
+	Name string
+	Role Role
+	// TokenHashes are like those of a team.
+	TokenHashes []string
+}
+
+// Limits bound what a process takes.
+type Limits struct {
+	// MaxBodyBytes bounds the body of a request. It is positive.
+	MaxBodyBytes int64
+	// BodyTimeout bounds how long a caller may take to send a body. It is positive.
+	BodyTimeout time.Duration
+	// MaxDeadline bounds the deadline that a job may bring. It is positive.
+	MaxDeadline time.Duration
+	// WaitingPerAgent bounds the tasks that wait at one agent. It is positive.
+	WaitingPerAgent int
+}
+
+// Queue is the policy of the queues of an entry.
+type Queue struct {
+	// MaxTasks bounds the tasks that wait at an entry. It is positive.
+	MaxTasks int
+	// MaxAge is the time for which a task may be expected to wait before new jobs
+	// are refused. It is positive.
+	MaxAge time.Duration
+	// Ageing is the waiting time after which a job goes before smaller ones. It is positive.
+	Ageing time.Duration
+}
+
+// Ejection is the policy by which an upstream that fails is left out.
+type Ejection struct {
+	// FailureRatio is the share of failed tasks that ejects, from 0 to 1.
+	FailureRatio float64
+	// MinSamples is the number of ended tasks before an upstream is judged. It is positive.
+	MinSamples int
+	// ProbeEvery is the pause between probes of an ejected upstream. It is positive.
+	ProbeEvery time.Duration
+	// MaxEjectedRatio bounds the share of a service's upstreams that are ejected
+	// at one time, from 0 to 1.
+	MaxEjectedRatio float64
+}
+
+// Default returns the values that hold where no file sets them.
+func Default() Config {
+	return Config{
+		Limits: Limits{
+			MaxBodyBytes:    32 << 20,
+			BodyTimeout:     30 * time.Second,
+			MaxDeadline:     10 * time.Minute,
+			WaitingPerAgent: 1024,
+		},
+		Queue: Queue{
+			MaxTasks: 100_000,
+			MaxAge:   10 * time.Second,
+			Ageing:   2 * time.Second,
+		},
+		Ejection: Ejection{
+			FailureRatio:    0.5,
+			MinSamples:      10,
+			ProbeEvery:      time.Second,
+			MaxEjectedRatio: 0.5,
+		},
 	}
-	return &c.Services[i], true
 }
 
+// Service returns the service of the given name.
+func (c *Config) Service(name string) (*Service, bool) { return find(c.Services, name, serviceName) }
+
 // Team returns the team of the given name.
-func (c *Config) Team(name string) (*Team, bool) {
-	i, ok := slices.BinarySearchFunc(c.Teams, name, func(t Team, n string) int {
-		return compareNames(t.Name, n)
+func (c *Config) Team(name string) (*Team, bool) { return find(c.Teams, name, teamName) }
+
+// Operator returns the operator of the given name.
+func (c *Config) Operator(name string) (*Operator, bool) {
+	return find(c.Operators, name, operatorName)
+}
+
+func serviceName(s *Service) *string   { return &s.Name }
+func teamName(t *Team) *string         { return &t.Name }
+func operatorName(o *Operator) *string { return &o.Name }
+
+// find returns the element of a sorted list that has the name.
+func find[T any](list []T, name string, nameOf func(*T) *string) (*T, bool) {
+	i, ok := slices.BinarySearchFunc(list, name, func(e T, n string) int {
+		return cmp.Compare(*nameOf(&e), n)
 	})
 	if !ok {
 		return nil, false
 	}
-	return &c.Teams[i], true
+	return &list[i], true
 }
 
-// Parse reads a base file and returns the effective configuration. The name
-// stands for the file in errors.
+// Parse reads a base file and returns the configuration of a site without an
+// overlay. The name stands for the file in errors.
 func Parse(name string, base []byte) (*Config, error) {
-	c := new(Config)
-	dec := yaml.NewDecoder(bytes.NewReader(base), yaml.Strict())
-	if err := dec.Decode(c); err != nil {
-		return nil, &Error{Op: "parse", Kind: KindSyntax, File: name, Err: err}
-	}
-	slices.SortFunc(c.Services, func(a, b Service) int { return compareNames(a.Name, b.Name) })
-	slices.SortFunc(c.Teams, func(a, b Team) int { return compareNames(a.Name, b.Name) })
-	return c, nil
-}
-
-func compareNames(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
+	e, err := Compose(File{Name: name, Text: base}, nil)
+	if err != nil {
+		return nil, err
 	}
-	return 0
+	return &e.Config, nil
 }
--- /dev/null
+++ b/internal/configurer/reader.go
@@ -0,0 +1,307 @@
+package configurer
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+)
+
+// Origin is the place of a value in a file.
+type Origin struct {
+	File string `json:"file"`
+	Line int    `json:"line,omitempty"` // Line is 0 for a default.
+}
+
+// reader walks the syntax tree of one file, reads values by the tables, and
+// gathers all faults.
+type reader struct {
+	file    string
+	overlay bool // overlay is set if the file may only tune.
+	faults  []Fault
+	origins map[string]Origin // origins has the place of each value by its path.
+	hashes  map[string]string // hashes has the owner of each token hash.
+}
+
+// fault records a fault at a node.
+func (r *reader) fault(n ast.Node, format string, args ...any) {
+	line, column := position(n)
+	r.faults = append(r.faults, Fault{File: r.file, Line: line, Column: column, Message: fmt.Sprintf(format, args...)})
+}
+
+func (r *reader) origin(n ast.Node) Origin {
+	line, _ := position(n)
+	return Origin{File: r.file, Line: line}
+}
+
+// position returns where a node begins; a mapping begins with its first key.
+func position(n ast.Node) (line, column int) {
+	switch m := n.(type) {
+	case *ast.MappingNode:
+		if len(m.Values) > 0 && !m.IsFlowStyle {
+			return position(m.Values[0].Key)
+		}
+	case *ast.MappingValueNode:
+		return position(m.Key)
+	}
+	if n == nil || n.GetToken() == nil || n.GetToken().Position == nil {
+		return 1, 1
+	}
+	at := n.GetToken().Position
+	return at.Line, at.Column
+}
+
+// pairs returns the entries of a mapping.
+func (r *reader) pairs(n ast.Node) ([]*ast.MappingValueNode, bool) {
+	switch n := n.(type) {
+	case *ast.MappingNode:
+		return n.Values, true
+	case *ast.MappingValueNode:
+		return []*ast.MappingValueNode{n}, true
+	}
+	r.fault(n, "must be a mapping of keys to values, not %s", describe(n))
+	return nil, false
+}
+
+// sequence returns the elements of a list.
+func (r *reader) sequence(n ast.Node) ([]ast.Node, bool) {
+	if s, ok := n.(*ast.SequenceNode); ok {
+		return s.Values, true
+	}
+	r.fault(n, "must be a list, not %s", describe(n))
+	return nil, false
+}
+
+// text returns a value that is a string.
+func (r *reader) text(n ast.Node, want string) (string, bool) {
+	switch n := n.(type) {
+	case *ast.StringNode:
+		return n.Value, true
+	case *ast.LiteralNode:
+		if n.Value != nil {
+			return n.Value.Value, true
+		}
+	}
+	r.fault(n, "must be %s, not %s", want, describe(n))
+	return "", false
+}
+
+// integer returns a value that is an integer.
+func (r *reader) integer(n ast.Node) (int64, bool) {
+	if i, ok := n.(*ast.IntegerNode); ok {
+		switch v := i.Value.(type) {
+		case int64:
+			return v, true
+		case uint64:
+			if v <= math.MaxInt64 {
+				return int64(v), true
+			}
+		}
+		r.fault(n, "the number is too large")
+		return 0, false
+	}
+	r.fault(n, "must be an integer, not %s", describe(n))
+	return 0, false
+}
+
+// number returns a value that is an integer or a fraction.
+func (r *reader) number(n ast.Node) (float64, bool) {
+	switch n := n.(type) {
+	case *ast.FloatNode:
+		if math.IsInf(n.Value, 0) || math.IsNaN(n.Value) {
+			r.fault(n, "the number is too large")
+			return 0, false
+		}
+		return n.Value, true
+	case *ast.IntegerNode:
+		i, ok := r.integer(n)
+		return float64(i), ok
+	}
+	r.fault(n, "must be a number, not %s", describe(n))
+	return 0, false
+}
+
+// hash returns a value that is a token hash. Two teams or operators with the
+// same token could not be told apart.
+func (r *reader) hash(n ast.Node, path string) (string, bool) {
+	text, ok := n.(*ast.StringNode)
+	if !ok || len(text.Value) != hashBytes || !isHexadecimal(text.Value) {
+		r.fault(n, "must be a SHA-256 hash of %d hexadecimal digits (in quotes if it has no letter); the value is not shown, since it may be a token", hashBytes)
+		return "", false
+	}
+	hash := strings.ToLower(text.Value)
+	if other, used := r.hashes[hash]; used {
+		r.fault(n, "the token belongs to %s already", other)
+		return "", false
+	}
+	r.hashes[hash] = strings.TrimSuffix(path, ".token-hashes")
+	return hash, true
+}
+
+func isHexadecimal(s string) bool {
+	return !strings.ContainsFunc(s, func(c rune) bool {
+		return (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F')
+	})
+}
+
+// readMapping reads the keys of a mapping by a table.
+func readMapping[T any](r *reader, n ast.Node, path string, fields []field[T], into *T) {
+	pairs, ok := r.pairs(n)
+	if !ok {
+		return
+	}
+	seen := make(map[string]bool)
+	for _, pair := range pairs {
+		key, ok := r.key(pair, seen)
+		if !ok {
+			continue
+		}
+		i := slices.IndexFunc(fields, func(f field[T]) bool { return f.key == key })
+		if i < 0 {
+			r.fault(pair.Key, "unknown key %s%s", strconv.Quote(key), suggestion(key, keysOf(fields)))
+			continue
+		}
+		readField(r, pair, joinPath(path, key), &fields[i], into)
+	}
+	if r.overlay {
+		return
+	}
+	for _, f := range fields {
+		if f.required && !seen[f.key] {
+			r.fault(n, "the key %s is missing", strconv.Quote(f.key))
+		}
+	}
+}
+
+func readField[T any](r *reader, pair *ast.MappingValueNode, path string, f *field[T], into *T) {
+	if r.overlay && !f.tunable {
+		r.fault(pair.Key, "an overlay may not set %s, which must be the same at every site; set it in the base", path)
+		return
+	}
+	r.origins[path] = r.origin(pair.Key)
+	f.read(r, pair.Value, path, into)
+}
+
+// key returns the key of a pair and records that it was seen.
+func (r *reader) key(pair *ast.MappingValueNode, seen map[string]bool) (string, bool) {
+	text, ok := pair.Key.(*ast.StringNode)
+	if !ok {
+		r.fault(pair.Key, "a key must be plain text, not %s", describe(pair.Key))
+		return "", false
+	}
+	if seen[text.Value] {
+		r.fault(pair.Key, "the key %s is set twice", strconv.Quote(text.Value))
+		return "", false
+	}
+	seen[text.Value] = true
+	return text.Value, true
+}
+
+func keysOf[T any](fields []field[T]) []string {
+	keys := make([]string, len(fields))
+	for i, f := range fields {
+		keys[i] = f.key
+	}
+	return keys
+}
+
+func joinPath(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
+
+// readNamed reads a list of mappings with names.
+func readNamed[T any](r *reader, n ast.Node, path string, fields []field[T], nameOf func(*T) *string, list *[]T) {
+	items, ok := r.sequence(n)
+	if !ok {
+		return
+	}
+	seen := make(map[string]bool)
+	for _, item := range items {
+		name := r.peekName(item)
+		if name != "" && seen[name] {
+			r.fault(item, "%s has %s twice", path, strconv.Quote(name))
+			continue
+		}
+		seen[name] = true
+		if r.overlay {
+			tuneNamed(r, item, path, name, fields, nameOf, *list)
+			continue
+		}
+		var element T
+		readMapping(r, item, joinPath(path, name), fields, &element)
+		*list = append(*list, element)
+	}
+	slices.SortFunc(*list, func(a, b T) int { return compareNames(*nameOf(&a), *nameOf(&b)) })
+}
+
+// tuneNamed applies an element of an overlay to that of the same name.
+func tuneNamed[T any](r *reader, item ast.Node, path, name string, fields []field[T], nameOf func(*T) *string, list []T) {
+	if name == "" {
+		r.fault(item, "the key \"name\" is missing")
+		return
+	}
+	i := slices.IndexFunc(list, func(e T) bool { return *nameOf(&e) == name })
+	if i < 0 {
+		names := make([]string, len(list))
+		for j := range list {
+			names[j] = *nameOf(&list[j])
+		}
+		r.fault(item, "the base has no %s in %s, and an overlay may not add one%s", strconv.Quote(name), path, suggestion(name, names))
+		return
+	}
+	readMapping(r, item, joinPath(path, name), fields, &list[i])
+}
+
+// peekName returns the name of an element, or "" if it has none that is valid.
+func (r *reader) peekName(item ast.Node) string {
+	var pairs []*ast.MappingValueNode
+	switch n := item.(type) {
+	case *ast.MappingNode:
+		pairs = n.Values
+	case *ast.MappingValueNode:
+		pairs = []*ast.MappingValueNode{n}
+	}
+	for _, pair := range pairs {
+		key, isKey := pair.Key.(*ast.StringNode)
+		value, isText := pair.Value.(*ast.StringNode)
+		if isKey && isText && key.Value == "name" && validName(value.Value) {
+			return value.Value
+		}
+	}
+	return ""
+}
+
+// describe says what a node is.
+func describe(n ast.Node) string {
+	switch n := n.(type) {
+	case nil, *ast.NullNode:
+		return "nothing"
+	case *ast.StringNode:
+		return "text"
+	case *ast.IntegerNode:
+		return "the integer " + n.GetToken().Value
+	case *ast.FloatNode:
+		return "the number " + n.GetToken().Value
+	case *ast.InfinityNode, *ast.NanNode:
+		return "a number that is not finite"
+	case *ast.BoolNode:
+		return "a truth value"
+	case *ast.MappingNode, *ast.MappingValueNode:
+		return "a mapping"
+	case *ast.SequenceNode:
+		return "a list"
+	case *ast.AnchorNode, *ast.AliasNode, *ast.MergeKeyNode:
+		return "an anchor, alias or merge, which are not taken"
+	case *ast.TagNode:
+		return "a tag, which are not taken"
+	case *ast.LiteralNode:
+		return "a block of text"
+	}
+	return "this"
+}
--- /dev/null
+++ b/internal/configurer/schema.go
@@ -0,0 +1,95 @@
+package configurer
+
+import "time"
+
+// The tables below are the one place that says which keys there are, what values
+// they take, and which of them an overlay may set. An overlay may set what tunes
+// a site and nothing that callers, teams or operators can tell from outside:
+// what a service, a quota, an objective or an accepted request is must be the
+// same at every site.
+
+// baseOnly and tunable say who may set a key.
+const (
+	baseOnly = false
+	tunable  = true
+)
+
+var configFields = []field[Config]{
+	named("services", required, serviceFields, serviceName, func(c *Config) *[]Service { return &c.Services }),
+	named("teams", optional, teamFields, teamName, func(c *Config) *[]Team { return &c.Teams }),
+	named("operators", optional, operatorFields, operatorName, func(c *Config) *[]Operator { return &c.Operators }),
+	section("limits", limitsFields, func(c *Config) *Limits { return &c.Limits }),
+	section("queue", queueFields, func(c *Config) *Queue { return &c.Queue }),
+	section("ejection", ejectionFields, func(c *Config) *Ejection { return &c.Ejection }),
+}
+
+var serviceFields = []field[Service]{
+	name("name", serviceName),
+	path("path", baseOnly, "HTTP path of the service at its upstreams",
+		func(s *Service) *string { return &s.Path }),
+	duration("timeout", baseOnly, required, "deadline of jobs that bring none",
+		func(s *Service) *time.Duration { return &s.Timeout }),
+	duration("default-run-time", tunable, optional, "run time taken for tasks that declare none",
+		func(s *Service) *time.Duration { return &s.DefaultRunTime }),
+	count("default-memory-bytes", tunable, 0, "memory taken for tasks that declare none",
+		func(s *Service) *int64 { return &s.DefaultMemoryBytes }),
+	section("objective", objectiveFields, func(s *Service) *Objective { return &s.Objective }),
+}
+
+var objectiveFields = []field[Objective]{
+	duration("latency", baseOnly, required, "response time that counts as good",
+		func(o *Objective) *time.Duration { return &o.Latency }),
+	ratio("latency-ratio", baseOnly, required, "share of jobs that must be as fast",
+		func(o *Objective) *float64 { return &o.LatencyRatio }),
+	ratio("success-ratio", baseOnly, required, "share of jobs that must be complete",
+		func(o *Objective) *float64 { return &o.SuccessRatio }),
+}
+
+var teamFields = []field[Team]{
+	name("name", teamName),
+	count("slots", baseOnly, 0, "tasks that may run at one time over all entries; 0 is no bound",
+		func(t *Team) *int { return &t.Slots }),
+	rate("starts-per-second", baseOnly, "task starts a second over all entries; 0 is no bound",
+		func(t *Team) *float64 { return &t.StartsPerSecond }),
+	hashes("token-hashes", "SHA-256 of each valid bearer token",
+		func(t *Team) *[]string { return &t.TokenHashes }),
+}
+
+var operatorFields = []field[Operator]{
+	name("name", operatorName),
+	choice("role", []Role{RoleViewer, RoleOperator}, "what the operator may do",
+		func(o *Operator) *Role { return &o.Role }),
+	hashes("token-hashes", "SHA-256 of each valid bearer token",
+		func(o *Operator) *[]string { return &o.TokenHashes }),
+}
+
+var limitsFields = []field[Limits]{
+	count("max-body-bytes", baseOnly, 1, "largest body of a request",
+		func(l *Limits) *int64 { return &l.MaxBodyBytes }),
+	duration("body-timeout", tunable, optional, "how long a caller may take to send a body",
+		func(l *Limits) *time.Duration { return &l.BodyTimeout }),
+	duration("max-deadline", baseOnly, optional, "longest deadline that a job may bring",
+		func(l *Limits) *time.Duration { return &l.MaxDeadline }),
+	count("waiting-per-agent", tunable, 1, "tasks that may wait at one agent",
+		func(l *Limits) *int { return &l.WaitingPerAgent }),
+}
+
+var queueFields = []field[Queue]{
+	count("max-tasks", tunable, 1, "tasks that may wait at one entry",
+		func(q *Queue) *int { return &q.MaxTasks }),
+	duration("max-age", tunable, optional, "expected wait beyond which new jobs are refused",
+		func(q *Queue) *time.Duration { return &q.MaxAge }),
+	duration("ageing", tunable, optional, "wait after which a job goes before smaller ones",
+		func(q *Queue) *time.Duration { return &q.Ageing }),
+}
+
+var ejectionFields = []field[Ejection]{
+	ratio("failure-ratio", tunable, optional, "share of failed tasks that ejects an upstream",
+		func(e *Ejection) *float64 { return &e.FailureRatio }),
+	count("min-samples", tunable, 1, "ended tasks before an upstream is judged",
+		func(e *Ejection) *int { return &e.MinSamples }),
+	duration("probe-every", tunable, optional, "pause between probes of an ejected upstream",
+		func(e *Ejection) *time.Duration { return &e.ProbeEvery }),
+	ratio("max-ejected-ratio", tunable, optional, "largest share of a service's upstreams that are ejected at one time",
+		func(e *Ejection) *float64 { return &e.MaxEjectedRatio }),
+}
--- a/internal/configurer/version.go
+++ b/internal/configurer/version.go
@@ -1,15 +1,46 @@
 package configurer
 
-// CurrentKey is the key of the row that holds the version in force.
-const CurrentKey = "config/current"
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
 
-// Version is an accepted version of the configuration, as it is stored.
-type Version struct {
-	// Number grows by one with every accepted version.
+	"github.com/juju/errors"
+
+	"sardinelock.dev/sardinelock/internal/storer"
+)
+
+// The keys of the rows that hold the accepted versions.
+const (
+	// CurrentKey is the key of the row that holds the head of the current version.
+	CurrentKey = "config/current"
+	// HistoryPrefix begins the keys of the rows that hold the heads of versions.
+	HistoryPrefix = "config/history/"
+	// DocumentPrefix begins the keys of the rows that hold whole versions, and of
+	// the objects that hold the older ones.
+	DocumentPrefix = "config/documents/"
+)
+
+// Head is what identifies an accepted version. It is small, because every entry
+// reads it often.
+type Head struct {
+	// Number grows by one with every accepted version; the first is 1.
 	Number uint64 `json:"number"`
 	// ChangeID names the change, so that a repeated one is recognised.
 	ChangeID string `json:"change-id"`
-	// Base is the base file.
+	// Operator and At say who made the change and when, by the operator's clock.
+	Operator string    `json:"operator,omitempty"`
+	At       time.Time `json:"at,omitzero"`
+	Comment  string    `json:"comment,omitempty"`
+	// RollbackTo is the version whose content this one has again, or 0.
+	RollbackTo uint64 `json:"rollback-to,omitempty"`
+}
+
+// Version is an accepted version of the configuration, as it is stored.
+type Version struct {
+	Head
+	// Base is the text of the base file.
 	Base string `json:"base"`
 	// Overlays are the sites' overlays, sorted by site.
 	Overlays []Overlay `json:"overlays,omitempty"`
@@ -18,5 +49,89 @@
 // Overlay is one site's overlay.
 type Overlay struct {
 	Site string `json:"site"`
-	File string `json:"file"`
+	Text string `json:"text"`
+}
+
+// HistoryKey returns the key of the row that holds the head of a version.
+func HistoryKey(number uint64) string { return HistoryPrefix + padded(number) }
+
+// DocumentKey returns the key of the row or object that holds a version.
+func DocumentKey(number uint64) string { return DocumentPrefix + padded(number) }
+
+// padded makes the order of keys that of numbers.
+func padded(number uint64) string { return fmt.Sprintf("%020d", number) }
+
+// DecodeVersion reads a stored version.
+func DecodeVersion(text []byte) (*Version, error) {
+	v := new(Version)
+	if err := json.Unmarshal(text, v); err != nil {
+		return nil, &Error{Op: "decode-version", Kind: KindStored, Err: err}
+	}
+	if v.Number == 0 {
+		return nil, &Error{Op: "decode-version", Kind: KindStored, Err: errors.New("the version has no number")}
+	}
+	return v, nil
+}
+
+// DecodeHead reads a stored head.
+func DecodeHead(text []byte) (Head, error) {
+	var h Head
+	if err := json.Unmarshal(text, &h); err != nil {
+		return h, &Error{Op: "decode-head", Kind: KindStored, Err: err}
+	}
+	if h.Number == 0 {
+		return h, &Error{Op: "decode-head", Kind: KindStored, Err: errors.New("the head has no number")}
+	}
+	return h, nil
+}
+
+// Puts returns the rows that a version is stored as. They are written together.
+func (v *Version) Puts() ([]storer.Put, error) {
+	head, err := json.Marshal(v.Head)
+	if err != nil {
+		return nil, &Error{Op: "encode-version", Kind: KindStored, Err: err}
+	}
+	document, err := json.Marshal(v)
+	if err != nil {
+		return nil, &Error{Op: "encode-version", Kind: KindStored, Err: err}
+	}
+	return []storer.Put{
+		{Key: CurrentKey, Value: head},
+		{Key: HistoryKey(v.Number), Value: head},
+		{Key: DocumentKey(v.Number), Value: document},
+	}, nil
+}
+
+// Compose returns the effective configuration of a site. A site without an
+// overlay has that of the base.
+func (v *Version) Compose(site string) (*Effective, error) {
+	base, overlays := v.Files()
+	i := slices.IndexFunc(v.Overlays, func(o Overlay) bool { return o.Site == site })
+	if i < 0 {
+		return Compose(base, nil)
+	}
+	return Compose(base, &overlays[i])
+}
+
+// Files returns the version's files with the names by which errors call them.
+func (v *Version) Files() (base File, overlays []File) {
+	for _, o := range v.Overlays {
+		overlays = append(overlays, File{Name: "overlay " + o.Site, Text: []byte(o.Text)})
+	}
+	return File{Name: "base", Text: []byte(v.Base)}, overlays
+}
+
+// NewVersion checks a base with all overlays and returns them as a version
+// without a head. Nothing is lost by it: the texts are kept as they are.
+func NewVersion(base File, overlays []File) (*Version, error) {
+	sites, err := CheckAll(base, overlays)
+	if err != nil {
+		return nil, err
+	}
+	v := &Version{Base: string(base.Text)}
+	for i, o := range overlays {
+		v.Overlays = append(v.Overlays, Overlay{Site: sites[i], Text: string(o.Text)})
+	}
+	slices.SortFunc(v.Overlays, func(a, b Overlay) int { return compareNames(a.Site, b.Site) })
+	return v, nil
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
 	"net/netip"
@@ -227,30 +226,6 @@
 	e.loop.Post(func(now time.Time) { e.coordinator.StoreWritten(now, w.ID, outcome, err) })
 }
 
-// pollConfig reads the version in force and publishes it.
-func (e *Entry) pollConfig() {
-	rows, err := e.platform.Read(e.background, configurer.CurrentKey)
-	if err != nil || len(rows.Rows) == 0 {
-		return
-	}
-	var v configurer.Version
-	if err := json.Unmarshal(rows.Rows[0].Value, &v); err != nil {
-		e.settings.Logger.Error().Err(err).Msg("the stored configuration cannot be read")
-		return
-	}
-	c, err := configurer.Parse("base", []byte(v.Base))
-	if err != nil {
-		e.settings.Logger.Error().Err(err).Uint64("version", v.Number).Msg("the stored configuration is not valid")
-		return
-	}
-	e.loop.Post(func(time.Time) {
-		for _, s := range c.Services {
-			e.coordinator.SetPath(s.Name, s.Path)
-		}
-		e.config.Publish(c)
-	})
-}
-
 // Serving reports whether the entry knows a configuration, knows an owner for
 // every partition, is connected to those owners, and has the given number of
 // agents that serve. It must not be called on the control thread.
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	_ "embed"
-	"encoding/json"
 	"net"
 	"net/http"
 	"net/netip"
@@ -134,17 +133,20 @@
 			return errors.Trace(err)
 		}
 	}
-	if _, err := configurer.Parse(baseFile, base); err != nil {
+	name := baseFile
+	if name == "" {
+		name = "base.yaml"
+	}
+	v, err := configurer.NewVersion(configurer.File{Name: name, Text: base}, nil)
+	if err != nil {
 		return err
 	}
-	value, err := json.Marshal(configurer.Version{Number: 1, ChangeID: "dev", Base: string(base)})
+	v.Head = configurer.Head{Number: 1, ChangeID: "dev"}
+	puts, err := v.Puts()
 	if err != nil {
-		return errors.Trace(err)
+		return err
 	}
-	s.Platform.Write(storer.Transaction{
-		RequestID: "dev-config",
-		Puts:      []storer.Put{{Key: configurer.CurrentKey, Value: value}},
-	})
+	s.Platform.Write(storer.Transaction{RequestID: "dev-config", Puts: puts})
 	return nil
 }
 
