Change the configuration by conditional writes that are resolved by change id

Cause: nothing could make a version. Operators race, and answers to writes are lost after the write took effect.

Change: internal/versioner keeps versions. A change that expects version n can only become n+1, on the revision at which the current row was read, so whoever has n+1 decides what became of a write without an answer. A verdict is accepted or refused with proof only, else unknown. The table keeps the latest 64 versions; an older one becomes an object before its rows are deleted. New: sardinelock config apply, diff, history and rollback; a conflict prints what has changed since the version that the operator saw. Exit codes 0, 4 and 5.

--- a/cmd/sardinelock/cmd/config.go
+++ b/cmd/sardinelock/cmd/config.go
@@ -27,6 +27,10 @@
 	c.AddCommand(
 		newConfigCheckCommand(),
 		newConfigShowCommand(),
+		newConfigDiffCommand(),
+		newConfigApplyCommand(),
+		newConfigHistoryCommand(),
+		newConfigRollbackCommand(),
 	)
 	return c
 }
--- /dev/null
+++ b/cmd/sardinelock/cmd/config_diff.go
@@ -0,0 +1,110 @@
+package cmd
+
+import (
+	"io"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+
+	"sardinelock.dev/sardinelock/internal/configurer"
+	"sardinelock.dev/sardinelock/internal/versioner"
+)
+
+func newConfigDiffCommand() *cobra.Command {
+	var (
+		platform platformFlag
+		from, to uint64
+		output   outputFlag
+	)
+	c := &cobra.Command{
+		Use:   "diff [BASE [OVERLAY...]]",
+		Short: "Show which effective values differ between versions or files",
+		Long: `Show which effective values differ between versions or files.
+
+With files it compares an accepted version with them, without files two accepted
+versions. A site is named where it differs in another way than the others.`,
+		Example: `  sardinelock config diff --platform 127.0.0.1:7500 base.yaml ub-1.yaml
+  sardinelock config diff --platform 127.0.0.1:7500 --from 5 --to 7`,
+		RunE: func(c *cobra.Command, args []string) error {
+			faults := platform.faults()
+			if len(args) > 0 && to > 0 {
+				faults = append(faults, "--to and files exclude each other")
+			}
+			if len(args) == 0 && from == 0 {
+				faults = append(faults, "--from must be set where no files are given")
+			}
+			if err := usageFaults(faults); err != nil {
+				return err
+			}
+			r := platform.versioner()
+			before, err := versionOrCurrent(c, r, from)
+			if err != nil {
+				return err
+			}
+			after, err := filesOrVersion(c, r, args, to)
+			if err != nil {
+				return err
+			}
+			differences, err := configurer.Differences(before, after)
+			if err != nil {
+				return err
+			}
+			return printDifferences(c.OutOrStdout(), output, differences)
+		},
+	}
+	f := c.Flags()
+	platform.register(f)
+	f.Uint64Var(&from, "from", 0, "version to compare from (default with files: the current one)")
+	f.Uint64Var(&to, "to", 0, "version to compare to (default without files: the current one)")
+	output.register(f)
+	return c
+}
+
+// versionOrCurrent returns the version of the number, or the current one for 0.
+func versionOrCurrent(c *cobra.Command, r *versioner.Versioner, number uint64) (*configurer.Version, error) {
+	if number == 0 {
+		head, err := r.Current(c.Context())
+		if err != nil {
+			return nil, err
+		}
+		number = head.Number
+	}
+	return r.Version(c.Context(), number)
+}
+
+func filesOrVersion(c *cobra.Command, r *versioner.Versioner, files []string, number uint64) (*configurer.Version, error) {
+	if len(files) == 0 {
+		return versionOrCurrent(c, r, number)
+	}
+	base, overlays, err := readFiles(files)
+	if err != nil {
+		return nil, err
+	}
+	return configurer.NewVersion(base, overlays)
+}
+
+// printDifferences prints differences, those of sites in general first.
+func printDifferences(w io.Writer, output outputFlag, list []configurer.Difference) error {
+	if output.format == outputJSON {
+		if list == nil {
+			list = []configurer.Difference{}
+		}
+		return printJSON(w, list)
+	}
+	if len(list) == 0 {
+		_, err := io.WriteString(w, "no value differs\n")
+		return errors.Trace(err)
+	}
+	rows := make([]string, len(list))
+	for i, d := range list {
+		rows[i] = orNone(d.Site, "all") + "\t" + d.Path + "\t" + orNone(d.Before, "-") + "\t" + orNone(d.After, "-")
+	}
+	return output.print(w, list, "SITE\tKEY\tBEFORE\tAFTER", rows)
+}
+
+func orNone(text, none string) string {
+	if text == "" {
+		return none
+	}
+	return text
+}
--- /dev/null
+++ b/cmd/sardinelock/cmd/config_history.go
@@ -0,0 +1,60 @@
+package cmd
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"sardinelock.dev/sardinelock/internal/configurer"
+)
+
+func newConfigHistoryCommand() *cobra.Command {
+	var (
+		platform platformFlag
+		limit    int
+		output   outputFlag
+	)
+	c := &cobra.Command{
+		Use:   "history",
+		Short: "List the accepted versions, the newest first",
+		Long: `List the accepted versions, the newest first.
+
+The latest 64 versions are in the platform's table, older ones in its object
+store; all can be compared and rolled back to.`,
+		Example: `  sardinelock config history --platform 127.0.0.1:7500 --limit 5`,
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			faults := platform.faults()
+			if limit < 1 {
+				faults = append(faults, "--limit must be at least 1")
+			}
+			if err := usageFaults(faults); err != nil {
+				return err
+			}
+			heads, err := platform.versioner().History(c.Context(), limit)
+			if err != nil {
+				return err
+			}
+			return output.print(c.OutOrStdout(), heads, "VERSION\tAT\tOPERATOR\tCHANGE\tROLLBACK-TO\tCOMMENT", headRows(heads))
+		},
+	}
+	f := c.Flags()
+	platform.register(f)
+	f.IntVar(&limit, "limit", 20, "number of versions to list")
+	output.register(f)
+	return c
+}
+
+func headRows(heads []configurer.Head) []string {
+	rows := make([]string, len(heads))
+	for i, h := range heads {
+		rollback := "-"
+		if h.RollbackTo > 0 {
+			rollback = strconv.FormatUint(h.RollbackTo, 10)
+		}
+		rows[i] = strconv.FormatUint(h.Number, 10) + "\t" + h.At.Format(time.RFC3339) + "\t" +
+			orNone(h.Operator, "-") + "\t" + h.ChangeID + "\t" + rollback + "\t" + orNone(h.Comment, "-")
+	}
+	return rows
+}
--- /dev/null
+++ b/cmd/sardinelock/cmd/config_rollback.go
@@ -0,0 +1,49 @@
+package cmd
+
+import (
+	"github.com/spf13/cobra"
+
+	"sardinelock.dev/sardinelock/internal/configurer"
+)
+
+func newConfigRollbackCommand() *cobra.Command {
+	var (
+		change changeFlags
+		to     uint64
+		output outputFlag
+	)
+	c := &cobra.Command{
+		Use:   "rollback",
+		Short: "Make a new version with the content of an old one",
+		Long: `Make a new version with the content of an old one.
+
+Versions only grow: a rollback is a change like any other and can be rolled back
+itself. The old content is checked as the files of "config apply" are.
+
+` + verdictHelp,
+		Example: `  sardinelock config rollback --platform 127.0.0.1:7500 --expect-version 8 --to 6`,
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			faults := change.faults(c)
+			if to == 0 {
+				faults = append(faults, "--to must be set")
+			}
+			if err := usageFaults(faults); err != nil {
+				return err
+			}
+			old, err := change.platform.versioner().Version(c.Context(), to)
+			if err != nil {
+				return err
+			}
+			v, err := configurer.NewVersion(old.Files())
+			if err != nil {
+				return err
+			}
+			return change.apply(c, output, *v, to)
+		},
+	}
+	change.register(c.Flags())
+	c.Flags().Uint64Var(&to, "to", 0, "version whose content to take")
+	output.register(c.Flags())
+	return c
+}
--- a/cmd/sardinelock/cmd/root.go
+++ b/cmd/sardinelock/cmd/root.go
@@ -43,6 +43,10 @@
 	if errors.As(err, &outcome) {
 		return outcome.exitCode()
 	}
+	var exit *codedError
+	if errors.As(err, &exit) {
+		return exit.code
+	}
 	fmt.Fprintln(root.ErrOrStderr(), "sardinelock:", err)
 	var usage *usageError
 	if errors.As(err, &usage) || !commandRan(root) {
@@ -84,6 +88,16 @@
 func (e *usageError) Error() string { return e.err.Error() }
 func (e *usageError) Unwrap() error { return e.err }
 
+// codedError makes the command exit with a code. What it means has been printed
+// before.
+type codedError struct {
+	code int
+	err  error
+}
+
+func (e *codedError) Error() string { return e.err.Error() }
+func (e *codedError) Unwrap() error { return e.err }
+
 // outcomeError makes the command exit with the code of an outcome. The answer has
 // been printed before.
 type outcomeError struct{ outcome submitter.Outcome }
