Decide which version is in force at a process by numbers that only grow

Cause: an entry put in force whatever its latest poll had read, agents knew no version, and a process that started during a store outage had none.

An entry polls one number a second, reads the document on a change from the table or from a peer, and passes the number on; an agent takes versions from entries. Neither puts in force a version below one in force, nor, with nothing in force, one below the highest number shown.

--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -67,6 +67,8 @@
 	PeerAddr   netip.AddrPort `cbor:"7,keyasint"` // PeerAddr is where an entry accepts peers.
 	// Epochs has the epoch an agent holds for each partition, indexed by partition.
 	Epochs []uint64 `cbor:"8,keyasint,omitempty"`
+	// ConfigVersion is the version of the configuration in force at the sender, or 0.
+	ConfigVersion uint64 `cbor:"20,keyasint,omitempty"`
 }
 
 // Contact carries the proof of recent contact that leases rest on. It rides on
@@ -373,10 +375,21 @@
 	Result *TaskResult `cbor:"3,keyasint,omitempty"`
 }
 
-// Config passes on a version of the operators' configuration.
+// Config passes on a version of the operators' configuration and says which one
+// is in force at the sender.
 type Config struct {
-	Version  uint64 `cbor:"1,keyasint"`
+	// Version is the version in force at the sender, or 0.
+	Version uint64 `cbor:"1,keyasint,omitempty"`
+	// Document is the whole version between entries, and the settings of an agent
+	// from an entry to an agent. It is absent where only the number is passed on.
 	Document []byte `cbor:"2,keyasint,omitempty"`
+	// Fresh is set if the sender can learn the current version: an entry reads it
+	// from the table, an agent is connected to such an entry.
+	Fresh bool `cbor:"3,keyasint,omitempty"`
+	// Age is how long the version has been in force at the sender.
+	Age time.Duration `cbor:"4,keyasint,omitempty"`
+	// Want asks for the document of a version that is not below it; 0 asks for none.
+	Want uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // AdminQuery asks a peer for a part of its state, for listings over all entries.
