--- a/cmd/sardinelock/cmd/config_apply.go
+++ b/cmd/sardinelock/cmd/config_apply.go
@@ -12,8 +12,8 @@
 	"github.com/spf13/pflag"
 
 	"sardinelock.dev/sardinelock/internal/configurer"
-	"sardinelock.dev/sardinelock/internal/versioner"
 	"sardinelock.dev/sardinelock/internal/storer"
+	"sardinelock.dev/sardinelock/internal/versioner"
 )
 
 // changeTimeout is how long a command tries to learn what became of a change.
