--- a/cmd/sardinelock/cmd/process_test.go
+++ b/cmd/sardinelock/cmd/process_test.go
@@ -18,8 +18,6 @@
 	"testing"
 	"time"
 
-	"sardinelock.dev/sardinelock/internal/configurer"
-	"sardinelock.dev/sardinelock/internal/storer"
 	"sardinelock.dev/sardinelock/pkg/submitter"
 )
 
@@ -153,7 +151,7 @@
 	f := &fleet{t: t}
 	_, line := startProcess(t, "dev", "platform", "--listen", "127.0.0.1:0")
 	f.platform = netip.MustParseAddrPort(line["address"])
-	f.storeConfig()
+	f.applyConfig()
 	var peers string
 	for range entries {
 		p, line := startProcess(t, "entry", "--platform", f.platform.String(),
@@ -179,19 +177,21 @@
 	f.upstreams = append(f.upstreams, u)
 }
 
-func (f *fleet) storeConfig() {
+// applyConfig makes the test's base file the first version.
+func (f *fleet) applyConfig() {
 	f.t.Helper()
-	value, err := json.Marshal(configurer.Version{Number: 1, ChangeID: "test", Base: testBase})
+	program, err := buildProgram()
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	_, err = storer.New(f.platform).Write(context.Background(), storer.Transaction{
-		RequestID: "test",
-		Puts:      []storer.Put{{Key: configurer.CurrentKey, Value: value}},
-	})
-	if err != nil {
+	base := filepath.Join(f.t.TempDir(), "base.yaml")
+	if err := os.WriteFile(base, []byte(testBase), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
+	out, err := exec.Command(program, "config", "apply", "--platform", f.platform.String(), "--expect-version", "0", base).CombinedOutput()
+	if err != nil {
+		f.t.Fatalf("config apply: %v: %s", err, out)
+	}
 }
 
 // awaitService waits until the entry completes a row of jobs whose ids fall into
