--- /dev/null
+++ b/internal/authenticator/authenticator.go
@@ -0,0 +1,126 @@
+// Package authenticator says who a bearer token belongs to.
+//
+// The configuration has SHA-256 hashes of tokens only. A [Set] is built from one
+// version of the configuration and does not change afterwards. A principal may
+// have several valid tokens, so that a token is replaced without a gap: add the
+// hash of the new one, let every user change over, remove the old hash.
+//
+// Every presented token is compared with every hash in constant time, so that
+// the time of an answer says nothing about which hashes are near or where in the
+// configuration they stand.
+package authenticator
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"strings"
+)
+
+// Role says what a principal may do.
+type Role string
+
+// The roles.
+const (
+	// RoleCaller submits, reads and cancels the jobs of its team.
+	RoleCaller Role = "caller"
+	// RoleViewer reads everything in the administration API.
+	RoleViewer Role = "viewer"
+	// RoleOperator reads and changes everything in the administration API.
+	RoleOperator Role = "operator"
+)
+
+// Principal is who a token belongs to.
+type Principal struct {
+	// Name is the team of a caller or the name of an operator.
+	Name string
+	Role Role
+}
+
+// Credential is a principal with the hashes of its tokens.
+type Credential struct {
+	Principal
+	// Hashes are SHA-256 hashes in hexadecimal.
+	Hashes []string
+}
+
+// Set has the tokens of one version of the configuration.
+type Set struct {
+	tokens []token
+}
+
+type token struct {
+	hash      [sha256.Size]byte
+	principal Principal
+}
+
+// New returns the set of all valid tokens. It returns an error of kind
+// [KindHash], which names the principal but not the hash, if a hash cannot be
+// read.
+func New(credentials []Credential) (*Set, error) {
+	s := new(Set)
+	for _, c := range credentials {
+		for _, text := range c.Hashes {
+			hash, err := hex.DecodeString(text)
+			if err != nil || len(hash) != sha256.Size {
+				return nil, &Error{Op: "new", Kind: KindHash, Name: c.Name}
+			}
+			s.tokens = append(s.tokens, token{hash: [sha256.Size]byte(hash), principal: c.Principal})
+		}
+	}
+	return s, nil
+}
+
+// Empty reports whether there is no valid token for the roles.
+func (s *Set) Empty(roles ...Role) bool {
+	for i := range s.tokens {
+		if hasRole(roles, s.tokens[i].principal.Role) {
+			return false
+		}
+	}
+	return true
+}
+
+// Authenticate returns the principal of a token among those that have one of the
+// roles. It returns an error of kind [KindUnknown] if there is none.
+func (s *Set) Authenticate(presented string, roles ...Role) (Principal, error) {
+	hash := sha256.Sum256([]byte(presented))
+	var found *token
+	for i := range s.tokens {
+		t := &s.tokens[i]
+		same := subtle.ConstantTimeCompare(hash[:], t.hash[:])
+		if same == 1 && hasRole(roles, t.principal.Role) {
+			found = t
+		}
+	}
+	if found == nil {
+		return Principal{}, &Error{Op: "authenticate", Kind: KindUnknown}
+	}
+	return found.principal, nil
+}
+
+// Bearer returns the bearer token of a request. It returns an error of kind
+// [KindMissing] if the request has none.
+func Bearer(r *http.Request) (string, error) {
+	scheme, presented, ok := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !ok || !strings.EqualFold(scheme, "Bearer") || presented == "" {
+		return "", &Error{Op: "authenticate", Kind: KindMissing}
+	}
+	return presented, nil
+}
+
+// Hash returns the hash of a token as the configuration has it.
+func Hash(presented string) string {
+	hash := sha256.Sum256([]byte(presented))
+	return hex.EncodeToString(hash[:])
+}
+
+func hasRole(roles []Role, r Role) bool {
+	for _, allowed := range roles {
+		if r == allowed {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/authenticator/authenticator_test.go
@@ -0,0 +1,94 @@
+package authenticator
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestRotation changes a team's token over three versions of the configuration:
+// the old one, both, the new one.
+func TestRotation(t *testing.T) {
+	const before, after = "token-before", "token-after"
+	team := Principal{Name: "order-desk", Role: RoleCaller}
+	cases := []struct {
+		name   string
+		hashes []string
+		want   map[string]bool
+	}{
+		{"old", []string{Hash(before)}, map[string]bool{before: true, after: false}},
+		{"both", []string{Hash(before), Hash(after)}, map[string]bool{before: true, after: true}},
+		{"new", []string{Hash(after)}, map[string]bool{before: false, after: true}},
+	}
+	for _, c := range cases {
+		set, err := New([]Credential{{Principal: team, Hashes: c.hashes}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for presented, valid := range c.want {
+			got, err := set.Authenticate(presented, RoleCaller)
+			if (err == nil) != valid || (valid && got != team) {
+				t.Errorf("%s: %s: got %v, %v; want valid %v", c.name, presented, got, err, valid)
+			}
+		}
+	}
+}
+
+// TestRoles checks that a token counts only for its own roles, and that errors
+// have neither tokens nor hashes.
+func TestRoles(t *testing.T) {
+	set, err := New([]Credential{
+		{Principal: Principal{"order-desk", RoleCaller}, Hashes: []string{Hash("caller-token")}},
+		{Principal: Principal{"ann", RoleViewer}, Hashes: []string{Hash("viewer-token")}},
+		{Principal: Principal{"bob", RoleOperator}, Hashes: []string{Hash("operator-token")}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, presented := range []string{"caller-token", "viewer-token", "operator-token", "other", ""} {
+		for _, roles := range [][]Role{{RoleCaller}, {RoleViewer, RoleOperator}, {RoleOperator}} {
+			p, err := set.Authenticate(presented, roles...)
+			if err == nil {
+				got = append(got, p.Name)
+				continue
+			}
+			if KindOf(err) != KindUnknown || (presented != "" && strings.Contains(err.Error(), presented)) {
+				t.Errorf("error %v", err)
+			}
+			got = append(got, "-")
+		}
+	}
+	want := []string{"order-desk", "-", "-", "-", "ann", "-", "-", "bob", "bob", "-", "-", "-", "-", "-", "-"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("principals (-want +got):\n%s", diff)
+	}
+}
+
+// TestMalformedHash checks that the error names the principal and not the hash.
+func TestMalformedHash(t *testing.T) {
+	_, err := New([]Credential{{Principal: Principal{"order-desk", RoleCaller}, Hashes: []string{"secret-typed-as-hash"}}})
+	if diff := cmp.Diff("new: malformed-hash of order-desk", err.Error()); diff != "" {
+		t.Errorf("error (-want +got):\n%s", diff)
+	}
+}
+
+func TestBearer(t *testing.T) {
+	for header, want := range map[string]string{
+		"":              "",
+		"Bearer":        "",
+		"Bearer ":       "",
+		"Basic abc":     "",
+		"Bearer abc":    "abc",
+		"bearer abc":    "abc",
+		"Bearer a b c ": "a b c ",
+	} {
+		r := httptest.NewRequest("GET", "/", nil)
+		r.Header.Set("Authorization", header)
+		if got, err := Bearer(r); got != want || (err != nil) != (want == "") {
+			t.Errorf("%q: got %q, %v; want %q", header, got, err, want)
+		}
+	}
+}
--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -36,6 +36,26 @@
 	BytesSent    atomic.Uint64
 	MessagesRead atomic.Uint64
 	BytesRead    atomic.Uint64
+	// SentKinds has the messages and the bytes sent of each kind, indexed as
+	// [messenger.MessageKinds]. A frame's bytes count under its leading kind.
+	SentKinds [len(messenger.MessageKinds)]KindCount
+}
+
+// KindCount has the totals of one kind of message.
+type KindCount struct {
+	Messages atomic.Uint64
+	Bytes    atomic.Uint64
+}
+
+// addSent counts a frame whose encoding has the given size.
+func (c *Counts) addSent(f *messenger.Frame, size int) {
+	kinds := f.Count()
+	for i, n := range kinds {
+		if n > 0 {
+			c.SentKinds[i].Messages.Add(uint64(n))
+		}
+	}
+	c.SentKinds[kinds.Leading()].Bytes.Add(uint64(size))
 }
 
 // Conn is one connection to a peer.
@@ -199,13 +219,13 @@
 // writeBatch writes the given frame and those queued behind it as one message.
 func (c *Conn) writeBatch(buf *bytes.Buffer, f *messenger.Frame) error {
 	buf.Reset()
-	if err := messenger.Append(buf, f); err != nil {
+	if err := c.appendFrame(buf, f); err != nil {
 		return err
 	}
 	for buf.Len() < maxBatchBytes {
 		select {
 		case next := <-c.queue:
-			if err := messenger.Append(buf, next); err != nil {
+			if err := c.appendFrame(buf, next); err != nil {
 				return err
 			}
 			continue
@@ -219,3 +239,12 @@
 	c.counts.BytesSent.Add(uint64(buf.Len()))
 	return c.ws.Write(ctx, websocket.MessageBinary, buf.Bytes())
 }
+
+func (c *Conn) appendFrame(buf *bytes.Buffer, f *messenger.Frame) error {
+	before := buf.Len()
+	if err := messenger.Append(buf, f); err != nil {
+		return err
+	}
+	c.counts.addSent(f, buf.Len()-before)
+	return nil
+}
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,6 +28,8 @@
 	// flush is called on the control thread after each batch of events.
 	flush func(now time.Time)
 	done  chan struct{}
+	busy  atomic.Int64 // busy is the time spent on batches, in nanoseconds.
+	count atomic.Uint64
 }
 
 // New returns a loop that calls flush after each batch. Run starts it.
@@ -38,6 +41,12 @@
 	}
 }
 
+// Busy returns the time that the control thread has spent on its events, and how
+// many it has applied.
+func (l *Loop) Busy() (time.Duration, uint64) {
+	return time.Duration(l.busy.Load()), l.count.Load()
+}
+
 // Post hands an event to the control thread. It blocks while the queue is full
 // and reports false once the loop has ended.
 func (l *Loop) Post(e Event) bool {
@@ -84,14 +93,18 @@
 func (l *Loop) applyBatch(first Event) {
 	now := time.Now()
 	first(now)
+	applied := uint64(1)
 	for range batchEvents - 1 {
 		select {
 		case e := <-l.events:
 			e(now)
+			applied++
 			continue
 		default:
 		}
 		break
 	}
 	l.flush(now)
+	l.busy.Add(int64(time.Since(now)))
+	l.count.Add(applied)
 }
--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -76,6 +76,9 @@
 	retries int
 	// Sleep is the seam for the pause between tries; tests replace it.
 	Sleep func(ctx context.Context, d time.Duration)
+	// Observe is told the outcome of every try; the kind is empty if it went well.
+	// It is called on the caller's goroutine.
+	Observe func(op string, kind Kind)
 }
 
 const (
@@ -93,6 +96,7 @@
 		timeout: defaultTimeout,
 		retries: defaultRetries,
 		Sleep:   sleep,
+		Observe: func(string, Kind) {},
 	}
 }
 
@@ -148,6 +152,7 @@
 			c.Sleep(ctx, retryPause<<(try-1))
 		}
 		err = c.callOnce(ctx, op, method, path, body, out)
+		c.Observe(op, KindOf(err))
 		if KindOf(err) != KindUnavailable || ctx.Err() != nil {
 			return err
 		}
