--- /dev/null
+++ b/internal/administrator/change.go
@@ -0,0 +1,184 @@
+package administrator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"sardinelock.dev/sardinelock/internal/authenticator"
+	"sardinelock.dev/sardinelock/internal/storer"
+	"sardinelock.dev/sardinelock/pkg/submitter"
+)
+
+// Action names a change.
+type Action string
+
+// The actions.
+const (
+	ActionDrainUpstream   Action = "drain-upstream"
+	ActionUndrainUpstream Action = "undrain-upstream"
+	ActionEjectUpstream   Action = "eject-upstream"
+	ActionRestoreUpstream Action = "restore-upstream"
+	ActionDrainEntry      Action = "drain-entry"
+	ActionUndrainEntry    Action = "undrain-entry"
+	ActionCancelJob       Action = "cancel-job"
+	ActionCancelService   Action = "cancel-service"
+	ActionCancelTeam      Action = "cancel-team"
+)
+
+// Record is what the object store keeps of a change.
+type Record struct {
+	ChangeID string    `json:"change-id"`
+	Action   Action    `json:"action"`
+	Target   string    `json:"target"`
+	By       string    `json:"by"`
+	At       time.Time `json:"at"`
+	// ConfigVersion is the version of the configuration in force at the time.
+	ConfigVersion uint64 `json:"config-version"`
+	// Detail says what the change did.
+	Detail string `json:"detail,omitempty"`
+}
+
+// Changed is the answer to a change.
+type Changed struct {
+	Record
+	// Repeated says that the change had been made before; nothing was done again.
+	Repeated bool `json:"repeated,omitempty"`
+	// Silent lists the entries that were not told. They learn of the change from
+	// the table by themselves.
+	Silent []Silent `json:"silent,omitempty"`
+}
+
+// recordPrefix is the prefix of the keys of records in the object store.
+const recordPrefix = "audit/"
+
+// change makes a change once and leaves its record. The function makes the
+// change; it is safe to call again under the same change id.
+func (s *Service) change(r *http.Request, who authenticator.Principal, action Action, target string,
+	do func(ctx context.Context, id string) (string, []Silent, *submitter.Problem),
+) (any, *submitter.Problem) {
+	ctx := r.Context()
+	record := Record{ChangeID: r.Header.Get(HeaderChangeID), Action: action, Target: target, By: who.Name}
+	if record.ChangeID == "" {
+		record.ChangeID = uuid.Must(uuid.NewV7()).String()
+	}
+	if err := uuid.Validate(record.ChangeID); err != nil {
+		return nil, &submitter.Problem{Status: http.StatusBadRequest, Title: "the change id is not a UUID"}
+	}
+	known, problem := s.known(ctx, &record)
+	if problem != nil || known != nil {
+		return known, problem
+	}
+	detail, silent, problem := do(ctx, record.ChangeID)
+	if problem != nil {
+		return nil, problem
+	}
+	record.Detail = detail
+	record.At = s.o.Now().UTC()
+	_, record.ConfigVersion = s.o.Config()
+	if problem := s.keep(ctx, &record); problem != nil {
+		return nil, problem
+	}
+	return &Changed{Record: record, Silent: silent}, nil
+}
+
+// known returns the change if it was made before under the same id.
+func (s *Service) known(ctx context.Context, want *Record) (any, *submitter.Problem) {
+	text, err := s.o.Object(ctx, recordPrefix+want.ChangeID)
+	switch storer.KindOf(err) {
+	case storer.KindAbsent:
+		return nil, nil
+	case "":
+	default:
+		return nil, &submitter.Problem{
+			Status: http.StatusServiceUnavailable,
+			Title:  "the platform cannot be reached",
+			Detail: "nothing was changed: a change needs its record in the object store",
+		}
+	}
+	var record Record
+	if err := json.Unmarshal(text, &record); err != nil {
+		return nil, &submitter.Problem{Status: http.StatusInternalServerError, Title: "the record of the change cannot be read"}
+	}
+	if record.Action != want.Action || record.Target != want.Target {
+		return nil, &submitter.Problem{
+			Status: http.StatusConflict,
+			Title:  "the change id was used for another change",
+			Detail: "it was used to " + string(record.Action) + " " + record.Target,
+		}
+	}
+	return &Changed{Record: record, Repeated: true}, nil
+}
+
+// keep writes the record of a change that was made.
+func (s *Service) keep(ctx context.Context, record *Record) *submitter.Problem {
+	body, err := json.Marshal(record)
+	if err != nil {
+		return &submitter.Problem{Status: http.StatusInternalServerError, Title: "the record of the change cannot be written"}
+	}
+	if err := s.o.PutObject(ctx, recordPrefix+record.ChangeID, body); err != nil {
+		return &submitter.Problem{
+			Status: http.StatusServiceUnavailable,
+			Title:  "the change is made but its record may be missing",
+			Detail: "repeat it with the change id " + record.ChangeID + " to write the record",
+		}
+	}
+	return nil
+}
+
+// record returns the record of a change.
+func (s *Service) record(r *http.Request, _ authenticator.Principal) (any, *submitter.Problem) {
+	text, err := s.o.Object(r.Context(), recordPrefix+r.PathValue("change"))
+	switch storer.KindOf(err) {
+	case "":
+		return json.RawMessage(text), nil
+	case storer.KindAbsent:
+		return nil, &submitter.Problem{Status: http.StatusNotFound, Title: "no such change"}
+	}
+	return nil, &submitter.Problem{Status: http.StatusServiceUnavailable, Title: "the platform cannot be reached"}
+}
+
+func (s *Service) cancelJob(r *http.Request, who authenticator.Principal) (any, *submitter.Problem) {
+	return s.change(r, who, ActionCancelJob, r.PathValue("submission"),
+		func(context.Context, string) (string, []Silent, *submitter.Problem) {
+			state, problem := s.askOwner(r, CallCancelJob)
+			if problem != nil {
+				return "", nil, problem
+			}
+			detail := "the job is " + string(state.State)
+			if state.Answer != nil {
+				detail += ": " + string(state.Answer.Outcome)
+			}
+			return detail, nil, nil
+		})
+}
+
+func (s *Service) cancelService(r *http.Request, who authenticator.Principal) (any, *submitter.Problem) {
+	name := r.PathValue("service")
+	return s.change(r, who, ActionCancelService, name, s.cancelAll(Selection{Service: name}))
+}
+
+func (s *Service) cancelTeam(r *http.Request, who authenticator.Principal) (any, *submitter.Problem) {
+	name := r.PathValue("team")
+	return s.change(r, who, ActionCancelTeam, name, s.cancelAll(Selection{Team: name}))
+}
+
+// cancelAll cancels the selected jobs at every entry.
+func (s *Service) cancelAll(sel Selection) func(context.Context, string) (string, []Silent, *submitter.Problem) {
+	return func(ctx context.Context, _ string) (string, []Silent, *submitter.Problem) {
+		body, err := json.Marshal(sel)
+		if err != nil {
+			return "", nil, &submitter.Problem{Status: http.StatusInternalServerError, Title: "the request cannot be passed on"}
+		}
+		parts, silent := gather[Cancelled](ctx, s, CallCancelJobs, body)
+		jobs := 0
+		for _, p := range parts {
+			jobs += p.part.Jobs
+		}
+		return "jobs cancelled: " + strconv.Itoa(jobs), silent, nil
+	}
+}
--- /dev/null
+++ b/internal/administrator/hold.go
@@ -0,0 +1,224 @@
+package administrator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"sardinelock.dev/sardinelock/internal/authenticator"
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/placer"
+	"sardinelock.dev/sardinelock/internal/storer"
+	"sardinelock.dev/sardinelock/pkg/submitter"
+)
+
+// HoldPrefix is the prefix of the rows that keep work from upstreams and
+// entries. A row stands while the hold does.
+const HoldPrefix = "holds/"
+
+const (
+	upstreamHolds = HoldPrefix + "upstreams/"
+	entryHolds    = HoldPrefix + "entries/"
+)
+
+// holdRow is the value of a row.
+type holdRow struct {
+	Hold     placer.Hold `json:"hold"`
+	By       string      `json:"by"`
+	ChangeID string      `json:"change-id"`
+}
+
+// Holds are all holds in force.
+type Holds struct {
+	Upstreams map[messenger.Peer]placer.Hold
+	Entries   map[messenger.Peer]bool
+}
+
+// ReadHolds reads the rows below [HoldPrefix]. Rows that cannot be read are
+// left out.
+func ReadHolds(rows storer.Range) Holds {
+	h := Holds{Upstreams: make(map[messenger.Peer]placer.Hold), Entries: make(map[messenger.Peer]bool)}
+	for _, row := range rows.Rows {
+		var v holdRow
+		if json.Unmarshal(row.Value, &v) != nil {
+			continue
+		}
+		if peer, ok := strings.CutPrefix(row.Key, upstreamHolds); ok {
+			h.Upstreams[messenger.Peer(peer)] = v.Hold
+		}
+		if peer, ok := strings.CutPrefix(row.Key, entryHolds); ok {
+			h.Entries[messenger.Peer(peer)] = true
+		}
+	}
+	return h
+}
+
+// changeUpstream drains, undrains, ejects or restores an upstream.
+func (s *Service) changeUpstream(r *http.Request, who authenticator.Principal) (any, *submitter.Problem) {
+	peer := r.PathValue("peer")
+	action := Action(r.PathValue("action") + "-upstream")
+	var hold placer.Hold
+	switch action {
+	case ActionDrainUpstream:
+		hold = placer.HoldDrained
+	case ActionEjectUpstream:
+		hold = placer.HoldEjected
+	case ActionUndrainUpstream, ActionRestoreUpstream:
+	default:
+		return nil, noSuchAction()
+	}
+	return s.change(r, who, action, peer, func(ctx context.Context, id string) (string, []Silent, *submitter.Problem) {
+		if hold != "" {
+			if problem := s.findUpstream(ctx, peer); problem != nil {
+				return "", nil, problem
+			}
+		}
+		detail, problem := s.writeHold(ctx, upstreamHolds+peer, released(action), holdRow{Hold: hold, By: who.Name, ChangeID: id})
+		if problem != nil {
+			return "", nil, problem
+		}
+		return detail, s.tellHolds(ctx), nil
+	})
+}
+
+// released returns the hold that an action takes away; empty if it sets one.
+func released(a Action) placer.Hold {
+	switch a {
+	case ActionUndrainUpstream, ActionUndrainEntry:
+		return placer.HoldDrained
+	case ActionRestoreUpstream:
+		return placer.HoldEjected
+	}
+	return ""
+}
+
+// changeEntry drains or undrains an entry.
+func (s *Service) changeEntry(r *http.Request, who authenticator.Principal) (any, *submitter.Problem) {
+	peer := r.PathValue("peer")
+	action := Action(r.PathValue("action") + "-entry")
+	var hold placer.Hold
+	switch action {
+	case ActionDrainEntry:
+		hold = placer.HoldDrained
+	case ActionUndrainEntry:
+	default:
+		return nil, noSuchAction()
+	}
+	return s.change(r, who, action, peer, func(ctx context.Context, id string) (string, []Silent, *submitter.Problem) {
+		if hold != "" {
+			if problem := s.findEntry(ctx, peer); problem != nil {
+				return "", nil, problem
+			}
+		}
+		detail, problem := s.writeHold(ctx, entryHolds+peer, released(action), holdRow{Hold: hold, By: who.Name, ChangeID: id})
+		if problem != nil {
+			return "", nil, problem
+		}
+		return detail, s.tellHolds(ctx), nil
+	})
+}
+
+// writeHold sets a hold or takes one away. The change id is the request id of
+// the transaction, so that a repeated change is recognised by the table.
+func (s *Service) writeHold(ctx context.Context, key string, release placer.Hold, v holdRow) (string, *submitter.Problem) {
+	rows, err := s.o.Read(ctx, key)
+	if err != nil {
+		return "", &submitter.Problem{
+			Status: http.StatusServiceUnavailable,
+			Title:  "the platform cannot be reached",
+			Detail: "nothing was changed",
+		}
+	}
+	before, revision := rowOf(rows, key)
+	t := storer.Transaction{
+		RequestID:  v.ChangeID,
+		Conditions: []storer.Condition{{Key: key, Revision: revision}},
+	}
+	detail := "now " + string(v.Hold)
+	switch {
+	case v.Hold != "":
+		value, err := json.Marshal(v)
+		if err != nil {
+			return "", &submitter.Problem{Status: http.StatusInternalServerError, Title: "the hold cannot be written"}
+		}
+		t.Puts = []storer.Put{{Key: key, Value: value}}
+	case before == "":
+		return "was not held", nil
+	case before != release:
+		return "", &submitter.Problem{
+			Status: http.StatusConflict,
+			Title:  "it is held in another way",
+			Detail: "it is " + string(before) + "; the operator who did so used another action",
+		}
+	default:
+		t.Deletes = []string{key}
+		detail = "no longer " + string(before)
+	}
+	return detail, s.writeTransaction(ctx, t)
+}
+
+func (s *Service) writeTransaction(ctx context.Context, t storer.Transaction) *submitter.Problem {
+	outcome, err := s.o.Write(ctx, t)
+	if err != nil {
+		return &submitter.Problem{
+			Status: http.StatusServiceUnavailable,
+			Title:  "whether the change was made is not known",
+			Detail: "repeat it with the change id " + t.RequestID,
+		}
+	}
+	if !outcome.Applied {
+		return &submitter.Problem{
+			Status: http.StatusConflict,
+			Title:  "another change came between",
+			Detail: "look at the present state and repeat the change with a new change id",
+		}
+	}
+	return nil
+}
+
+// tellHolds lets every entry read the holds now.
+func (s *Service) tellHolds(ctx context.Context) []Silent {
+	_, silent := gather[json.RawMessage](ctx, s, CallHolds, nil)
+	return silent
+}
+
+func (s *Service) findUpstream(ctx context.Context, peer string) *submitter.Problem {
+	parts, _ := gather[[]Upstream](ctx, s, CallUpstreams, nil)
+	for _, p := range parts {
+		for _, u := range p.part {
+			if string(u.Peer) == peer {
+				return nil
+			}
+		}
+	}
+	return &submitter.Problem{Status: http.StatusNotFound, Title: "no such upstream", Detail: "no entry that answered is connected to it"}
+}
+
+func (s *Service) findEntry(ctx context.Context, peer string) *submitter.Problem {
+	for _, p := range s.o.AskAll(ctx, CallEntry, nil) {
+		if string(p.Peer) == peer {
+			return nil
+		}
+	}
+	return &submitter.Problem{Status: http.StatusNotFound, Title: "no such entry"}
+}
+
+// rowOf returns the hold and the revision of the row with exactly the key.
+func rowOf(rows storer.Range, key string) (placer.Hold, uint64) {
+	for _, row := range rows.Rows {
+		if row.Key != key {
+			continue
+		}
+		var v holdRow
+		if json.Unmarshal(row.Value, &v) != nil {
+			return "", row.Revision
+		}
+		return v.Hold, row.Revision
+	}
+	return "", 0
+}
+
+func noSuchAction() *submitter.Problem {
+	return &submitter.Problem{Status: http.StatusNotFound, Title: "no such action"}
+}
--- /dev/null
+++ b/internal/administrator/service.go
@@ -0,0 +1,139 @@
+package administrator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/authenticator"
+	"sardinelock.dev/sardinelock/internal/configurer"
+	"sardinelock.dev/sardinelock/internal/identifier"
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/storer"
+	"sardinelock.dev/sardinelock/pkg/submitter"
+)
+
+// HeaderChangeID carries the id of a change that the operator chose.
+const HeaderChangeID = "Sardinelock-Change-Id"
+
+// Options are what the administration API needs of its entry. All functions must
+// be set and be safe for calls on several goroutines.
+type Options struct {
+	// Authenticate returns who a request comes from if its role is among those given.
+	Authenticate func(r *http.Request, roles ...authenticator.Role) (authenticator.Principal, *submitter.Problem)
+	// AskAll asks every known entry, this one included, in order of their names.
+	AskAll func(ctx context.Context, call Call, body []byte) []Part
+	// AskOwner asks the owner of a submission.
+	AskOwner func(ctx context.Context, s identifier.Submission, call Call, body []byte) Part
+	// Config returns the configuration in force and its version, or nil and 0.
+	Config func() (*configurer.Config, uint64)
+	// Read, Write, Object, Objects and PutObject call the platform.
+	Read      func(ctx context.Context, prefix string) (storer.Range, error)
+	Write     func(ctx context.Context, t storer.Transaction) (storer.Outcome, error)
+	Object    func(ctx context.Context, key string) ([]byte, error)
+	Objects   func(ctx context.Context, prefix string) ([]string, error)
+	PutObject func(ctx context.Context, key string, body []byte) error
+	// Now returns the time.
+	Now func() time.Time
+}
+
+// Service serves the administration API.
+type Service struct {
+	o Options
+}
+
+// New returns a service.
+func New(o Options) *Service { return &Service{o: o} }
+
+// Register adds the routes of the API.
+func (s *Service) Register(mux *http.ServeMux) {
+	reads := []authenticator.Role{authenticator.RoleViewer, authenticator.RoleOperator}
+	for pattern, f := range map[string]handler{
+		"GET /v1/admin/entries":           s.entries,
+		"GET /v1/admin/upstreams":         s.upstreams,
+		"GET /v1/admin/partitions":        s.partitions,
+		"GET /v1/admin/services":          s.services,
+		"GET /v1/admin/teams":             s.teams,
+		"GET /v1/admin/jobs":              s.jobs,
+		"GET /v1/admin/jobs/{submission}": s.job,
+		"GET /v1/admin/changes/{change}":  s.record,
+		"GET /v1/admin/burn":              s.burn,
+	} {
+		mux.HandleFunc(pattern, s.serve(f, reads...))
+	}
+	mux.HandleFunc("GET /burn", s.serveBurnPage)
+	for pattern, f := range map[string]handler{
+		"POST /v1/admin/upstreams/{peer}/{action}": s.changeUpstream,
+		"POST /v1/admin/entries/{peer}/{action}":   s.changeEntry,
+		"POST /v1/admin/jobs/{submission}/cancel":  s.cancelJob,
+		"POST /v1/admin/services/{service}/cancel": s.cancelService,
+		"POST /v1/admin/teams/{team}/cancel":       s.cancelTeam,
+	} {
+		mux.HandleFunc(pattern, s.serve(f, authenticator.RoleOperator))
+	}
+}
+
+// handler answers one call with a value to be written as JSON, or a problem.
+type handler func(r *http.Request, who authenticator.Principal) (any, *submitter.Problem)
+
+func (s *Service) serve(f handler, roles ...authenticator.Role) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		who, problem := s.o.Authenticate(r, roles...)
+		if problem != nil {
+			writeProblem(w, problem)
+			return
+		}
+		v, problem := f(r, who)
+		if problem != nil {
+			writeProblem(w, problem)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		// An error here means that the client has gone.
+		_ = json.NewEncoder(w).Encode(v)
+	}
+}
+
+// Listing is the joined answer of all entries.
+type Listing[T any] struct {
+	Items []T `json:"items"`
+	// Silent lists the entries that did not answer; the items lack their part.
+	Silent []Silent `json:"silent,omitempty"`
+}
+
+// gather asks every entry and decodes the parts. It returns the parts in the
+// order of the entries' names, and the entries without one.
+func gather[T any](ctx context.Context, s *Service, call Call, body []byte) ([]answered[T], []Silent) {
+	var (
+		out    []answered[T]
+		silent []Silent
+	)
+	for _, p := range s.o.AskAll(ctx, call, body) {
+		a := answered[T]{peer: p.Peer}
+		detail := p.Detail
+		if detail == "" {
+			if err := json.Unmarshal(p.Body, &a.part); err != nil {
+				detail = "the answer cannot be read"
+			}
+		}
+		if detail != "" {
+			silent = append(silent, Silent{Entry: p.Peer, Detail: detail})
+			continue
+		}
+		out = append(out, a)
+	}
+	return out, silent
+}
+
+// answered is the decoded part of one entry.
+type answered[T any] struct {
+	peer messenger.Peer
+	part T
+}
+
+func writeProblem(w http.ResponseWriter, p *submitter.Problem) {
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(p.Status)
+	_ = json.NewEncoder(w).Encode(p)
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -15,11 +15,13 @@
 	"github.com/oklog/run"
 	"github.com/phuslu/log"
 
+	"sardinelock.dev/sardinelock/internal/certifier"
 	"sardinelock.dev/sardinelock/internal/connector"
 	"sardinelock.dev/sardinelock/internal/controller"
 	"sardinelock.dev/sardinelock/internal/guard"
 	"sardinelock.dev/sardinelock/internal/invoker"
 	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/meter"
 	"sardinelock.dev/sardinelock/internal/timer"
 )
 
@@ -35,7 +37,9 @@
 	Entries      []netip.AddrPort
 	Limits       guard.Limits
 	DrainTimeout time.Duration
-	Logger       *log.Logger
+	// TLS has the certificates of the agent; nil serves and dials without TLS.
+	TLS    *certifier.Certifier
+	Logger *log.Logger
 }
 
 const (
@@ -51,6 +55,8 @@
 	counts   connector.Counts
 	listener net.Listener
 	server   *http.Server
+	meter    *meter.Meter
+	dialer   *http.Client // dialer dials entries; nil means the default client.
 
 	// The fields below belong to the control thread.
 	guard   *guard.Guard
@@ -85,6 +91,11 @@
 	}
 	a.background, a.stop = context.WithCancel(context.Background())
 	a.loop = controller.New(a.flush)
+	if a.meter, err = a.newMeter(); err != nil {
+		_ = l.Close()
+		return nil, err
+	}
+	a.dialer = a.entryClient()
 	a.server = a.newServer()
 	return a, nil
 }
@@ -109,6 +120,7 @@
 	})
 	a.timers.Subscribe(dialEvery, func(time.Time) { a.loop.Post(a.dialEntries) })
 	a.loop.Post(a.dialEntries)
+	a.watchCertificates()
 	a.settings.Logger.Info().
 		Str("event", "ready").
 		Str("role", string(messenger.RoleAgent)).
--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -24,9 +24,10 @@
 // link connects to one entry and serves the connection until it ends.
 func (a *Agent) link(addr netip.AddrPort) {
 	defer a.loop.Post(func(time.Time) { a.targets[addr] = false })
-	conn, err := connector.Dial(a.background, "ws://"+addr.String()+connector.Path, connector.Options{
+	conn, err := connector.Dial(a.background, a.entryURL(addr), connector.Options{
 		Hello:  a.hello,
 		Counts: &a.counts,
+		Client: a.dialer,
 	})
 	if err != nil {
 		return
--- /dev/null
+++ b/internal/agent/secure.go
@@ -0,0 +1,53 @@
+package agent
+
+import (
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/connector"
+)
+
+// certificateCheckEvery is the period at which the TLS files are read again.
+const certificateCheckEvery = 5 * time.Second
+
+// secure wraps the listener for announcements in TLS if there are TLS settings.
+func (a *Agent) secure(l net.Listener) net.Listener {
+	if a.settings.TLS == nil {
+		return l
+	}
+	return tls.NewListener(l, a.settings.TLS.Server())
+}
+
+func (a *Agent) entryURL(addr netip.AddrPort) string {
+	if a.settings.TLS != nil {
+		return "wss://" + addr.String() + connector.Path
+	}
+	return "ws://" + addr.String() + connector.Path
+}
+
+// entryClient returns the client that dials entries; nil without TLS.
+func (a *Agent) entryClient() *http.Client {
+	if a.settings.TLS == nil {
+		return nil
+	}
+	return a.settings.TLS.HTTPClient()
+}
+
+// watchCertificates reads the TLS files again at each period.
+func (a *Agent) watchCertificates() {
+	if a.settings.TLS == nil {
+		return
+	}
+	a.timers.Subscribe(certificateCheckEvery, func(time.Time) {
+		changed, err := a.settings.TLS.Reload()
+		switch {
+		case err != nil:
+			a.settings.Logger.Warn().Err(err).Msg("the TLS files cannot be read; the former ones stay in force")
+		case changed:
+			a.settings.Logger.Info().Str("event", "tls-reloaded").Time("expiry", a.settings.TLS.Expiry()).Msg("renewed TLS files are in force")
+		}
+	})
+}
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -24,11 +24,12 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusOK)
 	})
+	mux.Handle("GET /metrics", a.meter.Handler())
 	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 }
 
 func (a *Agent) serve() error {
-	err := a.server.Serve(a.listener)
+	err := a.server.Serve(a.secure(a.listener))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -83,6 +83,8 @@
 	Writes  []registrar.Write
 	// RoutesChanged says that owners or entries differ from before.
 	RoutesChanged bool
+	// Waits are those of jobs of which a first task is sent.
+	Waits []Wait
 }
 
 // Coordinator is the control state of one entry.
@@ -280,6 +282,7 @@
 		if len(a.Tasks) == 0 {
 			continue
 		}
+		c.noteFirstSend(now, &j)
 		f := link.gather()
 		f.Starts = append(f.Starts, c.start(now, link, &j, a))
 	}
--- /dev/null
+++ b/internal/coordinator/query.go
@@ -0,0 +1,61 @@
+package coordinator
+
+import (
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/identifier"
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/owner"
+	"sardinelock.dev/sardinelock/internal/placer"
+)
+
+// Wait is how long a job waited for its first start.
+type Wait struct {
+	Service  string
+	Duration time.Duration
+}
+
+// OwnerOf returns the owner of a partition as far as is known.
+func (c *Coordinator) OwnerOf(p identifier.Partition) messenger.Peer {
+	return c.registrar.Partition(p).Owner
+}
+
+// JobStatus returns the status of a job that this entry keeps.
+func (c *Coordinator) JobStatus(s identifier.Submission) (owner.Status, bool) {
+	return c.owner.Status(s)
+}
+
+// CancelJob ends a job of this entry that has no answer.
+func (c *Coordinator) CancelJob(now time.Time, s identifier.Submission) { c.owner.CancelAny(now, s) }
+
+// OpenJobs returns the open jobs of this entry of a service and a team. An empty
+// name stands for all.
+func (c *Coordinator) OpenJobs(service, team string) []identifier.Submission {
+	return c.owner.Open(service, team)
+}
+
+// JobCounts returns the number of jobs that are kept and of those without an
+// answer.
+func (c *Coordinator) JobCounts() (kept, open int) { return c.owner.Jobs() }
+
+// Usage returns what the jobs of each service and team amount to at this entry.
+func (c *Coordinator) Usage() []owner.Usage { return c.owner.Usage() }
+
+// Upstreams returns what this entry knows about each upstream.
+func (c *Coordinator) Upstreams() []placer.UpstreamStatus { return c.placer.Upstreams() }
+
+// Queued returns the number of tasks that wait for a place.
+func (c *Coordinator) Queued() int { return c.placer.Queued() }
+
+// PeerCounts returns the number of connected agents and entries.
+func (c *Coordinator) PeerCounts() (agents, entries int) { return len(c.agents), len(c.entries) }
+
+// SetHolds replaces the upstreams that operators keep from new work.
+func (c *Coordinator) SetHolds(holds map[messenger.Peer]placer.Hold) { c.placer.SetHolds(holds) }
+
+// noteFirstSend records how long a job waited if nothing of it was sent yet.
+func (c *Coordinator) noteFirstSend(now time.Time, j *owner.Job) {
+	if waited, first := c.owner.FirstSend(now, j.Submission); first {
+		c.out.Waits = append(c.out.Waits, Wait{Service: j.Service, Duration: waited})
+	}
+}
--- a/internal/dispatcher/admin.go
+++ b/internal/dispatcher/admin.go
@@ -1,11 +1,76 @@
 package dispatcher
 
-import "net/http"
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/administrator"
+	"sardinelock.dev/sardinelock/internal/configurer"
+	"sardinelock.dev/sardinelock/internal/identifier"
+	"sardinelock.dev/sardinelock/pkg/submitter"
+)
 
 func (e *Entry) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusOK)
 	})
-	return mux
+	mux.HandleFunc("GET /readyz", e.serveReady)
+	mux.Handle("GET /metrics", e.meter.Handler())
+	e.administration().Register(mux)
+	return http.MaxBytesHandler(mux, maxAdminBytes)
+}
+
+// maxAdminBytes bounds the body of a request for administration.
+const maxAdminBytes = 4 << 20
+
+// administration returns the administration API with this entry behind it.
+func (e *Entry) administration() *administrator.Service {
+	return administrator.New(administrator.Options{
+		Authenticate: e.administrator,
+		AskAll:       e.askAll,
+		AskOwner: func(ctx context.Context, s identifier.Submission, call administrator.Call, body []byte) administrator.Part {
+			return e.ask(ctx, e.ownerOf(s), call, body)
+		},
+		Config:    e.configInForce,
+		Read:      e.platform.Read,
+		Write:     e.platform.Write,
+		Object:    e.platform.Object,
+		Objects:   e.platform.Objects,
+		PutObject: e.platform.PutObject,
+		Now:       time.Now,
+	})
+}
+
+// configInForce returns the configuration and its version.
+func (e *Entry) configInForce() (*configurer.Config, uint64) {
+	return e.config.Read(), e.configVersion.Load()
+}
+
+// subscribeAdministration starts what administration does periodically.
+func (e *Entry) subscribeAdministration() {
+	e.watchCertificates()
+	e.timers.Subscribe(holdsPollEvery, func(time.Time) { _ = e.readHolds(e.background) })
+	e.timers.Subscribe(snapshotEvery, func(time.Time) { e.keepBurn(e.background) })
+	go func() {
+		_ = e.readHolds(e.background)
+		e.loadBurn(e.background)
+	}()
+}
+
+// Draining reports whether the entry asks the balancer for no new requests,
+// because it shuts down or because an operator drains it.
+func (e *Entry) Draining() bool { return e.stopping.Load() || e.drained.Load() }
+
+// serveReady tells the balancer whether to send requests here.
+func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case e.Draining():
+		writeProblem(w, &submitter.Problem{Status: http.StatusServiceUnavailable, Title: "the entry is draining"})
+	case e.config.Read() == nil:
+		writeProblem(w, noConfiguration())
+	default:
+		w.WriteHeader(http.StatusOK)
+	}
 }
--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -13,16 +13,7 @@
 
 // writeAnswer writes the answer to a submission.
 func writeAnswer(w http.ResponseWriter, a *messenger.Answer) {
-	out := submitter.Answer{
-		SubmissionID: a.Submission.String(),
-		Outcome:      submitter.Outcome(a.Outcome),
-		Reason:       submitter.Reason(a.Reason),
-		Detail:       a.Detail,
-		RetryAfter:   submitter.Duration(a.RetryAfter),
-	}
-	for _, r := range a.Results {
-		out.Results = append(out.Results, json.RawMessage(r))
-	}
+	out := answerOf(a)
 	w.Header().Set("Content-Type", "application/json")
 	if a.RetryAfter > 0 {
 		w.Header().Set("Retry-After", retryAfterSeconds(a.RetryAfter))
--- /dev/null
+++ b/internal/dispatcher/auth.go
@@ -0,0 +1,122 @@
+package dispatcher
+
+import (
+	"net/http"
+	"net/netip"
+
+	"sardinelock.dev/sardinelock/internal/authenticator"
+	"sardinelock.dev/sardinelock/internal/configurer"
+	"sardinelock.dev/sardinelock/pkg/submitter"
+)
+
+// credentials are the valid tokens of one version of the configuration.
+type credentials struct {
+	config *configurer.Config
+	tokens *authenticator.Set
+}
+
+// tokens returns the valid tokens of the configuration in force, or nil if none
+// is known. A hash that cannot be read makes no token valid for anybody: the
+// error is logged and the tokens of the version before stay in force.
+func (e *Entry) tokens() *authenticator.Set {
+	config := e.config.Read()
+	known := e.auth.Read()
+	if known != nil && known.config == config {
+		return known.tokens
+	}
+	if config == nil {
+		return nil
+	}
+	set, err := authenticator.New(configCredentials(config))
+	if err != nil {
+		e.settings.Logger.Error().Err(err).Msg("the tokens of the configuration cannot be read")
+		if known == nil {
+			return nil
+		}
+		set = known.tokens
+	}
+	e.auth.Publish(&credentials{config: config, tokens: set})
+	return set
+}
+
+func configCredentials(c *configurer.Config) []authenticator.Credential {
+	var out []authenticator.Credential
+	for _, t := range c.Teams {
+		out = append(out, authenticator.Credential{
+			Principal: authenticator.Principal{Name: t.Name, Role: authenticator.RoleCaller},
+			Hashes:    t.TokenHashes,
+		})
+	}
+	return out
+}
+
+// team returns the team that a caller's request belongs to. While no team has a
+// token the caller names its team itself.
+func (e *Entry) team(r *http.Request) (string, *submitter.Problem) {
+	tokens := e.tokens()
+	if tokens == nil {
+		return "", noConfiguration()
+	}
+	if tokens.Empty(authenticator.RoleCaller) {
+		return r.Header.Get(submitter.HeaderTeam), nil
+	}
+	p, problem := authenticate(tokens, r, authenticator.RoleCaller)
+	return p.Name, problem
+}
+
+// administrator returns who a request for administration comes from. While no
+// operator has a token, only requests from the same machine are allowed.
+func (e *Entry) administrator(r *http.Request, roles ...authenticator.Role) (authenticator.Principal, *submitter.Problem) {
+	tokens := e.tokens()
+	if tokens == nil || tokens.Empty(authenticator.RoleViewer, authenticator.RoleOperator) {
+		remote, err := netip.ParseAddrPort(r.RemoteAddr)
+		if err == nil && remote.Addr().Unmap().IsLoopback() {
+			return authenticator.Principal{Name: "local", Role: authenticator.RoleOperator}, nil
+		}
+		return authenticator.Principal{}, &submitter.Problem{
+			Status: http.StatusForbidden,
+			Title:  "no operator has a token",
+			Detail: "until the configuration in force has tokens of operators, administration is allowed from the same machine only",
+		}
+	}
+	p, problem := authenticate(tokens, r, authenticator.RoleViewer, authenticator.RoleOperator)
+	if problem != nil {
+		return p, problem
+	}
+	for _, role := range roles {
+		if p.Role == role {
+			return p, nil
+		}
+	}
+	return p, &submitter.Problem{
+		Status: http.StatusForbidden,
+		Title:  "the role does not allow this",
+		Detail: p.Name + " has the role " + string(p.Role),
+	}
+}
+
+// authenticate answers a missing and a wrong token with the same problem.
+func authenticate(tokens *authenticator.Set, r *http.Request, roles ...authenticator.Role) (authenticator.Principal, *submitter.Problem) {
+	refused := &submitter.Problem{
+		Status: http.StatusUnauthorized,
+		Title:  "no valid token",
+		Detail: "the request needs the header Authorization: Bearer with a valid token",
+	}
+	presented, err := authenticator.Bearer(r)
+	if err != nil {
+		return authenticator.Principal{}, refused
+	}
+	p, err := tokens.Authenticate(presented, roles...)
+	if err != nil {
+		return authenticator.Principal{}, refused
+	}
+	return p, nil
+}
+
+func noConfiguration() *submitter.Problem {
+	return &submitter.Problem{
+		Status: http.StatusServiceUnavailable,
+		Title:  "no configuration is in force yet",
+		Detail: "the entry has not learned the operators' configuration",
+	}
+}
--- a/internal/dispatcher/caller.go
+++ b/internal/dispatcher/caller.go
@@ -30,11 +30,14 @@
 func (e *Entry) callerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/services/{service}/jobs", e.serveSubmit)
+	mux.HandleFunc("GET /v1/jobs/{submission}", e.serveJob)
+	mux.HandleFunc("DELETE /v1/jobs/{submission}", e.serveCancelJob)
 	return mux
 }
 
 // serveSubmit takes a job and answers with its outcome.
 func (e *Entry) serveSubmit(w http.ResponseWriter, r *http.Request) {
+	begun := time.Now()
 	request, problem := e.readJob(w, r)
 	if problem != nil {
 		writeProblem(w, problem)
@@ -54,6 +57,7 @@
 	}
 	select {
 	case answer := <-reply:
+		e.answered(request.Job.Service, answer, time.Since(begun))
 		writeAnswer(w, answer)
 	case <-r.Context().Done():
 		e.loop.Post(func(now time.Time) {
@@ -74,11 +78,11 @@
 func (e *Entry) readJob(w http.ResponseWriter, r *http.Request) (*coordinator.Request, *submitter.Problem) {
 	config := e.config.Read()
 	if config == nil {
-		return nil, &submitter.Problem{
-			Status: http.StatusServiceUnavailable,
-			Title:  "no configuration is in force yet",
-			Detail: "the entry has not learned the operators' configuration",
-		}
+		return nil, noConfiguration()
+	}
+	team, problem := e.team(r)
+	if problem != nil {
+		return nil, problem
 	}
 	service, ok := config.Service(r.PathValue("service"))
 	if !ok {
@@ -98,7 +102,7 @@
 	}
 	return &coordinator.Request{
 		Kind:  coordinator.RequestSubmit,
-		Job:   newJob(service, r.Header.Get(submitter.HeaderTeam), id, body),
+		Job:   newJob(service, team, id, body),
 		Fresh: fresh,
 	}, nil
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -12,16 +12,19 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/run"
 	"github.com/phuslu/log"
 
+	"sardinelock.dev/sardinelock/internal/certifier"
 	"sardinelock.dev/sardinelock/internal/configurer"
 	"sardinelock.dev/sardinelock/internal/connector"
 	"sardinelock.dev/sardinelock/internal/controller"
 	"sardinelock.dev/sardinelock/internal/coordinator"
 	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/meter"
 	"sardinelock.dev/sardinelock/internal/registrar"
 	"sardinelock.dev/sardinelock/internal/storer"
 	"sardinelock.dev/sardinelock/internal/timer"
@@ -39,7 +42,12 @@
 	Limits       coordinator.Limits
 	// DrainTimeout bounds how long a shutdown waits for requests in flight.
 	DrainTimeout time.Duration
-	Logger       *log.Logger
+	// Instance names the place of the entry, which a successor takes over; empty
+	// means its data centre and peer address.
+	Instance string
+	// TLS has the certificates of all listeners; nil serves without TLS.
+	TLS    *certifier.Certifier
+	Logger *log.Logger
 }
 
 const (
@@ -59,6 +67,16 @@
 	config controller.Cell[configurer.Config]
 	routes controller.Cell[[]messenger.EntryAddr]
 	owned  controller.Cell[partitionSet]
+	auth   controller.Cell[credentials]
+
+	meter         *meter.Meter
+	peerDialer    *http.Client  // peerDialer dials peers; nil means the default client.
+	stopping      atomic.Bool   // stopping is set once the entry shuts down.
+	drained       atomic.Bool   // drained is set while an operator drains the entry.
+	configVersion atomic.Uint64 // configVersion is the version of config; 0 if none is known.
+	queries       queryTable
+	burn          *burnCounts
+	holds         holds
 
 	// The fields below belong to the control thread.
 	coordinator *coordinator.Coordinator
@@ -82,9 +100,15 @@
 		peers:    make(map[messenger.Peer]*connector.Conn),
 		tickets:  make(map[uint64]chan<- *messenger.Answer),
 		ready:    make(chan struct{}),
+		burn:     newBurnCounts(),
 	}
 	e.background, e.stop = context.WithCancel(context.Background())
 	e.loop = controller.New(e.flush)
+	var err error
+	if e.meter, err = e.newMeter(); err != nil {
+		return nil, err
+	}
+	e.peerDialer = e.peerClient()
 	if err := e.listen(); err != nil {
 		e.closeListeners()
 		return nil, err
@@ -115,9 +139,9 @@
 	var g run.Group
 	loopCtx, stopLoop := context.WithCancel(context.Background())
 	g.Add(func() error { return e.loop.Run(loopCtx) }, func(error) { stopLoop() })
-	e.addServer(&g, e.caller, e.callerHandler())
-	e.addServer(&g, e.peer, e.peerHandler())
-	e.addServer(&g, e.admin, e.adminHandler())
+	e.addServer(&g, e.secure(e.caller, false), e.measured(e.callerHandler()))
+	e.addServer(&g, e.secure(e.peer, true), e.peerHandler())
+	e.addServer(&g, e.secure(e.admin, false), e.adminHandler())
 	drainCtx, cancelDrain := context.WithCancel(ctx)
 	g.Add(func() error { return e.waitAndDrain(drainCtx) }, func(error) { cancelDrain() })
 
@@ -143,6 +167,7 @@
 	e.timers.Subscribe(dialEvery, func(time.Time) { e.dialEntries() })
 	e.timers.Subscribe(configPollEvery, func(time.Time) { e.pollConfig() })
 	go e.pollConfig()
+	e.subscribeAdministration()
 }
 
 // waitAndDrain waits for the end of the context, hands the partitions over and
@@ -150,6 +175,7 @@
 // come over their connections.
 func (e *Entry) waitAndDrain(ctx context.Context) error {
 	<-ctx.Done()
+	e.stopping.Store(true)
 	e.settings.Logger.Info().Str("event", "draining").Msg("entry hands over its partitions and finishes what is in flight")
 	drain, cancel := context.WithTimeout(context.Background(), e.settings.DrainTimeout)
 	defer cancel()
@@ -160,6 +186,7 @@
 		}
 	}
 	e.awaitDrained(drain)
+	e.keepBurn(drain)
 	e.stop()
 	return nil
 }
@@ -195,6 +222,9 @@
 			reply <- a.Answer
 		}
 	}
+	for _, w := range out.Waits {
+		e.meter.Started(w.Service, w.Duration)
+	}
 	for _, r := range out.Reads {
 		go e.storeRead(r)
 	}
@@ -248,6 +278,7 @@
 			e.coordinator.SetPath(s.Name, s.Path)
 		}
 		e.config.Publish(c)
+		e.configVersion.Store(v.Number)
 	})
 }
 
--- /dev/null
+++ b/internal/dispatcher/metrics.go
@@ -0,0 +1,114 @@
+package dispatcher
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/coordinator"
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/meter"
+	"sardinelock.dev/sardinelock/internal/storer"
+)
+
+func (e *Entry) newMeter() (*meter.Meter, error) {
+	s := meter.Sources{
+		Traffic: &e.counts,
+		Busy:    e.loop.Busy,
+		Entry:   e.meterState,
+	}
+	if e.settings.TLS != nil {
+		s.CertificateExpiry = e.settings.TLS.Expiry
+	}
+	m, err := meter.New(meter.Identity{
+		Role:       string(messenger.RoleEntry),
+		Peer:       string(e.settings.Peer),
+		Region:     e.settings.Region,
+		DataCentre: e.settings.DataCentre,
+	}, s)
+	if err != nil {
+		return nil, &Error{Op: "start", Kind: KindInvalid, Err: err}
+	}
+	e.platform.Observe = func(op string, kind storer.Kind) { m.StoreCall(op, string(kind)) }
+	return m, nil
+}
+
+// meterState reads the control state. It must not be called on the control
+// thread.
+func (e *Entry) meterState() meter.EntryState {
+	s := meter.EntryState{
+		ConfigVersion: e.configVersion.Load(),
+		ConfigAge:     -1,
+		Draining:      e.Draining(),
+	}
+	e.loop.Call(func(time.Time) {
+		s.KeptJobs, s.OpenJobs = e.coordinator.JobCounts()
+		s.QueuedTasks = e.coordinator.Queued()
+		s.Partitions = e.coordinator.Owned()
+		addUpstreams(&s, e.coordinator)
+	})
+	return s
+}
+
+func addUpstreams(s *meter.EntryState, c *coordinator.Coordinator) {
+	states := []messenger.UpstreamState{
+		messenger.UpstreamAbsent, messenger.UpstreamServing, messenger.UpstreamLeaving,
+	}
+	counts := make([]int, len(states))
+	for _, u := range c.Upstreams() {
+		s.CreditLimit += u.Credit
+		s.CreditUsed += u.Outstanding
+		for i, state := range states {
+			if u.Capacity.State == state {
+				counts[i]++
+			}
+		}
+	}
+	for i, state := range states {
+		s.Upstreams = append(s.Upstreams, meter.StateCount{State: string(state), Count: counts[i]})
+	}
+	agents, entries := c.PeerCounts()
+	s.Peers = []meter.StateCount{
+		{State: string(messenger.RoleAgent), Count: agents},
+		{State: string(messenger.RoleEntry), Count: entries},
+	}
+}
+
+// answered records the answer to a caller's job.
+func (e *Entry) answered(service string, a *messenger.Answer, took time.Duration) {
+	e.meter.Answered(service, a.Outcome, a.Reason, took)
+	e.recordBurn(service, a, took)
+}
+
+// measured records the duration and status of each request by its route.
+func (e *Entry) measured(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		begun := time.Now()
+		recorder := &statusWriter{ResponseWriter: w, status: http.StatusOK}
+		h.ServeHTTP(recorder, r)
+		e.meter.Request(r.Method, routeOf(r), recorder.status, time.Since(begun))
+	})
+}
+
+// routeOf returns the path pattern that the request matched.
+func routeOf(r *http.Request) string {
+	if _, path, ok := strings.Cut(r.Pattern, " "); ok {
+		return path
+	}
+	return r.Pattern
+}
+
+// statusWriter keeps the status of an answer.
+type statusWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *statusWriter) WriteHeader(status int) {
+	w.status = status
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (w *statusWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- /dev/null
+++ b/internal/dispatcher/parts.go
@@ -0,0 +1,221 @@
+package dispatcher
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+
+	"sardinelock.dev/sardinelock/internal/administrator"
+	"sardinelock.dev/sardinelock/internal/coordinator"
+	"sardinelock.dev/sardinelock/internal/identifier"
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/owner"
+	"sardinelock.dev/sardinelock/pkg/submitter"
+)
+
+// localPart answers a call with this entry's part. It must not be called on the
+// control thread.
+func (e *Entry) localPart(call administrator.Call, body []byte) ([]byte, error) {
+	switch call {
+	case administrator.CallEntry:
+		return encodePart(e.entryPart())
+	case administrator.CallUpstreams:
+		return encodePart(e.upstreamParts())
+	case administrator.CallPartitions:
+		return encodePart(e.partitionParts())
+	case administrator.CallUsage:
+		return encodePart(e.usageParts())
+	case administrator.CallJob, administrator.CallCancelJob:
+		var q administrator.JobQuery
+		if err := json.Unmarshal(body, &q); err != nil {
+			return nil, &Error{Op: "query", Kind: KindInvalid, Err: err}
+		}
+		return encodePart(e.jobPart(q, call == administrator.CallCancelJob))
+	case administrator.CallCancelJobs:
+		var s administrator.Selection
+		if err := json.Unmarshal(body, &s); err != nil {
+			return nil, &Error{Op: "query", Kind: KindInvalid, Err: err}
+		}
+		return encodePart(e.cancelPart(s))
+	case administrator.CallBurn:
+		return e.burnSnapshot().Encode()
+	case administrator.CallHolds:
+		return []byte("null"), e.readHolds(e.background)
+	}
+	return nil, &Error{Op: "query", Kind: KindInvalid, Err: errUnknownCall}
+}
+
+var errUnknownCall = errors.New("this entry does not know the call")
+
+func encodePart(v any) ([]byte, error) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return nil, &Error{Op: "query", Kind: KindInvalid, Err: err}
+	}
+	return b, nil
+}
+
+// knownEntries returns the entries that are known, this one included, sorted.
+func (e *Entry) knownEntries() []messenger.Peer {
+	peers := []messenger.Peer{e.settings.Peer}
+	if known := e.routes.Read(); known != nil {
+		for _, k := range *known {
+			if k.Peer != e.settings.Peer {
+				peers = append(peers, k.Peer)
+			}
+		}
+	}
+	slices.Sort(peers)
+	return peers
+}
+
+func (e *Entry) ownerOf(s identifier.Submission) messenger.Peer {
+	var peer messenger.Peer
+	e.loop.Call(func(time.Time) { peer = e.coordinator.OwnerOf(s.Partition()) })
+	return peer
+}
+
+func (e *Entry) entryPart() administrator.Entry {
+	out := administrator.Entry{
+		Peer:       e.settings.Peer,
+		Region:     e.settings.Region,
+		DataCentre: e.settings.DataCentre,
+		CallerAddr: e.CallerAddr(),
+		PeerAddr:   e.PeerAddr(),
+		AdminAddr:  e.AdminAddr(),
+		State:      administrator.EntryServing,
+	}
+	switch {
+	case e.stopping.Load():
+		out.State = administrator.EntryStopping
+	case e.drained.Load():
+		out.State = administrator.EntryDrained
+	}
+	e.loop.Call(func(time.Time) {
+		out.Partitions = len(e.coordinator.Owned())
+		out.Upstreams, _ = e.coordinator.PeerCounts()
+		kept, open := e.coordinator.JobCounts()
+		out.OpenJobs, out.AnsweredJobs = open, kept-open
+		out.QueuedTasks = e.coordinator.Queued()
+	})
+	return out
+}
+
+func (e *Entry) upstreamParts() []administrator.Upstream {
+	out := []administrator.Upstream{}
+	e.loop.Call(func(time.Time) {
+		for _, u := range e.coordinator.Upstreams() {
+			out = append(out, administrator.Upstream{
+				Peer:        u.Peer,
+				Region:      u.Place.Region,
+				DataCentre:  u.Place.DataCentre,
+				Rack:        u.Place.Rack,
+				State:       u.Capacity.State,
+				Services:    u.Capacity.Services,
+				Slots:       u.Capacity.Slots,
+				Credit:      u.Credit,
+				Outstanding: u.Outstanding,
+				Hold:        u.Hold,
+				SeenBy:      1,
+			})
+		}
+	})
+	return out
+}
+
+func (e *Entry) partitionParts() []administrator.Partition {
+	var (
+		list  []coordinator.PartitionStatus
+		lease coordinator.LeaseStatus
+	)
+	e.loop.Call(func(now time.Time) {
+		list = e.coordinator.Partitions(now)
+		lease = e.coordinator.Lease(now)
+	})
+	out := make([]administrator.Partition, len(list))
+	for i, p := range list {
+		out[i] = administrator.Partition{
+			Partition: p.Partition,
+			Region:    p.Region,
+			Owner:     p.Owner,
+			Epoch:     p.Epoch,
+		}
+		if p.Owner != e.settings.Peer {
+			continue
+		}
+		left := submitter.Duration(lease.Left.Round(time.Millisecond))
+		out[i].Phase = p.Phase
+		out[i].LeaseLeft = &left
+		out[i].Missing = p.Missing
+		if !p.UncertainBefore.IsZero() {
+			until := p.UncertainBefore.UTC()
+			out[i].UncertainBefore = &until
+		}
+	}
+	return out
+}
+
+func (e *Entry) usageParts() []administrator.Usage {
+	out := []administrator.Usage{}
+	e.loop.Call(func(time.Time) {
+		for _, u := range e.coordinator.Usage() {
+			out = append(out, administrator.Usage(u))
+		}
+	})
+	return out
+}
+
+// jobPart finds a job of this entry and cancels it if asked to.
+func (e *Entry) jobPart(q administrator.JobQuery, cancel bool) administrator.JobReply {
+	var (
+		status owner.Status
+		found  bool
+	)
+	e.loop.Call(func(now time.Time) {
+		status, found = e.coordinator.JobStatus(q.Submission)
+		found = found && (q.AnyTeam || visible(&status, q.Team))
+		if !found || !cancel {
+			return
+		}
+		e.coordinator.CancelJob(now, q.Submission)
+		status, _ = e.coordinator.JobStatus(q.Submission)
+	})
+	if !found {
+		return administrator.JobReply{}
+	}
+	state := &submitter.JobState{
+		SubmissionID: status.Submission.String(),
+		Service:      status.Service,
+		Team:         status.Team,
+		State:        status.State,
+		Made:         status.Submission.Time().UTC(),
+		Tasks:        status.Tasks,
+		Waiting:      status.Waiting,
+		Running:      status.Sent,
+		Done:         status.Done,
+	}
+	if status.Answer != nil {
+		state.Answer = answerOf(status.Answer)
+	}
+	return administrator.JobReply{Found: true, State: state}
+}
+
+// visible reports whether a team may see a job. The team of a job that is known
+// from records only is not known; such a job is nobody's.
+func visible(s *owner.Status, team string) bool {
+	return s.State != submitter.StateRecovered && s.Team == team
+}
+
+// cancelPart cancels the open jobs of this entry that are selected.
+func (e *Entry) cancelPart(s administrator.Selection) administrator.Cancelled {
+	var out administrator.Cancelled
+	e.loop.Call(func(now time.Time) {
+		for _, id := range e.coordinator.OpenJobs(s.Service, s.Team) {
+			e.coordinator.CancelJob(now, id)
+			out.Jobs++
+		}
+	})
+	return out
+}
--- a/internal/dispatcher/peer.go
+++ b/internal/dispatcher/peer.go
@@ -24,7 +24,7 @@
 }
 
 func (e *Entry) connOptions() connector.Options {
-	return connector.Options{Hello: e.hello, Counts: &e.counts}
+	return connector.Options{Hello: e.hello, Counts: &e.counts, Client: e.peerDialer}
 }
 
 func (e *Entry) hello() messenger.Hello {
@@ -56,6 +56,7 @@
 	stop := context.AfterFunc(e.background, conn.Close)
 	defer stop()
 	err := conn.Run(func(f *messenger.Frame) {
+		e.receiveQueries(conn, f)
 		e.loop.Post(func(now time.Time) {
 			if e.peers[peer] == conn {
 				e.coordinator.Receive(now, peer, f)
@@ -93,7 +94,7 @@
 }
 
 func (e *Entry) dial(addr netip.AddrPort) {
-	conn, err := connector.Dial(e.background, "ws://"+addr.String()+connector.Path, e.connOptions())
+	conn, err := connector.Dial(e.background, e.peerURL(addr.String()), e.connOptions())
 	if err != nil {
 		return
 	}
--- a/internal/owner/job.go
+++ b/internal/owner/job.go
@@ -46,7 +46,9 @@
 	cancelled  bool // cancelled means that an agent has barred further starts.
 	answerLost bool // answerLost means that the results were given to a request and dropped.
 	foreign    bool // foreign means that an agent has seen a higher epoch.
-	bytes      int  // bytes is what the job adds to Owner.bytes.
+	firstSent  bool // firstSent means that a task was sent since the job was begun.
+	begun      time.Time
+	bytes      int // bytes is what the job adds to Owner.bytes.
 }
 
 // waiter is a request that waits.
--- a/internal/owner/lifecycle.go
+++ b/internal/owner/lifecycle.go
@@ -234,6 +234,7 @@
 // begin opens a job with its specification.
 func (o *Owner) begin(now time.Time, j *job, in Job) {
 	j.phase = phaseOpen
+	j.begun = now
 	j.spec = in
 	j.spec.digest = j.digest
 	j.grow(len(in.Tasks))
--- /dev/null
+++ b/internal/owner/status.go
@@ -0,0 +1,124 @@
+package owner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/identifier"
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/pkg/submitter"
+)
+
+// Status is what an owner tells about one job.
+type Status struct {
+	Submission identifier.Submission
+	// Service and Team are empty for a job that is known from records only.
+	Service, Team string
+	State         submitter.State
+	// Tasks, Waiting, Sent and Done are the numbers of tasks of an open job: all,
+	// those that wait for a place, those at an agent, and those done.
+	Tasks, Waiting, Sent, Done int
+	// Answer is set exactly if the state is answered.
+	Answer *messenger.Answer
+}
+
+// Usage is what the jobs of one service and team amount to.
+type Usage struct {
+	Service, Team          string
+	OpenJobs, AnsweredJobs int
+	// WaitingTasks wait for a place; SentTasks are at an agent.
+	WaitingTasks, SentTasks int
+}
+
+// Status returns the status of a job that is kept.
+func (o *Owner) Status(s identifier.Submission) (Status, bool) {
+	j := o.jobs[s]
+	if j == nil {
+		return Status{}, false
+	}
+	out := Status{
+		Submission: s,
+		Service:    j.spec.Service,
+		Team:       j.spec.Team,
+		State:      submitter.State(j.phase),
+		Tasks:      len(j.tasks),
+		Waiting:    j.inState(taskWaiting),
+		Sent:       j.inState(taskSent),
+		Done:       j.inState(taskDone),
+	}
+	if j.phase == phaseAnswered {
+		out.Answer = j.answer
+	}
+	return out, true
+}
+
+// Usage returns the usage of each service and team that has jobs, sorted by
+// service and then by team.
+func (o *Owner) Usage() []Usage {
+	index := make(map[[2]string]int)
+	var out []Usage
+	for _, j := range o.jobs {
+		key := [2]string{j.spec.Service, j.spec.Team}
+		i, ok := index[key]
+		if !ok {
+			i = len(out)
+			index[key] = i
+			out = append(out, Usage{Service: key[0], Team: key[1]})
+		}
+		if j.phase != phaseOpen {
+			out[i].AnsweredJobs++
+			continue
+		}
+		out[i].OpenJobs++
+		out[i].WaitingTasks += j.inState(taskWaiting)
+		out[i].SentTasks += j.inState(taskSent)
+	}
+	slices.SortFunc(out, func(a, b Usage) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Team, b.Team))
+	})
+	return out
+}
+
+// Open returns the open jobs of a service and a team in the order of their ids.
+// An empty name stands for all.
+func (o *Owner) Open(service, team string) []identifier.Submission {
+	jobs := o.sortedJobs(func(j *job) bool {
+		return j.phase == phaseOpen &&
+			(service == "" || service == j.spec.Service) &&
+			(team == "" || team == j.spec.Team)
+	})
+	var out []identifier.Submission
+	for _, j := range jobs {
+		out = append(out, j.spec.Submission)
+	}
+	return out
+}
+
+// CancelAny ends a job without an answer, whatever team it belongs to.
+func (o *Owner) CancelAny(now time.Time, s identifier.Submission) {
+	if j := o.jobs[s]; j != nil {
+		o.Cancel(now, s, j.spec.Team)
+	}
+}
+
+// FirstSend records that tasks of a job are sent. It returns how long the job
+// has waited for that, and false if tasks of it were sent before.
+func (o *Owner) FirstSend(now time.Time, s identifier.Submission) (time.Duration, bool) {
+	j := o.jobs[s]
+	if j == nil || j.firstSent {
+		return 0, false
+	}
+	j.firstSent = true
+	return now.Sub(j.begun), true
+}
+
+func (j *job) inState(s taskState) int {
+	n := 0
+	for i := range j.tasks {
+		if j.tasks[i].state == s {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -80,6 +80,7 @@
 	queues map[string][]*queued
 	jobs   map[identifier.Submission]*queued
 	queue  int // queue is the number of tasks that wait.
+	holds  map[messenger.Peer]Hold
 }
 
 type agent struct {
@@ -87,6 +88,7 @@
 	place    Place
 	capacity messenger.Capacity
 	credit   int
+	hold     Hold
 	// sent has the tasks that are outstanding at the agent with their needs.
 	sent map[taskRef]Need
 	// freeMemory and freeAccelerators are what the outstanding tasks leave.
@@ -120,7 +122,7 @@
 // AgentUp adds an agent, which serves nothing until its capacity is set.
 func (p *Placer) AgentUp(_ time.Time, peer messenger.Peer, place Place) {
 	p.AgentDown(time.Time{}, peer)
-	a := &agent{peer: peer, place: place, sent: make(map[taskRef]Need)}
+	a := &agent{peer: peer, place: place, hold: p.holds[peer], sent: make(map[taskRef]Need)}
 	p.agents[peer] = a
 	p.order = append(p.order, a)
 }
@@ -305,7 +307,7 @@
 }
 
 func (a *agent) serves(service string) bool {
-	return a.capacity.State == messenger.UpstreamServing && slices.Contains(a.capacity.Services, service)
+	return a.hold == "" && a.capacity.State == messenger.UpstreamServing && slices.Contains(a.capacity.Services, service)
 }
 
 func (a *agent) free() int { return a.credit - len(a.sent) }
--- /dev/null
+++ b/internal/placer/status.go
@@ -0,0 +1,63 @@
+package placer
+
+import (
+	"slices"
+
+	"sardinelock.dev/sardinelock/internal/messenger"
+)
+
+// Hold says that an operator keeps an upstream from new work. The empty hold
+// lets it work.
+type Hold string
+
+// The holds.
+const (
+	HoldDrained Hold = "drained" // The upstream finishes what runs and gets nothing new.
+	HoldEjected Hold = "ejected" // The upstream is taken out as if it had failed.
+)
+
+// UpstreamStatus is what a placer tells about one agent and its upstream.
+type UpstreamStatus struct {
+	Peer     messenger.Peer
+	Place    Place
+	Capacity messenger.Capacity
+	// Credit is the number of tasks that this entry may have outstanding there;
+	// Outstanding is the number that it has.
+	Credit, Outstanding int
+	Hold                Hold
+}
+
+// Upstreams returns the status of every connected agent, sorted by name.
+func (p *Placer) Upstreams() []UpstreamStatus {
+	out := make([]UpstreamStatus, 0, len(p.order))
+	for _, a := range p.order {
+		out = append(out, UpstreamStatus{
+			Peer:        a.peer,
+			Place:       a.place,
+			Capacity:    a.capacity,
+			Credit:      a.credit,
+			Outstanding: len(a.sent),
+			Hold:        a.hold,
+		})
+	}
+	slices.SortFunc(out, func(a, b UpstreamStatus) int { return compare(a.Peer, b.Peer) })
+	return out
+}
+
+// SetHolds replaces the holds of all agents, connected or not.
+func (p *Placer) SetHolds(holds map[messenger.Peer]Hold) {
+	p.holds = holds
+	for _, a := range p.order {
+		a.hold = holds[a.peer]
+	}
+}
+
+func compare(a, b messenger.Peer) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/reporter/plot.go
@@ -0,0 +1,121 @@
+package reporter
+
+import (
+	"bytes"
+	"image/color"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"sardinelock.dev/sardinelock/internal/configurer"
+)
+
+const (
+	plotWidth  = 24 * vg.Centimeter
+	plotHeight = 10 * vg.Centimeter
+	// plotSpan and plotStep are those of the middle tier.
+	plotSpan = 6 * time.Hour
+	plotStep = 5 * time.Minute
+	// plotLines bounds the objectives that are drawn; the fastest come first.
+	plotLines = 6
+)
+
+// palette has colours that are told apart by people who see colours otherwise.
+var palette = [plotLines]color.Color{
+	color.RGBA{0x00, 0x72, 0xb2, 0xff},
+	color.RGBA{0xd5, 0x5e, 0x00, 0xff},
+	color.RGBA{0x00, 0x9e, 0x73, 0xff},
+	color.RGBA{0xcc, 0x79, 0xa7, 0xff},
+	color.RGBA{0xe6, 0x9f, 0x00, 0xff},
+	color.RGBA{0x56, 0xb4, 0xe9, 0xff},
+}
+
+// Plot draws the burn rate of the fastest objectives over the last six hours as
+// an SVG image. It returns an error of kind [KindPlot] if it cannot be drawn.
+func Plot(r *Report, services []configurer.Service, counts *Snapshot) ([]byte, error) {
+	p := plot.New()
+	p.Title.Text = "Burn rate over the last 6 hours, in steps of 5 minutes"
+	p.X.Label.Text = "hours before the report"
+	p.Y.Label.Text = "burn rate"
+	p.X.Min, p.X.Max = -plotSpan.Hours(), 0
+	p.Legend.Top = true
+	p.Legend.Left = true
+	p.Add(plotter.NewGrid())
+	highest := 1.0
+	for i := range min(plotLines, len(r.Objectives)) {
+		b := &r.Objectives[i]
+		points := curve(r.Made, b, services, counts)
+		for _, xy := range points {
+			highest = max(highest, xy.Y)
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return nil, &Error{Op: "plot", Kind: KindPlot, Err: err}
+		}
+		line.Color = palette[i]
+		line.Width = vg.Points(1.5)
+		p.Add(line)
+		p.Legend.Add(b.Service+" "+string(b.Objective), line)
+	}
+	addThresholds(p, highest)
+	p.Y.Min = 0
+	p.Y.Max = highest * 1.15
+	return render(p)
+}
+
+// addThresholds draws a line at each threshold that lies within the plot.
+func addThresholds(p *plot.Plot, highest float64) {
+	for _, t := range pairs {
+		if t.threshold > highest {
+			continue
+		}
+		line, err := plotter.NewLine(plotter.XYs{{X: -plotSpan.Hours(), Y: t.threshold}, {X: 0, Y: t.threshold}})
+		if err != nil {
+			continue
+		}
+		line.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
+		line.Color = color.Gray{0x60}
+		p.Add(line)
+		p.Legend.Add("threshold of "+string(t.level), line)
+	}
+}
+
+func render(p *plot.Plot) ([]byte, error) {
+	w, err := p.WriterTo(plotWidth, plotHeight, "svg")
+	if err != nil {
+		return nil, &Error{Op: "plot", Kind: KindPlot, Err: err}
+	}
+	var buf bytes.Buffer
+	if _, err := w.WriteTo(&buf); err != nil {
+		return nil, &Error{Op: "plot", Kind: KindPlot, Err: err}
+	}
+	return buf.Bytes(), nil
+}
+
+// curve returns the burn rate of each step, the oldest first.
+func curve(now time.Time, b *Burn, services []configurer.Service, counts *Snapshot) plotter.XYs {
+	var service *configurer.Service
+	for i := range services {
+		if services[i].Name == b.Service {
+			service = &services[i]
+		}
+	}
+	buckets := make(map[int64]*Bucket)
+	if c := counts.service(b.Service); len(c.Tiers) > 1 {
+		for i := range c.Tiers[1] {
+			buckets[c.Tiers[1][i].Start] = &c.Tiers[1][i]
+		}
+	}
+	var out plotter.XYs
+	last := now.Truncate(plotStep)
+	for at := last.Add(-plotSpan); !at.After(last); at = at.Add(plotStep) {
+		xy := plotter.XY{X: max(at.Sub(now).Hours(), -plotSpan.Hours())}
+		if bucket := buckets[at.Unix()]; bucket != nil && service != nil {
+			xy.Y = rate(service, b.Objective, bucket)
+		}
+		out = append(out, xy)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/reporter/recorder.go
@@ -0,0 +1,202 @@
+// Package reporter says how fast each service uses up its error budget.
+//
+// Every answered job is an [Event] that is good or bad for each of the service's
+// two objectives, latency and success. A [Recorder] counts events in buckets of
+// three widths, so that windows from five minutes to thirty days can be summed at
+// bounded memory. A [Snapshot] is a recorder's content, as it goes to other
+// entries and to the object store; the snapshots of several entries add up. A
+// [Report] is what a snapshot says about the objectives at a time.
+//
+// The package does no I/O and reads no clock: every call is given the time.
+package reporter
+
+import (
+	"slices"
+	"time"
+
+	"sardinelock.dev/sardinelock/pkg/submitter"
+)
+
+// tier is a width of buckets and the time for which they are kept.
+type tier struct {
+	width, kept time.Duration
+}
+
+// tiers are ordered by width. A window is summed in the first tier that keeps
+// enough.
+var tiers = [...]tier{
+	{30 * time.Second, time.Hour},
+	{5 * time.Minute, 6 * time.Hour},
+	{6 * time.Hour, MaxWindow},
+}
+
+// MaxWindow is the longest window that a report can look at.
+const MaxWindow = 30 * 24 * time.Hour
+
+// Event is one answered job.
+type Event struct {
+	Service string
+	Outcome submitter.Outcome
+	Reason  submitter.Reason
+	// Slow says that the job was complete but later than the objective.
+	Slow bool
+}
+
+// Recorder counts events.
+type Recorder struct {
+	services map[string]*series
+}
+
+// series is the events of one service; its tiers are those of the package.
+type series struct {
+	tiers [len(tiers)][]Bucket // Buckets are in order of their start.
+}
+
+// Bucket counts the events of one span of time.
+type Bucket struct {
+	// Start is a multiple of the tier's width, as Unix time in seconds.
+	Start int64 `json:"start"`
+	// Jobs counts the events that concern the objectives.
+	Jobs uint64 `json:"jobs"`
+	// Slow counts those of Jobs that were complete but too late.
+	Slow uint64 `json:"slow,omitempty"`
+	// Excluded counts events that are the caller's doing; they are not in Jobs.
+	Excluded uint64 `json:"excluded,omitempty"`
+	// Bad counts those of Jobs that were not complete, sorted by reason.
+	Bad []ReasonCount `json:"bad,omitempty"`
+}
+
+// ReasonCount counts the events of one reason.
+type ReasonCount struct {
+	Reason submitter.Reason `json:"reason"`
+	Count  uint64           `json:"count"`
+}
+
+// excluded lists the reasons that are the caller's doing and do not use up the
+// error budget of a service.
+var excluded = []submitter.Reason{
+	submitter.ReasonCancelled,
+	submitter.ReasonNeverFits,
+	submitter.ReasonQuotaExceeded,
+	submitter.ReasonStale,
+	submitter.ReasonFuture,
+	submitter.ReasonDuplicateRequest,
+	submitter.ReasonConflictingRequest,
+}
+
+// New returns a recorder without events.
+func New() *Recorder {
+	return &Recorder{services: make(map[string]*series)}
+}
+
+// Record counts an event.
+func (r *Recorder) Record(now time.Time, e Event) {
+	s := r.series(e.Service)
+	for i := range tiers {
+		s.bucket(i, now).add(&e)
+	}
+}
+
+// Snapshot returns the content of the recorder.
+func (r *Recorder) Snapshot(now time.Time) *Snapshot {
+	out := &Snapshot{Taken: now}
+	for name, s := range r.services {
+		s.prune(now)
+		row := ServiceCounts{Service: name}
+		for i := range tiers {
+			row.Tiers = append(row.Tiers, cloneBuckets(s.tiers[i]))
+		}
+		out.Services = append(out.Services, row)
+	}
+	sortServices(out.Services)
+	return out
+}
+
+// Load adds the content of a predecessor's snapshot.
+func (r *Recorder) Load(now time.Time, s *Snapshot) {
+	for i := range s.Services {
+		row := &s.Services[i]
+		into := r.series(row.Service)
+		for j := range min(len(tiers), len(row.Tiers)) {
+			into.tiers[j] = mergeBuckets(into.tiers[j], row.Tiers[j])
+		}
+		into.prune(now)
+	}
+}
+
+func (r *Recorder) series(service string) *series {
+	s := r.services[service]
+	if s == nil {
+		s = new(series)
+		r.services[service] = s
+	}
+	return s
+}
+
+// bucket returns the bucket of a tier that the time falls into. A time before the
+// newest bucket counts in the newest: clocks may step back.
+func (s *series) bucket(i int, now time.Time) *Bucket {
+	start := now.Truncate(tiers[i].width).Unix()
+	list := s.tiers[i]
+	if n := len(list); n > 0 && list[n-1].Start >= start {
+		return &list[n-1]
+	}
+	s.prune(now)
+	s.tiers[i] = append(s.tiers[i], Bucket{Start: start})
+	return &s.tiers[i][len(s.tiers[i])-1]
+}
+
+// prune drops the buckets that no window reaches any more.
+func (s *series) prune(now time.Time) {
+	for i, t := range tiers {
+		oldest := now.Add(-t.kept - t.width).Unix()
+		n := 0
+		for n < len(s.tiers[i]) && s.tiers[i][n].Start <= oldest {
+			n++
+		}
+		s.tiers[i] = slices.Delete(s.tiers[i], 0, n)
+	}
+}
+
+func (b *Bucket) add(e *Event) {
+	switch {
+	case slices.Contains(excluded, e.Reason):
+		b.Excluded++
+		return
+	case e.Outcome != submitter.OutcomeComplete:
+		b.addBad(e.Reason, 1)
+	case e.Slow:
+		b.Slow++
+	}
+	b.Jobs++
+}
+
+func (b *Bucket) addBad(reason submitter.Reason, n uint64) {
+	for i := range b.Bad {
+		if b.Bad[i].Reason == reason {
+			b.Bad[i].Count += n
+			return
+		}
+	}
+	b.Bad = append(b.Bad, ReasonCount{Reason: reason, Count: n})
+	slices.SortFunc(b.Bad, func(x, y ReasonCount) int { return compareText(string(x.Reason), string(y.Reason)) })
+}
+
+// merge adds the counts of another bucket.
+func (b *Bucket) merge(o *Bucket) {
+	b.Jobs += o.Jobs
+	b.Slow += o.Slow
+	b.Excluded += o.Excluded
+	for _, c := range o.Bad {
+		b.addBad(c.Reason, c.Count)
+	}
+}
+
+// failures returns the number of jobs that were not complete.
+func (b *Bucket) failures() uint64 {
+	var n uint64
+	for _, c := range b.Bad {
+		n += c.Count
+	}
+	return n
+}
--- a/pkg/submitter/client.go
+++ b/pkg/submitter/client.go
@@ -17,6 +17,7 @@
 	entries []netip.AddrPort
 	team    string
 	token   string
+	tls     bool
 	http    *http.Client
 	// Sleep is the seam for the pause between tries; tests replace it.
 	Sleep func(ctx context.Context, d time.Duration)
@@ -30,6 +31,8 @@
 	Team string
 	// Token is the team's bearer token; empty sends none.
 	Token string
+	// TLS says that the entries serve with TLS. HTTP brings the authorities then.
+	TLS bool
 	// HTTP is the client to use; nil means one of the package's own.
 	HTTP *http.Client
 }
@@ -41,7 +44,7 @@
 
 // New returns a client. Options.Entries must not be empty.
 func New(o Options) *Client {
-	c := &Client{entries: o.Entries, team: o.Team, token: o.Token, http: o.HTTP, Sleep: sleep}
+	c := &Client{entries: o.Entries, team: o.Team, token: o.Token, tls: o.TLS, http: o.HTTP, Sleep: sleep}
 	if c.http == nil {
 		c.http = &http.Client{}
 	}
@@ -91,19 +94,14 @@
 
 func (c *Client) submitOnce(ctx context.Context, entry netip.AddrPort, service, id string, body []byte) (Answer, error) {
 	const op = "submit"
-	url := "http://" + entry.String() + "/v1/services/" + service + "/jobs"
+	url := c.url(entry) + "/v1/services/" + service + "/jobs"
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return Answer{}, &Error{Op: op, Kind: KindInvalid, Err: err}
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(HeaderSubmissionID, id)
-	if c.team != "" {
-		req.Header.Set(HeaderTeam, c.team)
-	}
-	if c.token != "" {
-		req.Header.Set("Authorization", "Bearer "+c.token)
-	}
+	c.identify(req)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return Answer{}, &Error{Op: op, Kind: KindUnreachable, Err: err}
@@ -116,6 +114,24 @@
 	return decodeAnswer(op, resp, text)
 }
 
+// identify says who the caller is.
+func (c *Client) identify(req *http.Request) {
+	if c.team != "" {
+		req.Header.Set(HeaderTeam, c.team)
+	}
+	if c.token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.token)
+	}
+}
+
+// url returns the base of an entry's URLs.
+func (c *Client) url(entry netip.AddrPort) string {
+	if c.tls {
+		return "https://" + entry.String()
+	}
+	return "http://" + entry.String()
+}
+
 func decodeAnswer(op string, resp *http.Response, text []byte) (Answer, error) {
 	if resp.Header.Get("Content-Type") == "application/problem+json" {
 		var p Problem
