Add the operators' commands and the settings for TLS and tokens

Cause: the administration API had no commands, and a listener could face a network without TLS. The announcements of an upstream beside its agent stay plain on loopback. Scripts run the commands against a system within the test, with golden output. Conclusion: every command has a scripted case; TLS, tokens of operators and silent entries still need theirs.

--- /dev/null
+++ b/cmd/sardinelock/cmd/admin.go
@@ -0,0 +1,165 @@
+package cmd
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/netip"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+
+	"sardinelock.dev/sardinelock/internal/administrator"
+)
+
+// outputFormat says how a command prints.
+type outputFormat string
+
+const (
+	outputTable outputFormat = "table"
+	outputJSON  outputFormat = "json"
+	outputHTML  outputFormat = "html"
+)
+
+// adminFlags are the settings of a command that calls the administration API.
+type adminFlags struct {
+	clientFlags
+	addrs   []netip.AddrPort
+	output  string
+	formats []outputFormat
+}
+
+func (a *adminFlags) register(f *pflag.FlagSet, formats ...outputFormat) {
+	a.formats = append([]outputFormat{outputTable, outputJSON}, formats...)
+	f.Var(addrsFlag{&a.addrs}, "admin", "administration addresses of entries; they are tried in order")
+	f.StringVar(&a.output, "output", string(outputTable), "form of the output: "+a.choices())
+	a.clientFlags.register(f)
+}
+
+func (a *adminFlags) choices() string {
+	var names []string
+	for _, f := range a.formats {
+		names = append(names, string(f))
+	}
+	return strings.Join(names, ", ")
+}
+
+func (a *adminFlags) faults() []string {
+	var faults []string
+	if len(a.addrs) == 0 {
+		faults = append(faults, "--admin must be set")
+	}
+	for _, f := range a.formats {
+		if a.output == string(f) {
+			return faults
+		}
+	}
+	return append(faults, "--output must be one of "+a.choices()+", not "+a.output)
+}
+
+// client checks the settings and returns a client.
+func (a *adminFlags) client() (*administrator.Client, error) {
+	if err := usageFaults(a.faults()); err != nil {
+		return nil, err
+	}
+	token, err := a.token()
+	if err != nil {
+		return nil, err
+	}
+	http, err := a.clientFlags.client()
+	if err != nil {
+		return nil, err
+	}
+	return administrator.NewClient(administrator.ClientOptions{
+		Addrs: a.addrs,
+		Token: token,
+		TLS:   a.tls(),
+		HTTP:  http,
+	}), nil
+}
+
+// list gets a listing and prints it. Entries that did not answer are named on
+// standard error.
+func list[T any](c *cobra.Command, a *adminFlags, path string, header []string, row func(T) []string) error {
+	client, err := a.client()
+	if err != nil {
+		return err
+	}
+	var l administrator.Listing[T]
+	if err := client.Get(c.Context(), path, &l); err != nil {
+		return err
+	}
+	if a.output == string(outputJSON) {
+		return printJSON(c.OutOrStdout(), l)
+	}
+	rows := make([][]string, len(l.Items))
+	for i, item := range l.Items {
+		rows[i] = row(item)
+	}
+	printSilent(c.ErrOrStderr(), l.Silent)
+	return printTable(c.OutOrStdout(), header, rows)
+}
+
+func printSilent(w io.Writer, silent []administrator.Silent) {
+	for _, s := range silent {
+		fmt.Fprintf(w, "no answer from %s: %s\n", s.Entry, s.Detail)
+	}
+}
+
+func printJSON(w io.Writer, v any) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	if err := enc.Encode(v); err != nil {
+		return errors.Trace(err)
+	}
+	return nil
+}
+
+// printTable prints columns that are two spaces apart. An empty cell is a dash.
+func printTable(w io.Writer, header []string, rows [][]string) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, strings.Join(header, "\t"))
+	for _, row := range rows {
+		for i := range row {
+			if row[i] == "" {
+				row[i] = "-"
+			}
+		}
+		fmt.Fprintln(t, strings.Join(row, "\t"))
+	}
+	return errors.Trace(t.Flush())
+}
+
+// changeFlags are the settings of a command that makes a change.
+type changeFlags struct {
+	adminFlags
+	changeID string
+}
+
+func (f *changeFlags) register(flags *pflag.FlagSet) {
+	f.adminFlags.register(flags)
+	flags.StringVar(&f.changeID, "change-id", "", "UUID that names the change, so that repeating it does nothing twice (default: a new one)")
+}
+
+// print prints changes that were made.
+func (f *changeFlags) print(c *cobra.Command, changes []administrator.Changed) error {
+	for i := range changes {
+		printSilent(c.ErrOrStderr(), changes[i].Silent)
+	}
+	if f.output == string(outputJSON) {
+		return printJSON(c.OutOrStdout(), changes)
+	}
+	rows := make([][]string, len(changes))
+	for i, ch := range changes {
+		detail := ch.Detail
+		if ch.Repeated {
+			detail += " (made before, at " + ch.At.Format(time.RFC3339) + ")"
+		}
+		rows[i] = []string{ch.ChangeID, string(ch.Action), ch.Target, ch.By, detail}
+	}
+	return printTable(c.OutOrStdout(), []string{"CHANGE", "ACTION", "TARGET", "BY", "RESULT"}, rows)
+}
--- a/cmd/sardinelock/cmd/agent.go
+++ b/cmd/sardinelock/cmd/agent.go
@@ -10,7 +10,10 @@
 )
 
 func newAgentCommand() *cobra.Command {
-	var site siteFlags
+	var (
+		site   siteFlags
+		secure serverTLSFlags
+	)
 	s := agent.Settings{
 		Listen:       netip.MustParseAddrPort("127.0.0.1:7410"),
 		DrainTimeout: drainTimeout,
@@ -32,9 +35,14 @@
 			if s.DrainTimeout <= 0 {
 				faults = append(faults, "--drain-timeout must be positive")
 			}
+			faults = append(faults, secure.faults(s.Listen)...)
 			if err := usageFaults(faults); err != nil {
 				return err
 			}
+			var err error
+			if s.TLS, err = secure.certifier(); err != nil {
+				return err
+			}
 			s.Peer = newPeer(messenger.RoleAgent)
 			s.Region = site.region
 			s.DataCentre = site.dataCentre
@@ -49,6 +57,7 @@
 	}
 	f := c.Flags()
 	site.register(f)
+	secure.register(f)
 	f.StringVar(&s.Rack, "rack", "default", "rack of this process")
 	f.Var(addrFlag{&s.Listen}, "listen", "address for announcements of the upstream")
 	f.Var(addrsFlag{&s.Entries}, "entry", "peer addresses of some entries")
--- a/cmd/sardinelock/cmd/entry.go
+++ b/cmd/sardinelock/cmd/entry.go
@@ -10,7 +10,10 @@
 )
 
 func newEntryCommand() *cobra.Command {
-	var site siteFlags
+	var (
+		site   siteFlags
+		secure serverTLSFlags
+	)
 	s := dispatcher.Settings{
 		CallerListen: netip.MustParseAddrPort("127.0.0.1:7400"),
 		PeerListen:   netip.MustParseAddrPort("127.0.0.1:7401"),
@@ -35,9 +38,14 @@
 			if s.DrainTimeout <= 0 {
 				faults = append(faults, "--drain-timeout must be positive")
 			}
+			faults = append(faults, secure.faults(s.CallerListen, s.PeerListen, s.AdminListen)...)
 			if err := usageFaults(faults); err != nil {
 				return err
 			}
+			var err error
+			if s.TLS, err = secure.certifier(); err != nil {
+				return err
+			}
 			s.Peer = newPeer(messenger.RoleEntry)
 			s.Region = site.region
 			s.DataCentre = site.dataCentre
@@ -52,6 +60,8 @@
 	}
 	f := c.Flags()
 	site.register(f)
+	secure.register(f)
+	f.StringVar(&s.Instance, "instance", "", "name of the place of this entry, which its successor has as well (default: data centre and peer address)")
 	f.Var(addrFlag{&s.CallerListen}, "caller-listen", "address for callers")
 	f.Var(addrFlag{&s.PeerListen}, "peer-listen", "address for agents and other entries")
 	f.Var(addrFlag{&s.AdminListen}, "admin-listen", "address for administration and metrics")
--- a/cmd/sardinelock/cmd/root.go
+++ b/cmd/sardinelock/cmd/root.go
@@ -68,6 +68,13 @@
 		newAgentCommand(),
 		newDevCommand(),
 		newSubmitCommand(),
+		newJobCommand(),
+		newUpstreamCommand(),
+		newEntriesCommand(),
+		newTeamCommand(),
+		newServiceCommand(),
+		newPartitionCommand(),
+		newReportCommand(),
 	)
 	return root
 }
--- a/cmd/sardinelock/cmd/submit.go
+++ b/cmd/sardinelock/cmd/submit.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"io"
-	"net/netip"
 	"os"
 	"time"
 
@@ -16,9 +15,8 @@
 
 func newSubmitCommand() *cobra.Command {
 	var (
-		entries           []netip.AddrPort
+		caller            callerFlags
 		service, file, id string
-		team              string
 		deadline          time.Duration
 	)
 	c := &cobra.Command{
@@ -30,10 +28,7 @@
 		Example: `  sardinelock submit --entry 127.0.0.1:7400 --service quote --file examples/quote.json`,
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			var faults []string
-			if len(entries) == 0 {
-				faults = append(faults, "--entry must be set")
-			}
+			faults := caller.faults()
 			if service == "" {
 				faults = append(faults, "--service must be set")
 			}
@@ -50,7 +45,10 @@
 			if deadline > 0 {
 				job.Deadline = submitter.Duration(deadline)
 			}
-			client := submitter.New(submitter.Options{Entries: entries, Team: team})
+			client, err := caller.client()
+			if err != nil {
+				return err
+			}
 			answer, err := client.Submit(c.Context(), service, id, *job)
 			if err != nil {
 				return err
@@ -59,11 +57,10 @@
 		},
 	}
 	f := c.Flags()
-	f.Var(addrsFlag{&entries}, "entry", "callers' addresses of entries")
+	caller.register(f)
 	f.StringVar(&service, "service", "", "name of the service")
 	f.StringVar(&file, "file", "", "file with the job, as JSON")
 	f.StringVar(&id, "submission-id", "", "submission id to use (default: a new one)")
-	f.StringVar(&team, "team", "", "team of the caller")
 	f.DurationVar(&deadline, "deadline", 0, "deadline of the job (default: the job's or the service's)")
 	return c
 }
--- /dev/null
+++ b/internal/administrator/client.go
@@ -0,0 +1,121 @@
+package administrator
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+
+	"github.com/juju/errors"
+
+	"sardinelock.dev/sardinelock/pkg/submitter"
+)
+
+// maxAnswerBytes bounds an answer of the administration API.
+const maxAnswerBytes = 64 << 20
+
+// Client calls the administration API.
+type Client struct {
+	o ClientOptions
+}
+
+// ClientOptions describe a client.
+type ClientOptions struct {
+	// Addrs are the administration addresses of entries; they are tried in order.
+	Addrs []netip.AddrPort
+	// Token is the operator's bearer token; empty sends none.
+	Token string
+	// TLS says that the addresses serve with TLS. HTTP brings the authorities then.
+	TLS bool
+	// HTTP is the client to use.
+	HTTP *http.Client
+}
+
+// NewClient returns a client. ClientOptions.Addrs must not be empty.
+func NewClient(o ClientOptions) *Client { return &Client{o: o} }
+
+// Get reads a path into out, as JSON.
+func (c *Client) Get(ctx context.Context, path string, out any) error {
+	text, err := c.call(ctx, http.MethodGet, path, "")
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(text, out); err != nil {
+		return &Error{Op: "get", Kind: KindAnswer, Err: err}
+	}
+	return nil
+}
+
+// Text reads a path as it is.
+func (c *Client) Text(ctx context.Context, path string) ([]byte, error) {
+	return c.call(ctx, http.MethodGet, path, "")
+}
+
+// Change makes a change under a change id. A lost answer is resolved by trying
+// the next address with the same id.
+func (c *Client) Change(ctx context.Context, path, changeID string) (Changed, error) {
+	var out Changed
+	text, err := c.call(ctx, http.MethodPost, path, changeID)
+	if err != nil {
+		return out, err
+	}
+	if err := json.Unmarshal(text, &out); err != nil {
+		return out, &Error{Op: "change", Kind: KindAnswer, Err: err}
+	}
+	return out, nil
+}
+
+func (c *Client) call(ctx context.Context, method, path, changeID string) ([]byte, error) {
+	var err error
+	for _, addr := range c.o.Addrs {
+		var text []byte
+		text, err = c.callOne(ctx, addr, method, path, changeID)
+		if KindOf(err) != KindUnreachable {
+			return text, err
+		}
+	}
+	return nil, err
+}
+
+func (c *Client) callOne(ctx context.Context, addr netip.AddrPort, method, path, changeID string) ([]byte, error) {
+	const op = "call"
+	scheme := "http://"
+	if c.o.TLS {
+		scheme = "https://"
+	}
+	req, err := http.NewRequestWithContext(ctx, method, scheme+addr.String()+path, nil)
+	if err != nil {
+		return nil, &Error{Op: op, Kind: KindAnswer, Err: err}
+	}
+	if c.o.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.o.Token)
+	}
+	if changeID != "" {
+		req.Header.Set(HeaderChangeID, changeID)
+	}
+	resp, err := c.o.HTTP.Do(req)
+	if err != nil {
+		return nil, &Error{Op: op, Kind: KindUnreachable, Err: err}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, &Error{Op: op, Kind: KindUnreachable, Err: err}
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, rejected(op, resp.StatusCode, text)
+	}
+	return text, nil
+}
+
+func rejected(op string, status int, text []byte) error {
+	var p submitter.Problem
+	if json.Unmarshal(text, &p) != nil || p.Title == "" {
+		return &Error{Op: op, Kind: KindRejected, Err: errors.Errorf("status %d", status)}
+	}
+	if p.Detail == "" {
+		return &Error{Op: op, Kind: KindRejected, Err: errors.Errorf("status %d: %s", status, p.Title)}
+	}
+	return &Error{Op: op, Kind: KindRejected, Err: errors.Errorf("status %d: %s: %s", status, p.Title, p.Detail)}
+}
--- a/internal/agent/secure.go
+++ b/internal/agent/secure.go
@@ -13,9 +13,11 @@
 // certificateCheckEvery is the period at which the TLS files are read again.
 const certificateCheckEvery = 5 * time.Second
 
-// secure wraps the listener for announcements in TLS if there are TLS settings.
+// secure wraps the listener for announcements in TLS if there are TLS settings
+// and it can be reached from other machines. The upstream beside the agent needs
+// no certificates.
 func (a *Agent) secure(l net.Listener) net.Listener {
-	if a.settings.TLS == nil {
+	if a.settings.TLS == nil || a.settings.Listen.Addr().IsLoopback() {
 		return l
 	}
 	return tls.NewListener(l, a.settings.TLS.Server())
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -21,6 +21,7 @@
 	"github.com/phuslu/log"
 
 	"sardinelock.dev/sardinelock/internal/agent"
+	"sardinelock.dev/sardinelock/internal/certifier"
 	"sardinelock.dev/sardinelock/internal/configurer"
 	"sardinelock.dev/sardinelock/internal/coordinator"
 	"sardinelock.dev/sardinelock/internal/dispatcher"
@@ -55,7 +56,9 @@
 	BaseFile    string
 	Limits      coordinator.Limits
 	AgentLimits guard.Limits
-	Logger      *log.Logger
+	// TLS has the certificates of all processes; nil runs without TLS.
+	TLS    *certifier.Certifier
+	Logger *log.Logger
 }
 
 // System is a running system.
@@ -159,6 +162,7 @@
 		Platform:     platform,
 		Limits:       o.Limits,
 		DrainTimeout: drainTimeout,
+		TLS:          o.TLS,
 		Logger:       o.Logger,
 	})
 	if err != nil {
@@ -183,6 +187,7 @@
 		Entries:      entries,
 		Limits:       o.AgentLimits,
 		DrainTimeout: drainTimeout,
+		TLS:          o.TLS,
 		Logger:       o.Logger,
 	})
 	if err != nil {
