--- a/internal/reporter/page.go
+++ b/internal/reporter/page.go
@@ -20,6 +20,7 @@
 var pageTemplate = template.Must(template.New("page").Funcs(template.FuncMap{
 	"percent":  percent,
 	"rate":     formatRate,
+	"colour":   lineColour,
 	"budget":   func(left float64) float64 { return left * 100 },
 	"duration": formatDuration,
 	"moment":   func(t time.Time) string { return t.UTC().Format("2006-01-02 15:04:05 UTC") },
@@ -54,6 +55,16 @@
 	return out
 }
 
+// lineColour returns the colour of the line of the objective at an index, or ""
+// if it is not drawn.
+func lineColour(i int) template.CSS {
+	if i >= plotLines {
+		return ""
+	}
+	c := palette[i]
+	return template.CSS(fmt.Sprintf("#%02x%02x%02x", c.R, c.G, c.B))
+}
+
 func percent(v float64) string { return strconv.FormatFloat(v*100, 'f', -1, 64) + "%" }
 
 func formatRate(v float64) string { return fmt.Sprintf("%.2f", v) }
