--- a/cmd/sardinelock/cmd/admin_test.go
+++ b/cmd/sardinelock/cmd/admin_test.go
@@ -12,6 +12,8 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"sardinelock.dev/sardinelock/internal/authenticator"
+	"sardinelock.dev/sardinelock/internal/certifier"
+	"sardinelock.dev/sardinelock/internal/issuer"
 	"sardinelock.dev/sardinelock/internal/launcher"
 	"sardinelock.dev/sardinelock/pkg/submitter"
 )
@@ -19,8 +21,15 @@
 // TestAdminScripts runs the commands of operators and callers against a system
 // that the script's command "system" starts within the test.
 func TestAdminScripts(t *testing.T) {
+	files := issuer.New(t).Issue(t.TempDir(), time.Now().Add(time.Hour))
 	testscript.Run(t, testscript.Params{
-		Dir:           "testdata/admin",
+		Dir: "testdata/admin",
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("CERTIFICATE", files.Certificate)
+			env.Setenv("KEY", files.Key)
+			env.Setenv("CA", files.Authorities)
+			return nil
+		},
 		UpdateScripts: os.Getenv("SARDINELOCK_UPDATE") != "",
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"system":    startSystem,
@@ -31,8 +40,8 @@
 	})
 }
 
-// startSystem starts a system: system entries=N agents=N [base=FILE]. It sets
-// ENTRY0, ADMIN0 and so on to the entries' addresses, and SARDINELOCK_ENTRY and
+// startSystem starts a system: system entries=N agents=N [base=FILE] [tls]. It
+// sets ENTRY0, ADMIN0 and so on to the entries' addresses, and SARDINELOCK_ENTRY and
 // SARDINELOCK_ADMIN to those of the first.
 func startSystem(ts *testscript.TestScript, _ bool, args []string) {
 	o := launcher.Options{
@@ -51,6 +60,14 @@
 			o.Agents = number(ts, value)
 		case "base":
 			o.BaseFile = ts.MkAbs(value)
+		case "tls":
+			var err error
+			o.TLS, err = certifier.New(certifier.Files{
+				Certificate: ts.Getenv("CERTIFICATE"),
+				Key:         ts.Getenv("KEY"),
+				Authorities: ts.Getenv("CA"),
+			})
+			ts.Check(err)
 		default:
 			ts.Fatalf("unknown argument %s", arg)
 		}
