--- /dev/null
+++ b/internal/dispatcher/fuzz_test.go
@@ -0,0 +1,52 @@
+package dispatcher
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"sardinelock.dev/sardinelock/pkg/submitter"
+)
+
+// FuzzDecodeJob checks that no body makes the decoder panic, that every refusal
+// is a client's fault with a title, and that what is accepted keeps its tasks
+// when it is written and read again.
+func FuzzDecodeJob(f *testing.F) {
+	for _, body := range []string{
+		`{"tasks":[{"payload":{"run-time":"1ms"},"run-time":"250ms","repeatable":true}],"deadline":"2s","request-key":"k"}`,
+		`{"tasks":[]}`,
+		`{"tasks":[{}]}`,
+		`{"tasks":[{"payload":null,"memory-bytes":-1,"accelerators":9223372036854775807}]}`,
+		`{"tasks":[{"run-time":"-1s"}],"deadline":"-1h"}`,
+		`{"tasks":[{"unknown":1}]}`,
+		`{"tasks":[{"payload":1}]} trailing`,
+		`{"tasks":[` + strings.Repeat(`{},`, submitter.MaxTasks) + `{}]}`,
+		`[[[[[[`, ``, "\x00", `{"tasks":[{"payload":"\ud800"}]}`,
+	} {
+		f.Add(body)
+	}
+	f.Fuzz(func(t *testing.T, body string) {
+		job, problem := decodeBody(body)
+		if problem != nil {
+			if problem.Status < 400 || problem.Status >= 500 || problem.Title == "" {
+				t.Errorf("problem %+v", problem)
+			}
+			return
+		}
+		text, err := json.Marshal(job)
+		if err != nil {
+			t.Fatalf("an accepted job cannot be written: %v", err)
+		}
+		again, problem := decodeBody(string(text))
+		if problem != nil || len(again.Tasks) != len(job.Tasks) {
+			t.Errorf("the job that was written is read as %+v, %+v", again, problem)
+		}
+	})
+}
+
+func decodeBody(body string) (*submitter.Job, *submitter.Problem) {
+	r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(body))
+	return decodeJob(httptest.NewRecorder(), r)
+}
--- a/internal/identifier/identifier.go
+++ b/internal/identifier/identifier.go
@@ -95,6 +95,9 @@
 	return Partition(xxhash.Sum64(s[:]) % Partitions)
 }
 
+// IsValid reports whether the id is one that [Parse] would return.
+func (s Submission) IsValid() bool { return uuid.UUID(s).Version() == 7 }
+
 // IsZero reports whether the id is unset.
 func (s Submission) IsZero() bool { return s == Submission{} }
 
--- a/internal/messenger/codec.go
+++ b/internal/messenger/codec.go
@@ -44,6 +44,9 @@
 		if err != nil {
 			return &Error{Op: "decode", Kind: KindDecode, Offset: dec.NumBytesRead(), Err: err}
 		}
+		if !f.named() {
+			return &Error{Op: "decode", Kind: KindDecode, Offset: dec.NumBytesRead(), Err: errNoSubmission}
+		}
 		handle(f)
 	}
 }
