--- a/cmd/sardinelock/cmd/config_apply.go
+++ b/cmd/sardinelock/cmd/config_apply.go
@@ -21,7 +21,7 @@
 
 func newConfigApplyCommand() *cobra.Command {
 	var (
-		change changeFlags
+		change versionFlags
 		output outputFlag
 	)
 	c := &cobra.Command{
@@ -80,8 +80,8 @@
 
 func (p *platformFlag) versioner() *versioner.Versioner { return versioner.New(storer.New(p.addr)) }
 
-// changeFlags are the flags of commands that make a version.
-type changeFlags struct {
+// versionFlags are the flags of commands that make a version.
+type versionFlags struct {
 	platform platformFlag
 	expect   uint64
 	id       string
@@ -90,7 +90,7 @@
 	timeout  time.Duration
 }
 
-func (f *changeFlags) register(set *pflag.FlagSet) {
+func (f *versionFlags) register(set *pflag.FlagSet) {
 	f.platform.register(set)
 	set.Uint64Var(&f.expect, "expect-version", 0, "current version as you have seen it")
 	set.StringVar(&f.id, "change-id", "", "id of the change, to ask for it again (default: a new one)")
@@ -101,7 +101,7 @@
 
 // faults reports what is wrong with the flags. The expected version has no
 // default: a change that was made from an unknown version could undo another.
-func (f *changeFlags) faults(c *cobra.Command) []string {
+func (f *versionFlags) faults(c *cobra.Command) []string {
 	faults := f.platform.faults()
 	if !c.Flags().Changed("expect-version") {
 		faults = append(faults, "--expect-version must be set")
@@ -113,7 +113,7 @@
 }
 
 // apply makes the change, prints what became of it and returns its exit code.
-func (f *changeFlags) apply(c *cobra.Command, output outputFlag, content configurer.Version, rollbackTo uint64) error {
+func (f *versionFlags) apply(c *cobra.Command, output outputFlag, content configurer.Version, rollbackTo uint64) error {
 	change := versioner.Change{
 		ID:         f.id,
 		Expect:     f.expect,
--- a/cmd/sardinelock/cmd/process_test.go
+++ b/cmd/sardinelock/cmd/process_test.go
@@ -282,6 +282,9 @@
 		if err != nil {
 			answer = submitter.Answer{Outcome: submitter.OutcomeUnknown, Detail: err.Error()}
 		}
+		if answer.Outcome != submitter.OutcomeComplete {
+			f.t.Logf("%s through entry %d: %s %s: %s", id, entry, answer.Outcome, answer.Reason, answer.Detail)
+		}
 		out <- answer
 	}()
 	return out
--- a/cmd/sardinelock/cmd/root.go
+++ b/cmd/sardinelock/cmd/root.go
@@ -73,6 +73,13 @@
 		newDevCommand(),
 		newSubmitCommand(),
 		newConfigCommand(),
+		newJobCommand(),
+		newUpstreamCommand(),
+		newEntriesCommand(),
+		newTeamCommand(),
+		newServiceCommand(),
+		newPartitionCommand(),
+		newReportCommand(),
 	)
 	return root
 }
--- a/internal/coordinator/requests.go
+++ b/internal/coordinator/requests.go
@@ -28,6 +28,9 @@
 	// Fresh says that this entry made the id for the request, so that no other
 	// request can have brought it before.
 	Fresh bool
+	// Resent says that the request was with another owner before, which did not
+	// answer it but may have started tasks.
+	Resent bool
 }
 
 // requests are those that no owner at this entry has taken: they wait for another
@@ -185,10 +188,15 @@
 	if r.Job.RequestKey != "" && c.recoverer.Inheritance(now, r.Job.Submission.Partition()).Incomplete {
 		return recoverer.PastUnknown
 	}
-	if r.Fresh {
+	if r.Fresh && !r.Resent {
 		return recoverer.PastNone
 	}
-	return c.recoverer.Past(now, r.Job.Submission)
+	past := c.recoverer.Past(now, r.Job.Submission)
+	if r.Fresh && past == recoverer.PastRefused {
+		// Nobody but the resent request asked for the id, and it had no answer.
+		return recoverer.PastNone
+	}
+	return past
 }
 
 // localUncertain applies a request for an id that may have run under a former
@@ -254,6 +262,7 @@
 	f.sent = true
 	frame := e.gather()
 	frame.Forwards = append(frame.Forwards, forwardMessage(now, ticket, &f.request))
+	f.request.Resent = true
 }
 
 // routeRequests routes every request that no entry has.
@@ -273,7 +282,7 @@
 // passOn makes a request of a partition that is lost wait for the new owner.
 func (c *Coordinator) passOn(w owner.Waiter, r Request) {
 	if w.Peer == "" {
-		r.Fresh = false
+		r.Resent = true
 		c.requests.add(w.Ticket, &forward{request: r, sent: true})
 		return
 	}
@@ -294,7 +303,7 @@
 		f.Moved = append(f.Moved, messenger.Moved{Ticket: m.Ticket})
 		return
 	}
-	c.local(now, w, Request{Kind: kindOf(m), Fresh: m.Fresh, Job: owner.Job{
+	c.local(now, w, Request{Kind: kindOf(m), Fresh: m.Fresh, Resent: m.Resent, Job: owner.Job{
 		Submission: m.Submission,
 		Service:    m.Service,
 		Team:       m.Team,
@@ -378,6 +387,7 @@
 		Remaining:  j.Deadline.Sub(now),
 		Tasks:      j.Tasks,
 		Fresh:      r.Fresh,
+		Resent:     r.Resent,
 		Attach:     r.Kind == RequestAttach,
 		Cancel:     r.Kind == RequestCancel,
 	}
--- a/internal/dispatcher/peer.go
+++ b/internal/dispatcher/peer.go
@@ -24,7 +24,7 @@
 }
 
 func (e *Entry) connOptions() connector.Options {
-	return connector.Options{Hello: e.hello, Counts: &e.counts}
+	return connector.Options{Hello: e.hello, Counts: &e.counts, Client: e.peerDialer}
 }
 
 func (e *Entry) hello() messenger.Hello {
@@ -62,6 +62,7 @@
 		if f.Config != nil {
 			e.receiveConfig(conn.Hello(), f.Config)
 		}
+		e.receiveQueries(conn, f)
 		e.loop.Post(func(now time.Time) {
 			if e.peers[peer] == conn {
 				e.coordinator.Receive(now, peer, f)
@@ -107,7 +108,7 @@
 
 // dial connects to an entry and returns the connection, or nil.
 func (e *Entry) dial(addr netip.AddrPort) *connector.Conn {
-	conn, err := connector.Dial(e.background, "ws://"+addr.String()+connector.Path, e.connOptions())
+	conn, err := connector.Dial(e.background, e.peerURL(addr.String()), e.connOptions())
 	if err != nil {
 		return nil
 	}
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -18,6 +18,7 @@
 	"github.com/phuslu/log"
 
 	"sardinelock.dev/sardinelock/internal/agent"
+	"sardinelock.dev/sardinelock/internal/certifier"
 	"sardinelock.dev/sardinelock/internal/coordinator"
 	"sardinelock.dev/sardinelock/internal/dispatcher"
 	"sardinelock.dev/sardinelock/internal/emulator"
@@ -49,7 +50,9 @@
 	OverlayFiles []string
 	Limits       coordinator.Limits
 	AgentLimits  guard.Limits
-	Logger       *log.Logger
+	// TLS has the certificates of all processes; nil runs without TLS.
+	TLS    *certifier.Certifier
+	Logger *log.Logger
 }
 
 // System is a running system.
@@ -151,6 +154,7 @@
 		Entries:      s.peerAddrs(),
 		Limits:       o.Limits,
 		DrainTimeout: drainTimeout,
+		TLS:          o.TLS,
 		Logger:       o.Logger,
 	})
 	if err != nil {
@@ -171,6 +175,7 @@
 		Entries:      s.peerAddrs(),
 		Limits:       o.AgentLimits,
 		DrainTimeout: drainTimeout,
+		TLS:          o.TLS,
 		Logger:       o.Logger,
 	})
 	if err != nil {
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -268,6 +268,9 @@
 	// Fresh says that the sending entry made the id for this request, so that no
 	// other request can have brought it before.
 	Fresh bool `cbor:"10,keyasint,omitempty"`
+	// Resent says that the request was with another owner before, which did not
+	// answer it.
+	Resent bool `cbor:"12,keyasint,omitempty"`
 	// Abandon says that the caller of the ticket has gone; only Ticket and
 	// Submission are set then.
 	Abandon bool `cbor:"11,keyasint,omitempty"`
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -84,6 +84,7 @@
 	entries      int // entries is the number of entries that divide the quotas.
 	quotas       []Quota
 	jobs         map[identifier.Submission]*queued
+	holds        map[messenger.Peer]Hold
 	waiting      int // waiting is the number of tasks that wait.
 	ejected      int // ejected is the number of agents that are ejected or probed.
 	established  bool
@@ -127,7 +128,7 @@
 // agent that comes later than the first task result starts with few tasks.
 func (p *Placer) AgentUp(_ time.Time, peer messenger.Peer, place Place) {
 	p.AgentDown(time.Time{}, peer)
-	a := &agent{peer: peer, place: place, sent: make(map[taskRef]outstanding)}
+	a := &agent{peer: peer, place: place, held: p.holds[peer], sent: make(map[taskRef]outstanding)}
 	a.health = health{state: stateNormal, allowed: unlimited}
 	if p.established {
 		a.health = health{state: stateReturning, allowed: p.limits.SlowStart}
--- a/internal/placer/refusal.go
+++ b/internal/placer/refusal.go
@@ -46,6 +46,10 @@
 			RetryAfter: retryAfter(wait + longest - budget),
 		}
 	}
+	if s.waiting == 0 {
+		// An idle service may be tried: declared run times are often far off.
+		return Refusal{}
+	}
 	slots := max(1, s.slots())
 	wait := (s.workAhead(team) + work) / time.Duration(slots)
 	if wait+longest > budget {
