Keep a change's record true when the object store fails between the two writes

Change: the transaction of a hold carries the record as a row, which goes once the record is in the object store; a repeated change finds it there.

--- /dev/null
+++ b/cmd/sardinelock/cmd/hostile_test.go
@@ -0,0 +1,250 @@
+package cmd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/google/go-cmp/cmp"
+	"github.com/phuslu/log"
+
+	"sardinelock.dev/sardinelock/internal/connector"
+	"sardinelock.dev/sardinelock/internal/launcher"
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/pkg/submitter"
+)
+
+const patience = time.Minute
+
+// newSystem starts a system that ends with the test.
+func newSystem(t *testing.T, o launcher.Options) *launcher.System {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	o.Limits = entryLimits()
+	o.AgentLimits = agentLimits()
+	if o.Logger == nil {
+		o.Logger = &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+	}
+	system, err := launcher.Start(ctx, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		cancel()
+		system.Wait()
+	})
+	if err := system.AwaitReady(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return system
+}
+
+// submitAll submits jobs one after the other and returns how many had each
+// outcome.
+func submitAll(t *testing.T, o submitter.Options, jobs int) map[submitter.Outcome]int {
+	t.Helper()
+	client := submitter.New(o)
+	outcomes := make(map[submitter.Outcome]int)
+	for range jobs {
+		answer, err := client.Submit(t.Context(), "quote", "", submitter.Job{
+			Deadline: submitter.Duration(patience),
+			Tasks:    []submitter.Task{{Payload: json.RawMessage(`{"run-time":"1ms"}`), Repeatable: true}},
+		})
+		if err != nil {
+			t.Error(err)
+			continue
+		}
+		outcomes[answer.Outcome]++
+	}
+	return outcomes
+}
+
+// TestHostileClients lets clients that send their header slowly, send bodies and
+// messages that are too large, or break off run beside good ones. Every request
+// of the good ones succeeds, and every hostile one is turned away.
+func TestHostileClients(t *testing.T) {
+	const goodClients, jobsEach, hostileEach = 4, 50, 8
+	system := newSystem(t, launcher.Options{Entries: 1, Agents: 2})
+	entry := system.Entries[0]
+	hostile := map[string]func(netip.AddrPort) error{
+		"slow header":    sendSlowHeader,
+		"large header":   sendLargeHeader,
+		"large body":     sendLargeBody,
+		"half a request": sendHalfRequest,
+	}
+	var wg sync.WaitGroup
+	for name, f := range hostile {
+		for range hostileEach {
+			wg.Go(func() {
+				if err := f(entry.CallerAddr()); err != nil {
+					t.Errorf("%s: %v", name, err)
+				}
+			})
+		}
+	}
+	wg.Go(func() {
+		if err := sendLargeMessage(t.Context(), entry.PeerAddr()); err != nil {
+			t.Errorf("large message: %v", err)
+		}
+	})
+	var mu sync.Mutex
+	total := make(map[submitter.Outcome]int)
+	for range goodClients {
+		wg.Go(func() {
+			outcomes := submitAll(t, submitter.Options{Entries: system.CallerAddrs()}, jobsEach)
+			mu.Lock()
+			defer mu.Unlock()
+			for o, n := range outcomes {
+				total[o] += n
+			}
+		})
+	}
+	wg.Wait()
+	want := map[submitter.Outcome]int{submitter.OutcomeComplete: goodClients * jobsEach}
+	if diff := cmp.Diff(want, total); diff != "" {
+		t.Errorf("outcomes of the good clients (-want +got):\n%s", diff)
+	}
+}
+
+func dial(addr netip.AddrPort) (net.Conn, error) {
+	conn, err := net.DialTimeout("tcp", addr.String(), patience)
+	if err != nil {
+		return nil, err
+	}
+	return conn, conn.SetDeadline(time.Now().Add(patience))
+}
+
+// sendSlowHeader sends a header without an end, a byte at a time, until the
+// server closes the connection.
+func sendSlowHeader(addr netip.AddrPort) error {
+	conn, err := dial(addr)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	closed := make(chan error, 1)
+	go func() {
+		_, err := io.Copy(io.Discard, conn)
+		closed <- err
+	}()
+	if _, err := io.WriteString(conn, "POST /v1/services/quote/jobs HTTP/1.1\r\nHost: x\r\nX: "); err != nil {
+		return err
+	}
+	for {
+		select {
+		case err := <-closed:
+			if ne, ok := err.(net.Error); ok && ne.Timeout() {
+				return fmt.Errorf("the connection was not closed")
+			}
+			return nil
+		case <-time.After(50 * time.Millisecond):
+			// The write fails once the server has closed the connection.
+			_, _ = io.WriteString(conn, "a")
+		}
+	}
+}
+
+func sendLargeHeader(addr netip.AddrPort) error {
+	return expectStatus(addr, "GET / HTTP/1.1\r\nHost: x\r\nX: "+strings.Repeat("a", 1<<20)+"\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge)
+}
+
+// expectStatus sends a request and reads the status line of the answer.
+func expectStatus(addr netip.AddrPort, request string, status int) error {
+	conn, err := dial(addr)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	// The server may answer and close before the request is sent whole.
+	go func() { _, _ = io.WriteString(conn, request) }()
+	line := make([]byte, len("HTTP/1.1 000"))
+	if _, err := io.ReadFull(conn, line); err != nil {
+		return err
+	}
+	if want := fmt.Sprintf("HTTP/1.1 %d", status); string(line) != want {
+		return fmt.Errorf("answer %q, want %q", line, want)
+	}
+	return nil
+}
+
+// sendLargeBody sends one task whose payload is larger than any body may be.
+func sendLargeBody(addr netip.AddrPort) error {
+	body := io.MultiReader(strings.NewReader(`{"tasks":[{"payload":"`), io.LimitReader(letters{}, 40<<20), strings.NewReader(`"}]}`))
+	resp, err := http.Post("http://"+addr.String()+"/v1/services/quote/jobs", "application/json", body)
+	if err != nil {
+		// The server may close the connection while the body is on its way.
+		return nil
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusRequestEntityTooLarge {
+		return fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+// letters is an endless text.
+type letters struct{}
+
+func (letters) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'a'
+	}
+	return len(p), nil
+}
+
+// sendHalfRequest breaks off within the body.
+func sendHalfRequest(addr netip.AddrPort) error {
+	conn, err := dial(addr)
+	if err != nil {
+		return err
+	}
+	_, err = io.WriteString(conn, "POST /v1/services/quote/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{\"tasks\":[")
+	_ = conn.Close()
+	return err
+}
+
+// sendLargeMessage poses as an entry and sends a message beyond the limit. The
+// connection must be closed.
+func sendLargeMessage(ctx context.Context, addr netip.AddrPort) error {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	ws, _, err := websocket.Dial(ctx, "ws://"+addr.String()+connector.Path, nil)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = ws.CloseNow() }()
+	ws.SetReadLimit(messenger.MaxMessageBytes)
+	var hello bytes.Buffer
+	err = messenger.Append(&hello, &messenger.Frame{Hello: &messenger.Hello{
+		Version: messenger.ProtocolVersion,
+		Peer:    "entry-hostile",
+		Role:    messenger.RoleEntry,
+		Region:  "default",
+	}})
+	if err != nil {
+		return err
+	}
+	if err := ws.Write(ctx, websocket.MessageBinary, hello.Bytes()); err != nil {
+		return err
+	}
+	// The write may fail because the server closes the connection within it.
+	_ = ws.Write(ctx, websocket.MessageBinary, make([]byte, messenger.MaxMessageBytes+1))
+	for {
+		if _, _, err := ws.Read(ctx); err != nil {
+			if ctx.Err() != nil {
+				return fmt.Errorf("the connection was not closed")
+			}
+			return nil
+		}
+	}
+}
--- a/internal/administrator/burn.go
+++ b/internal/administrator/burn.go
@@ -85,7 +85,7 @@
 		})
 	}
 	for _, p := range silent {
-		missing = append(missing, missingPart(now, p, kept))
+		missing = append(missing, missingPart(now, p, kept, err != nil))
 	}
 	sum := reporter.Sum(append(all, kept...))
 	return sum, missing
@@ -115,8 +115,9 @@
 	return out, nil
 }
 
-// missingPart says what the report lacks of an entry that did not answer.
-func missingPart(now time.Time, p Part, kept []*reporter.Snapshot) reporter.Missing {
+// missingPart says what the report lacks of an entry that did not answer. The
+// snapshots are unread if the object store could not be read.
+func missingPart(now time.Time, p Part, kept []*reporter.Snapshot, unread bool) reporter.Missing {
 	for _, k := range kept {
 		if k.Peer == string(p.Peer) {
 			return reporter.Missing{
@@ -126,6 +127,9 @@
 			}
 		}
 	}
+	if unread {
+		return reporter.Missing{Entry: string(p.Peer), Detail: "did not answer and its snapshot cannot be read: " + p.Detail}
+	}
 	return reporter.Missing{Entry: string(p.Peer), Detail: "did not answer and has no snapshot: " + p.Detail}
 }
 
--- a/internal/administrator/change.go
+++ b/internal/administrator/change.go
@@ -53,13 +53,16 @@
 	Silent []Silent `json:"silent,omitempty"`
 }
 
-// recordPrefix is the prefix of the keys of records in the object store.
+// recordPrefix is the prefix of the keys of records in the object store, and of
+// rows in the table that hold a record until it is in the object store. Such a
+// row is written in the transaction of the change, so that a change whose record
+// could not be stored is known when it is repeated.
 const recordPrefix = "audit/"
 
 // change makes a change once and leaves its record. The function makes the
 // change; it is safe to call again under the same change id.
 func (s *Service) change(r *http.Request, who authenticator.Principal, action Action, target string,
-	do func(ctx context.Context, id string) (string, []Silent, *submitter.Problem),
+	do func(ctx context.Context, record *Record) ([]Silent, *submitter.Problem),
 ) (any, *submitter.Problem) {
 	ctx := r.Context()
 	record := Record{ChangeID: r.Header.Get(HeaderChangeID), Action: action, Target: target, By: who.Name}
@@ -73,33 +76,32 @@
 	if problem != nil || known != nil {
 		return known, problem
 	}
-	detail, silent, problem := do(ctx, record.ChangeID)
+	record.At = s.o.Now().UTC()
+	_, record.ConfigVersion = s.o.Config()
+	silent, problem := do(ctx, &record)
 	if problem != nil {
 		return nil, problem
 	}
-	record.Detail = detail
-	record.At = s.o.Now().UTC()
-	_, record.ConfigVersion = s.o.Config()
 	if problem := s.keep(ctx, &record); problem != nil {
 		return nil, problem
 	}
 	return &Changed{Record: record, Silent: silent}, nil
 }
 
-// known returns the change if it was made before under the same id.
+// known returns the change if it was made before under the same id. If only its
+// row is there, its record is stored now.
 func (s *Service) known(ctx context.Context, want *Record) (any, *submitter.Problem) {
-	text, err := s.o.Object(ctx, recordPrefix+want.ChangeID)
-	switch storer.KindOf(err) {
-	case storer.KindAbsent:
-		return nil, nil
-	case "":
-	default:
+	text, stored, err := s.findRecord(ctx, want.ChangeID)
+	if err != nil {
 		return nil, &submitter.Problem{
 			Status: http.StatusServiceUnavailable,
 			Title:  "the platform cannot be reached",
-			Detail: "nothing was changed: a change needs its record in the object store",
+			Detail: "nothing was changed now: a change needs its record in the object store",
 		}
 	}
+	if text == nil {
+		return nil, nil
+	}
 	var record Record
 	if err := json.Unmarshal(text, &record); err != nil {
 		return nil, &submitter.Problem{Status: http.StatusInternalServerError, Title: "the record of the change cannot be read"}
@@ -111,10 +113,32 @@
 			Detail: "it was used to " + string(record.Action) + " " + record.Target,
 		}
 	}
+	if !stored {
+		if problem := s.keep(ctx, &record); problem != nil {
+			return nil, problem
+		}
+	}
 	return &Changed{Record: record, Repeated: true}, nil
 }
 
-// keep writes the record of a change that was made.
+// findRecord returns the record of a change and whether it is in the object
+// store; nil if there is no such change.
+func (s *Service) findRecord(ctx context.Context, id string) ([]byte, bool, error) {
+	text, err := s.o.Object(ctx, recordPrefix+id)
+	if err == nil {
+		return text, true, nil
+	}
+	if storer.KindOf(err) != storer.KindAbsent {
+		return nil, false, err
+	}
+	rows, err := s.o.Read(ctx, recordPrefix+id)
+	if err != nil || len(rows.Rows) == 0 {
+		return nil, false, err
+	}
+	return rows.Rows[0].Value, false, nil
+}
+
+// keep writes the record of a change that was made, and removes its row.
 func (s *Service) keep(ctx context.Context, record *Record) *submitter.Problem {
 	body, err := json.Marshal(record)
 	if err != nil {
@@ -127,33 +151,42 @@
 			Detail: "repeat it with the change id " + record.ChangeID + " to write the record",
 		}
 	}
+	// A row that stays behind does no harm: the object is found before it.
+	_, _ = s.o.Write(ctx, storer.Transaction{
+		RequestID: record.ChangeID + "-stored",
+		Deletes:   []string{recordPrefix + record.ChangeID},
+	})
 	return nil
 }
 
 // record returns the record of a change.
 func (s *Service) record(r *http.Request, _ authenticator.Principal) (any, *submitter.Problem) {
-	text, err := s.o.Object(r.Context(), recordPrefix+r.PathValue("change"))
-	switch storer.KindOf(err) {
-	case "":
-		return json.RawMessage(text), nil
-	case storer.KindAbsent:
+	id := r.PathValue("change")
+	if err := uuid.Validate(id); err != nil {
+		return nil, &submitter.Problem{Status: http.StatusBadRequest, Title: "the change id is not a UUID"}
+	}
+	text, _, err := s.findRecord(r.Context(), id)
+	switch {
+	case err != nil:
+		return nil, &submitter.Problem{Status: http.StatusServiceUnavailable, Title: "the platform cannot be reached"}
+	case text == nil:
 		return nil, &submitter.Problem{Status: http.StatusNotFound, Title: "no such change"}
 	}
-	return nil, &submitter.Problem{Status: http.StatusServiceUnavailable, Title: "the platform cannot be reached"}
+	return json.RawMessage(text), nil
 }
 
 func (s *Service) cancelJob(r *http.Request, who authenticator.Principal) (any, *submitter.Problem) {
 	return s.change(r, who, ActionCancelJob, r.PathValue("submission"),
-		func(context.Context, string) (string, []Silent, *submitter.Problem) {
+		func(_ context.Context, record *Record) ([]Silent, *submitter.Problem) {
 			state, problem := s.askOwner(r, CallCancelJob)
 			if problem != nil {
-				return "", nil, problem
+				return nil, problem
 			}
-			detail := "the job is " + string(state.State)
+			record.Detail = "the job is " + string(state.State)
 			if state.Answer != nil {
-				detail += ": " + string(state.Answer.Outcome)
+				record.Detail += ": " + string(state.Answer.Outcome)
 			}
-			return detail, nil, nil
+			return nil, nil
 		})
 }
 
@@ -168,17 +201,18 @@
 }
 
 // cancelAll cancels the selected jobs at every entry.
-func (s *Service) cancelAll(sel Selection) func(context.Context, string) (string, []Silent, *submitter.Problem) {
-	return func(ctx context.Context, _ string) (string, []Silent, *submitter.Problem) {
+func (s *Service) cancelAll(sel Selection) func(context.Context, *Record) ([]Silent, *submitter.Problem) {
+	return func(ctx context.Context, record *Record) ([]Silent, *submitter.Problem) {
 		body, err := json.Marshal(sel)
 		if err != nil {
-			return "", nil, &submitter.Problem{Status: http.StatusInternalServerError, Title: "the request cannot be passed on"}
+			return nil, &submitter.Problem{Status: http.StatusInternalServerError, Title: "the request cannot be passed on"}
 		}
 		parts, silent := gather[Cancelled](ctx, s, CallCancelJobs, body)
 		jobs := 0
 		for _, p := range parts {
 			jobs += p.part.Jobs
 		}
-		return "jobs cancelled: " + strconv.Itoa(jobs), silent, nil
+		record.Detail = "jobs cancelled: " + strconv.Itoa(jobs)
+		return silent, nil
 	}
 }
--- a/internal/administrator/hold.go
+++ b/internal/administrator/hold.go
@@ -68,17 +68,16 @@
 	default:
 		return nil, noSuchAction()
 	}
-	return s.change(r, who, action, peer, func(ctx context.Context, id string) (string, []Silent, *submitter.Problem) {
+	return s.change(r, who, action, peer, func(ctx context.Context, record *Record) ([]Silent, *submitter.Problem) {
 		if hold != "" {
 			if problem := s.findUpstream(ctx, peer); problem != nil {
-				return "", nil, problem
+				return nil, problem
 			}
 		}
-		detail, problem := s.writeHold(ctx, upstreamHolds+peer, released(action), holdRow{Hold: hold, By: who.Name, ChangeID: id})
-		if problem != nil {
-			return "", nil, problem
+		if problem := s.writeHold(ctx, upstreamHolds+peer, hold, record); problem != nil {
+			return nil, problem
 		}
-		return detail, s.tellHolds(ctx), nil
+		return s.tellHolds(ctx), nil
 	})
 }
 
@@ -105,26 +104,26 @@
 	default:
 		return nil, noSuchAction()
 	}
-	return s.change(r, who, action, peer, func(ctx context.Context, id string) (string, []Silent, *submitter.Problem) {
+	return s.change(r, who, action, peer, func(ctx context.Context, record *Record) ([]Silent, *submitter.Problem) {
 		if hold != "" {
 			if problem := s.findEntry(ctx, peer); problem != nil {
-				return "", nil, problem
+				return nil, problem
 			}
 		}
-		detail, problem := s.writeHold(ctx, entryHolds+peer, released(action), holdRow{Hold: hold, By: who.Name, ChangeID: id})
-		if problem != nil {
-			return "", nil, problem
+		if problem := s.writeHold(ctx, entryHolds+peer, hold, record); problem != nil {
+			return nil, problem
 		}
-		return detail, s.tellHolds(ctx), nil
+		return s.tellHolds(ctx), nil
 	})
 }
 
-// writeHold sets a hold or takes one away. The change id is the request id of
-// the transaction, so that a repeated change is recognised by the table.
-func (s *Service) writeHold(ctx context.Context, key string, release placer.Hold, v holdRow) (string, *submitter.Problem) {
+// writeHold sets a hold, or takes one away if it is empty. The change id is the
+// request id of the transaction, so that a repeated change is recognised by the
+// table, and the record of the change is written in the same transaction.
+func (s *Service) writeHold(ctx context.Context, key string, hold placer.Hold, record *Record) *submitter.Problem {
 	rows, err := s.o.Read(ctx, key)
 	if err != nil {
-		return "", &submitter.Problem{
+		return &submitter.Problem{
 			Status: http.StatusServiceUnavailable,
 			Title:  "the platform cannot be reached",
 			Detail: "nothing was changed",
@@ -132,30 +131,37 @@
 	}
 	before, revision := rowOf(rows, key)
 	t := storer.Transaction{
-		RequestID:  v.ChangeID,
+		RequestID:  record.ChangeID,
 		Conditions: []storer.Condition{{Key: key, Revision: revision}},
 	}
-	detail := "now " + string(v.Hold)
 	switch {
-	case v.Hold != "":
-		value, err := json.Marshal(v)
-		if err != nil {
-			return "", &submitter.Problem{Status: http.StatusInternalServerError, Title: "the hold cannot be written"}
-		}
-		t.Puts = []storer.Put{{Key: key, Value: value}}
+	case hold != "":
+		record.Detail = "now " + string(hold)
+		t.Puts = []storer.Put{{Key: key, Value: encode(holdRow{Hold: hold, By: record.By, ChangeID: record.ChangeID})}}
 	case before == "":
-		return "was not held", nil
-	case before != release:
-		return "", &submitter.Problem{
+		record.Detail = "was not held"
+		return nil
+	case before != released(record.Action):
+		return &submitter.Problem{
 			Status: http.StatusConflict,
 			Title:  "it is held in another way",
 			Detail: "it is " + string(before) + "; the operator who did so used another action",
 		}
 	default:
+		record.Detail = "no longer " + string(before)
 		t.Deletes = []string{key}
-		detail = "no longer " + string(before)
 	}
-	return detail, s.writeTransaction(ctx, t)
+	t.Puts = append(t.Puts, storer.Put{Key: recordPrefix + record.ChangeID, Value: encode(record)})
+	return s.writeTransaction(ctx, t)
+}
+
+// encode marshals a type of this package, which cannot fail.
+func encode(v any) json.RawMessage {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return b
 }
 
 func (s *Service) writeTransaction(ctx context.Context, t storer.Transaction) *submitter.Problem {
