--- a/internal/dispatcher/burn.go
+++ b/internal/dispatcher/burn.go
@@ -39,6 +39,9 @@
 			event.Slow = took > s.Objective.Latency
 		}
 	}
+	for _, o := range []reporter.Objective{reporter.ObjectiveLatency, reporter.ObjectiveSuccess} {
+		e.meter.Judged(service, string(o), string(event.Verdict(o)))
+	}
 	e.burn.mu.Lock()
 	defer e.burn.mu.Unlock()
 	e.burn.recorder.Record(time.Now(), event)
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -38,6 +38,7 @@
 	jobs     metric.Float64Histogram
 	queue    metric.Float64Histogram
 	answers  metric.Int64Counter
+	verdicts metric.Int64Counter
 	store    metric.Int64Counter
 }
 
@@ -104,6 +105,15 @@
 	))
 }
 
+// Judged records what an answer is for one objective of its service.
+func (m *Meter) Judged(service, objective, verdict string) {
+	m.verdicts.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("service", service),
+		attribute.String("objective", objective),
+		attribute.String("verdict", verdict),
+	))
+}
+
 // Started records how long a job waited until its first task was sent.
 func (m *Meter) Started(service string, waited time.Duration) {
 	m.queue.Record(context.Background(), waited.Seconds(),
@@ -135,6 +145,7 @@
 	m.jobs = r.histogram("sardinelock.job.duration", "Time from the arrival of a job to its answer.", bounds)
 	m.queue = r.histogram("sardinelock.job.queue-time", "Time from the arrival of a job at its owner to its first start.", bounds)
 	m.answers = r.counter("sardinelock.job.answers", "Answers by kind and reason.")
+	m.verdicts = r.counter("sardinelock.objective.events", "Answers by what they are for each objective of their service.")
 	m.store = r.counter("sardinelock.store.calls", "Tries of calls of the platform's services.")
 	r.observe(s)
 	return r.err
--- a/internal/reporter/recorder.go
+++ b/internal/reporter/recorder.go
@@ -158,17 +158,42 @@
 	}
 }
 
-func (b *Bucket) add(e *Event) {
+// Verdict says what an event is for an objective.
+type Verdict string
+
+// The verdicts.
+const (
+	VerdictGood     Verdict = "good"
+	VerdictBad      Verdict = "bad"
+	VerdictExcluded Verdict = "excluded" // The event does not concern the objective.
+)
+
+// Verdict returns what the event is for an objective.
+func (e *Event) Verdict(o Objective) Verdict {
+	complete := e.Outcome == submitter.OutcomeComplete
 	switch {
 	case slices.Contains(excluded, e.Reason):
+		return VerdictExcluded
+	case o == ObjectiveLatency && !complete:
+		return VerdictExcluded
+	case o == ObjectiveLatency && e.Slow, o == ObjectiveSuccess && !complete:
+		return VerdictBad
+	}
+	return VerdictGood
+}
+
+func (b *Bucket) add(e *Event) {
+	switch e.Verdict(ObjectiveSuccess) {
+	case VerdictExcluded:
 		b.Excluded++
 		return
-	case e.Outcome != submitter.OutcomeComplete:
+	case VerdictBad:
 		b.addBad(e.Reason, 1)
-	case e.Slow:
-		b.Slow++
 	}
 	b.Jobs++
+	if e.Verdict(ObjectiveLatency) == VerdictBad {
+		b.Slow++
+	}
 }
 
 func (b *Bucket) addBad(reason submitter.Reason, n uint64) {
