--- a/cmd/sardinelock/cmd/upstream.go
+++ b/cmd/sardinelock/cmd/upstream.go
@@ -77,19 +77,22 @@
 		}
 		one, err := client.Change(c.Context(), "/v1/admin/upstreams/"+url.PathEscape(peer)+"/"+u.action, id)
 		if err != nil {
-			return errors.Annotatef(joinPrint(u.change.print(c, made), err), "%s (repeat with --change-id %s)", peer, u.change.changeID)
+			return u.stopped(c, made, peer, err)
 		}
 		made = append(made, one)
 	}
 	return u.change.print(c, made)
 }
 
-// joinPrint returns the error of a change, or that of printing if there is none.
-func joinPrint(printing, change error) error {
-	if change != nil {
-		return change
+// stopped prints the changes that were made before one failed, and returns its
+// error with the way to go on.
+func (u *upstreamChange) stopped(c *cobra.Command, made []administrator.Changed, peer string, cause error) error {
+	if len(made) > 0 {
+		if err := u.change.print(c, made); err != nil {
+			return err
+		}
 	}
-	return printing
+	return errors.Annotatef(cause, "%s (repeat with --change-id %s)", peer, u.change.changeID)
 }
 
 // find returns the upstreams of the rack and the data centre.
