--- a/cmd/sardinelock/cmd/config.go
+++ b/cmd/sardinelock/cmd/config.go
@@ -52,20 +52,20 @@
 	return base, overlays, nil
 }
 
-// outputFormat is how a listing is printed.
-type outputFormat string
+// listFormat is how a listing is printed.
+type listFormat string
 
 // The formats of listings.
 const (
-	outputTable outputFormat = "table"
-	outputJSON  outputFormat = "json"
+	formatTable listFormat = "table"
+	formatJSON  listFormat = "json"
 )
 
 // outputFlag is the flag --output.
-type outputFlag struct{ format outputFormat }
+type outputFlag struct{ format listFormat }
 
 func (o *outputFlag) register(f *pflag.FlagSet) {
-	o.format = outputTable
+	o.format = formatTable
 	f.Var(o, "output", "how to print: table or json")
 }
 
@@ -77,8 +77,8 @@
 
 // Set implements pflag.Value.
 func (o *outputFlag) Set(text string) error {
-	switch f := outputFormat(text); f {
-	case outputTable, outputJSON:
+	switch f := listFormat(text); f {
+	case formatTable, formatJSON:
 		o.format = f
 		return nil
 	}
@@ -87,8 +87,8 @@
 
 // print prints rows as a table under the heading, or the value as JSON.
 func (o *outputFlag) print(w io.Writer, value any, heading string, rows []string) error {
-	if o.format == outputJSON {
-		return printJSON(w, value)
+	if o.format == formatJSON {
+		return printIndented(w, value)
 	}
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, heading)
@@ -98,7 +98,7 @@
 	return errors.Trace(t.Flush())
 }
 
-func printJSON(w io.Writer, value any) error {
+func printIndented(w io.Writer, value any) error {
 	enc := json.NewEncoder(w)
 	enc.SetIndent("", "  ")
 	return errors.Trace(enc.Encode(value))
--- a/cmd/sardinelock/cmd/config_apply.go
+++ b/cmd/sardinelock/cmd/config_apply.go
@@ -16,12 +16,12 @@
 	"sardinelock.dev/sardinelock/internal/versioner"
 )
 
-// changeTimeout is how long a command tries to learn what became of a change.
-const changeTimeout = 20 * time.Second
+// versionTimeout is how long a command tries to learn what became of a change.
+const versionTimeout = 20 * time.Second
 
 func newConfigApplyCommand() *cobra.Command {
 	var (
-		change changeFlags
+		change versionFlags
 		output outputFlag
 	)
 	c := &cobra.Command{
@@ -80,8 +80,8 @@
 
 func (p *platformFlag) versioner() *versioner.Versioner { return versioner.New(storer.New(p.addr)) }
 
-// changeFlags are the flags of commands that make a version.
-type changeFlags struct {
+// versionFlags are the flags of commands that make a version.
+type versionFlags struct {
 	platform platformFlag
 	expect   uint64
 	id       string
@@ -90,18 +90,18 @@
 	timeout  time.Duration
 }
 
-func (f *changeFlags) register(set *pflag.FlagSet) {
+func (f *versionFlags) register(set *pflag.FlagSet) {
 	f.platform.register(set)
 	set.Uint64Var(&f.expect, "expect-version", 0, "current version as you have seen it")
 	set.StringVar(&f.id, "change-id", "", "id of the change, to ask for it again (default: a new one)")
 	set.StringVar(&f.operator, "operator", os.Getenv("USER"), "who makes the change")
 	set.StringVar(&f.comment, "comment", "", "why")
-	set.DurationVar(&f.timeout, "timeout", changeTimeout, "how long to try to learn what became of the change")
+	set.DurationVar(&f.timeout, "timeout", versionTimeout, "how long to try to learn what became of the change")
 }
 
 // faults reports what is wrong with the flags. The expected version has no
 // default: a change that was made from an unknown version could undo another.
-func (f *changeFlags) faults(c *cobra.Command) []string {
+func (f *versionFlags) faults(c *cobra.Command) []string {
 	faults := f.platform.faults()
 	if !c.Flags().Changed("expect-version") {
 		faults = append(faults, "--expect-version must be set")
@@ -113,7 +113,7 @@
 }
 
 // apply makes the change, prints what became of it and returns its exit code.
-func (f *changeFlags) apply(c *cobra.Command, output outputFlag, content configurer.Version, rollbackTo uint64) error {
+func (f *versionFlags) apply(c *cobra.Command, output outputFlag, content configurer.Version, rollbackTo uint64) error {
 	change := versioner.Change{
 		ID:         f.id,
 		Expect:     f.expect,
@@ -133,7 +133,7 @@
 	if err != nil {
 		return err
 	}
-	report := changeReport{Result: result}
+	report := versionReport{Result: result}
 	if result.Reason == versioner.ReasonConflict {
 		report.Differences, report.Fault = differencesSince(c.Context(), r, result)
 	}
@@ -143,8 +143,8 @@
 	return report.exit()
 }
 
-// changeReport is what a command prints about a change.
-type changeReport struct {
+// versionReport is what a command prints about a change.
+type versionReport struct {
 	versioner.Result
 	// Differences are what has changed since the expected version.
 	Differences []configurer.Difference `json:"differences,omitempty"`
@@ -183,10 +183,10 @@
 	return r.Version(ctx, number)
 }
 
-func (p *changeReport) print(c *cobra.Command, output outputFlag) error {
+func (p *versionReport) print(c *cobra.Command, output outputFlag) error {
 	w := c.OutOrStdout()
-	if output.format == outputJSON {
-		return printJSON(w, p)
+	if output.format == formatJSON {
+		return printIndented(w, p)
 	}
 	switch p.Verdict {
 	case versioner.VerdictAccepted:
@@ -209,7 +209,7 @@
 }
 
 // exit returns the error that carries the exit code of the verdict.
-func (p *changeReport) exit() error {
+func (p *versionReport) exit() error {
 	switch p.Verdict {
 	case versioner.VerdictAccepted:
 		return nil
--- a/cmd/sardinelock/cmd/config_diff.go
+++ b/cmd/sardinelock/cmd/config_diff.go
@@ -85,11 +85,11 @@
 
 // printDifferences prints differences, those of sites in general first.
 func printDifferences(w io.Writer, output outputFlag, list []configurer.Difference) error {
-	if output.format == outputJSON {
+	if output.format == formatJSON {
 		if list == nil {
 			list = []configurer.Difference{}
 		}
-		return printJSON(w, list)
+		return printIndented(w, list)
 	}
 	if len(list) == 0 {
 		_, err := io.WriteString(w, "no value differs\n")
--- a/cmd/sardinelock/cmd/config_rollback.go
+++ b/cmd/sardinelock/cmd/config_rollback.go
@@ -8,7 +8,7 @@
 
 func newConfigRollbackCommand() *cobra.Command {
 	var (
-		change changeFlags
+		change versionFlags
 		to     uint64
 		output outputFlag
 	)
--- a/internal/configurer/compose.go
+++ b/internal/configurer/compose.go
@@ -12,8 +12,12 @@
 	"github.com/juju/errors"
 )
 
-// MaxFileBytes bounds the size of a file.
-const MaxFileBytes = 1 << 20
+// Bounds of a file. The parser's time grows with the square of the keys of one
+// mapping.
+const (
+	MaxFileBytes = 256 << 10
+	MaxFileLines = 10_000
+)
 
 // siteKey is the key by which an overlay names its site.
 const siteKey = "site"
@@ -73,9 +77,27 @@
 		r.file, r.overlay = overlay.Name, true
 		r.applyOverlay(*overlay, e)
 	}
+	r.checkRelations(&e.Config)
 	return e, r.err()
 }
 
+// checkRelations checks what two values must be to each other.
+func (r *reader) checkRelations(c *Config) {
+	if c.Ejection.ProbeAfter <= c.Ejection.MaxProbeAfter {
+		return
+	}
+	at := r.origins["ejection.max-probe-after"]
+	if at.File != r.file {
+		at = r.origins["ejection.probe-after"]
+	}
+	r.faults = append(r.faults, Fault{
+		File:    at.File,
+		Line:    at.Line,
+		Column:  at.Column,
+		Message: "ejection.max-probe-after must not be below ejection.probe-after",
+	})
+}
+
 // CheckAll checks a base with each overlay and returns the overlays' sites. The
 // error has every fault of all files; those of the base come once.
 func CheckAll(base File, overlays []File) (sites []string, err error) {
@@ -143,6 +165,10 @@
 		r.fault(nil, "the file is larger than %d bytes", MaxFileBytes)
 		return nil, false
 	}
+	if bytes.Count(f.Text, []byte{'\n'}) > MaxFileLines {
+		r.faults = append(r.faults, Fault{File: r.file, Line: MaxFileLines + 1, Column: 1, Message: "the file has too many lines"})
+		return nil, false
+	}
 	if line, column, deep := nesting(f.Text); deep {
 		r.faults = append(r.faults, Fault{File: r.file, Line: line, Column: column, Message: "the nesting is too deep"})
 		return nil, false
--- a/internal/configurer/config.go
+++ b/internal/configurer/config.go
@@ -100,24 +100,40 @@
 type Queue struct {
 	// MaxTasks bounds the tasks that wait at an entry. It is positive.
 	MaxTasks int
-	// MaxAge is the time for which a task may be expected to wait before new jobs
-	// are refused. It is positive.
-	MaxAge time.Duration
-	// Ageing is the waiting time after which a job goes before smaller ones. It is positive.
-	Ageing time.Duration
+	// Ageing is how much one second of waiting counts against one second of
+	// remaining work when jobs of a team are ordered; 0 is first come, first served.
+	Ageing float64
+	// Quantum is the slot time by which one team may be ahead of another before
+	// its jobs yield. It is positive.
+	Quantum time.Duration
+	// DeadlineRatio is the share of a job's deadline, from 0 to 1, that the
+	// expected wait and run time may take when the job is admitted.
+	DeadlineRatio float64
+	// MinSamples is how many results of a service replace declared values. It is
+	// positive.
+	MinSamples int
 }
 
 // Ejection is the policy by which an upstream that fails is left out.
 type Ejection struct {
-	// FailureRatio is the share of failed tasks that ejects, from 0 to 1.
+	// FailureStreak is how many failures in a row eject an upstream. It is positive.
+	FailureStreak int
+	// FailureRatio is the share of recent results, from 0 to 1, that ejects if they
+	// are failures.
 	FailureRatio float64
-	// MinSamples is the number of ended tasks before an upstream is judged. It is positive.
-	MinSamples int
-	// ProbeEvery is the pause between probes of an ejected upstream. It is positive.
-	ProbeEvery time.Duration
-	// MaxEjectedRatio bounds the share of a service's upstreams that are ejected
+	// SlowFactor ejects an upstream whose tasks take so many times longer than the
+	// same service's tasks elsewhere. It is at least 1.
+	SlowFactor float64
+	// ProbeAfter is how long an upstream is ejected before the first probe; each
+	// probe that fails doubles it up to MaxProbeAfter. Both are positive.
+	ProbeAfter    time.Duration
+	MaxProbeAfter time.Duration // MaxProbeAfter is not below ProbeAfter.
+	// MaxEjectedRatio bounds the share of the serving upstreams that are ejected
 	// at one time, from 0 to 1.
 	MaxEjectedRatio float64
+	// SlowStart is how many tasks a new upstream may have outstanding. The number
+	// doubles with as many successes. It is positive.
+	SlowStart int
 }
 
 // Default returns the values that hold where no file sets them.
@@ -130,15 +146,20 @@
 			WaitingPerAgent: 1024,
 		},
 		Queue: Queue{
-			MaxTasks: 100_000,
-			MaxAge:   10 * time.Second,
-			Ageing:   2 * time.Second,
+			MaxTasks:      50_000,
+			Ageing:        0.25,
+			Quantum:       4 * time.Second,
+			DeadlineRatio: 0.7,
+			MinSamples:    20,
 		},
 		Ejection: Ejection{
+			FailureStreak:   3,
 			FailureRatio:    0.5,
-			MinSamples:      10,
-			ProbeEvery:      time.Second,
-			MaxEjectedRatio: 0.5,
+			SlowFactor:      4,
+			ProbeAfter:      10 * time.Second,
+			MaxProbeAfter:   2 * time.Minute,
+			MaxEjectedRatio: 0.34,
+			SlowStart:       4,
 		},
 	}
 }
--- a/internal/configurer/field.go
+++ b/internal/configurer/field.go
@@ -87,7 +87,10 @@
 	}
 	f.keys = func(_ *T, path string, emit func(Key)) {
 		for _, sub := range fields {
-			sub.keys(new(U), path+".NAME."+sub.key, emit)
+			sub.keys(new(U), path+".NAME."+sub.key, func(k Key) {
+				k.Overlay = k.Overlay && f.tunable
+				emit(k)
+			})
 		}
 	}
 	return f
@@ -207,19 +210,19 @@
 	return scalar(f, func(of *T) string { return formatFloat(*get(of)) })
 }
 
-// rate returns a field of a number that is not negative.
-func rate[T any](key string, tune bool, help string, get func(*T) *float64) field[T] {
+// number returns a field of a number that is not below the minimum.
+func number[T any](key string, tune bool, least float64, help string, get func(*T) *float64) field[T] {
 	f := field[T]{key: key, kind: "number", help: help, tunable: tune}
 	f.read = func(r *reader, n ast.Node, _ string, into *T) {
-		number, ok := r.number(n)
+		value, ok := r.number(n)
 		if !ok {
 			return
 		}
-		if number < 0 {
-			r.fault(n, "must not be negative, not %s", formatFloat(number))
+		if value < least {
+			r.fault(n, "must be at least %s, not %s", formatFloat(least), formatFloat(value))
 			return
 		}
-		*get(into) = number
+		*get(into) = value
 	}
 	return scalar(f, func(of *T) string { return formatFloat(*get(of)) })
 }
--- a/internal/configurer/reader.go
+++ b/internal/configurer/reader.go
@@ -12,8 +12,9 @@
 
 // Origin is the place of a value in a file.
 type Origin struct {
-	File string `json:"file"`
-	Line int    `json:"line,omitempty"` // Line is 0 for a default.
+	File   string `json:"file"`
+	Line   int    `json:"line,omitempty"`   // Line is 0 for a default.
+	Column int    `json:"column,omitempty"` // Column is 0 for a default.
 }
 
 // reader walks the syntax tree of one file, reads values by the tables, and
@@ -33,8 +34,8 @@
 }
 
 func (r *reader) origin(n ast.Node) Origin {
-	line, _ := position(n)
-	return Origin{File: r.file, Line: line}
+	line, column := position(n)
+	return Origin{File: r.file, Line: line, Column: column}
 }
 
 // position returns where a node begins; a mapping begins with its first key.
