--- a/cmd/sardinelock/cmd/config_test.go
+++ b/cmd/sardinelock/cmd/config_test.go
@@ -18,15 +18,15 @@
 	"sardinelock.dev/sardinelock/internal/versioner"
 )
 
-// patience bounds what a test waits for; a run that works does not come near it.
-const patience = 30 * time.Second
+// configPatience bounds what a test waits for; a run that works does not come near it.
+const configPatience = 30 * time.Second
 
 func quietLogger() *log.Logger {
 	return &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}}
 }
 
-// startSystem starts a whole system for a test, which ends it.
-func startSystem(t *testing.T, entries, agents int) *launcher.System {
+// runSystem starts a whole system for a test, which ends it.
+func runSystem(t *testing.T, entries, agents int) *launcher.System {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	system, err := launcher.Start(ctx, launcher.Options{
@@ -52,7 +52,7 @@
 func await(t *testing.T, what string, status func() applier.Status, version uint64, state applier.State) {
 	t.Helper()
 	var s applier.Status
-	for begun := time.Now(); time.Since(begun) < patience; time.Sleep(20 * time.Millisecond) {
+	for begun := time.Now(); time.Since(begun) < configPatience; time.Sleep(20 * time.Millisecond) {
 		if s = status(); s.Version == version && s.State == state {
 			return
 		}
@@ -63,7 +63,7 @@
 // TestConfigReachesEveryProcess changes the configuration of a running system
 // over real connections and starts an entry while the platform is down.
 func TestConfigReachesEveryProcess(t *testing.T) {
-	system := startSystem(t, 2, 3)
+	system := runSystem(t, 2, 3)
 	v, err := configurer.NewVersion(
 		configurer.File{Name: "base", Text: []byte("services: []\nlimits: {waiting-per-agent: 7}\n")},
 		[]configurer.File{{Name: "overlay", Text: []byte("site: dc-1\nqueue: {max-tasks: 77}\n")}})
