Let the configuration bound what a caller may send

Cause: the bounds of bodies and deadlines were constants of the entry, so the limits of the configuration did nothing.

Change: the entry takes limits.max-body-bytes, body-timeout and max-deadline from the configuration in force. The configuration refuses what the system cannot carry: bodies over 32 MiB, deadlines and timeouts over 10 minutes, which were the constants.

Seen: go test ./internal/configurer ./cmd/... passes.

Conclusion: each limit of the configuration is in force where it is named.

--- a/internal/configurer/config.go
+++ b/internal/configurer/config.go
@@ -37,7 +37,8 @@
 	Name string
 	// Path is the HTTP path of the service at its upstreams. It begins with "/".
 	Path string
-	// Timeout is the deadline of jobs that bring none. It is positive.
+	// Timeout is the deadline of jobs that bring none. It is positive and at most
+	// [MaxDeadline].
 	Timeout time.Duration
 	// DefaultRunTime and DefaultMemoryBytes are taken for tasks that declare none.
 	DefaultRunTime     time.Duration
@@ -86,11 +87,12 @@
 
 // Limits bound what a process takes.
 type Limits struct {
-	// MaxBodyBytes bounds the body of a request. It is positive.
+	// MaxBodyBytes bounds the body of a request, from 1 to [MaxBodyBytes].
 	MaxBodyBytes int64
 	// BodyTimeout bounds how long a caller may take to send a body. It is positive.
 	BodyTimeout time.Duration
-	// MaxDeadline bounds the deadline that a job may bring. It is positive.
+	// MaxDeadline bounds the deadline that a job may bring. It is positive and at
+	// most [MaxDeadline].
 	MaxDeadline time.Duration
 	// WaitingPerAgent bounds the tasks that wait at one agent. It is positive.
 	WaitingPerAgent int
@@ -140,9 +142,9 @@
 func Default() Config {
 	return Config{
 		Limits: Limits{
-			MaxBodyBytes:    32 << 20,
+			MaxBodyBytes:    MaxBodyBytes,
 			BodyTimeout:     30 * time.Second,
-			MaxDeadline:     10 * time.Minute,
+			MaxDeadline:     MaxDeadline,
 			WaitingPerAgent: 1024,
 		},
 		Queue: Queue{
--- a/internal/configurer/config_test.go
+++ b/internal/configurer/config_test.go
@@ -31,6 +31,15 @@
 	}
 }
 
+// TestCaps refuses what the system cannot carry.
+func TestCaps(t *testing.T) {
+	_, err := Parse("f", []byte("services: [{name: a, path: /a, timeout: 1h, objective: {latency: 1s, latency-ratio: 1, success-ratio: 1}}]\nlimits:\n  max-body-bytes: 33554433\n  max-deadline: 11m\n"))
+	want := "the configuration is not valid:\nf:1:41: must be at most 10m\nf:3:19: must be at most 33554432\nf:4:17: must be at most 10m"
+	if err == nil || err.Error() != want {
+		t.Errorf("got %v, want %s", err, want)
+	}
+}
+
 // TestTokenOfTwo refuses a token that could stand for two teams or operators.
 func TestTokenOfTwo(t *testing.T) {
 	hash := strings.Repeat("ab", 32)
--- a/internal/configurer/field.go
+++ b/internal/configurer/field.go
@@ -46,6 +46,19 @@
 	return f
 }
 
+// capped returns a field that refuses a value which exceeds what the system can
+// carry.
+func capped[T any](f field[T], most string, exceeds func(*T) bool) field[T] {
+	read := f.read
+	f.read = func(r *reader, n ast.Node, path string, into *T) {
+		read(r, n, path, into)
+		if exceeds(into) {
+			r.fault(n, "must be at most %s", most)
+		}
+	}
+	return f
+}
+
 // section returns a field whose value is a mapping.
 func section[T, U any](key string, fields []field[U], get func(*T) *U) field[T] {
 	f := field[T]{key: key, tunable: anyTunable(fields)}
--- a/internal/configurer/schema.go
+++ b/internal/configurer/schema.go
@@ -8,6 +8,14 @@
 // what a service, a quota, an objective or an accepted request is must be the
 // same at every site.
 
+// The bounds of what the system can carry, whatever the configuration says. A body
+// must fit into a message between entries, and records are kept for the longest
+// deadline.
+const (
+	MaxBodyBytes = 32 << 20
+	MaxDeadline  = 10 * time.Minute
+)
+
 // baseOnly and tunable say who may set a key.
 const (
 	baseOnly = false
@@ -27,8 +35,9 @@
 	name("name", serviceName),
 	path("path", baseOnly, "HTTP path of the service at its upstreams",
 		func(s *Service) *string { return &s.Path }),
-	duration("timeout", baseOnly, required, "deadline of jobs that bring none",
+	capped(duration("timeout", baseOnly, required, "deadline of jobs that bring none; at most 10m",
 		func(s *Service) *time.Duration { return &s.Timeout }),
+		"10m", func(s *Service) bool { return s.Timeout > MaxDeadline }),
 	duration("default-run-time", tunable, optional, "run time taken for tasks that declare none",
 		func(s *Service) *time.Duration { return &s.DefaultRunTime }),
 	count("default-memory-bytes", tunable, 0, "memory taken for tasks that declare none",
@@ -64,12 +73,14 @@
 }
 
 var limitsFields = []field[Limits]{
-	count("max-body-bytes", baseOnly, 1, "largest body of a request",
+	capped(count("max-body-bytes", baseOnly, 1, "largest body of a request; at most 32 MiB",
 		func(l *Limits) *int64 { return &l.MaxBodyBytes }),
+		"33554432", func(l *Limits) bool { return l.MaxBodyBytes > MaxBodyBytes }),
 	duration("body-timeout", tunable, optional, "how long a caller may take to send a body",
 		func(l *Limits) *time.Duration { return &l.BodyTimeout }),
-	duration("max-deadline", baseOnly, optional, "longest deadline that a job may bring",
+	capped(duration("max-deadline", baseOnly, optional, "longest deadline that a job may bring; at most 10m",
 		func(l *Limits) *time.Duration { return &l.MaxDeadline }),
+		"10m", func(l *Limits) bool { return l.MaxDeadline > MaxDeadline }),
 	count("waiting-per-agent", tunable, 1, "tasks that may wait at one agent",
 		func(l *Limits) *int { return &l.WaitingPerAgent }),
 }
--- a/internal/dispatcher/caller.go
+++ b/internal/dispatcher/caller.go
@@ -16,14 +16,6 @@
 	"sardinelock.dev/sardinelock/pkg/submitter"
 )
 
-// Limits of what a caller may send.
-const (
-	maxBodyBytes   = 32 << 20
-	bodyTimeout    = 30 * time.Second
-	maxDeadline    = 10 * time.Minute
-	defaultTimeout = 30 * time.Second
-)
-
 // partitionSet has the partitions that this entry owns.
 type partitionSet [identifier.Partitions]bool
 
@@ -88,7 +80,7 @@
 			Detail: "no service has the name " + strconv.Quote(r.PathValue("service")),
 		}
 	}
-	body, problem := decodeJob(w, r)
+	body, problem := decodeJob(w, r, &config.Limits)
 	if problem != nil {
 		return nil, problem
 	}
@@ -98,16 +90,16 @@
 	}
 	return &coordinator.Request{
 		Kind:  coordinator.RequestSubmit,
-		Job:   newJob(service, r.Header.Get(submitter.HeaderTeam), id, body),
+		Job:   newJob(config, service, r.Header.Get(submitter.HeaderTeam), id, body),
 		Fresh: fresh,
 	}, nil
 }
 
-func decodeJob(w http.ResponseWriter, r *http.Request) (*submitter.Job, *submitter.Problem) {
+func decodeJob(w http.ResponseWriter, r *http.Request, limits *configurer.Limits) (*submitter.Job, *submitter.Problem) {
 	// The connection may not support deadlines, as in tests; then none is set.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(limits.BodyTimeout))
 	body := new(submitter.Job)
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(body); err != nil {
 		var tooLarge *http.MaxBytesError
@@ -115,7 +107,7 @@
 			return nil, &submitter.Problem{
 				Status: http.StatusRequestEntityTooLarge,
 				Title:  "the body is too large",
-				Detail: "the limit is " + strconv.Itoa(maxBodyBytes) + " bytes",
+				Detail: "the limit is " + strconv.FormatInt(limits.MaxBodyBytes, 10) + " bytes",
 			}
 		}
 		return nil, &submitter.Problem{
@@ -177,13 +169,10 @@
 	return id, nil
 }
 
-func newJob(service *configurer.Service, team string, id identifier.Submission, body *submitter.Job) owner.Job {
+func newJob(config *configurer.Config, service *configurer.Service, team string, id identifier.Submission, body *submitter.Job) owner.Job {
 	timeout := service.Timeout
-	if timeout == 0 {
-		timeout = defaultTimeout
-	}
 	if body.Deadline > 0 {
-		timeout = min(time.Duration(body.Deadline), maxDeadline)
+		timeout = min(time.Duration(body.Deadline), config.Limits.MaxDeadline)
 	}
 	job := owner.Job{
 		Submission: id,
