--- a/cmd/sardinelock/cmd/config_apply.go
+++ b/cmd/sardinelock/cmd/config_apply.go
@@ -16,8 +16,8 @@
 	"sardinelock.dev/sardinelock/internal/versioner"
 )
 
-// changeTimeout is how long a command tries to learn what became of a change.
-const changeTimeout = 20 * time.Second
+// versionTimeout is how long a command tries to learn what became of a change.
+const versionTimeout = 20 * time.Second
 
 func newConfigApplyCommand() *cobra.Command {
 	var (
@@ -96,7 +96,7 @@
 	set.StringVar(&f.id, "change-id", "", "id of the change, to ask for it again (default: a new one)")
 	set.StringVar(&f.operator, "operator", os.Getenv("USER"), "who makes the change")
 	set.StringVar(&f.comment, "comment", "", "why")
-	set.DurationVar(&f.timeout, "timeout", changeTimeout, "how long to try to learn what became of the change")
+	set.DurationVar(&f.timeout, "timeout", versionTimeout, "how long to try to learn what became of the change")
 }
 
 // faults reports what is wrong with the flags. The expected version has no
@@ -133,7 +133,7 @@
 	if err != nil {
 		return err
 	}
-	report := changeReport{Result: result}
+	report := versionReport{Result: result}
 	if result.Reason == versioner.ReasonConflict {
 		report.Differences, report.Fault = differencesSince(c.Context(), r, result)
 	}
@@ -143,8 +143,8 @@
 	return report.exit()
 }
 
-// changeReport is what a command prints about a change.
-type changeReport struct {
+// versionReport is what a command prints about a change.
+type versionReport struct {
 	versioner.Result
 	// Differences are what has changed since the expected version.
 	Differences []configurer.Difference `json:"differences,omitempty"`
@@ -183,7 +183,7 @@
 	return r.Version(ctx, number)
 }
 
-func (p *changeReport) print(c *cobra.Command, output outputFlag) error {
+func (p *versionReport) print(c *cobra.Command, output outputFlag) error {
 	w := c.OutOrStdout()
 	if output.format == outputJSON {
 		return printJSON(w, p)
@@ -209,7 +209,7 @@
 }
 
 // exit returns the error that carries the exit code of the verdict.
-func (p *changeReport) exit() error {
+func (p *versionReport) exit() error {
 	switch p.Verdict {
 	case versioner.VerdictAccepted:
 		return nil
--- a/internal/configurer/config.go
+++ b/internal/configurer/config.go
@@ -37,7 +37,8 @@
 	Name string
 	// Path is the HTTP path of the service at its upstreams. It begins with "/".
 	Path string
-	// Timeout is the deadline of jobs that bring none. It is positive.
+	// Timeout is the deadline of jobs that bring none. It is positive and at most
+	// [MaxDeadline].
 	Timeout time.Duration
 	// DefaultRunTime and DefaultMemoryBytes are taken for tasks that declare none.
 	DefaultRunTime     time.Duration
@@ -86,11 +87,12 @@
 
 // Limits bound what a process takes.
 type Limits struct {
-	// MaxBodyBytes bounds the body of a request. It is positive.
+	// MaxBodyBytes bounds the body of a request, from 1 to [MaxBodyBytes].
 	MaxBodyBytes int64
 	// BodyTimeout bounds how long a caller may take to send a body. It is positive.
 	BodyTimeout time.Duration
-	// MaxDeadline bounds the deadline that a job may bring. It is positive.
+	// MaxDeadline bounds the deadline that a job may bring. It is positive and at
+	// most [MaxDeadline].
 	MaxDeadline time.Duration
 	// WaitingPerAgent bounds the tasks that wait at one agent. It is positive.
 	WaitingPerAgent int
@@ -100,45 +102,66 @@
 type Queue struct {
 	// MaxTasks bounds the tasks that wait at an entry. It is positive.
 	MaxTasks int
-	// MaxAge is the time for which a task may be expected to wait before new jobs
-	// are refused. It is positive.
-	MaxAge time.Duration
-	// Ageing is the waiting time after which a job goes before smaller ones. It is positive.
-	Ageing time.Duration
+	// Ageing is how much one second of waiting counts against one second of
+	// remaining work when jobs of a team are ordered; 0 is first come, first served.
+	Ageing float64
+	// Quantum is the slot time by which one team may be ahead of another before
+	// its jobs yield. It is positive.
+	Quantum time.Duration
+	// DeadlineRatio is the share of a job's deadline, from 0 to 1, that the
+	// expected wait and run time may take when the job is admitted.
+	DeadlineRatio float64
+	// MinSamples is how many results of a service replace declared values. It is
+	// positive.
+	MinSamples int
 }
 
 // Ejection is the policy by which an upstream that fails is left out.
 type Ejection struct {
-	// FailureRatio is the share of failed tasks that ejects, from 0 to 1.
+	// FailureStreak is how many failures in a row eject an upstream. It is positive.
+	FailureStreak int
+	// FailureRatio is the share of recent results, from 0 to 1, that ejects if they
+	// are failures.
 	FailureRatio float64
-	// MinSamples is the number of ended tasks before an upstream is judged. It is positive.
-	MinSamples int
-	// ProbeEvery is the pause between probes of an ejected upstream. It is positive.
-	ProbeEvery time.Duration
-	// MaxEjectedRatio bounds the share of a service's upstreams that are ejected
+	// SlowFactor ejects an upstream whose tasks take so many times longer than the
+	// same service's tasks elsewhere. It is at least 1.
+	SlowFactor float64
+	// ProbeAfter is how long an upstream is ejected before the first probe; each
+	// probe that fails doubles it up to MaxProbeAfter. Both are positive.
+	ProbeAfter    time.Duration
+	MaxProbeAfter time.Duration // MaxProbeAfter is not below ProbeAfter.
+	// MaxEjectedRatio bounds the share of the serving upstreams that are ejected
 	// at one time, from 0 to 1.
 	MaxEjectedRatio float64
+	// SlowStart is how many tasks a new upstream may have outstanding. The number
+	// doubles with as many successes. It is positive.
+	SlowStart int
 }
 
 // Default returns the values that hold where no file sets them.
 func Default() Config {
 	return Config{
 		Limits: Limits{
-			MaxBodyBytes:    32 << 20,
+			MaxBodyBytes:    MaxBodyBytes,
 			BodyTimeout:     30 * time.Second,
-			MaxDeadline:     10 * time.Minute,
+			MaxDeadline:     MaxDeadline,
 			WaitingPerAgent: 1024,
 		},
 		Queue: Queue{
-			MaxTasks: 100_000,
-			MaxAge:   10 * time.Second,
-			Ageing:   2 * time.Second,
+			MaxTasks:      50_000,
+			Ageing:        0.25,
+			Quantum:       4 * time.Second,
+			DeadlineRatio: 0.7,
+			MinSamples:    20,
 		},
 		Ejection: Ejection{
+			FailureStreak:   3,
 			FailureRatio:    0.5,
-			MinSamples:      10,
-			ProbeEvery:      time.Second,
-			MaxEjectedRatio: 0.5,
+			SlowFactor:      4,
+			ProbeAfter:      10 * time.Second,
+			MaxProbeAfter:   2 * time.Minute,
+			MaxEjectedRatio: 0.34,
+			SlowStart:       4,
 		},
 	}
 }
--- a/internal/configurer/field.go
+++ b/internal/configurer/field.go
@@ -46,6 +46,19 @@
 	return f
 }
 
+// capped returns a field that refuses a value which exceeds what the system can
+// carry.
+func capped[T any](f field[T], most string, exceeds func(*T) bool) field[T] {
+	read := f.read
+	f.read = func(r *reader, n ast.Node, path string, into *T) {
+		read(r, n, path, into)
+		if exceeds(into) {
+			r.fault(n, "must be at most %s", most)
+		}
+	}
+	return f
+}
+
 // section returns a field whose value is a mapping.
 func section[T, U any](key string, fields []field[U], get func(*T) *U) field[T] {
 	f := field[T]{key: key, tunable: anyTunable(fields)}
@@ -87,7 +100,10 @@
 	}
 	f.keys = func(_ *T, path string, emit func(Key)) {
 		for _, sub := range fields {
-			sub.keys(new(U), path+".NAME."+sub.key, emit)
+			sub.keys(new(U), path+".NAME."+sub.key, func(k Key) {
+				k.Overlay = k.Overlay && f.tunable
+				emit(k)
+			})
 		}
 	}
 	return f
@@ -207,19 +223,19 @@
 	return scalar(f, func(of *T) string { return formatFloat(*get(of)) })
 }
 
-// rate returns a field of a number that is not negative.
-func rate[T any](key string, tune bool, help string, get func(*T) *float64) field[T] {
+// number returns a field of a number that is not below the minimum.
+func number[T any](key string, tune bool, least float64, help string, get func(*T) *float64) field[T] {
 	f := field[T]{key: key, kind: "number", help: help, tunable: tune}
 	f.read = func(r *reader, n ast.Node, _ string, into *T) {
-		number, ok := r.number(n)
+		value, ok := r.number(n)
 		if !ok {
 			return
 		}
-		if number < 0 {
-			r.fault(n, "must not be negative, not %s", formatFloat(number))
+		if value < least {
+			r.fault(n, "must be at least %s, not %s", formatFloat(least), formatFloat(value))
 			return
 		}
-		*get(into) = number
+		*get(into) = value
 	}
 	return scalar(f, func(of *T) string { return formatFloat(*get(of)) })
 }
--- a/internal/configurer/schema.go
+++ b/internal/configurer/schema.go
@@ -8,6 +8,14 @@
 // what a service, a quota, an objective or an accepted request is must be the
 // same at every site.
 
+// The bounds of what the system can carry, whatever the configuration says. A body
+// must fit into a message between entries, and records are kept for the longest
+// deadline.
+const (
+	MaxBodyBytes = 32 << 20
+	MaxDeadline  = 10 * time.Minute
+)
+
 // baseOnly and tunable say who may set a key.
 const (
 	baseOnly = false
@@ -27,8 +35,9 @@
 	name("name", serviceName),
 	path("path", baseOnly, "HTTP path of the service at its upstreams",
 		func(s *Service) *string { return &s.Path }),
-	duration("timeout", baseOnly, required, "deadline of jobs that bring none",
+	capped(duration("timeout", baseOnly, required, "deadline of jobs that bring none; at most 10m",
 		func(s *Service) *time.Duration { return &s.Timeout }),
+		"10m", func(s *Service) bool { return s.Timeout > MaxDeadline }),
 	duration("default-run-time", tunable, optional, "run time taken for tasks that declare none",
 		func(s *Service) *time.Duration { return &s.DefaultRunTime }),
 	count("default-memory-bytes", tunable, 0, "memory taken for tasks that declare none",
@@ -49,7 +58,7 @@
 	name("name", teamName),
 	count("slots", baseOnly, 0, "tasks that may run at one time over all entries; 0 is no bound",
 		func(t *Team) *int { return &t.Slots }),
-	rate("starts-per-second", baseOnly, "task starts a second over all entries; 0 is no bound",
+	number("starts-per-second", baseOnly, 0, "task starts a second over all entries; 0 is no bound",
 		func(t *Team) *float64 { return &t.StartsPerSecond }),
 	hashes("token-hashes", "SHA-256 of each valid bearer token",
 		func(t *Team) *[]string { return &t.TokenHashes }),
@@ -64,12 +73,14 @@
 }
 
 var limitsFields = []field[Limits]{
-	count("max-body-bytes", baseOnly, 1, "largest body of a request",
+	capped(count("max-body-bytes", baseOnly, 1, "largest body of a request; at most 32 MiB",
 		func(l *Limits) *int64 { return &l.MaxBodyBytes }),
+		"33554432", func(l *Limits) bool { return l.MaxBodyBytes > MaxBodyBytes }),
 	duration("body-timeout", tunable, optional, "how long a caller may take to send a body",
 		func(l *Limits) *time.Duration { return &l.BodyTimeout }),
-	duration("max-deadline", baseOnly, optional, "longest deadline that a job may bring",
+	capped(duration("max-deadline", baseOnly, optional, "longest deadline that a job may bring; at most 10m",
 		func(l *Limits) *time.Duration { return &l.MaxDeadline }),
+		"10m", func(l *Limits) bool { return l.MaxDeadline > MaxDeadline }),
 	count("waiting-per-agent", tunable, 1, "tasks that may wait at one agent",
 		func(l *Limits) *int { return &l.WaitingPerAgent }),
 }
@@ -77,19 +88,29 @@
 var queueFields = []field[Queue]{
 	count("max-tasks", tunable, 1, "tasks that may wait at one entry",
 		func(q *Queue) *int { return &q.MaxTasks }),
-	duration("max-age", tunable, optional, "expected wait beyond which new jobs are refused",
-		func(q *Queue) *time.Duration { return &q.MaxAge }),
-	duration("ageing", tunable, optional, "wait after which a job goes before smaller ones",
-		func(q *Queue) *time.Duration { return &q.Ageing }),
+	number("ageing", tunable, 0, "how much a second of waiting counts against a second of remaining work; 0 is first come, first served",
+		func(q *Queue) *float64 { return &q.Ageing }),
+	duration("quantum", tunable, optional, "slot time by which one team may be ahead of another before its jobs yield",
+		func(q *Queue) *time.Duration { return &q.Quantum }),
+	ratio("deadline-ratio", tunable, optional, "share of a deadline that the expected wait and run time may take",
+		func(q *Queue) *float64 { return &q.DeadlineRatio }),
+	count("min-samples", tunable, 1, "results of a service that replace declared values",
+		func(q *Queue) *int { return &q.MinSamples }),
 }
 
 var ejectionFields = []field[Ejection]{
-	ratio("failure-ratio", tunable, optional, "share of failed tasks that ejects an upstream",
+	count("failure-streak", tunable, 1, "failures in a row that eject an upstream",
+		func(e *Ejection) *int { return &e.FailureStreak }),
+	ratio("failure-ratio", tunable, optional, "share of failures among recent results that ejects an upstream",
 		func(e *Ejection) *float64 { return &e.FailureRatio }),
-	count("min-samples", tunable, 1, "ended tasks before an upstream is judged",
-		func(e *Ejection) *int { return &e.MinSamples }),
-	duration("probe-every", tunable, optional, "pause between probes of an ejected upstream",
-		func(e *Ejection) *time.Duration { return &e.ProbeEvery }),
-	ratio("max-ejected-ratio", tunable, optional, "largest share of a service's upstreams that are ejected at one time",
+	number("slow-factor", tunable, 1, "how many times longer than elsewhere tasks may take before an upstream is ejected",
+		func(e *Ejection) *float64 { return &e.SlowFactor }),
+	duration("probe-after", tunable, optional, "time of an ejection before the first probe; each failed probe doubles it",
+		func(e *Ejection) *time.Duration { return &e.ProbeAfter }),
+	duration("max-probe-after", tunable, optional, "longest time between probes",
+		func(e *Ejection) *time.Duration { return &e.MaxProbeAfter }),
+	ratio("max-ejected-ratio", tunable, optional, "largest share of the serving upstreams that are ejected at one time",
 		func(e *Ejection) *float64 { return &e.MaxEjectedRatio }),
+	count("slow-start", tunable, 1, "tasks that a new upstream may have outstanding",
+		func(e *Ejection) *int { return &e.SlowStart }),
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -169,6 +169,7 @@
 	})
 	e.timers.Subscribe(dialEvery, func(time.Time) { e.dialEntries() })
 	e.subscribeConfig()
+	e.subscribeAdministration()
 }
 
 // waitAndDrain waits for the end of the context, hands the partitions over and
--- a/internal/dispatcher/fuzz_test.go
+++ b/internal/dispatcher/fuzz_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"sardinelock.dev/sardinelock/internal/configurer"
 	"sardinelock.dev/sardinelock/pkg/submitter"
 )
 
@@ -48,5 +49,6 @@
 
 func decodeBody(body string) (*submitter.Job, *submitter.Problem) {
 	r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(body))
-	return decodeJob(httptest.NewRecorder(), r)
+	config := configurer.Default()
+	return decodeJob(httptest.NewRecorder(), r, &config.Limits)
 }
