Free the places of tasks whose results go to another entry

Change: places of partitions that were lost or stopped are freed; places of tasks that the owner does not let go are freed; the agent-killed test picks an agent that runs tasks of the job.

--- a/cmd/sardinelock/cmd/failure_test.go
+++ b/cmd/sardinelock/cmd/failure_test.go
@@ -86,10 +86,10 @@
 	t.Parallel()
 	f := startFleet(t, 2, 3)
 	id := submitter.NewSubmissionID()
-	j := job(60, 500*time.Millisecond, 40*time.Second)
+	j := job(30, 3*time.Second, 40*time.Second)
 	first := f.submitAsync(0, id, j)
-	f.awaitStarts(id, 24)
-	f.agents[0].kill()
+	f.awaitStarts(id, 12)
+	f.agents[f.busiest(id)].kill()
 	answer := <-first
 	if answer.Outcome != submitter.OutcomeFailed && answer.Outcome != submitter.OutcomeUnknown {
 		t.Errorf("outcome %s, want failed or unknown", answer.Outcome)
--- a/cmd/sardinelock/cmd/process_test.go
+++ b/cmd/sardinelock/cmd/process_test.go
@@ -236,21 +236,39 @@
 func (f *fleet) starts(submission string) map[string]int {
 	out := make(map[string]int)
 	for _, u := range f.upstreams {
-		lines := bufio.NewScanner(bytes.NewReader([]byte(u.stdout.String())))
-		for lines.Scan() {
-			var line struct {
-				Event        string `json:"event"`
-				SubmissionID string `json:"submission-id"`
-				Task         int    `json:"task"`
-			}
-			if json.Unmarshal(lines.Bytes(), &line) == nil && line.Event == "start" && line.SubmissionID == submission {
-				out[strconv.Itoa(line.Task)]++
-			}
-		}
+		u.countStarts(submission, out)
 	}
 	return out
 }
 
+// busiest returns the index of the agent whose upstream started most tasks of a
+// submission.
+func (f *fleet) busiest(submission string) int {
+	best, most := 0, 0
+	for i, u := range f.upstreams {
+		started := make(map[string]int)
+		if u.countStarts(submission, started); len(started) > most {
+			best, most = i, len(started)
+		}
+	}
+	return best
+}
+
+// countStarts adds the starts that an upstream has logged, by task.
+func (p *process) countStarts(submission string, out map[string]int) {
+	lines := bufio.NewScanner(bytes.NewReader([]byte(p.stdout.String())))
+	for lines.Scan() {
+		var line struct {
+			Event        string `json:"event"`
+			SubmissionID string `json:"submission-id"`
+			Task         int    `json:"task"`
+		}
+		if json.Unmarshal(lines.Bytes(), &line) == nil && line.Event == "start" && line.SubmissionID == submission {
+			out[strconv.Itoa(line.Task)]++
+		}
+	}
+}
+
 // awaitStarts waits until at least n tasks of a submission have started.
 func (f *fleet) awaitStarts(submission string, n int) {
 	f.t.Helper()
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -10,6 +10,7 @@
 package coordinator
 
 import (
+	"slices"
 	"time"
 
 	"sardinelock.dev/sardinelock/internal/enroller"
@@ -114,6 +115,7 @@
 	requests requests
 	handover handovers
 	draining bool
+	disowned bool // disowned means that a partition was lost or stopped since the last Take.
 	pingedAt time.Time
 	paths    map[string]string // paths has the HTTP path of each service at its upstreams.
 	out      Output
@@ -237,6 +239,7 @@
 // clears it.
 func (c *Coordinator) Take(now time.Time) Output {
 	c.now = now
+	c.disown(now)
 	c.applyOwner(now)
 	if c.leaser.Held(now) {
 		c.dispatch(now)
@@ -287,7 +290,9 @@
 		if !ok || link == nil {
 			continue
 		}
-		a.Tasks = c.owner.Sent(now, a.Submission, a.Agent, a.Tasks)
+		placed := a.Tasks
+		a.Tasks = c.owner.Sent(now, a.Submission, a.Agent, placed)
+		c.returnPlaces(now, a, placed)
 		if len(a.Tasks) == 0 {
 			continue
 		}
@@ -297,6 +302,34 @@
 	}
 }
 
+// returnPlaces frees the places of tasks that the owner did not let go, because
+// they are known to be at an agent.
+func (c *Coordinator) returnPlaces(now time.Time, a placer.Assignment, placed []uint16) {
+	if len(a.Tasks) == len(placed) {
+		return
+	}
+	for _, index := range placed {
+		if !slices.Contains(a.Tasks, index) {
+			c.placer.Ended(now, placer.End{
+				Agent:      a.Agent,
+				Submission: a.Submission,
+				Index:      index,
+				Kind:       messenger.ResultRefused,
+			})
+		}
+	}
+}
+
+// disown frees the places of tasks of partitions that this entry does not run any
+// more: their results go to the new owner.
+func (c *Coordinator) disown(now time.Time) {
+	if !c.disowned {
+		return
+	}
+	c.disowned = false
+	c.placer.Disown(now, func(s identifier.Submission) bool { return !c.Owns(s.Partition()) })
+}
+
 func (c *Coordinator) start(now time.Time, link *agentLink, j *owner.Job, a placer.Assignment) messenger.Start {
 	clock := link.clock + now.Sub(link.clockAt)
 	s := messenger.Start{
--- a/internal/coordinator/handover.go
+++ b/internal/coordinator/handover.go
@@ -128,6 +128,7 @@
 // wait for its jobs are held.
 func (c *Coordinator) stop(now time.Time, p identifier.Partition) []messenger.HandoverJob {
 	c.recoverer.Stop(p)
+	c.disowned = true
 	jobs := c.owner.Export(now, p)
 	for _, r := range c.owner.Release(now, p) {
 		c.placer.Drop(r.Job.Submission)
--- a/internal/coordinator/ownership.go
+++ b/internal/coordinator/ownership.go
@@ -110,6 +110,7 @@
 // the new owner, which learns from the agents what has started.
 func (c *Coordinator) lose(now time.Time, p identifier.Partition) {
 	c.recoverer.End(p)
+	c.disowned = true
 	for _, r := range c.owner.Release(now, p) {
 		c.placer.Drop(r.Job.Submission)
 		for _, w := range r.Waiters {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -264,6 +264,22 @@
 	p.rerank(a)
 }
 
+// Disown frees the places of tasks whose results will go to another entry.
+func (p *Placer) Disown(now time.Time, gone func(identifier.Submission) bool) {
+	p.touch(now)
+	for _, a := range p.order {
+		for ref := range a.sent {
+			if !gone(ref.submission) {
+				continue
+			}
+			if o, ok := a.release(ref); ok {
+				freeQuota(o.queue)
+			}
+		}
+		p.rerank(a)
+	}
+}
+
 // learn applies what the result of a task that ran says about its service, its
 // agent and its team's use of slots.
 func (p *Placer) learn(now time.Time, a *agent, o outstanding, e *End) {
