--- a/internal/guard/records.go
+++ b/internal/guard/records.go
@@ -12,7 +12,7 @@
 // Sizes in bytes of what the records hold, for the memory limit. The size of a
 // map entry allows for the table's free slots.
 const (
-	mapEntryBytes   = 48
+	mapEntryBytes   = 72
 	recordBytes     = int(unsafe.Sizeof(record{})) + int(unsafe.Sizeof(expiry{})) + mapEntryBytes + runningBytes
 	runningBytes    = 16 // runningBytes is the smallest array behind record.running with its allocation class.
 	taskResultBytes = int(unsafe.Sizeof(messenger.TaskResult{}))
--- a/internal/owner/due.go
+++ b/internal/owner/due.go
@@ -56,7 +56,7 @@
 	if j.phase != phaseOpen {
 		o.expireWaiters(now, j)
 		if !now.Before(j.keptTill) {
-			o.forget(now, j)
+			o.forget(j)
 		}
 		return
 	}
@@ -87,7 +87,7 @@
 }
 
 // forget drops a job that is not open.
-func (o *Owner) forget(_ time.Time, j *job) {
+func (o *Owner) forget(j *job) {
 	for _, w := range j.waiters {
 		o.out.Answers = append(o.out.Answers, Answered{
 			Waiter: w.Waiter,
@@ -122,9 +122,13 @@
 	}
 	o.results += size
 	o.kept = append(o.kept, j.spec.Submission)
-	for o.results > o.limits.MaxAnswerBytes && len(o.kept) > 0 {
-		if old := o.jobs[o.kept[0]]; old != nil {
-			o.dropResults(old)
+	for len(o.kept) > 0 {
+		oldest := o.jobs[o.kept[0]]
+		if oldest != nil && oldest.hasResults() && o.results <= o.limits.MaxAnswerBytes {
+			return
+		}
+		if oldest != nil {
+			o.dropResults(oldest)
 		}
 		o.kept = o.kept[1:]
 	}
@@ -132,7 +136,7 @@
 
 // dropResults frees the results of an answered job; its record stays.
 func (o *Owner) dropResults(j *job) {
-	if j.answer == nil || len(j.answer.Results) == 0 {
+	if !j.hasResults() {
 		return
 	}
 	o.results -= resultBytes(j.answer)
--- a/internal/owner/job.go
+++ b/internal/owner/job.go
@@ -69,7 +69,7 @@
 // Sizes in bytes for the memory limit. The size of a map entry allows for the
 // table's free slots.
 const (
-	mapEntryBytes = 48
+	mapEntryBytes = 112
 	jobBytes      = int(unsafe.Sizeof(job{})) + int(unsafe.Sizeof(messenger.Answer{})) + mapEntryBytes + 2*int(unsafe.Sizeof(due{}))
 	taskBytes     = int(unsafe.Sizeof(task{}))
 	specBytes     = int(unsafe.Sizeof(messenger.TaskSpec{}))
@@ -97,6 +97,9 @@
 	return n
 }
 
+// hasResults reports whether the results of the answer are kept.
+func (j *job) hasResults() bool { return j.answer != nil && len(j.answer.Results) > 0 }
+
 // belongsTo reports whether the job is the team's. A job known from records has
 // no team.
 func (j *job) belongsTo(team string) bool {
