Let a whole system run in virtual time under a random scheduler

Change: a world of real coordinators, guards and the platform's stand-in, whose scheduler picks deliveries, cuts, pauses, deaths, store faults, time and requests; an oracle of started tasks and answers checks rules 1 to 5.

--- /dev/null
+++ b/internal/coordinator/fuzz_test.go
@@ -0,0 +1,133 @@
+package coordinator_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+var (
+	worldSeed      = flag.Uint64("world.seed", 0, "run the history of this seed alone and print its trace")
+	worldHistories = flag.Int("world.histories", 3000, "number of seeded histories")
+	worldSteps     = flag.Int("world.steps", 60, "steps of a seeded history")
+)
+
+// firstSeed is the seed of the first history; the others count on from it.
+const firstSeed = 1
+
+// TestHistories lets seeded histories happen and checks rules 1 to 5 after each
+// step. With -world.seed=N it repeats one and prints its trace.
+func TestHistories(t *testing.T) {
+	if *worldSeed != 0 {
+		w := history(*worldSeed, *worldSteps, true)
+		t.Log("\n" + w.trace.String())
+		if w.oracle.violation != "" {
+			t.Fatal(w.oracle.violation)
+		}
+		return
+	}
+	const lanes = 16
+	var mu sync.Mutex
+	steps := 0
+	outcomes := make(map[string]int)
+	t.Run("lanes", func(t *testing.T) {
+		for lane := range lanes {
+			t.Run(fmt.Sprint(lane), func(t *testing.T) {
+				t.Parallel()
+				for i := lane; i < *worldHistories; i += lanes {
+					w := checkHistory(t, firstSeed+uint64(i))
+					mu.Lock()
+					steps += w.steps
+					for k, n := range w.oracle.outcomes {
+						outcomes[k] += n
+					}
+					mu.Unlock()
+				}
+			})
+		}
+	})
+	t.Logf("%d histories, %d steps\n%s", *worldHistories, steps, table(outcomes))
+}
+
+func checkHistory(t *testing.T, seed uint64) *world {
+	w := history(seed, *worldSteps, false)
+	if w.oracle.violation != "" {
+		again := history(seed, *worldSteps, true)
+		t.Fatalf("seed %d: %s\n%s", seed, w.oracle.violation, again.trace)
+	}
+	return w
+}
+
+// history runs the history of a seed.
+func history(seed uint64, steps int, traced bool) *world {
+	random := rand.New(rand.NewPCG(seed, 7))
+	w := newWorld(random.IntN, drawOptions(random.IntN))
+	if traced {
+		w.trace = new(strings.Builder)
+	}
+	w.run(steps)
+	if traced && w.oracle.violation != "" {
+		w.logf("VIOLATION %s", w.oracle.violation)
+	}
+	return w
+}
+
+// drawOptions draws the kind of a history: its sizes and how much goes wrong.
+func drawOptions(pick func(int) int) worldOptions {
+	return worldOptions{
+		entries: 1 + pick(3),
+		agents:  1 + pick(4),
+		slots:   1 + pick(2),
+		faults:  [...]int{0, 4, 12, 30}[pick(4)],
+	}
+}
+
+// TestProperties lets rapid choose, which shrinks a history that breaks a rule.
+func TestProperties(t *testing.T) {
+	if testing.Short() {
+		t.Skip("the seeded histories cover the same")
+	}
+	mustSet(t, "rapid.seed", "1")
+	mustSet(t, "rapid.checks", "50")
+	mustSet(t, "rapid.nofailfile", "true")
+	rapid.Check(t, func(t *rapid.T) {
+		pick := func(n int) int {
+			if n < 2 {
+				return 0
+			}
+			return rapid.IntRange(0, n-1).Draw(t, "")
+		}
+		w := newWorld(pick, drawOptions(pick))
+		w.trace = new(strings.Builder)
+		w.run(40)
+		if w.oracle.violation != "" {
+			t.Fatalf("%s\n%s", w.oracle.violation, w.trace)
+		}
+	})
+}
+
+func mustSet(t *testing.T, name, value string) {
+	t.Helper()
+	if err := flag.Set(name, value); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func table(counts map[string]int) string {
+	var out strings.Builder
+	var keys []string
+	for k := range counts {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	for _, k := range keys {
+		fmt.Fprintf(&out, "%8d  %s\n", counts[k], k)
+	}
+	return out.String()
+}
--- /dev/null
+++ b/internal/coordinator/world_actions_test.go
@@ -0,0 +1,349 @@
+package coordinator_test
+
+import (
+	"fmt"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/identifier"
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/owner"
+)
+
+// run lets a history of the given number of steps happen, then heals the world
+// and checks that every request is answered.
+func (w *world) run(steps int) {
+	w.settle(2 * time.Second)
+	for range steps {
+		if w.oracle.violation != "" {
+			return
+		}
+		w.step()
+	}
+	w.heal()
+	w.oracle.checkEnd()
+}
+
+// step lets one thing happen.
+func (w *world) step() {
+	w.steps++
+	if w.pick(100) < w.options.faults {
+		w.fault()
+		return
+	}
+	switch n := w.pick(100); {
+	case n < 45:
+		w.deliverSome(1 + w.pick(4))
+	case n < 60:
+		w.elapse(time.Duration(1+w.pick(60)) * time.Millisecond)
+	case n < 63:
+		w.elapse(time.Duration(200+w.pick(1500)) * time.Millisecond)
+	case n < 72:
+		w.callSome()
+	case n < 82:
+		w.endSome()
+	case n < 92:
+		w.submitNew()
+	case n < 96:
+		w.resubmit()
+	default:
+		w.connectSome()
+	}
+}
+
+// fault lets something go wrong, or mends something.
+func (w *world) fault() {
+	switch n := w.pick(100); {
+	case n < 25:
+		w.cutSome()
+	case n < 45:
+		w.pauseSome()
+	case n < 60:
+		w.wakeSome()
+	case n < 70:
+		w.killSome()
+	case n < 75:
+		w.down = !w.down
+		w.logf("the platform is down: %t", w.down)
+	case n < 90:
+		if len(w.calls) > 0 {
+			w.runCall(w.pick(len(w.calls)), 1+w.pick(3))
+		}
+	default:
+		w.leaveSome()
+	}
+}
+
+func (w *world) processes() []*process {
+	return append(append([]*process{}, w.entries...), w.agents...)
+}
+
+func (w *world) anyOf(ps []*process, ok func(*process) bool) *process {
+	var fit []*process
+	for _, p := range ps {
+		if ok(p) {
+			fit = append(fit, p)
+		}
+	}
+	if len(fit) == 0 {
+		return nil
+	}
+	return fit[w.pick(len(fit))]
+}
+
+func (w *world) deliverSome(n int) {
+	for range n {
+		ends := w.deliverable()
+		if len(ends) == 0 {
+			return
+		}
+		w.deliver(ends[w.pick(len(ends))])
+	}
+}
+
+// elapse lets time pass; each process that acts notices it, but for some that do
+// so later.
+func (w *world) elapse(d time.Duration) {
+	w.now = w.now.Add(d)
+	for _, p := range w.processes() {
+		if p.acts() && w.pick(8) > 0 {
+			w.tick(p)
+		}
+	}
+}
+
+func (w *world) callSome() {
+	if len(w.calls) > 0 {
+		w.runCall(w.pick(len(w.calls)), 0)
+	}
+}
+
+// endSome ends a call of an upstream, seldom with an error.
+func (w *world) endSome() {
+	p := w.anyOf(w.agents, func(p *process) bool { return p.acts() && len(p.running) > 0 })
+	if p == nil {
+		return
+	}
+	kind := messenger.ResultDone
+	if w.pick(20) == 0 {
+		kind = messenger.ResultFailed
+	}
+	ref := p.running[w.pick(len(p.running))].Ref
+	w.logf("%s ends %s/%d %s", p.peer, w.oracle.name(ref.Submission), ref.Index, kind)
+	w.endTask(p, ref, kind)
+	w.flush(p)
+}
+
+// submitNew submits a new submission, some with a request key that others use.
+func (w *world) submitNew() {
+	skew := [...]time.Duration{0, 0, 0, 0, 900 * time.Millisecond, -30 * time.Second, -2 * time.Minute, time.Minute}[w.pick(8)]
+	s := &submission{
+		timeout: [...]time.Duration{300 * time.Millisecond, time.Second, 3 * time.Second, 8 * time.Second}[w.pick(4)],
+	}
+	accept := func(identifier.Partition) bool { return true }
+	if w.pick(4) == 0 {
+		s.key = fmt.Sprintf("key%d", w.pick(2))
+		accept = func(p identifier.Partition) bool { return p == identifier.KeyPartition(s.key) }
+	}
+	s.id = w.newID(w.now.Add(skew), accept)
+	for i := range 1 + w.pick(4) {
+		s.payload = append(s.payload, []byte(fmt.Sprintf("%d/%d", w.ids, i)))
+	}
+	w.oracle.addSubmission(s)
+	w.submitTo(w.anyEntry(), s)
+}
+
+// resubmit submits a known submission again, seldom with another body.
+func (w *world) resubmit() {
+	if len(w.oracle.submissions) == 0 {
+		return
+	}
+	s := w.oracle.submissions[w.pick(len(w.oracle.submissions))]
+	if w.pick(20) == 0 {
+		other := *s
+		other.payload = append([][]byte{[]byte("other body")}, s.payload[1:]...)
+		s = &other
+	}
+	w.submitTo(w.anyEntry(), s)
+}
+
+func (w *world) anyEntry() *process {
+	return w.anyOf(w.entries, func(p *process) bool { return p.acts() && !p.leaving })
+}
+
+func (w *world) submitTo(p *process, s *submission) {
+	if p == nil {
+		return
+	}
+	r := &request{submission: s, entry: p, deadline: p.now(w).Add(s.timeout)}
+	ticket := w.oracle.addRequest(r)
+	w.logf("%s gets request %d for %s: %d tasks, key %q, timeout %s", p.peer, ticket, s.name, len(s.payload), s.key, s.timeout)
+	j := owner.Job{
+		Submission: s.id,
+		Service:    worldService,
+		Team:       "team",
+		RequestKey: s.key,
+		Deadline:   r.deadline,
+	}
+	for _, payload := range s.payload {
+		j.Tasks = append(j.Tasks, messenger.TaskSpec{Payload: payload, RunTime: 100 * time.Millisecond})
+	}
+	p.entry.Submit(p.now(w), ticket, j)
+	w.flush(p)
+}
+
+// connectSome connects some processes that are not connected.
+func (w *world) connectSome() {
+	var pairs [][2]*process
+	for i, e := range w.entries {
+		for _, other := range w.entries[i+1:] {
+			pairs = w.addPair(pairs, e, other)
+		}
+		for _, a := range w.agents {
+			pairs = w.addPair(pairs, a, e)
+		}
+	}
+	if len(pairs) > 0 {
+		p := pairs[w.pick(len(pairs))]
+		w.connect(p[0], p[1])
+	}
+}
+
+func (w *world) addPair(pairs [][2]*process, a, b *process) [][2]*process {
+	if a.alive && b.alive && !w.linked(a, b) {
+		return append(pairs, [2]*process{a, b})
+	}
+	return pairs
+}
+
+func (w *world) cutSome() {
+	var whole []*conn
+	for _, c := range w.conns {
+		if !c.cut {
+			whole = append(whole, c)
+		}
+	}
+	if len(whole) > 0 {
+		w.cutConn(whole[w.pick(len(whole))])
+	}
+}
+
+func (w *world) pauseSome() {
+	if p := w.anyOf(w.processes(), (*process).acts); p != nil {
+		p.paused = true
+		w.logf("%s pauses", p.peer)
+	}
+}
+
+func (w *world) wakeSome() {
+	p := w.anyOf(w.processes(), func(p *process) bool { return p.alive && p.paused })
+	if p != nil {
+		w.wake(p)
+	}
+}
+
+func (w *world) wake(p *process) {
+	p.paused = false
+	w.logf("%s wakes", p.peer)
+}
+
+// killSome ends a process without notice; another takes its seat.
+func (w *world) killSome() {
+	w.kill(w.processes()[w.pick(len(w.entries)+len(w.agents))])
+}
+
+func (w *world) kill(p *process) {
+	w.logf("%s dies", p.peer)
+	p.alive = false
+	for _, c := range w.conns {
+		if !c.cut && (c.ends[0] == p || c.ends[1] == p) {
+			w.cutConn(c)
+		}
+	}
+	if p.role == messenger.RoleEntry {
+		w.entries[p.seat] = w.birthEntry(p.seat)
+	} else {
+		w.agents[p.seat] = w.birthAgent(p.seat)
+	}
+}
+
+// leaveSome lets an upstream leave, or come back.
+func (w *world) leaveSome() {
+	p := w.anyOf(w.agents, (*process).acts)
+	if p == nil {
+		return
+	}
+	p.leaving = !p.leaving
+	w.logf("the upstream of %s leaves: %t", p.peer, p.leaving)
+	w.announce(p)
+	w.flush(p)
+}
+
+// heal mends everything and lets time pass until every deadline is over.
+func (w *world) heal() {
+	w.logf("the world heals")
+	w.down = false
+	for _, p := range w.processes() {
+		if p.paused {
+			w.wake(p)
+		}
+		if p.leaving && p.guard != nil {
+			p.leaving = false
+			w.announce(p)
+			w.flush(p)
+		}
+	}
+	w.settle(10 * time.Second)
+}
+
+// settle lets everything that is under way happen while time passes.
+func (w *world) settle(d time.Duration) {
+	const quantum = 250 * time.Millisecond
+	for end := w.now.Add(d); w.now.Before(end) && w.oracle.violation == ""; {
+		w.quiesce()
+		w.now = w.now.Add(quantum)
+		for _, p := range w.processes() {
+			if p.acts() {
+				w.tick(p)
+			}
+		}
+	}
+	w.quiesce()
+}
+
+// quiesce connects everyone and lets everything happen that takes no time.
+func (w *world) quiesce() {
+	const bound = 10000
+	for range bound {
+		if w.oracle.violation != "" || !w.quiesceOnce() {
+			return
+		}
+	}
+	w.oracle.fail("the processes exchange messages without end")
+}
+
+func (w *world) quiesceOnce() bool {
+	for i, e := range w.entries {
+		for _, other := range append(append([]*process{}, w.entries[i+1:]...), w.agents...) {
+			if !w.linked(e, other) {
+				w.connect(e, other)
+				return true
+			}
+		}
+	}
+	if ends := w.deliverable(); len(ends) > 0 {
+		w.deliver(ends[0])
+		return true
+	}
+	if len(w.calls) > 0 {
+		w.runCall(0, 0)
+		return true
+	}
+	for _, p := range w.agents {
+		if p.acts() && len(p.running) > 0 {
+			w.endTask(p, p.running[0].Ref, messenger.ResultDone)
+			w.flush(p)
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/coordinator/world_test.go
@@ -0,0 +1,312 @@
+package coordinator_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/coordinator"
+	"sardinelock.dev/sardinelock/internal/emulator"
+	"sardinelock.dev/sardinelock/internal/guard"
+	"sardinelock.dev/sardinelock/internal/identifier"
+	"sardinelock.dev/sardinelock/internal/invoker"
+	"sardinelock.dev/sardinelock/internal/leaser"
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/owner"
+	"sardinelock.dev/sardinelock/internal/placer"
+	"sardinelock.dev/sardinelock/internal/storer"
+	"sardinelock.dev/sardinelock/pkg/submitter"
+)
+
+// world is a whole system with virtual time: entries and agents as their real
+// state machines, callers, upstreams, connections and the platform's table. A
+// scheduler picks what happens next from a source of choices, so that a history is
+// repeated by repeating its choices.
+type world struct {
+	pick    func(n int) int // pick returns the next choice, from 0 to n-1.
+	options worldOptions
+	now     time.Time
+	entries []*process // entries has one process a seat; a dead one is replaced in place.
+	agents  []*process
+	conns   []*conn // conns has the connections that some side has not seen end.
+	store   *emulator.Platform
+	calls   []*storeCall
+	down    bool // down means that the platform answers nothing.
+	oracle  oracle
+	births  int
+	ids     uint64
+	steps   int
+	trace   *strings.Builder // trace is nil if no trace is wanted.
+}
+
+// worldOptions describe a history.
+type worldOptions struct {
+	entries, agents int
+	slots           int
+	faults          int // faults is the share of steps that are faults, in percent.
+	// tune changes a process when it is born, to switch rules off.
+	tune func(*process)
+}
+
+// process is one run of an entry or agent.
+type process struct {
+	peer    messenger.Peer
+	seat    int
+	role    messenger.Role
+	offset  time.Duration // offset is what its clock is ahead of the world's.
+	alive   bool
+	paused  bool
+	leaving bool // leaving means that it drains.
+	conns   map[messenger.Peer]*conn
+	entry   *coordinator.Coordinator
+	guard   *guard.Guard
+	running []guard.Invocation // running has the calls of the upstream beside the agent.
+}
+
+// storeCall is a call of the platform that is under way.
+type storeCall struct {
+	from  *process
+	read  *leaser.Read
+	write *leaser.Write
+}
+
+var (
+	worldStart = time.Unix(1_700_000_000, 0)
+
+	worldOwnerLimits = owner.Limits{
+		Window:          time.Minute,
+		ClockDifference: time.Second,
+		MaxRecordBytes:  1 << 20,
+		MaxAnswerBytes:  1 << 20,
+		LostAfter:       2 * time.Second,
+		MaxReplacements: 8,
+		AbandonGrace:    time.Second,
+	}
+	worldGuardLimits = guard.Limits{
+		Window:         70 * time.Second,
+		MaxRecordBytes: 1 << 20,
+		MaxWaiting:     8,
+	}
+)
+
+const (
+	worldService     = "quote"
+	worldStartBudget = 500 * time.Millisecond
+	worldPollEvery   = 500 * time.Millisecond
+)
+
+func newWorld(pick func(int) int, o worldOptions) *world {
+	w := &world{
+		pick:    pick,
+		options: o,
+		now:     worldStart,
+		store:   emulator.NewPlatform(1, emulator.Faults{}),
+	}
+	w.oracle.init()
+	for seat := range o.entries {
+		w.entries = append(w.entries, w.birthEntry(seat))
+	}
+	for seat := range o.agents {
+		w.agents = append(w.agents, w.birthAgent(seat))
+	}
+	return w
+}
+
+func (w *world) birthEntry(seat int) *process {
+	p := w.birth(messenger.RoleEntry, seat)
+	p.entry = coordinator.New(leaser.Self{
+		Peer:       p.peer,
+		Region:     "default",
+		DataCentre: "dc-0",
+		PeerAddr:   netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(1 + seat)}), uint16(1024+w.births)),
+	}, coordinator.Limits{
+		Owner:       worldOwnerLimits,
+		Placer:      placer.Limits{MaxQueued: 1000},
+		Leaser:      leaser.Limits{PollEvery: worldPollEvery},
+		StartBudget: worldStartBudget,
+	})
+	p.entry.SetPath(worldService, "/")
+	w.tune(p)
+	return p
+}
+
+func (w *world) birthAgent(seat int) *process {
+	p := w.birth(messenger.RoleAgent, seat)
+	p.guard = guard.New(p.now(w), worldGuardLimits)
+	w.tune(p)
+	w.announce(p)
+	return p
+}
+
+func (w *world) birth(role messenger.Role, seat int) *process {
+	w.births++
+	return &process{
+		peer:   messenger.Peer(fmt.Sprintf("%s-%d.%d", role, seat, w.births)),
+		seat:   seat,
+		role:   role,
+		offset: time.Duration(w.births*37%11) * 10 * time.Millisecond,
+		alive:  true,
+		conns:  make(map[messenger.Peer]*conn),
+	}
+}
+
+func (w *world) tune(p *process) {
+	if w.options.tune != nil {
+		w.options.tune(p)
+	}
+}
+
+// now returns the time on the process's clock.
+func (p *process) now(w *world) time.Time { return w.now.Add(p.offset) }
+
+// acts reports whether the process handles events.
+func (p *process) acts() bool { return p.alive && !p.paused }
+
+// flush carries out what a process decided.
+func (w *world) flush(p *process) {
+	if p.role == messenger.RoleAgent {
+		w.flushAgent(p)
+		return
+	}
+	out := p.entry.Take(p.now(w))
+	for _, s := range out.Sends {
+		w.send(p, s.To, s.Frame)
+	}
+	for _, a := range out.Answers {
+		w.logf("%s answers %d: %s %s (%s)", p.peer, a.Ticket, a.Answer.Outcome, a.Answer.Reason, a.Answer.Detail)
+		w.oracle.answered(p, a)
+	}
+	for i := range out.Reads {
+		w.calls = append(w.calls, &storeCall{from: p, read: &out.Reads[i]})
+	}
+	for i := range out.Writes {
+		w.calls = append(w.calls, &storeCall{from: p, write: &out.Writes[i]})
+	}
+}
+
+func (w *world) flushAgent(p *process) {
+	out := p.guard.Take(p.now(w))
+	for _, ref := range out.Aborts {
+		w.endTask(p, ref, messenger.ResultFailed)
+	}
+	for _, call := range out.Invocations {
+		w.logf("%s starts %s/%d", p.peer, w.oracle.name(call.Ref.Submission), call.Ref.Index)
+		w.oracle.started(call.Ref)
+		p.running = append(p.running, call)
+	}
+	for _, s := range out.Sends {
+		w.send(p, s.To, s.Frame)
+	}
+	if len(out.Aborts) > 0 {
+		w.flush(p)
+	}
+}
+
+// endTask ends a running call of the upstream.
+func (w *world) endTask(p *process, ref guard.TaskRef, kind messenger.ResultKind) {
+	for i, call := range p.running {
+		if call.Ref != ref {
+			continue
+		}
+		p.running = append(p.running[:i:i], p.running[i+1:]...)
+		r := messenger.TaskResult{Index: ref.Index, Kind: kind, Payload: resultOf(call.Payload)}
+		if kind != messenger.ResultDone {
+			r.Payload = nil
+		}
+		p.guard.Ended(p.now(w), ref, r)
+		return
+	}
+}
+
+// resultOf returns what the upstream answers to a payload.
+func resultOf(payload []byte) []byte { return append([]byte("done:"), payload...) }
+
+func (w *world) announce(p *process) {
+	p.guard.Announce(p.now(w), invoker.Announcement{
+		Services:    []string{worldService},
+		Slots:       w.options.slots,
+		Connections: 8,
+		MemoryBytes: 1 << 30,
+		TimeToLive:  submitter.Duration(time.Hour),
+		Leaving:     p.leaving,
+	})
+}
+
+// tick lets a process notice the time.
+func (w *world) tick(p *process) {
+	if p.role == messenger.RoleAgent {
+		for _, call := range p.running {
+			if !p.now(w).Before(call.EndBy) {
+				w.endTask(p, call.Ref, messenger.ResultFailed)
+			}
+		}
+		p.guard.Tick(p.now(w))
+		w.flush(p)
+		return
+	}
+	p.entry.Tick(p.now(w))
+	w.flush(p)
+	w.oracle.checkDeadlines(w, p)
+}
+
+// runCall carries out a call of the platform. Fault 0 is none; 1 loses the call,
+// 2 loses the answer, 3 loses the answer and lets the call take effect later.
+func (w *world) runCall(i, fault int) {
+	c := w.calls[i]
+	w.calls = append(w.calls[:i:i], w.calls[i+1:]...)
+	if w.down && fault == 0 {
+		fault = 1
+	}
+	var err error
+	if fault > 0 {
+		err = &storer.Error{Op: "call", Kind: storer.KindUnavailable, Err: fmt.Errorf("fault %d", fault)}
+	}
+	var rows storer.Range
+	var outcome storer.Outcome
+	switch {
+	case c.read != nil && fault == 0:
+		rows = w.store.Read(c.read.Prefix)
+	case c.write != nil && (fault == 0 || fault == 2):
+		outcome = w.store.Write(c.write.Transaction)
+	case c.write != nil && fault == 3:
+		w.calls = append(w.calls, &storeCall{write: c.write})
+	}
+	if c.from == nil || !c.from.alive {
+		return
+	}
+	if err != nil {
+		outcome = storer.Outcome{}
+	}
+	if c.read != nil {
+		c.from.entry.StoreRead(c.from.now(w), c.read.ID, rows, err)
+	} else {
+		w.logf("%s learns of write %d: applied=%t err=%v", c.from.peer, c.write.ID, outcome.Applied, err)
+		c.from.entry.StoreWritten(c.from.now(w), c.write.ID, outcome, err)
+	}
+	w.flush(c.from)
+}
+
+// newID returns an id made at the given time.
+func (w *world) newID(at time.Time, accept func(identifier.Partition) bool) identifier.Submission {
+	for {
+		w.ids++
+		var id identifier.Submission
+		var stamp [8]byte
+		binary.BigEndian.PutUint64(stamp[:], uint64(at.UnixMilli())<<16)
+		copy(id[:6], stamp[:6])
+		id[6] = 0x70
+		id[8] = 0x80
+		binary.BigEndian.PutUint32(id[12:], uint32(w.ids))
+		if accept(id.Partition()) {
+			return id
+		}
+	}
+}
+
+func (w *world) logf(format string, args ...any) {
+	if w.trace != nil {
+		fmt.Fprintf(w.trace, "%9s %5d  %s\n", w.now.Sub(worldStart), w.steps, fmt.Sprintf(format, args...))
+	}
+}
