Learn a request key from any record and answer what waits for a released job

Change: a record completes what earlier ones left out; Release answers requests that wait for a job without a specification; a request past its deadline is answered at once.

--- a/internal/owner/due.go
+++ b/internal/owner/due.go
@@ -70,6 +70,13 @@
 	}
 }
 
+// expireAtOnce ends an open job whose request arrived after its deadline.
+func (o *Owner) expireAtOnce(now time.Time, j *job) {
+	if j.phase == phaseOpen && !now.Before(j.spec.Deadline) {
+		o.expire(now, j)
+	}
+}
+
 // expireWaiters answers the requests whose own deadline comes before the job's.
 func (o *Owner) expireWaiters(now time.Time, j *job) {
 	for i := 0; i < len(j.waiters); {
@@ -88,13 +95,17 @@
 
 // forget drops a job that is not open.
 func (o *Owner) forget(j *job) {
+	o.answerWaiters(j, unknown(j.spec.Submission, submitter.ReasonStale, "the record of the submission has expired"))
+	o.remove(j)
+}
+
+// answerWaiters gives an answer to every request that waits for a job.
+func (o *Owner) answerWaiters(j *job, a *messenger.Answer) {
 	for _, w := range j.waiters {
-		o.out.Answers = append(o.out.Answers, Answered{
-			Waiter: w.Waiter,
-			Answer: unknown(j.spec.Submission, submitter.ReasonStale, "the record of the submission has expired"),
-		})
+		delete(o.waiting, w.Waiter)
+		o.out.Answers = append(o.out.Answers, Answered{Waiter: w.Waiter, Answer: a})
 	}
-	o.remove(j)
+	j.waiters = nil
 }
 
 // remove drops a job with all that refers to it but for what is due.
--- a/internal/owner/handover.go
+++ b/internal/owner/handover.go
@@ -5,6 +5,7 @@
 
 	"sardinelock.dev/sardinelock/internal/identifier"
 	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/pkg/submitter"
 )
 
 // Export returns all that is known of a partition's jobs, in the order of their
@@ -18,7 +19,9 @@
 }
 
 // Release forgets the jobs of a partition. It returns those without an answer
-// for which requests wait, so that they can be passed to the new owner.
+// for which requests wait, so that they can be passed to the new owner. Requests
+// that wait for a job without a specification brought no tasks; they are answered,
+// because no other request for the job may ever come.
 func (o *Owner) Release(_ time.Time, p identifier.Partition) []Released {
 	var out []Released
 	for _, j := range o.sortedJobs(inPartition(p)) {
@@ -31,6 +34,9 @@
 		}
 		if j.phase == phaseOpen {
 			o.out.Drops = append(o.out.Drops, j.spec.Submission)
+		} else {
+			o.answerWaiters(j, unknown(j.spec.Submission, submitter.ReasonOwnerChanged,
+				"the partition of the submission went to another entry"))
 		}
 		o.remove(j)
 	}
--- a/internal/owner/lifecycle.go
+++ b/internal/owner/lifecycle.go
@@ -183,17 +183,13 @@
 	for _, agent := range j.agentsInState(taskDone, taskFailed) {
 		o.out.Settles = append(o.out.Settles, AgentJob{Agent: agent, Submission: j.spec.Submission})
 	}
-	for _, w := range j.waiters {
-		delete(o.waiting, w.Waiter)
-		o.out.Answers = append(o.out.Answers, Answered{Waiter: w.Waiter, Answer: a})
-	}
+	o.answerWaiters(j, a)
 	o.unlinkAgents(j)
 	if j.phase == phaseOpen {
 		o.open--
 	}
 	j.phase = phaseAnswered
 	j.answer = a
-	j.waiters = nil
 	j.tasks = nil
 	j.spec.Tasks = nil
 	if isNotRun(a) && o.keys[j.spec.RequestKey] == j.spec.Submission {
@@ -280,6 +276,7 @@
 		o.out.Answers = append(o.out.Answers, Answered{Waiter: w, Answer: answerLost(j.spec.Submission)})
 	default:
 		o.wait(now, j, w, deadline)
+		o.expireWaiters(now, j)
 	}
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -165,6 +165,10 @@
 		return nil
 	}
 	o.holdKey(j)
+	o.expireAtOnce(now, j)
+	if j.phase != phaseOpen {
+		return nil
+	}
 	return j.unsent()
 }
 
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -122,6 +122,10 @@
 
 func (b *bench) record(l scripter.Line, agent messenger.Peer) {
 	j := b.job(l)
+	if l.Arg("nokey") == "true" {
+		b.owner.Recover(b.now, agent, messenger.Record{Submission: j.Submission, Cancelled: true})
+		return
+	}
 	b.owner.Recover(b.now, agent, messenger.Record{
 		Submission: j.Submission,
 		Running:    b.tasks(l, "running"),
--- a/internal/owner/recover.go
+++ b/internal/owner/recover.go
@@ -57,9 +57,7 @@
 // merge takes over the tasks of a record that are not known yet, and those that
 // were sent to the agent.
 func (o *Owner) merge(now time.Time, j *job, agent messenger.Peer, r *messenger.Record) {
-	if j.digest == 0 {
-		j.digest = r.Digest
-	}
+	o.identify(j, r)
 	j.cancelled = j.cancelled || r.Cancelled
 	for _, index := range r.Running {
 		if t := o.recoverTask(j, agent, index); t != nil {
@@ -91,6 +89,19 @@
 	}
 }
 
+// identify completes what is known of a job from a record. The record of an agent
+// that was only told of a cancellation says nothing but that.
+func (o *Owner) identify(j *job, r *messenger.Record) {
+	if j.digest == 0 {
+		j.digest = r.Digest
+	}
+	if j.phase == phaseRecovered && j.spec.RequestKey == "" {
+		j.spec.Service = r.Service
+		j.spec.RequestKey = r.RequestKey
+		o.holdKey(j)
+	}
+}
+
 // recoverTask returns the task that a record of the agent decides, or nil if the
 // task is known to be elsewhere or to have ended.
 func (o *Owner) recoverTask(j *job, agent messenger.Peer, index uint16) *task {
@@ -136,6 +147,7 @@
 		return nil
 	}
 	o.conclude(now, j)
+	o.expireAtOnce(now, j)
 	if j.phase != phaseOpen {
 		return nil
 	}
