--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -209,7 +209,7 @@
 		return false
 	}
 	_, open := c.owner.Jobs()
-	return open == 0 && (len(c.Owned()) == 0 || len(c.live(now)) == 0)
+	return open == 0 && c.owner.Waiting() == 0 && (len(c.Owned()) == 0 || len(c.live(now)) == 0)
 }
 
 // Tick applies the passing of time.
--- a/internal/owner/handover.go
+++ b/internal/owner/handover.go
@@ -25,14 +25,8 @@
 func (o *Owner) Release(_ time.Time, p identifier.Partition) []Released {
 	var out []Released
 	for _, j := range o.sortedJobs(inPartition(p)) {
-		if len(j.waiters) > 0 && j.phase == phaseOpen {
-			r := Released{Job: j.spec}
-			for _, w := range j.waiters {
-				r.Waiters = append(r.Waiters, w.Waiter)
-			}
-			out = append(out, r)
-		}
 		if j.phase == phaseOpen {
+			out = append(out, released(j)...)
 			o.out.Drops = append(o.out.Drops, j.spec.Submission)
 		} else {
 			o.answerWaiters(j, unknown(j.spec.Submission, submitter.ReasonOwnerChanged,
@@ -43,6 +37,18 @@
 	return out
 }
 
+// released returns one entry a request that waits, because each has its own
+// deadline.
+func released(j *job) []Released {
+	var out []Released
+	for _, w := range j.waiters {
+		spec := j.spec
+		spec.Deadline = w.deadline
+		out = append(out, Released{Job: spec, Waiters: []Waiter{w.Waiter}})
+	}
+	return out
+}
+
 // Import takes over a job from a former owner. It becomes a recovered job or an
 // answered one; a request that is passed on attaches to it by [Owner.Submit]. What
 // is known already is not replaced.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -128,6 +128,9 @@
 // Jobs returns the number of jobs that are kept and of those without an answer.
 func (o *Owner) Jobs() (kept, open int) { return len(o.jobs), o.open }
 
+// Waiting returns the number of requests that wait for an answer.
+func (o *Owner) Waiting() int { return len(o.waiting) }
+
 // Bytes returns the memory that the jobs take, and that of kept results.
 func (o *Owner) Bytes() (jobs, results int) { return o.bytes, o.results }
 
--- a/internal/owner/recover.go
+++ b/internal/owner/recover.go
@@ -155,7 +155,7 @@
 }
 
 // Released is a job without an answer that leaves this owner, with the requests
-// that wait for it.
+// that wait for it and have its deadline.
 type Released struct {
 	Job     Job
 	Waiters []Waiter
