--- a/internal/owner/handover.go
+++ b/internal/owner/handover.go
@@ -5,6 +5,7 @@
 
 	"sardinelock.dev/sardinelock/internal/identifier"
 	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/pkg/submitter"
 )
 
 // Export returns all that is known of a partition's jobs, in the order of their
@@ -18,25 +19,36 @@
 }
 
 // Release forgets the jobs of a partition. It returns those without an answer
-// for which requests wait, so that they can be passed to the new owner.
+// for which requests wait, so that they can be passed to the new owner. Requests
+// that wait for a job without a specification brought no tasks; they are answered,
+// because no other request for the job may ever come.
 func (o *Owner) Release(_ time.Time, p identifier.Partition) []Released {
 	var out []Released
 	for _, j := range o.sortedJobs(inPartition(p)) {
-		if len(j.waiters) > 0 && j.phase == phaseOpen {
-			r := Released{Job: j.spec}
-			for _, w := range j.waiters {
-				r.Waiters = append(r.Waiters, w.Waiter)
-			}
-			out = append(out, r)
-		}
 		if j.phase == phaseOpen {
+			out = append(out, released(j)...)
 			o.out.Drops = append(o.out.Drops, j.spec.Submission)
+		} else {
+			o.answerWaiters(j, unknown(j.spec.Submission, submitter.ReasonOwnerChanged,
+				"the partition of the submission went to another entry"))
 		}
 		o.remove(j)
 	}
 	return out
 }
 
+// released returns one entry a request that waits, because each has its own
+// deadline.
+func released(j *job) []Released {
+	var out []Released
+	for _, w := range j.waiters {
+		spec := j.spec
+		spec.Deadline = w.deadline
+		out = append(out, Released{Job: spec, Waiters: []Waiter{w.Waiter}})
+	}
+	return out
+}
+
 // Import takes over a job from a former owner. It becomes a recovered job or an
 // answered one; a request that is passed on attaches to it by [Owner.Submit]. What
 // is known already is not replaced.
