Divide slots between entries and measure placement in virtual time

The guard told each entry all of its slots, so three entries together could send three times as many tasks as there are slots. A creditor now divides them: backlogs first, the rest as spare, limits ride on results.

The experimenter runs the real placer and guard on seeded arrivals beside an ideal queue and baselines.

--- /dev/null
+++ b/internal/experimenter/experiment_test.go
@@ -0,0 +1,205 @@
+package experimenter
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/placer"
+	"sardinelock.dev/sardinelock/internal/scripter"
+)
+
+func TestScenarios(t *testing.T) {
+	scripter.Run(t, "testdata/*.txtar", runScenario)
+}
+
+// bench is one scenario with the results that its script asked for.
+type bench struct {
+	t        *testing.T
+	scenario Scenario
+	settings Settings
+	workload *Workload
+	ideal    Summary
+	include  func(*Job) bool
+	summary  Summary
+	result   *Result
+	out      strings.Builder
+}
+
+func runScenario(t *testing.T, lines []scripter.Line) string {
+	b := &bench{t: t, include: func(*Job) bool { return true }, scenario: Scenario{
+		Seed: 1, Duration: time.Minute, Entries: 3, Agents: 11, Slots: 8, Teams: 6,
+		Sizes: SizeUsual, DeclaredError: 0.5, Loss: 1e-4,
+	}}
+	for _, l := range lines {
+		b.apply(l)
+	}
+	return b.out.String()
+}
+
+func (b *bench) apply(l scripter.Line) {
+	switch l.Verb {
+	case "scenario":
+		b.configure(l)
+	case "fault":
+		b.scenario.Faults = append(b.scenario.Faults, b.fault(l))
+	case "quota":
+		b.settings.Quotas = append(b.settings.Quotas, placer.Quota{
+			Team: l.Arg("team"), Slots: int(b.number(l.Arg("slots"))), StartsPerSecond: b.number(l.Arg("starts")),
+		})
+	case "only":
+		b.restrict(l)
+	case "run":
+		b.run(l.Args[0])
+	case "bound":
+		b.bound(l)
+	default:
+		b.t.Fatalf("%v: unknown verb", l)
+	}
+}
+
+func (b *bench) configure(l scripter.Line) {
+	sc := &b.scenario
+	for _, arg := range l.Args {
+		key, value, _ := strings.Cut(arg, "=")
+		switch key {
+		case "seed":
+			sc.Seed = uint64(b.number(value))
+		case "duration":
+			sc.Duration = b.duration(value)
+		case "entries":
+			sc.Entries = int(b.number(value))
+		case "agents":
+			sc.Agents = int(b.number(value))
+		case "teams":
+			sc.Teams = int(b.number(value))
+		case "sizes":
+			sc.Sizes = SizeKind(value)
+		case "load":
+			sc.Load = b.number(value)
+		case "burst":
+			sc.Burst = b.number(value)
+		case "burst-at":
+			sc.BurstAt = b.duration(value)
+		case "burst-for":
+			sc.BurstFor = b.duration(value)
+		case "flood":
+			sc.Flood = b.number(value)
+		case "declared-error":
+			sc.DeclaredError = b.number(value)
+		case "declared-factor":
+			sc.DeclaredFactor = b.number(value)
+		case "deadline":
+			sc.Deadline = b.duration(value)
+		case "loss":
+			sc.Loss = b.number(value)
+		default:
+			b.t.Fatalf("%v: unknown argument %s", l, key)
+		}
+	}
+}
+
+func (b *bench) fault(l scripter.Line) Fault {
+	f := Fault{Kind: FaultKind(l.Args[0]), At: b.duration(l.Arg("at"))}
+	if text := l.Arg("agents"); text != "" {
+		for n := range strings.SplitSeq(text, ",") {
+			f.Agents = append(f.Agents, int(b.number(n)))
+		}
+	}
+	if text := l.Arg("entry"); text != "" {
+		f.Entry = int(b.number(text))
+	}
+	if text := l.Arg("factor"); text != "" {
+		f.Factor = b.number(text)
+	}
+	return f
+}
+
+// restrict limits the figures to some jobs.
+func (b *bench) restrict(l scripter.Line) {
+	var after time.Duration
+	if text := l.Arg("after"); text != "" {
+		after = b.duration(text)
+	}
+	notTeam := -1
+	if text := l.Arg("not-team"); text != "" {
+		notTeam = int(b.number(text))
+	}
+	b.include = func(j *Job) bool { return j.At >= after && j.Team != notTeam }
+}
+
+// run runs one system and writes a line of its figures.
+func (b *bench) run(name string) {
+	if b.workload == nil {
+		b.workload = NewWorkload(&b.scenario)
+		fmt.Fprintf(&b.out, "jobs=%d\n", len(b.workload.Jobs))
+		fmt.Fprintf(&b.out, "%-13s %6s %6s %6s %9s %7s %7s %7s %7s\n",
+			"system", "mean", "p50", "p99", "messages", "wasted", "failed", "refused", "goodput")
+		b.ideal = b.summarize(RunIdeal(&b.scenario, b.workload))
+		b.report("ideal")
+	}
+	switch name {
+	case "sardinelock":
+		b.summary = b.summarize(Run(&b.scenario, b.workload, b.settings))
+	case "no-credits":
+		s := b.settings
+		s.NoCredits = true
+		b.summary = b.summarize(Run(&b.scenario, b.workload, s))
+	default:
+		b.summary = b.summarize(RunPush(&b.scenario, b.workload, Policy(name)))
+	}
+	b.report(name)
+}
+
+func (b *bench) summarize(r *Result) Summary {
+	b.result = r
+	b.summary = r.Summarize(b.workload, b.scenario.Duration, b.include)
+	return b.summary
+}
+
+func (b *bench) report(name string) {
+	s := b.summary
+	fmt.Fprintf(&b.out, "%-13s %6.3f %6.3f %6.3f %9.3f %6.2f%% %6.2f%% %6.2f%% %7.2f\n", name,
+		ratio(s.Mean, b.ideal.Mean), ratio(s.P50, b.ideal.P50), ratio(s.P99, b.ideal.P99),
+		s.MessagesPerTask, 100*s.Wasted, 100*s.Failed, 100*s.Refused, s.Goodput)
+}
+
+// bound checks a figure of the latest system.
+func (b *bench) bound(l scripter.Line) {
+	figures := map[string]float64{
+		"mean":   ratio(b.summary.Mean, b.ideal.Mean),
+		"p99":    ratio(b.summary.P99, b.ideal.P99),
+		"wasted": b.summary.Wasted,
+		"failed": b.summary.Failed,
+	}
+	got, known := figures[l.Args[0]]
+	if !known {
+		b.t.Fatalf("%v: unknown figure", l)
+	}
+	if want := b.number(l.Args[1]); got > want {
+		b.t.Errorf("%v: got %.4f", l, got)
+	}
+}
+
+func ratio(a, b time.Duration) float64 { return a.Seconds() / b.Seconds() }
+
+func (b *bench) number(text string) float64 {
+	if text == "" {
+		return 0
+	}
+	n, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return n
+}
+
+func (b *bench) duration(text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return d
+}
--- /dev/null
+++ b/internal/experimenter/system.go
@@ -0,0 +1,219 @@
+package experimenter
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/guard"
+	"sardinelock.dev/sardinelock/internal/identifier"
+	"sardinelock.dev/sardinelock/internal/invoker"
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/placer"
+	"sardinelock.dev/sardinelock/pkg/submitter"
+)
+
+// Settings are those of the real decision code in an experiment.
+type Settings struct {
+	Placer placer.Limits
+	Guard  guard.Limits
+	// NoCredits lets every entry take all slots of every agent for its own.
+	NoCredits bool
+	// Quotas are the teams' quotas.
+	Quotas []placer.Quota
+}
+
+const (
+	service      = "print"
+	tickEvery    = 100 * time.Millisecond
+	announceFor  = time.Minute
+	memoryBytes  = 32 << 30
+	recordWindow = 5 * time.Second
+)
+
+// zero is the wall-clock time at which experiments begin.
+var zero = time.Unix(1_700_000_000, 0)
+
+// system is the real placer and guard between fake callers and upstreams.
+type system struct {
+	scenario *Scenario
+	workload *Workload
+	settings Settings
+	clock    *clock
+	random   *rand.Rand
+	result   *Result
+	tally    *tally
+	numbers  map[identifier.Submission]int
+	left     []int // left has the tasks of each job that have not ended.
+	entries  []*entryNode
+	agents   []*agentNode
+}
+
+// Run runs a workload through the real decision code.
+func Run(sc *Scenario, w *Workload, settings Settings) *Result {
+	s := &system{
+		scenario: sc,
+		workload: w,
+		settings: settings,
+		clock:    &clock{},
+		random:   rand.New(rand.NewPCG(sc.Seed, 3)),
+		result:   &Result{Jobs: make([]JobResult, len(w.Jobs))},
+		tally:    newTally(),
+		numbers:  make(map[identifier.Submission]int, len(w.Jobs)),
+		left:     make([]int, len(w.Jobs)),
+	}
+	s.build()
+	s.plan()
+	s.clock.run(sc.Duration + settleTime)
+	s.result.Messages = s.tally.messages
+	s.result.Useful = s.tally.useful()
+	s.countUseless()
+	return s.result
+}
+
+func (s *system) now() time.Time { return zero.Add(s.clock.now) }
+
+// build makes the processes and connects them.
+func (s *system) build() {
+	for n := range s.scenario.Entries {
+		e := &entryNode{system: s, number: n, placer: placer.New(s.settings.Placer)}
+		e.placer.SetEntries(s.scenario.Entries)
+		e.placer.SetTeams(s.settings.Quotas)
+		s.entries = append(s.entries, e)
+	}
+	for n := range s.scenario.Agents {
+		s.agents = append(s.agents, newAgentNode(s, n))
+	}
+	for _, e := range s.entries {
+		for _, a := range s.agents {
+			e.connect(a)
+		}
+	}
+}
+
+// plan puts the arrivals, the faults and the ticks on the clock.
+func (s *system) plan() {
+	for _, a := range s.agents {
+		a.announce()
+		s.clock.after(0, a.flush)
+	}
+	for i := range s.workload.Jobs {
+		j := &s.workload.Jobs[i]
+		s.result.Jobs[i].Outcome = JobOpen
+		s.left[i] = len(j.Tasks)
+		s.numbers[j.ID] = i
+		s.clock.at(warmUp+j.At, func() { s.arrive(i) })
+		if j.CancelAt > 0 {
+			s.clock.at(warmUp+j.CancelAt, func() { s.cancel(i) })
+		}
+	}
+	for i := range s.scenario.Faults {
+		f := &s.scenario.Faults[i]
+		s.clock.at(warmUp+f.At, func() { s.strike(f) })
+	}
+	for at := tickEvery; at < s.scenario.Duration+settleTime; at += tickEvery {
+		s.clock.at(at, s.tick)
+	}
+}
+
+// warmUp is how long the processes connect before the first arrival.
+const warmUp = 100 * time.Millisecond
+
+func (s *system) tick() {
+	for _, a := range s.agents {
+		if !a.dead {
+			a.guard.Tick(s.now())
+			a.flush()
+		}
+	}
+	for _, e := range s.entries {
+		e.flush()
+	}
+}
+
+func (s *system) arrive(i int) {
+	j := &s.workload.Jobs[i]
+	e := s.entries[j.Entry]
+	for n := 1; e.dead; n++ {
+		e = s.entries[(j.Entry+n)%len(s.entries)]
+	}
+	e.submit(i, j)
+}
+
+func (s *system) cancel(i int) {
+	if s.result.Jobs[i].Outcome != JobOpen {
+		return
+	}
+	e := s.entries[s.workload.Jobs[i].Entry]
+	s.result.Jobs[i].Outcome = JobCancelled
+	e.stop(i)
+	e.wake()
+}
+
+func (s *system) strike(f *Fault) {
+	switch f.Kind {
+	case FaultAgentsDie:
+		for _, n := range f.Agents {
+			s.agents[n].die()
+		}
+	case FaultEntryDies:
+		s.entries[f.Entry].die()
+	}
+}
+
+// fail ends a job that cannot be completed.
+func (s *system) fail(i int) {
+	if s.result.Jobs[i].Outcome == JobOpen {
+		s.result.Jobs[i].Outcome = JobFailed
+	}
+}
+
+func (s *system) countUseless() {
+	for _, a := range s.agents {
+		for _, r := range a.ran {
+			s.result.RunTime += r.took
+			if s.result.Jobs[r.job].Outcome != JobComplete {
+				s.result.Useless += r.took
+			}
+		}
+	}
+}
+
+// spec returns a job as the placer takes it.
+func (s *system) spec(i int) placer.Job {
+	j := &s.workload.Jobs[i]
+	out := placer.Job{
+		Submission: j.ID,
+		Service:    service,
+		Team:       fmt.Sprintf("team-%03d", j.Team),
+		Needs:      make([]placer.Need, len(j.Tasks)),
+		Tasks:      make([]uint16, len(j.Tasks)),
+	}
+	if s.scenario.Deadline > 0 {
+		out.Deadline = zero.Add(warmUp + j.At + s.scenario.Deadline)
+	}
+	for n := range j.Tasks {
+		out.Needs[n].RunTime = j.Tasks[n].Declared
+		out.Tasks[n] = uint16(n)
+	}
+	return out
+}
+
+func (s *system) newLink(entry, agent int) *link {
+	return &link{clock: s.clock, random: s.random, delay: delay(entry, agent), loss: s.scenario.Loss}
+}
+
+func announcement(slots int) invoker.Announcement {
+	return invoker.Announcement{
+		Address:     netip.MustParseAddrPort("127.0.0.1:1"),
+		Services:    []string{service},
+		Slots:       slots,
+		Connections: 64,
+		MemoryBytes: memoryBytes,
+		TimeToLive:  submitter.Duration(announceFor),
+	}
+}
+
+func entryPeer(n int) messenger.Peer { return messenger.Peer(fmt.Sprintf("entry-%d", n)) }
+func agentPeer(n int) messenger.Peer { return messenger.Peer(fmt.Sprintf("agent-%d", n)) }
--- /dev/null
+++ b/internal/experimenter/workload.go
@@ -0,0 +1,177 @@
+package experimenter
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/identifier"
+)
+
+// Task is one task with its true run time.
+type Task struct {
+	RunTime  time.Duration
+	Declared time.Duration
+}
+
+// Job is one arrival.
+type Job struct {
+	ID       identifier.Submission
+	At       time.Duration
+	Entry    int // Entry owns the partition of the job.
+	Team     int
+	Tasks    []Task
+	CancelAt time.Duration // CancelAt is zero unless the caller cancels.
+}
+
+// Workload is what arrives in a scenario, in order of time.
+type Workload struct {
+	Jobs []Job
+}
+
+// NewWorkload draws the arrivals of a scenario.
+func NewWorkload(sc *Scenario) *Workload {
+	w := &Workload{}
+	random := rand.New(rand.NewPCG(sc.Seed, 1))
+	meanWork := meanWork(sc)
+	capacity := float64(sc.Agents * sc.Slots)
+	rate := sc.Load * capacity / meanWork
+	for at := time.Duration(0); ; {
+		now := rate
+		if sc.Burst > 0 && at >= sc.BurstAt && at < sc.BurstAt+sc.BurstFor {
+			now *= sc.Burst
+		}
+		at += seconds(random.ExpFloat64() / now)
+		if at >= sc.Duration {
+			break
+		}
+		w.Jobs = append(w.Jobs, newJob(sc, random, at, random.IntN(max(1, sc.Teams))))
+	}
+	if sc.Flood > 0 {
+		w.flood(sc, meanWork)
+	}
+	w.cancel(sc, random)
+	return w
+}
+
+// flood adds the arrivals of team 0.
+func (w *Workload) flood(sc *Scenario, meanWork float64) {
+	random := rand.New(rand.NewPCG(sc.Seed, 2))
+	rate := sc.Flood * float64(sc.Agents*sc.Slots) / meanWork
+	var added []Job
+	for at := sc.BurstAt; ; {
+		at += seconds(random.ExpFloat64() / rate)
+		if at >= sc.Duration || sc.BurstFor > 0 && at >= sc.BurstAt+sc.BurstFor {
+			break
+		}
+		added = append(added, newJob(sc, random, at, 0))
+	}
+	for i := range w.Jobs {
+		w.Jobs[i].Team = 1 + w.Jobs[i].Team%max(1, sc.Teams-1)
+	}
+	w.Jobs = mergeJobs(w.Jobs, added)
+}
+
+func mergeJobs(a, b []Job) []Job {
+	out := make([]Job, 0, len(a)+len(b))
+	for len(a) > 0 || len(b) > 0 {
+		if len(b) == 0 || len(a) > 0 && a[0].At <= b[0].At {
+			out = append(out, a[0])
+			a = a[1:]
+			continue
+		}
+		out = append(out, b[0])
+		b = b[1:]
+	}
+	return out
+}
+
+// cancel draws which jobs the waves of cancellations concern.
+func (w *Workload) cancel(sc *Scenario, random *rand.Rand) {
+	const reach = 10 * time.Second
+	for _, f := range sc.Faults {
+		if f.Kind != FaultCancelWave {
+			continue
+		}
+		for i := range w.Jobs {
+			j := &w.Jobs[i]
+			if j.At < f.At && j.At > f.At-reach && random.Float64() < f.Factor {
+				j.CancelAt = f.At
+			}
+		}
+	}
+}
+
+func newJob(sc *Scenario, random *rand.Rand, at time.Duration, team int) Job {
+	j := Job{At: at, Team: team}
+	for i := range j.ID {
+		j.ID[i] = byte(random.Uint32())
+	}
+	j.Entry = int(j.ID.Partition()) % sc.Entries
+	j.Tasks = make([]Task, size(sc.Sizes, random))
+	for i := range j.Tasks {
+		j.Tasks[i].RunTime = runTime(random)
+		j.Tasks[i].Declared = declared(sc, random, j.Tasks[i].RunTime)
+	}
+	return j
+}
+
+// runTime draws a true run time: mostly 50 ms to 1 s, one in a hundred of 2 to 5 s.
+func runTime(random *rand.Rand) time.Duration {
+	if random.IntN(100) == 0 {
+		return seconds(2 + 3*random.Float64())
+	}
+	s := 0.25 * math.Exp(0.7*random.NormFloat64())
+	return seconds(min(max(s, 0.05), 1))
+}
+
+func declared(sc *Scenario, random *rand.Rand, truth time.Duration) time.Duration {
+	factor := math.Exp(sc.DeclaredError * random.NormFloat64())
+	if sc.DeclaredFactor > 0 {
+		if random.IntN(2) == 0 {
+			factor *= sc.DeclaredFactor
+		} else {
+			factor /= sc.DeclaredFactor
+		}
+	}
+	return seconds(truth.Seconds() * factor)
+}
+
+func size(kind SizeKind, random *rand.Rand) int {
+	switch kind {
+	case SizeOne:
+		return 1
+	case SizeMixed:
+		if random.IntN(581) == 0 {
+			return 580
+		}
+		return 1
+	}
+	switch u := random.IntN(100); {
+	case u < 40:
+		return 1
+	case u < 70:
+		return 2 + random.IntN(4)
+	case u < 95:
+		return 6 + random.IntN(15)
+	}
+	return 21 + random.IntN(40)
+}
+
+// meanWork returns the mean run time of all tasks of a job in seconds, from a
+// sample of its own.
+func meanWork(sc *Scenario) float64 {
+	const draws = 200_000
+	random := rand.New(rand.NewPCG(7, 7))
+	tasks := 0
+	for range draws {
+		tasks += size(sc.Sizes, random)
+	}
+	var sum time.Duration
+	for range draws {
+		sum += runTime(random)
+	}
+	return float64(tasks) / draws * sum.Seconds() / draws
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -14,6 +14,7 @@
 import (
 	"time"
 
+	"sardinelock.dev/sardinelock/internal/creditor"
 	"sardinelock.dev/sardinelock/internal/identifier"
 	"sardinelock.dev/sardinelock/internal/invoker"
 	"sardinelock.dev/sardinelock/internal/messenger"
@@ -28,6 +29,8 @@
 	MaxRecords int
 	// MaxWaiting bounds the starts that wait for a slot.
 	MaxWaiting int
+	// Credits are the settings of the division of slots between entries.
+	Credits creditor.Limits
 }
 
 // TaskRef names one task of a submission.
@@ -73,6 +76,8 @@
 	entries map[messenger.Peer]*link
 	order   []messenger.Peer // order lists the connected entries in order of arrival.
 
+	resources resources
+
 	waiting []pending
 	running int // running is at most upstream.Slots at the time of each start.
 	out     Output
@@ -105,6 +110,8 @@
 		state:   messenger.UpstreamAbsent,
 		records: make(map[identifier.Submission]*record),
 		entries: make(map[messenger.Peer]*link),
+
+		resources: newResources(limits.Credits),
 	}
 }
 
@@ -135,6 +142,7 @@
 		g.order = append(g.order, entry)
 	}
 	g.entries[entry] = &link{}
+	g.resources.credits.EntryUp(entry)
 	g.frameTo(entry).Capacity = g.capacity()
 }
 
@@ -142,6 +150,7 @@
 // dropped: the entry asks for the records when it is back.
 func (g *Guard) EntryDown(_ time.Time, entry messenger.Peer) {
 	delete(g.entries, entry)
+	g.entryGone(entry)
 	for i, p := range g.order {
 		if p == entry {
 			g.order = append(g.order[:i], g.order[i+1:]...)
@@ -169,6 +178,7 @@
 	if f.Fence != nil {
 		g.fence(from, f.Fence)
 	}
+	g.receiveBacklog(now, from, f)
 	for i := range f.Starts {
 		g.start(now, from, &f.Starts[i])
 	}
@@ -209,6 +219,7 @@
 // Ended applies the end of a call of the upstream.
 func (g *Guard) Ended(now time.Time, ref TaskRef, result messenger.TaskResult) {
 	g.running--
+	g.giveBack(ref)
 	r := g.records[ref.Submission]
 	if r != nil {
 		r.end(now, result)
@@ -219,6 +230,7 @@
 
 // Take returns what is to be done and clears it.
 func (g *Guard) Take(now time.Time) Output {
+	g.addCredits(now)
 	for _, entry := range g.order {
 		l := g.entries[entry]
 		if l.frame == nil && l.ping == l.echoed {
@@ -273,6 +285,7 @@
 			continue
 		}
 		g.waiting = append(g.waiting, p)
+		g.resources.credits.Started(p.from)
 	}
 }
 
@@ -307,10 +320,11 @@
 		p := &g.waiting[n]
 		if refusal := g.check(now, p); refusal != "" {
 			g.refuse(p, refusal)
+			g.resources.credits.Ended(p.from)
 			n++
 			continue
 		}
-		if g.running >= g.upstream.Slots {
+		if g.running >= g.upstream.Slots || !g.fits(p) {
 			break
 		}
 		g.run(now, p)
@@ -331,6 +345,7 @@
 	}
 	r.start(now, p.ref.Index)
 	g.running++
+	g.take(p)
 	g.out.Invocations = append(g.out.Invocations, Invocation{
 		Ref:     p.ref,
 		Path:    p.path,
--- a/internal/placer/state.go
+++ b/internal/placer/state.go
@@ -96,3 +96,18 @@
 	}
 	return out
 }
+
+// Backlog returns how many waiting tasks the entry would start at an agent now:
+// its part of the tasks that wait for the services that it serves. It rides on
+// messages to the agent.
+func (p *Placer) Backlog(peer messenger.Peer) int {
+	a := p.agents[peer]
+	if a == nil || a.health.allowed != unlimited {
+		return 0
+	}
+	n := 0
+	for _, s := range a.seats {
+		n += (s.service.waiting + len(s.service.members) - 1) / len(s.service.members)
+	}
+	return n
+}
