--- a/internal/administrator/administrator_test.go
+++ b/internal/administrator/administrator_test.go
@@ -135,6 +135,14 @@
 		b.failPuts = b.number(l, "count")
 	case "wait":
 		b.now = b.now.Add(time.Duration(b.number(l, "seconds")) * time.Second)
+	case "holds":
+		for _, row := range b.platform.Read(HoldPrefix).Rows {
+			fmt.Fprintf(&b.out, "hold %s\n", row.Key)
+		}
+	case "entries":
+		b.parts[CallEntry] = nil
+	case "gone":
+		b.parts[CallUpstreams] = nil
 	case "GET", "POST":
 		b.request(l)
 	default:
--- a/internal/administrator/burn.go
+++ b/internal/administrator/burn.go
@@ -71,6 +71,12 @@
 			silent = append(silent, p)
 			continue
 		}
+		if live[snapshot.Instance] {
+			missing = append(missing, reporter.Missing{
+				Entry:  snapshot.Peer,
+				Detail: "another entry has the instance " + snapshot.Instance + " as well; some jobs may be counted twice",
+			})
+		}
 		live[snapshot.Instance] = true
 		all = append(all, snapshot)
 		if snapshot.Incomplete != "" {
--- a/internal/administrator/hold.go
+++ b/internal/administrator/hold.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strings"
+	"time"
 
 	"sardinelock.dev/sardinelock/internal/authenticator"
 	"sardinelock.dev/sardinelock/internal/messenger"
@@ -26,9 +28,15 @@
 type holdRow struct {
 	Hold     placer.Hold `json:"hold"`
 	By       string      `json:"by"`
+	At       time.Time   `json:"at"`
 	ChangeID string      `json:"change-id"`
 }
 
+// forgetAfter is how old a hold must be before it is removed if its upstream or
+// entry is not known any more. The names are those of one run of a process, so
+// that one that is gone for so long does not come back.
+const forgetAfter = 24 * time.Hour
+
 // Holds are all holds in force.
 type Holds struct {
 	Upstreams map[messenger.Peer]placer.Hold
@@ -70,9 +78,11 @@
 	}
 	return s.change(r, who, action, peer, func(ctx context.Context, record *Record) ([]Silent, *submitter.Problem) {
 		if hold != "" {
-			if problem := s.findUpstream(ctx, peer); problem != nil {
+			known, problem := s.findUpstream(ctx, peer)
+			if problem != nil {
 				return nil, problem
 			}
+			s.forgetHolds(ctx, upstreamHolds, known)
 		}
 		if problem := s.writeHold(ctx, upstreamHolds+peer, hold, record); problem != nil {
 			return nil, problem
@@ -106,9 +116,11 @@
 	}
 	return s.change(r, who, action, peer, func(ctx context.Context, record *Record) ([]Silent, *submitter.Problem) {
 		if hold != "" {
-			if problem := s.findEntry(ctx, peer); problem != nil {
+			known, problem := s.findEntry(ctx, peer)
+			if problem != nil {
 				return nil, problem
 			}
+			s.forgetHolds(ctx, entryHolds, known)
 		}
 		if problem := s.writeHold(ctx, entryHolds+peer, hold, record); problem != nil {
 			return nil, problem
@@ -137,7 +149,12 @@
 	switch {
 	case hold != "":
 		record.Detail = "now " + string(hold)
-		t.Puts = []storer.Put{{Key: key, Value: encode(holdRow{Hold: hold, By: record.By, ChangeID: record.ChangeID})}}
+		t.Puts = []storer.Put{{Key: key, Value: encode(holdRow{
+			Hold:     hold,
+			By:       record.By,
+			At:       record.At,
+			ChangeID: record.ChangeID,
+		})}}
 	case before == "":
 		record.Detail = "was not held"
 		return nil
@@ -189,25 +206,61 @@
 	return silent
 }
 
-func (s *Service) findUpstream(ctx context.Context, peer string) *submitter.Problem {
-	parts, _ := gather[[]Upstream](ctx, s, CallUpstreams, nil)
+// findUpstream returns the names of all upstreams if the given one is among them.
+// The names are nil if some entry did not answer.
+func (s *Service) findUpstream(ctx context.Context, peer string) ([]messenger.Peer, *submitter.Problem) {
+	parts, silent := gather[[]Upstream](ctx, s, CallUpstreams, nil)
+	var known []messenger.Peer
 	for _, p := range parts {
 		for _, u := range p.part {
-			if string(u.Peer) == peer {
-				return nil
-			}
+			known = append(known, u.Peer)
 		}
 	}
-	return &submitter.Problem{Status: http.StatusNotFound, Title: "no such upstream", Detail: "no entry that answered is connected to it"}
+	if slices.Contains(known, messenger.Peer(peer)) {
+		if len(silent) > 0 {
+			known = nil
+		}
+		return known, nil
+	}
+	return nil, &submitter.Problem{Status: http.StatusNotFound, Title: "no such upstream", Detail: "no entry that answered is connected to it"}
 }
 
-func (s *Service) findEntry(ctx context.Context, peer string) *submitter.Problem {
-	for _, p := range s.o.AskAll(ctx, CallEntry, nil) {
-		if string(p.Peer) == peer {
-			return nil
+// forgetHolds removes the old holds below a prefix whose holders are not known any
+// more. It does nothing without the names of all. What fails is done at the next
+// hold.
+func (s *Service) forgetHolds(ctx context.Context, prefix string, known []messenger.Peer) {
+	if known == nil {
+		return
+	}
+	rows, err := s.o.Read(ctx, prefix)
+	if err != nil {
+		return
+	}
+	t := storer.Transaction{RequestID: storer.NewRequestID()}
+	for _, row := range rows.Rows {
+		var v holdRow
+		peer := messenger.Peer(strings.TrimPrefix(row.Key, prefix))
+		if json.Unmarshal(row.Value, &v) != nil || s.o.Now().Sub(v.At) < forgetAfter || slices.Contains(known, peer) {
+			continue
 		}
+		t.Conditions = append(t.Conditions, storer.Condition{Key: row.Key, Revision: row.Revision})
+		t.Deletes = append(t.Deletes, row.Key)
+	}
+	if len(t.Deletes) > 0 {
+		_, _ = s.o.Write(ctx, t)
+	}
+}
+
+// findEntry returns the names of all entries if the given one is among them.
+func (s *Service) findEntry(ctx context.Context, peer string) ([]messenger.Peer, *submitter.Problem) {
+	var known []messenger.Peer
+	for _, p := range s.o.AskAll(ctx, CallEntry, nil) {
+		known = append(known, p.Peer)
+	}
+	if slices.Contains(known, messenger.Peer(peer)) {
+		return known, nil
 	}
-	return &submitter.Problem{Status: http.StatusNotFound, Title: "no such entry"}
+	return nil, &submitter.Problem{Status: http.StatusNotFound, Title: "no such entry"}
 }
 
 // rowOf returns the hold and the revision of the row with exactly the key.
--- a/internal/dispatcher/admin.go
+++ b/internal/dispatcher/admin.go
@@ -19,7 +19,8 @@
 	mux.HandleFunc("GET /readyz", e.serveReady)
 	mux.Handle("GET /metrics", e.meter.Handler())
 	e.administration().Register(mux)
-	return http.MaxBytesHandler(mux, maxAdminBytes)
+	// A page in an operator's browser must not make changes in the operator's name.
+	return http.NewCrossOriginProtection().Handler(http.MaxBytesHandler(mux, maxAdminBytes))
 }
 
 // maxAdminBytes bounds the body of a request for administration.
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -120,8 +121,20 @@
 		metric.WithAttributes(attribute.String("service", service)))
 }
 
+// knownMethods are the HTTP methods that are told apart. Any other counts as
+// otherMethod, so that clients cannot make new series.
+var knownMethods = []string{
+	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch,
+	http.MethodDelete, http.MethodConnect, http.MethodOptions, http.MethodTrace,
+}
+
+const otherMethod = "_OTHER"
+
 // Request records one HTTP request. The route is a pattern, not a path.
 func (m *Meter) Request(method, route string, status int, took time.Duration) {
+	if !slices.Contains(knownMethods, method) {
+		method = otherMethod
+	}
 	m.requests.Record(context.Background(), took.Seconds(), metric.WithAttributes(
 		attribute.String("http.request.method", method),
 		attribute.String("http.route", route),
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -55,9 +55,12 @@
 	m.Judged("quote", "success", "bad")
 	m.Started("quote", 20*time.Millisecond)
 	m.Request("POST", "/v1/services/{service}/jobs", 502, time.Second)
+	m.Request("MADE-UP", "", 405, time.Second)
+	m.Request("MADE-UP-TOO", "", 405, time.Second)
 	m.StoreCall("read", "unavailable")
 	want := []string{
 		`http_server_request_duration_seconds_count{http_request_method="POST",http_response_status_code="502",http_route="/v1/services/{service}/jobs"} 1`,
+		`http_server_request_duration_seconds_count{http_request_method="_OTHER",http_response_status_code="405",http_route=""} 2`,
 		`sardinelock_certificate_expiry_seconds 1.8e+09`,
 		`sardinelock_config_age_seconds -1`,
 		`sardinelock_config_version 9`,
