Know operators by token, and show versions and ejections

Cause: the configuration and the placement have come in, and administration did not use what they know: operators' tokens, how a process stands to the current version, and ejections by the placer. Change: operators authenticate by role; config status lists every entry and agent with version and age; upstream list shows why and at how many entries an upstream is ejected, and restore ends that; the metrics have the age of the configuration and the ejections.

--- a/cmd/sardinelock/cmd/admin_test.go
+++ b/cmd/sardinelock/cmd/admin_test.go
@@ -84,6 +84,7 @@
 		ts.Setenv("ENTRY"+strconv.Itoa(i), e.CallerAddr().String())
 		ts.Setenv("ADMIN"+strconv.Itoa(i), e.AdminAddr().String())
 	}
+	ts.Setenv("SARDINELOCK_PLATFORM", system.PlatformAddr.String())
 	ts.Setenv("SARDINELOCK_ENTRY", system.Entries[0].CallerAddr().String())
 	ts.Setenv("SARDINELOCK_ADMIN", system.Entries[0].AdminAddr().String())
 }
--- a/cmd/sardinelock/cmd/config.go
+++ b/cmd/sardinelock/cmd/config.go
@@ -26,6 +26,7 @@
 		newConfigApplyCommand(),
 		newConfigHistoryCommand(),
 		newConfigRollbackCommand(),
+		newConfigStatusCommand(),
 	)
 	return c
 }
--- a/cmd/sardinelock/cmd/secret_test.go
+++ b/cmd/sardinelock/cmd/secret_test.go
@@ -42,7 +42,7 @@
 // tokens everywhere, breaks a renewal of the certificate, and looks for tokens,
 // hashes and keys in all logs at the lowest level, answers, errors and metrics.
 func TestSecrets(t *testing.T) {
-	const good, bad = "good-token-7f3a", "bad-token-91bc"
+	const good, bad, operator = "good-token-7f3a", "bad-token-91bc", "operator-token-c05d"
 	files := issuer.New(t).Issue(t.TempDir(), time.Now().Add(time.Hour))
 	cert, err := certifier.New(files)
 	if err != nil {
@@ -56,7 +56,7 @@
 	system := newSystem(t, launcher.Options{
 		Entries:  2,
 		Agents:   2,
-		BaseFile: baseWithToken(t, good),
+		BaseFile: baseWithTokens(t, good, operator),
 		TLS:      cert,
 		Logger:   &log.Logger{Level: log.TraceLevel, Writer: &log.IOWriter{Writer: out}},
 	})
@@ -71,13 +71,15 @@
 		t.Errorf("the wrong token led to %v", err)
 	}
 	_, _ = io.WriteString(out, err.Error())
-	probe(t, out, system, cert.HTTPClient(), good, bad)
+	probe(t, out, system, cert.HTTPClient(), good, bad, operator)
 	breakRenewal(t, out, cert, files, key)
 
 	lines := strings.Split(strings.TrimSpace(string(key)), "\n")
 	for name, secret := range map[string]string{
 		"token":        good,
 		"wrong token":  bad,
+		"operator's":   operator,
+		"its hash":     authenticator.Hash(operator),
 		"hash":         authenticator.Hash(good),
 		"hash's start": authenticator.Hash(good)[:16],
 		"key":          lines[1],
@@ -142,7 +144,7 @@
 	_, _ = io.WriteString(out, err.Error())
 }
 
-func baseWithToken(t *testing.T, token string) string {
+func baseWithTokens(t *testing.T, team, operator string) string {
 	t.Helper()
 	name := filepath.Join(t.TempDir(), "base.yaml")
 	text := `services:
@@ -156,7 +158,11 @@
   - name: order-desk
     slots: 0
     starts-per-second: 0
-    token-hashes: [` + authenticator.Hash(token) + `]
+    token-hashes: [` + authenticator.Hash(team) + `]
+operators:
+  - name: bob
+    role: operator
+    token-hashes: [` + authenticator.Hash(operator) + `]
 `
 	if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
--- a/internal/administrator/administrator_test.go
+++ b/internal/administrator/administrator_test.go
@@ -120,6 +120,8 @@
 		b.part(CallUsage, l, []Usage{{Service: "quote", Team: l.Arg("team"), OpenJobs: b.number(l, "open"), SentTasks: b.number(l, "sent")}})
 	case "cancelled":
 		b.part(CallCancelJobs, l, Cancelled{Jobs: b.number(l, "jobs")})
+	case "restored":
+		b.part(CallRestore, l, Restored{Ended: l.Arg("ended") == "true"})
 	case "told":
 		b.part(CallHolds, l, nil)
 	case "owner":
--- a/internal/administrator/call.go
+++ b/internal/administrator/call.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"time"
 
+	"sardinelock.dev/sardinelock/internal/applier"
 	"sardinelock.dev/sardinelock/internal/identifier"
 	"sardinelock.dev/sardinelock/internal/messenger"
 	"sardinelock.dev/sardinelock/internal/placer"
@@ -33,6 +34,8 @@
 	CallCancelJob  Call = "cancel-job"  // JobQuery; JobReply.
 	CallCancelJobs Call = "cancel-jobs" // Selection; Cancelled.
 	CallHolds      Call = "holds"       // Nothing; nothing: read the holds anew.
+	CallRestore    Call = "restore"     // Restore; Restored: end an ejection by the placer.
+	CallConfig     Call = "config"      // Nothing; []ConfigStatus.
 )
 
 // Part is the answer of one entry.
@@ -152,6 +155,26 @@
 	Team    string `json:"team"`
 }
 
+// Restore names an upstream that is to take work again.
+type Restore struct {
+	Peer messenger.Peer `json:"peer"`
+}
+
+// Restored says whether the entry had ejected the upstream.
+type Restored struct {
+	Ended bool `json:"ended"`
+}
+
+// ConfigStatus is how one process stands to the current version.
+type ConfigStatus struct {
+	applier.Status
+	// InForceFor is how long the version has been in force.
+	InForceFor submitter.Duration `json:"in-force-for,omitzero"`
+	// Age is the time since the table last said which version is current; absent
+	// if it never did or the process reads no table.
+	Age *submitter.Duration `json:"age,omitempty"`
+}
+
 // Cancelled says how many jobs were cancelled.
 type Cancelled struct {
 	Jobs int `json:"jobs"`
--- a/internal/administrator/hold.go
+++ b/internal/administrator/hold.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -87,10 +88,28 @@
 		if problem := s.writeHold(ctx, upstreamHolds+peer, hold, record); problem != nil {
 			return nil, problem
 		}
+		if action == ActionRestoreUpstream {
+			s.endEjections(ctx, peer, record)
+		}
 		return s.tellHolds(ctx), nil
 	})
 }
 
+// endEjections ends the ejections of an upstream by the entries themselves. The
+// entries that do not answer find out by probes.
+func (s *Service) endEjections(ctx context.Context, peer string, record *Record) {
+	parts, _ := gather[Restored](ctx, s, CallRestore, encode(Restore{Peer: messenger.Peer(peer)}))
+	ended := 0
+	for _, p := range parts {
+		if p.part.Ended {
+			ended++
+		}
+	}
+	if ended > 0 {
+		record.Detail += "; entries that had ejected it by themselves: " + strconv.Itoa(ended)
+	}
+}
+
 // released returns the hold that an action takes away; empty if it sets one.
 func released(a Action) placer.Hold {
 	switch a {
--- a/internal/administrator/listing.go
+++ b/internal/administrator/listing.go
@@ -112,6 +112,26 @@
 	return out
 }
 
+// config lists how every process stands to the current version. Of an agent that
+// several entries know, the latest version that one of them has heard counts.
+func (s *Service) config(r *http.Request, _ authenticator.Principal) (any, *submitter.Problem) {
+	parts, silent := gather[[]ConfigStatus](r.Context(), s, CallConfig, nil)
+	out := Listing[ConfigStatus]{Items: []ConfigStatus{}, Silent: silent}
+	for _, p := range parts {
+		for _, row := range p.part {
+			i := slices.IndexFunc(out.Items, func(o ConfigStatus) bool { return o.Process == row.Process })
+			switch {
+			case i < 0:
+				out.Items = append(out.Items, row)
+			case row.Version > out.Items[i].Version:
+				out.Items[i] = row
+			}
+		}
+	}
+	slices.SortFunc(out.Items, func(a, b ConfigStatus) int { return cmp.Compare(a.Process, b.Process) })
+	return out, nil
+}
+
 // usage sums the usage of all entries by service and team.
 func (s *Service) usage(r *http.Request) ([]Usage, []Silent) {
 	parts, silent := gather[[]Usage](r.Context(), s, CallUsage, nil)
--- a/internal/administrator/service.go
+++ b/internal/administrator/service.go
@@ -59,6 +59,7 @@
 		"GET /v1/admin/jobs/{submission}": s.job,
 		"GET /v1/admin/changes/{change}":  s.record,
 		"GET /v1/admin/burn":              s.burn,
+		"GET /v1/admin/config":            s.config,
 	} {
 		mux.HandleFunc(pattern, s.serve(f, reads...))
 	}
--- a/internal/coordinator/query.go
+++ b/internal/coordinator/query.go
@@ -53,6 +53,20 @@
 // SetHolds replaces the upstreams that operators keep from new work.
 func (c *Coordinator) SetHolds(holds map[messenger.Peer]placer.Hold) { c.placer.SetHolds(holds) }
 
+// Ejections returns how often the placer has ejected an upstream by itself.
+func (c *Coordinator) Ejections() uint64 { return c.placer.Ejections() }
+
+// Restore ends the ejection of an upstream by the placer. It reports whether the
+// upstream was ejected.
+func (c *Coordinator) Restore(now time.Time, peer messenger.Peer) bool {
+	for _, u := range c.placer.Upstreams() {
+		if u.Peer == peer && u.Ejected != "" {
+			return c.placer.Restore(now, peer)
+		}
+	}
+	return false
+}
+
 // noteFirstSend records how long a job waited if nothing of it was sent yet.
 func (c *Coordinator) noteFirstSend(now time.Time, j *owner.Job) {
 	if waited, first := c.owner.FirstSend(now, j.Submission); first {
--- a/internal/dispatcher/auth.go
+++ b/internal/dispatcher/auth.go
@@ -47,6 +47,16 @@
 			Hashes:    t.TokenHashes,
 		})
 	}
+	for _, o := range c.Operators {
+		role := authenticator.RoleViewer
+		if o.Role == configurer.RoleOperator {
+			role = authenticator.RoleOperator
+		}
+		out = append(out, authenticator.Credential{
+			Principal: authenticator.Principal{Name: o.Name, Role: role},
+			Hashes:    o.TokenHashes,
+		})
+	}
 	return out
 }
 
--- a/internal/dispatcher/metrics.go
+++ b/internal/dispatcher/metrics.go
@@ -41,7 +41,11 @@
 		ConfigAge:     -1,
 		Draining:      e.Draining(),
 	}
+	if status := e.ConfigStatus(); !status.Confirmed.IsZero() {
+		s.ConfigAge = time.Since(status.Confirmed)
+	}
 	e.loop.Call(func(time.Time) {
+		s.Ejections = e.coordinator.Ejections()
 		s.KeptJobs, s.OpenJobs = e.coordinator.JobCounts()
 		s.QueuedTasks = e.coordinator.Queued()
 		s.Partitions = e.coordinator.Owned()
--- a/internal/dispatcher/parts.go
+++ b/internal/dispatcher/parts.go
@@ -39,6 +39,16 @@
 			return nil, &Error{Op: "query", Kind: KindInvalid, Err: err}
 		}
 		return encodePart(e.cancelPart(s))
+	case administrator.CallConfig:
+		return encodePart(e.configParts())
+	case administrator.CallRestore:
+		var r administrator.Restore
+		if err := json.Unmarshal(body, &r); err != nil {
+			return nil, &Error{Op: "query", Kind: KindInvalid, Err: err}
+		}
+		var out administrator.Restored
+		e.loop.Call(func(now time.Time) { out.Ended = e.coordinator.Restore(now, r.Peer) })
+		return encodePart(out)
 	case administrator.CallBurn:
 		return e.burnSnapshot().Encode()
 	case administrator.CallHolds:
@@ -107,18 +117,25 @@
 	out := []administrator.Upstream{}
 	e.loop.Call(func(time.Time) {
 		for _, u := range e.coordinator.Upstreams() {
+			ejectedAt := 0
+			if u.Ejected != "" {
+				ejectedAt = 1
+			}
 			out = append(out, administrator.Upstream{
-				Peer:        u.Peer,
-				Region:      u.Place.Region,
-				DataCentre:  u.Place.DataCentre,
-				Rack:        u.Place.Rack,
-				State:       u.Capacity.State,
-				Services:    u.Capacity.Services,
-				Slots:       u.Capacity.Slots,
-				Credit:      u.Credit,
-				Outstanding: u.Outstanding,
-				Hold:        u.Hold,
-				SeenBy:      1,
+				Peer:         u.Peer,
+				Region:       u.Place.Region,
+				DataCentre:   u.Place.DataCentre,
+				Rack:         u.Place.Rack,
+				State:        u.Capacity.State,
+				Services:     u.Capacity.Services,
+				Slots:        u.Capacity.Slots,
+				Credit:       u.Credit,
+				Outstanding:  u.Outstanding,
+				FailureRatio: u.FailureRatio,
+				Ejected:      string(u.Ejected),
+				EjectedAt:    ejectedAt,
+				Hold:         u.Hold,
+				SeenBy:       1,
 			})
 		}
 	})
@@ -157,6 +174,23 @@
 	return out
 }
 
+// configParts returns how this entry and its agents stand to the current version.
+func (e *Entry) configParts() []administrator.ConfigStatus {
+	out := []administrator.ConfigStatus{}
+	for _, s := range e.ConfigStatuses() {
+		row := administrator.ConfigStatus{Status: s}
+		if !s.Since.IsZero() {
+			row.InForceFor = submitter.Duration(time.Since(s.Since).Round(time.Millisecond))
+		}
+		if !s.Confirmed.IsZero() {
+			age := submitter.Duration(time.Since(s.Confirmed).Round(time.Millisecond))
+			row.Age = &age
+		}
+		out = append(out, row)
+	}
+	return out
+}
+
 func (e *Entry) usageParts() []administrator.Usage {
 	out := []administrator.Usage{}
 	e.loop.Call(func(time.Time) {
--- a/internal/placer/health.go
+++ b/internal/placer/health.go
@@ -150,6 +150,7 @@
 		if reason != EjectOperator && !p.mayEject() {
 			return
 		}
+		p.ejections++
 		p.ejected++
 	}
 	h.state = stateEjected
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -85,8 +85,9 @@
 	quotas       []Quota
 	jobs         map[identifier.Submission]*queued
 	holds        map[messenger.Peer]Hold
-	waiting      int // waiting is the number of tasks that wait.
-	ejected      int // ejected is the number of agents that are ejected or probed.
+	ejections    uint64 // ejections counts those by results, ever.
+	waiting      int    // waiting is the number of tasks that wait.
+	ejected      int    // ejected is the number of agents that are ejected or probed.
 	established  bool
 	retries      *budgeter.Budgeter
 	delayed      []delayedTask // delayed has the tasks that are placed again later.
--- a/internal/placer/status.go
+++ b/internal/placer/status.go
@@ -25,19 +25,29 @@
 	// Outstanding is the number that it has.
 	Credit, Outstanding int
 	Hold                Hold
+	// Ejected is why the placer has ejected the upstream by itself; empty if it has
+	// not.
+	Ejected EjectReason
+	// FailureRatio is the recent share of failures.
+	FailureRatio float64
 }
 
+// Ejections returns how often the placer has ejected an upstream.
+func (p *Placer) Ejections() uint64 { return p.ejections }
+
 // Upstreams returns the status of every connected agent, sorted by name.
 func (p *Placer) Upstreams() []UpstreamStatus {
 	out := make([]UpstreamStatus, 0, len(p.order))
 	for _, a := range p.order {
 		out = append(out, UpstreamStatus{
-			Peer:        a.peer,
-			Place:       a.place,
-			Capacity:    a.capacity,
-			Credit:      a.credit,
-			Outstanding: len(a.sent),
-			Hold:        a.held,
+			Peer:         a.peer,
+			Place:        a.place,
+			Capacity:     a.capacity,
+			Credit:       a.credit,
+			Outstanding:  len(a.sent),
+			Hold:         a.held,
+			Ejected:      a.health.ejected(),
+			FailureRatio: a.health.failures,
 		})
 	}
 	slices.SortFunc(out, func(a, b UpstreamStatus) int { return compare(a.Peer, b.Peer) })
@@ -53,6 +63,14 @@
 	}
 }
 
+// ejected returns why the agent is ejected or probed, or "".
+func (h *health) ejected() EjectReason {
+	if h.state == stateEjected || h.state == stateProbing {
+		return h.reason
+	}
+	return ""
+}
+
 func compare(a, b messenger.Peer) int {
 	switch {
 	case a < b:
