--- a/internal/administrator/administrator_test.go
+++ b/internal/administrator/administrator_test.go
@@ -120,6 +120,8 @@
 		b.part(CallUsage, l, []Usage{{Service: "quote", Team: l.Arg("team"), OpenJobs: b.number(l, "open"), SentTasks: b.number(l, "sent")}})
 	case "cancelled":
 		b.part(CallCancelJobs, l, Cancelled{Jobs: b.number(l, "jobs")})
+	case "restored":
+		b.part(CallRestore, l, Restored{Ended: l.Arg("ended") == "true"})
 	case "told":
 		b.part(CallHolds, l, nil)
 	case "owner":
@@ -135,6 +137,14 @@
 		b.failPuts = b.number(l, "count")
 	case "wait":
 		b.now = b.now.Add(time.Duration(b.number(l, "seconds")) * time.Second)
+	case "holds":
+		for _, row := range b.platform.Read(HoldPrefix).Rows {
+			fmt.Fprintf(&b.out, "hold %s\n", row.Key)
+		}
+	case "entries":
+		b.parts[CallEntry] = nil
+	case "gone":
+		b.parts[CallUpstreams] = nil
 	case "GET", "POST":
 		b.request(l)
 	default:
--- a/internal/coordinator/query.go
+++ b/internal/coordinator/query.go
@@ -56,6 +56,20 @@
 // SetTeams sets the quotas of teams.
 func (c *Coordinator) SetTeams(quotas []placer.Quota) { c.placer.SetTeams(quotas) }
 
+// Ejections returns how often the placer has ejected an upstream by itself.
+func (c *Coordinator) Ejections() uint64 { return c.placer.Ejections() }
+
+// Restore ends the ejection of an upstream by the placer. It reports whether the
+// upstream was ejected.
+func (c *Coordinator) Restore(now time.Time, peer messenger.Peer) bool {
+	for _, u := range c.placer.Upstreams() {
+		if u.Peer == peer && u.Ejected != "" {
+			return c.placer.Restore(now, peer)
+		}
+	}
+	return false
+}
+
 // noteFirstSend records how long a job waited if nothing of it was sent yet.
 func (c *Coordinator) noteFirstSend(now time.Time, j *owner.Job) {
 	if waited, first := c.owner.FirstSend(now, j.Submission); first {
