Let the client make ids for request keys and new ids after a takeover

Cause: an id for a keyed job must lie in the key's partition, and in the seconds of a takeover ids that callers made are answered not-run. Change: the client makes ids for a key, and submits a job under a new id where the answer proves that it did not run because its owner was replaced. Conclusion: a takeover costs such callers time, not an answer.

--- a/cmd/sardinelock/cmd/admin_test.go
+++ b/cmd/sardinelock/cmd/admin_test.go
@@ -104,7 +104,7 @@
 
 // newID sets ID to a new submission id.
 func newID(ts *testscript.TestScript, _ bool, _ []string) {
-	ts.Setenv("ID", submitter.NewSubmissionID())
+	ts.Setenv("ID", submitter.NewSubmissionID(""))
 }
 
 // waitFor runs a command until its output matches: waitfor PATTERN COMMAND...
--- a/cmd/sardinelock/cmd/failure_test.go
+++ b/cmd/sardinelock/cmd/failure_test.go
@@ -21,7 +21,7 @@
 	ids := make([]string, jobs)
 	first := make([]<-chan submitter.Answer, jobs)
 	for i := range ids {
-		ids[i] = submitter.NewSubmissionID()
+		ids[i] = submitter.NewSubmissionID("")
 		first[i] = f.submitAsync(1, ids[i], j)
 	}
 	for _, id := range ids {
@@ -51,7 +51,7 @@
 	j := job(30, 200*time.Millisecond, 50*time.Second)
 	answers := make([]<-chan submitter.Answer, jobs)
 	for i := range ids {
-		ids[i] = submitter.NewSubmissionID()
+		ids[i] = submitter.NewSubmissionID("")
 		answers[i] = f.submitAsync(1+i%2, ids[i], j)
 	}
 	f.awaitStarts(ids[0], 1)
@@ -85,7 +85,7 @@
 func TestAgentKilledWithStartedTasks(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, 2, 3)
-	id := submitter.NewSubmissionID()
+	id := submitter.NewSubmissionID("")
 	j := job(30, 3*time.Second, 40*time.Second)
 	first := f.submitAsync(0, id, j)
 	f.awaitStarts(id, 12)
@@ -184,7 +184,7 @@
 		l.mu.Lock()
 		entry := l.entries[n%len(l.entries)]
 		l.mu.Unlock()
-		id := submitter.NewSubmissionID()
+		id := submitter.NewSubmissionID("")
 		answer := <-l.fleet.submitAsync(entry, id, job(1+n%4, 50*time.Millisecond, 30*time.Second))
 		l.mu.Lock()
 		l.answers++
--- a/pkg/submitter/client.go
+++ b/pkg/submitter/client.go
@@ -9,7 +9,7 @@
 	"net/netip"
 	"time"
 
-	"github.com/google/uuid"
+	"sardinelock.dev/sardinelock/internal/identifier"
 )
 
 // Client submits jobs to entries.
@@ -39,6 +39,7 @@
 
 const (
 	maxTries   = 5
+	maxIDs     = 10 // maxIDs bounds the ids that one job is submitted under.
 	retryPause = 50 * time.Millisecond
 )
 
@@ -51,21 +52,42 @@
 	return c
 }
 
-// NewSubmissionID returns a submission id made now.
-func NewSubmissionID() string { return uuid.Must(uuid.NewV7()).String() }
+// NewSubmissionID returns a submission id made now for a job with the request
+// key. An empty key allows any id.
+func NewSubmissionID(key string) string {
+	id, ok := identifier.NewForKey(time.Now(), key)
+	if !ok {
+		// The entry then refuses the id; it never runs under another key's owner.
+		id = identifier.New(time.Now())
+	}
+	return id.String()
+}
 
-// Submit submits a job and waits for its answer. An empty id makes one. After a
-// lost connection the same id is submitted again, through the next entry; if no
-// entry answers in the end, the outcome is unknown. An error means that the
-// request was no valid submission; it is of type [*Error].
+// Submit submits a job and waits for its answer. After a lost connection the same
+// id is submitted again, through the next entry; if no entry answers in the end,
+// the outcome is unknown. An empty id makes one, and makes another where an owner
+// was replaced and the job did not run. An error means that the request was no
+// valid submission; it is of type [*Error].
 func (c *Client) Submit(ctx context.Context, service, id string, job Job) (Answer, error) {
-	if id == "" {
-		id = NewSubmissionID()
-	}
 	body, err := json.Marshal(job)
 	if err != nil {
 		return Answer{}, &Error{Op: "submit", Kind: KindInvalid, Err: err}
 	}
+	if id != "" {
+		return c.submit(ctx, service, id, body)
+	}
+	for try := 1; ; try++ {
+		answer, err := c.submit(ctx, service, NewSubmissionID(job.RequestKey), body)
+		replaced := answer.Outcome == OutcomeNotRun && answer.Reason == ReasonOwnerChanged
+		if err != nil || !replaced || try == maxIDs || ctx.Err() != nil {
+			return answer, err
+		}
+		c.Sleep(ctx, time.Duration(answer.RetryAfter))
+	}
+}
+
+// submit submits a job under one id until an entry answers.
+func (c *Client) submit(ctx context.Context, service, id string, body []byte) (Answer, error) {
 	for try := range maxTries {
 		if try > 0 {
 			c.Sleep(ctx, retryPause<<(try-1))
