Say deadline-exceeded when the agent ends a call at the deadline

Cause: a new script of the submit command showed task-failed for a job whose deadline had passed: the agent's end of the call reached the owner before the owner's own deadline, with the text of the transport's error. Change: a failed result carries its cause; the invoker tells a passed deadline from an upstream that cannot be reached. Conclusion: the reason no longer depends on which end sees the deadline first.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -222,6 +222,10 @@
 	if err != nil {
 		r.Kind = messenger.ResultFailed
 		r.Detail = err.Error()
+		r.Cause = messenger.CauseUpstream
+		if invoker.KindOf(err) == invoker.KindDeadline {
+			r.Cause = messenger.CauseDeadline
+		}
 	}
 	return r
 }
--- a/internal/invoker/error.go
+++ b/internal/invoker/error.go
@@ -13,6 +13,7 @@
 // The kinds of errors of this package.
 const (
 	KindUnreachable Kind = "unreachable"
+	KindDeadline    Kind = "deadline"
 	KindStatus      Kind = "status"
 	KindTooLarge    Kind = "result-too-large"
 )
@@ -34,6 +35,15 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// KindOf returns the kind of an error of this package, or "" for any other.
+func KindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return ""
+}
+
 type statusError int
 
 func (s statusError) Error() string { return "status " + strconv.Itoa(int(s)) }
--- a/internal/invoker/invoker.go
+++ b/internal/invoker/invoker.go
@@ -16,6 +16,8 @@
 	"strconv"
 	"time"
 
+	"github.com/juju/errors"
+
 	"sardinelock.dev/sardinelock/internal/identifier"
 	"sardinelock.dev/sardinelock/pkg/submitter"
 )
@@ -94,7 +96,7 @@
 func (i *Invoker) Close() { i.client.CloseIdleConnections() }
 
 // Call runs one task. Any error means that the task may have started: the kinds
-// are [KindUnreachable], [KindStatus] and [KindTooLarge].
+// are [KindUnreachable], [KindDeadline], [KindStatus] and [KindTooLarge].
 func (i *Invoker) Call(ctx context.Context, c Call) (Reply, error) {
 	const op = "call"
 	req, err := newRequest(ctx, c)
@@ -103,12 +105,12 @@
 	}
 	resp, err := i.client.Do(req)
 	if err != nil {
-		return Reply{}, &Error{Op: op, Kind: KindUnreachable, Err: err}
+		return Reply{}, callError(ctx, op, err)
 	}
 	defer resp.Body.Close()
 	payload, err := io.ReadAll(io.LimitReader(resp.Body, MaxReplyBytes+1))
 	if err != nil {
-		return Reply{}, &Error{Op: op, Kind: KindUnreachable, Err: err}
+		return Reply{}, callError(ctx, op, err)
 	}
 	if len(payload) > MaxReplyBytes {
 		return Reply{}, &Error{Op: op, Kind: KindTooLarge, Err: errTooLarge}
@@ -119,6 +121,14 @@
 	return Reply{Payload: payload, PeakMemoryBytes: peakMemory(resp.Header)}, nil
 }
 
+// callError says whether a call ended because of its deadline.
+func callError(ctx context.Context, op string, err error) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return &Error{Op: op, Kind: KindDeadline, Err: context.DeadlineExceeded}
+	}
+	return &Error{Op: op, Kind: KindUnreachable, Err: err}
+}
+
 func newRequest(ctx context.Context, c Call) (*http.Request, error) {
 	payload := c.Payload
 	if len(payload) == 0 {
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -150,6 +150,15 @@
 	Tasks      []TaskResult          `cbor:"2,keyasint"`
 }
 
+// FailureCause says why a task that started did not succeed.
+type FailureCause string
+
+// The causes of failures.
+const (
+	CauseUpstream FailureCause = "upstream" // The upstream answered with an error, or not at all.
+	CauseDeadline FailureCause = "deadline" // The agent ended the call at the deadline.
+)
+
 // TaskResult is the outcome of one task.
 type TaskResult struct {
 	Index   uint16        `cbor:"1,keyasint"`
@@ -160,6 +169,8 @@
 	RunTime time.Duration `cbor:"6,keyasint,omitempty"`
 	// PeakMemoryBytes is what the upstream reported for the task; zero if it reported nothing.
 	PeakMemoryBytes int64 `cbor:"7,keyasint,omitempty"`
+	// Cause is set exactly if the kind is failed.
+	Cause FailureCause `cbor:"8,keyasint,omitempty"`
 }
 
 // Cancel asks an agent to stop the running tasks of a submission and never to
--- a/internal/owner/handover.go
+++ b/internal/owner/handover.go
@@ -133,7 +133,7 @@
 	case taskDone:
 		h.Result = &messenger.TaskResult{Index: index, Kind: messenger.ResultDone, Payload: t.result}
 	case taskFailed:
-		h.Result = &messenger.TaskResult{Index: index, Kind: messenger.ResultFailed, Detail: t.detail}
+		h.Result = &messenger.TaskResult{Index: index, Kind: messenger.ResultFailed, Detail: t.detail, Cause: t.cause}
 	}
 	return h
 }
--- a/internal/owner/job.go
+++ b/internal/owner/job.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/pkg/submitter"
 )
 
 // phase is where a job stands.
@@ -65,6 +66,7 @@
 	agent        messenger.Peer // agent is set exactly in the states sent, done and failed.
 	result       []byte
 	detail       string // detail says why the task failed.
+	cause        messenger.FailureCause
 	replacements int
 }
 
@@ -170,3 +172,11 @@
 }
 
 func itoa(index uint16) string { return strconv.Itoa(int(index)) }
+
+// reason returns why a job fails whose task has failed.
+func (t *task) reason() submitter.Reason {
+	if t.cause == messenger.CauseDeadline {
+		return submitter.ReasonDeadlineExceeded
+	}
+	return submitter.ReasonTaskFailed
+}
--- a/internal/owner/lifecycle.go
+++ b/internal/owner/lifecycle.go
@@ -83,6 +83,7 @@
 	} else {
 		t.state = taskFailed
 		t.detail = r.Detail
+		t.cause = r.Cause
 	}
 	if j.phase == phaseOpen {
 		o.conclude(now, j)
@@ -97,7 +98,7 @@
 	}
 	for i := range j.tasks {
 		if j.tasks[i].state == taskFailed {
-			o.stop(now, j, submitter.ReasonTaskFailed, "task "+itoa(uint16(i))+": "+j.tasks[i].detail)
+			o.stop(now, j, j.tasks[i].reason(), "task "+itoa(uint16(i))+": "+j.tasks[i].detail)
 			return
 		}
 	}
