Show that each guard of at-most-once is needed

Cause: a fuzz that finds nothing may be blind. Change: a test switches each rule off by its seam and requires a breach of rules 1 to 5: epoch check, start record, start-by, lease self-check, majority of witnesses, wait after fencing, completeness, write read-back, and the owner's kept not-run answers, request keys and proof of refusals. The guard can withhold its records from owners for this.

--- /dev/null
+++ b/internal/coordinator/directed_test.go
@@ -0,0 +1,161 @@
+package coordinator_test
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/coordinator"
+	"sardinelock.dev/sardinelock/internal/identifier"
+)
+
+// runDirected lets a history happen in a world whose scheduler always makes the
+// last choice: of what is under way on a broken connection everything arrives.
+func runDirected(o worldOptions, directed func(*world)) *world {
+	w := newWorld(func(n int) int { return n - 1 }, o)
+	w.trace = new(strings.Builder)
+	for _, p := range w.processes() {
+		p.offset = 0
+	}
+	w.settle(time.Second)
+	directed(w)
+	w.logf("violation: %s", w.oracle.violation)
+	return w
+}
+
+// newSubmission adds a submission that is made now in a partition.
+func (w *world) newSubmission(p identifier.Partition, key string, tasks int, timeout time.Duration) *submission {
+	s := &submission{key: key, timeout: timeout}
+	s.id = w.newID(w.now, func(x identifier.Partition) bool { return x == p })
+	for i := range tasks {
+		s.payload = append(s.payload, []byte(fmt.Sprintf("%d/%d", w.ids, i)))
+	}
+	w.oracle.addSubmission(s)
+	return s
+}
+
+// ownerOf returns the entry that takes the requests of a partition; nil if none does.
+func (w *world) ownerOf(p identifier.Partition, among []*process) *process {
+	for _, e := range among {
+		if e.entry.Owns(p) {
+			return e
+		}
+	}
+	return nil
+}
+
+// split moves processes to another side of the network. Nobody notices but by the
+// silence of the others.
+func (w *world) split(side int, ps ...*process) {
+	for _, p := range ps {
+		p.split = side
+	}
+	for _, c := range w.conns {
+		c.silent = c.ends[0].split != c.ends[1].split
+	}
+}
+
+// until lets the world go on in small steps until a condition holds.
+func (w *world) until(d time.Duration, done func() bool) bool {
+	const step = 5 * time.Millisecond
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.quiesce()
+		if done() {
+			return true
+		}
+		w.now = w.now.Add(step)
+		for _, p := range w.processes() {
+			if p.acts() {
+				w.tick(p)
+			}
+		}
+	}
+	return false
+}
+
+// splitOwner cuts the owner of a partition and one agent off from all others. When
+// another entry has taken over and some more time has passed, a new submission
+// reaches both.
+func splitOwner(w *world, after time.Duration) {
+	old := w.entries[0]
+	var p identifier.Partition
+	for !old.entry.Owns(p) {
+		p++
+	}
+	// The owner has heard every witness just now.
+	w.until(200*time.Millisecond, func() bool { return old.entry.Lease(w.now).Left > worldLease*9/10 })
+	w.split(1, old, w.agents[0])
+	if !w.until(3*time.Second, func() bool { return w.ownerOf(p, w.entries[1:]) != nil }) {
+		return
+	}
+	w.until(after, func() bool { return false })
+	// So many tasks that both place some of the same.
+	s := w.newSubmission(p, "", 12, time.Second)
+	w.submitTo(old, s, coordinator.RequestSubmit)
+	w.submitTo(w.ownerOf(p, w.entries[1:]), s, coordinator.RequestSubmit)
+	w.until(time.Second, func() bool { return w.oracle.violation != "" })
+}
+
+// lateStart leaves a start in the socket buffer of a paused agent until the window
+// has passed and another submission has the request key.
+func lateStart(w *world) {
+	const key = "plate"
+	p := identifier.KeyPartition(key)
+	first := w.newSubmission(p, key, 6, time.Second)
+	for _, a := range w.agents {
+		a.paused = true
+	}
+	w.submitTo(w.ownerOf(p, w.entries), first, coordinator.RequestSubmit)
+	late := w.agents[0]
+	for _, a := range w.agents[1:] {
+		w.kill(a)
+	}
+	w.settle(worldWindow + 2*time.Second)
+	w.submitTo(w.ownerOf(p, w.entries), w.newSubmission(p, key, 1, time.Second), coordinator.RequestSubmit)
+	w.settle(500 * time.Millisecond)
+	w.wake(late)
+	w.settle(time.Second)
+}
+
+// block breaks the connection of two processes and keeps them from another.
+func (w *world) block(a, b *process) {
+	before := w.blocked
+	w.blocked = func(x, y *process) bool {
+		return x == a && y == b || x == b && y == a || before != nil && before(x, y)
+	}
+	for _, c := range w.conns {
+		if !c.cut && w.blocked(c.ends[0], c.ends[1]) {
+			w.cutConn(c)
+		}
+	}
+	w.quiesce()
+}
+
+// lostClaim lets two entries that cannot hear each other claim the partitions of a
+// dead one. The write of the first has no answer and no effect.
+func lostClaim(w *world) {
+	dead, deluded, owner := w.entries[0], w.entries[1], w.entries[2]
+	var p identifier.Partition
+	for !dead.entry.Owns(p) {
+		p++
+	}
+	w.kill(dead)
+	w.entries[0].paused = true
+	w.block(deluded, owner)
+	// After its claim is lost, the platform answers the deluded entry no more.
+	w.lose = func(c *storeCall) bool {
+		if c.from != deluded || c.write == nil || len(c.write.Transaction.Puts) < 2 {
+			return false
+		}
+		w.stall = func(c *storeCall) bool { return c.from == deluded }
+		return true
+	}
+	w.until(2*time.Second, func() bool { return w.ownerOf(p, []*process{owner}) != nil })
+	w.until(time.Second, func() bool { return false })
+	w.block(deluded, w.agents[0])
+	w.block(owner, w.agents[2])
+	s := w.newSubmission(p, "", 4, time.Second)
+	w.submitTo(deluded, s, coordinator.RequestSubmit)
+	w.submitTo(owner, s, coordinator.RequestSubmit)
+	w.until(time.Second, func() bool { return w.oracle.violation != "" })
+}
--- /dev/null
+++ b/internal/coordinator/needed_test.go
@@ -0,0 +1,136 @@
+package coordinator_test
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/coordinator"
+	"sardinelock.dev/sardinelock/internal/guard"
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/owner"
+)
+
+// neededRules switches the rules off one at a time.
+var neededRules = []struct {
+	name       string
+	rules      func(*coordinator.Rules)
+	ownerRules func(*owner.Rules)
+	guardRules func(*guard.Rules)
+	// directed is a history that is known to need the rule; nil means that one is
+	// searched for among random ones.
+	directed func(*world)
+}{
+	{
+		name:       "epoch check",
+		guardRules: func(r *guard.Rules) { r.StaleEpoch = func(_, _ uint64) bool { return false } },
+	},
+	{
+		name: "start record",
+		guardRules: func(r *guard.Rules) {
+			r.Duplicate = func(bool) bool { return false }
+			r.Recorded = func() bool { return false }
+		},
+	},
+	{
+		name:       "start-by",
+		guardRules: func(r *guard.Rules) { r.Expired = func(_, _ time.Duration) bool { return false } },
+		directed:   lateStart,
+	},
+	{
+		name:     "lease self-check",
+		rules:    func(r *coordinator.Rules) { r.Leaser.Held = func(_, _ time.Time) bool { return true } },
+		directed: func(w *world) { splitOwner(w, 2*time.Second) },
+	},
+	{
+		name: "majority of witnesses",
+		rules: func(r *coordinator.Rules) {
+			r.Leaser.Majority = func(int) int { return 1 }
+			r.Recoverer.Majority = func(int) int { return 1 }
+		},
+		directed: func(w *world) { splitOwner(w, 2*time.Second) },
+	},
+	{
+		name:     "wait after fencing",
+		rules:    func(r *coordinator.Rules) { r.Recoverer.Waited = func(_, _ time.Time) bool { return true } },
+		directed: func(w *world) { splitOwner(w, 0) },
+	},
+	{
+		name:  "completeness",
+		rules: func(r *coordinator.Rules) { r.Recoverer.Complete = func(int) bool { return true } },
+	},
+	{
+		name:     "write read-back",
+		rules:    func(r *coordinator.Rules) { r.Registrar.TrustUnknownWrite = func() bool { return true } },
+		directed: lostClaim,
+	},
+	{
+		name:       "kept not-run answers",
+		ownerRules: func(r *owner.Rules) { r.KeepsNotRun = func() bool { return false } },
+	},
+	{
+		name:       "request keys",
+		ownerRules: func(r *owner.Rules) { r.HoldsKey = func() bool { return false } },
+	},
+	{
+		name:       "proof of a refusal",
+		ownerRules: func(r *owner.Rules) { r.Proves = func(messenger.Refusal) bool { return true } },
+		guardRules: func(r *guard.Rules) { r.Recorded = func() bool { return false } },
+	},
+}
+
+// neededHistories bounds the search for a violation.
+const neededHistories = 1000
+
+// TestEachGuardIsNeeded switches each rule off and lets histories happen until one
+// breaks a rule of the oracle, which shows that the rule is needed and that the
+// oracle sees it. With the rule on, the directed histories break nothing.
+func TestEachGuardIsNeeded(t *testing.T) {
+	for _, n := range neededRules {
+		t.Run(n.name, func(t *testing.T) {
+			t.Parallel()
+			off := worldOptions{rules: n.rules, ownerRules: n.ownerRules, guardRules: n.guardRules}
+			if n.directed == nil {
+				searchViolation(t, off)
+				return
+			}
+			checkDirected(t, off, n.directed)
+		})
+	}
+}
+
+func searchViolation(t *testing.T, off worldOptions) {
+	for i := range uint64(neededHistories) {
+		random := rand.New(rand.NewPCG(1+i, 11))
+		o := drawOptions(random.IntN)
+		o.faults = 12 + random.IntN(20)
+		o.rules = off.rules
+		o.ownerRules = off.ownerRules
+		o.guardRules = off.guardRules
+		w := newWorld(random.IntN, o)
+		w.run(*worldSteps)
+		if strings.HasPrefix(w.oracle.violation, "rule ") {
+			t.Logf("seed %d: %s", 1+i, w.oracle.violation)
+			return
+		}
+	}
+	t.Errorf("%d histories without the rule broke nothing", neededHistories)
+}
+
+func checkDirected(t *testing.T, off worldOptions, directed func(*world)) {
+	off.entries, off.agents, off.slots = 3, 3, 2
+	// The clocks of a directed history agree.
+	off.limits = func(l *coordinator.Limits) { l.Recoverer.ClockDifference = 0 }
+	on := off
+	on.rules, on.ownerRules, on.guardRules = nil, nil, nil
+	w := runDirected(on, directed)
+	if w.oracle.violation != "" {
+		t.Fatalf("with the rule: %s\n%s", w.oracle.violation, tail(w.trace.String()))
+	}
+	w = runDirected(off, directed)
+	if !strings.HasPrefix(w.oracle.violation, "rule ") {
+		t.Fatalf("without the rule nothing broke\n%s", tail(w.trace.String()))
+	}
+	t.Log(w.oracle.violation)
+}
--- a/internal/coordinator/world_actions_test.go
+++ b/internal/coordinator/world_actions_test.go
@@ -279,12 +279,20 @@
 }
 
 func (w *world) addPair(pairs [][2]*process, a, b *process) [][2]*process {
-	if a.alive && b.alive && !w.linked(a, b) {
+	if w.joinable(a, b) {
 		return append(pairs, [2]*process{a, b})
 	}
 	return pairs
 }
 
+// joinable reports whether two processes are not connected and can be.
+func (w *world) joinable(a, b *process) bool {
+	if !a.alive || !b.alive || a.split != b.split || w.linked(a, b) {
+		return false
+	}
+	return w.blocked == nil || !w.blocked(a, b)
+}
+
 func (w *world) cutSome() {
 	var whole []*conn
 	for _, c := range w.conns {
@@ -417,7 +425,7 @@
 func (w *world) quiesceOnce() bool {
 	for i, e := range w.entries {
 		for _, other := range append(append([]*process{}, w.entries[i+1:]...), w.agents...) {
-			if !w.linked(e, other) {
+			if w.joinable(e, other) {
 				w.connect(e, other)
 				return true
 			}
@@ -427,9 +435,11 @@
 		w.deliver(ends[0])
 		return true
 	}
-	if len(w.calls) > 0 {
-		w.runCall(0, 0)
-		return true
+	for i, c := range w.calls {
+		if w.stall == nil || !w.stall(c) {
+			w.runCall(i, 0)
+			return true
+		}
 	}
 	for _, p := range w.agents {
 		if p.acts() && len(p.running) > 0 {
--- a/internal/coordinator/world_net_test.go
+++ b/internal/coordinator/world_net_test.go
@@ -12,6 +12,8 @@
 	ends  [2]*process
 	queue [2][]item // queue[i] has what ends[i] has not handled.
 	cut   bool
+	// silent means that what is sent does not arrive, and nobody notices.
+	silent bool
 }
 
 // item is an event of a connection at one end.
@@ -92,7 +94,7 @@
 			if len(c.queue[i]) > 0 || !c.cut {
 				gone = false
 			}
-			if len(c.queue[i]) > 0 && c.ends[i].acts() {
+			if len(c.queue[i]) > 0 && c.ends[i].acts() && !c.silent {
 				out = append(out, end{c, i})
 			}
 		}
--- a/internal/coordinator/world_test.go
+++ b/internal/coordinator/world_test.go
@@ -37,6 +37,11 @@
 	store   *emulator.Platform
 	calls   []*storeCall
 	down    bool // down means that the platform answers nothing.
+	// blocked reports whether two processes cannot connect, lose whether a call of
+	// the platform is lost, and stall whether it has no end; nil means none does.
+	blocked func(a, b *process) bool
+	lose    func(*storeCall) bool
+	stall   func(*storeCall) bool
 	oracle  oracle
 	births  int
 	ids     uint64
@@ -51,7 +56,10 @@
 	faults          int // faults is the share of steps that are faults, in percent.
 	// rules and guardRules switch rules off; nil leaves all on.
 	rules      func(*coordinator.Rules)
+	ownerRules func(*owner.Rules)
 	guardRules func(*guard.Rules)
+	// limits changes the limits of entries; nil leaves them.
+	limits func(*coordinator.Limits)
 }
 
 // process is one run of an entry or agent.
@@ -64,6 +72,9 @@
 	paused  bool
 	leaving bool // leaving means that it drains.
 	conns   map[messenger.Peer]*conn
+	// split is the side of a split network that the process is on; processes of
+	// different sides cannot connect, and only side 0 reaches the platform.
+	split   int
 	entry   *coordinator.Coordinator
 	guard   *guard.Guard
 	running []guard.Invocation // running has the calls of the upstream beside the agent.
@@ -147,12 +158,19 @@
 	if w.options.rules != nil {
 		w.options.rules(&rules)
 	}
+	limits := worldLimits
+	if w.options.limits != nil {
+		w.options.limits(&limits)
+	}
 	p.entry = coordinator.New(registrar.Entry{
 		Peer:       p.peer,
 		Region:     "default",
 		DataCentre: "dc-0",
 		PeerAddr:   netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(1 + seat)}), uint16(1024+w.births)),
-	}, worldLimits, rules)
+	}, limits, rules)
+	if w.options.ownerRules != nil {
+		w.options.ownerRules(&p.entry.Owner().Rules)
+	}
 	p.entry.SetPath(worldService, "/")
 	return p
 }
@@ -278,7 +296,7 @@
 func (w *world) runCall(i, fault int) {
 	c := w.calls[i]
 	w.calls = append(w.calls[:i:i], w.calls[i+1:]...)
-	if w.down && fault == 0 {
+	if w.loses(c) && fault == 0 {
 		fault = 1
 	}
 	var err error
@@ -310,6 +328,11 @@
 	w.flush(c.from)
 }
 
+// loses reports whether the platform cannot be reached for a call.
+func (w *world) loses(c *storeCall) bool {
+	return w.down || c.from != nil && c.from.split != 0 || w.lose != nil && w.lose(c)
+}
+
 // newID returns an id made at the given time.
 func (w *world) newID(at time.Time, accept func(identifier.Partition) bool) identifier.Submission {
 	for {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -291,7 +291,9 @@
 		if !g.Rules.StaleEpoch(p.Epoch, g.epochs[p.Partition]) {
 			g.raise(p.Partition, p.Epoch)
 			g.holders[p.Partition] = from
-			answer.Records = g.records.of(p.Partition, f.UnsettledOnly)
+			if g.Rules.Recorded() {
+				answer.Records = g.records.of(p.Partition, f.UnsettledOnly)
+			}
 		}
 		answer.Epoch = g.epochs[p.Partition]
 		frame.Fenced = append(frame.Fenced, answer)
--- a/internal/guard/rules.go
+++ b/internal/guard/rules.go
@@ -24,6 +24,8 @@
 	// Expired reports whether a start must be refused at the time of the agent's
 	// clock.
 	Expired func(clock, startBy time.Duration) bool
+	// Recorded reports whether an owner is told of what has started.
+	Recorded func() bool
 }
 
 // DefaultRules returns the checks that the system relies on.
@@ -34,6 +36,7 @@
 		StaleEpoch: func(epoch, highest uint64) bool { return epoch < highest },
 		Cancelled:  func(cancelled bool) bool { return cancelled },
 		Expired:    func(clock, startBy time.Duration) bool { return clock > startBy },
+		Recorded:   func() bool { return true },
 	}
 }
 
