--- a/internal/coordinator/directed_test.go
+++ b/internal/coordinator/directed_test.go
@@ -159,3 +159,44 @@
 	w.submitTo(owner, s, coordinator.RequestSubmit)
 	w.until(time.Second, func() bool { return w.oracle.violation != "" })
 }
+
+// notRunAgain submits a job that no upstream can run, and submits it again when
+// the upstreams are back.
+func notRunAgain(w *world) {
+	w.leave(true)
+	s := w.newSubmission(0, "", 1, 200*time.Millisecond)
+	w.submitTo(w.entries[0], s, coordinator.RequestSubmit)
+	w.settle(time.Second)
+	w.leave(false)
+	w.submitTo(w.entries[1], s, coordinator.RequestSubmit)
+	w.settle(time.Second)
+}
+
+// leave lets all upstreams leave or come back.
+func (w *world) leave(leaving bool) {
+	for _, p := range w.agents {
+		p.leaving = leaving
+		w.announce(p)
+		w.flush(p)
+	}
+	w.settle(200 * time.Millisecond)
+}
+
+// missingAgent lets an owner die together with the way to one agent that has
+// started tasks, and submits the job again.
+func missingAgent(w *world) {
+	old := w.ownerOf(0, w.entries)
+	s := w.newSubmission(0, "", 6, 3*time.Second)
+	w.submitTo(old, s, coordinator.RequestSubmit)
+	for len(w.agents[0].running) == 0 {
+		ends := w.deliverable()
+		w.deliver(ends[0])
+	}
+	w.split(1, w.agents[0])
+	w.kill(old)
+	if !w.until(3*time.Second, func() bool { return w.ownerOf(0, w.entries) != nil }) {
+		return
+	}
+	w.submitTo(w.ownerOf(0, w.entries), s, coordinator.RequestSubmit)
+	w.settle(4 * time.Second)
+}
--- a/internal/coordinator/needed_test.go
+++ b/internal/coordinator/needed_test.go
@@ -57,8 +57,9 @@
 		directed: func(w *world) { splitOwner(w, 0) },
 	},
 	{
-		name:  "completeness",
-		rules: func(r *coordinator.Rules) { r.Recoverer.Complete = func(int) bool { return true } },
+		name:     "completeness",
+		rules:    func(r *coordinator.Rules) { r.Recoverer.Complete = func(int) bool { return true } },
+		directed: missingAgent,
 	},
 	{
 		name:     "write read-back",
@@ -68,6 +69,7 @@
 	{
 		name:       "kept not-run answers",
 		ownerRules: func(r *owner.Rules) { r.KeepsNotRun = func() bool { return false } },
+		directed:   notRunAgain,
 	},
 	{
 		name:       "request keys",
--- a/internal/coordinator/world_oracle_test.go
+++ b/internal/coordinator/world_oracle_test.go
@@ -166,6 +166,16 @@
 	}
 }
 
+// paid reports whether every request at a living entry was answered.
+func (o *oracle) paid() bool {
+	for _, r := range o.requests {
+		if r.entry.alive && r.owed() {
+			return false
+		}
+	}
+	return true
+}
+
 // checkGone checks that an entry that shuts down owes no answer.
 func (o *oracle) checkGone(p *process) {
 	for ticket, r := range o.requests {
