--- a/internal/coordinator/handover.go
+++ b/internal/coordinator/handover.go
@@ -87,9 +87,10 @@
 	c.handover.out = out
 	c.out.RoutesChanged = true
 	c.entries[to].gather().Handover = &messenger.Handover{
-		ID:         out.id,
-		Step:       messenger.HandoverOffer,
-		Partitions: out.partitions,
+		ID:   out.id,
+		Step: messenger.HandoverOffer,
+		// The frame is encoded later, and the handover drops partitions meanwhile.
+		Partitions: slices.Clone(out.partitions),
 		Jobs:       out.jobs,
 	}
 }
--- a/internal/coordinator/world_net_test.go
+++ b/internal/coordinator/world_net_test.go
@@ -63,6 +63,9 @@
 	if c == nil || c.cut {
 		return
 	}
+	if w.sent != nil {
+		w.sent(f)
+	}
 	other := 1
 	if c.ends[1] == from {
 		other = 0
--- a/internal/coordinator/world_test.go
+++ b/internal/coordinator/world_test.go
@@ -42,11 +42,13 @@
 	blocked func(a, b *process) bool
 	lose    func(*storeCall) bool
 	stall   func(*storeCall) bool
-	oracle  oracle
-	births  int
-	ids     uint64
-	steps   int
-	trace   *strings.Builder // trace is nil if no trace is wanted.
+	// sent is told of every frame that is sent; nil if nobody counts.
+	sent   func(*messenger.Frame)
+	oracle oracle
+	births int
+	ids    uint64
+	steps  int
+	trace  *strings.Builder // trace is nil if no trace is wanted.
 }
 
 // worldOptions describe a history.
