Count processes by version, and name those behind what any entry knows

Cause: at 900 agents the listing of config status is too long to read, an entry that had not heard of a version called itself current beside others that had it, and no metric said how many processes lag.

Seen: go test ./cmd/... -run 'TestAdminScripts|TestScripts' passed in 12.4 s; TestMerge passes.

Conclusion: operators see at a glance whether a version is in force everywhere.

--- a/cmd/sardinelock/cmd/config_status.go
+++ b/cmd/sardinelock/cmd/config_status.go
@@ -9,8 +9,13 @@
 	"sardinelock.dev/sardinelock/internal/administrator"
 )
 
+const configPath = "/v1/admin/config"
+
 func newConfigStatusCommand() *cobra.Command {
-	var admin adminFlags
+	var (
+		admin   adminFlags
+		summary bool
+	)
 	c := &cobra.Command{
 		Use:   "status",
 		Short: "Say which version is in force at which process",
@@ -20,14 +25,19 @@
 the table last told the process which version is current; agents read no table.
 The state is "current", "behind" if a later version is known, "unconfirmed" if a
 later version could not be learned, and "none" without a version.`,
-		Example: `  sardinelock config status --admin 127.0.0.1:7402`,
-		Args:    cobra.NoArgs,
+		Example: `  sardinelock config status --admin 127.0.0.1:7402
+  sardinelock config status --admin 127.0.0.1:7402 --summary`,
+		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
+			if summary {
+				return summarizeStatus(c, &admin)
+			}
 			header := []string{"PROCESS", "ROLE", "DATA-CENTRE", "STATE", "VERSION", "HIGHEST-SEEN", "IN-FORCE", "AGE", "DETAIL"}
-			return list(c, &admin, "/v1/admin/config", header, configStatusRow)
+			return list(c, &admin, configPath, header, configStatusRow)
 		},
 	}
 	admin.register(c.Flags())
+	c.Flags().BoolVar(&summary, "summary", false, "count processes by role, data centre, version and state")
 	return c
 }
 
--- a/internal/administrator/listing.go
+++ b/internal/administrator/listing.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 
+	"sardinelock.dev/sardinelock/internal/applier"
 	"sardinelock.dev/sardinelock/internal/authenticator"
 	"sardinelock.dev/sardinelock/internal/identifier"
 	"sardinelock.dev/sardinelock/pkg/submitter"
@@ -112,24 +113,15 @@
 	return out
 }
 
-// config lists how every process stands to the current version. Of an agent that
-// several entries know, the latest version that one of them has heard counts.
+// config lists how every process stands to the current version.
 func (s *Service) config(r *http.Request, _ authenticator.Principal) (any, *submitter.Problem) {
 	parts, silent := gather[[]ConfigStatus](r.Context(), s, CallConfig, nil)
-	out := Listing[ConfigStatus]{Items: []ConfigStatus{}, Silent: silent}
+	var lists [][]ConfigStatus
 	for _, p := range parts {
-		for _, row := range p.part {
-			i := slices.IndexFunc(out.Items, func(o ConfigStatus) bool { return o.Process == row.Process })
-			switch {
-			case i < 0:
-				out.Items = append(out.Items, row)
-			case row.Version > out.Items[i].Version:
-				out.Items[i] = row
-			}
-		}
+		lists = append(lists, p.part)
 	}
-	slices.SortFunc(out.Items, func(a, b ConfigStatus) int { return cmp.Compare(a.Process, b.Process) })
-	return out, nil
+	rows := applier.Merge(func(c *ConfigStatus) *applier.Status { return &c.Status }, lists...)
+	return Listing[ConfigStatus]{Items: rows, Silent: silent}, nil
 }
 
 // usage sums the usage of all entries by service and team.
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"sardinelock.dev/sardinelock/internal/applier"
 	"sardinelock.dev/sardinelock/internal/messenger"
 	"sardinelock.dev/sardinelock/internal/meter"
 )
@@ -40,6 +41,9 @@
 			State:        state,
 			HighestEpoch: slices.Max(a.guard.Epochs()),
 			Entries:      len(a.conns),
+
+			ConfigVersion: a.follower.Version(),
+			ConfigCurrent: a.follower.Status().State == applier.StateCurrent,
 		}
 	})
 	return s
--- a/internal/applier/applier.go
+++ b/internal/applier/applier.go
@@ -316,7 +316,7 @@
 			out = append(out, a.agentStatus(p))
 		}
 	}
-	slices.SortFunc(out, compareStatus)
+	slices.SortFunc(out, func(a, b Status) int { return compareReports(&a, &b) })
 	return out
 }
 
--- a/internal/applier/listing.go
+++ b/internal/applier/listing.go
@@ -5,38 +5,36 @@
 	"slices"
 )
 
-// compareStatus orders by role and name; entries come before agents.
-func compareStatus(a, b Status) int {
-	return cmp.Or(cmp.Compare(b.Role, a.Role), cmp.Compare(a.Process, b.Process))
-}
-
-// Merge joins what several entries know into one listing. Of a process that
-// several have reported the highest version counts, and of one version the
-// report that says more.
-func Merge(lists ...[]Status) []Status {
+// Merge joins what several entries know into one listing by process. Of a process
+// that several have reported the highest version counts, and of one version the
+// report that knew more. A process is behind if any of them knows a later
+// version. The function returns the status within a row.
+func Merge[T any](status func(*T) *Status, lists ...[]T) []T {
 	all := slices.Concat(lists...)
-	slices.SortStableFunc(all, func(a, b Status) int {
-		return cmp.Or(compareStatus(a, b), cmp.Compare(b.Version, a.Version), cmp.Compare(rank(a.State), rank(b.State)))
-	})
-	all = slices.CompactFunc(all, func(a, b Status) bool { return a.Process == b.Process })
+	slices.SortStableFunc(all, func(a, b T) int { return compareReports(status(&a), status(&b)) })
+	all = slices.CompactFunc(all, func(a, b T) bool { return status(&a).Process == status(&b).Process })
+	var highest uint64
+	for i := range all {
+		highest = max(highest, status(&all[i]).Highest)
+	}
 	for i := range all {
-		all[i].Highest = highestOf(all)
-		if all[i].State == StateCurrent && all[i].Version < all[i].Highest {
-			all[i].State = StateBehind
+		s := status(&all[i])
+		s.Highest = highest
+		if s.State == StateCurrent && s.Version < highest {
+			s.State = StateBehind
 		}
 	}
 	return all
 }
 
-func highestOf(list []Status) uint64 {
-	var highest uint64
-	for _, s := range list {
-		highest = max(highest, s.Highest)
-	}
-	return highest
+// compareReports orders by process and then puts the report first that counts.
+func compareReports(a, b *Status) int {
+	return cmp.Or(
+		cmp.Compare(a.Process, b.Process),
+		cmp.Compare(b.Version, a.Version),
+		cmp.Compare(rank(a.State), rank(b.State)),
+	)
 }
 
 // rank orders the states of one version by how much their reporter knew.
-func rank(s State) int {
-	return slices.Index([]State{StateCurrent, StateBehind, StateUnconfirmed, StateNone}, s)
-}
+func rank(s State) int { return slices.Index(States(), s) }
--- a/internal/applier/register.go
+++ b/internal/applier/register.go
@@ -77,6 +77,9 @@
 	StateNone        State = "none"        // No version is in force.
 )
 
+// States returns all states.
+func States() []State { return []State{StateCurrent, StateBehind, StateUnconfirmed, StateNone} }
+
 // Status is how one process stands to the current version.
 type Status struct {
 	Process    messenger.Peer `json:"process"`
--- a/internal/dispatcher/config.go
+++ b/internal/dispatcher/config.go
@@ -13,6 +13,7 @@
 	"sardinelock.dev/sardinelock/internal/applier"
 	"sardinelock.dev/sardinelock/internal/configurer"
 	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/meter"
 	"sardinelock.dev/sardinelock/internal/placer"
 	"sardinelock.dev/sardinelock/internal/storer"
 )
@@ -247,6 +248,26 @@
 	}
 }
 
+// meterConfig adds how this entry and its agents stand to the current version.
+func (e *Entry) meterConfig(s *meter.EntryState) {
+	statuses := e.ConfigStatuses()
+	if len(statuses) == 0 {
+		return
+	}
+	if own := statuses[0]; !own.Confirmed.IsZero() {
+		s.ConfigAge = time.Since(own.Confirmed)
+	}
+	for _, state := range applier.States() {
+		count := meter.StateCount{State: string(state)}
+		for _, known := range statuses {
+			if known.State == state {
+				count.Count++
+			}
+		}
+		s.ConfigStates = append(s.ConfigStates, count)
+	}
+}
+
 // ConfigStatus returns how this entry stands to the current version. It must not
 // be called on the control thread.
 func (e *Entry) ConfigStatus() applier.Status {
--- a/internal/dispatcher/metrics.go
+++ b/internal/dispatcher/metrics.go
@@ -41,9 +41,7 @@
 		ConfigAge:     -1,
 		Draining:      e.Draining(),
 	}
-	if status := e.ConfigStatus(); !status.Confirmed.IsZero() {
-		s.ConfigAge = time.Since(status.Confirmed)
-	}
+	e.meterConfig(&s)
 	e.loop.Call(func(time.Time) {
 		s.Ejections = e.coordinator.Ejections()
 		s.KeptJobs, s.OpenJobs = e.coordinator.JobCounts()
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -44,6 +44,7 @@
 				OpenJobs: 2, KeptJobs: 5, QueuedTasks: 11,
 				Partitions:    []messenger.PartitionEpoch{{Partition: 3, Epoch: 4}},
 				ConfigVersion: 9, ConfigAge: -1, Draining: true,
+				ConfigStates: []StateCount{{State: "behind", Count: 3}},
 			}
 		},
 		CertificateExpiry: func() time.Time { return time.Unix(1_800_000_000, 0) },
@@ -63,6 +64,7 @@
 		`http_server_request_duration_seconds_count{http_request_method="_OTHER",http_response_status_code="405",http_route=""} 2`,
 		`sardinelock_certificate_expiry_seconds 1.8e+09`,
 		`sardinelock_config_age_seconds -1`,
+		`sardinelock_config_processes{state="behind"} 3`,
 		`sardinelock_config_version 9`,
 		`sardinelock_control_busy_time_seconds_total 1.5`,
 		`sardinelock_control_bytes_total 100`,
--- a/internal/meter/roles.go
+++ b/internal/meter/roles.go
@@ -20,6 +20,7 @@
 	peers := r.gauge("sardinelock.peer.connections", "{connection}", "Connections to peers by role.")
 	version := r.gauge("sardinelock.config.version", "{version}", "Version of the configuration in force.")
 	age := r.gauge("sardinelock.config.age", "s", "Time since a source last confirmed the version in force; -1 if none did.")
+	configs := r.gauge("sardinelock.config.processes", "{process}", "This entry and its agents by how they stand to the current version of the configuration.")
 	draining := r.gauge("sardinelock.draining", "", "1 while the entry takes no new work.")
 	r.callback(func(_ context.Context, o metric.Observer) error {
 		s := state()
@@ -41,9 +42,10 @@
 		} else {
 			o.ObserveFloat64(age, s.ConfigAge.Seconds())
 		}
+		observeStates(o, configs, "state", s.ConfigStates)
 		o.ObserveFloat64(draining, float64(oneIf(s.Draining)))
 		return nil
-	}, jobs, queued, upstreams, credits, ejections, owned, epochs, peers, version, age, draining)
+	}, jobs, queued, upstreams, credits, ejections, owned, epochs, peers, version, age, configs, draining)
 }
 
 func (r *registrar) observeAgent(state func() AgentState) {
@@ -53,6 +55,8 @@
 	serving := r.gauge("sardinelock.agent.upstream", "", "1 for the state that the upstream is in.")
 	epoch := r.gauge("sardinelock.agent.epoch", "{epoch}", "Highest epoch seen of any partition.")
 	entries := r.gauge("sardinelock.peer.connections", "{connection}", "Connections to peers by role.")
+	version := r.gauge("sardinelock.config.version", "{version}", "Version of the configuration in force.")
+	current := r.gauge("sardinelock.config.current", "", "1 if the latest version is in force and a later one would be learned.")
 	r.callback(func(_ context.Context, o metric.Observer) error {
 		s := state()
 		o.ObserveFloat64(tasks, float64(s.Running), label("state", "running"))
@@ -66,8 +70,10 @@
 		}
 		o.ObserveFloat64(epoch, float64(s.HighestEpoch))
 		o.ObserveFloat64(entries, float64(s.Entries), label("role", string(messenger.RoleEntry)))
+		o.ObserveFloat64(version, float64(s.ConfigVersion))
+		o.ObserveFloat64(current, float64(oneIf(s.ConfigCurrent)))
 		return nil
-	}, tasks, slots, records, serving, epoch, entries)
+	}, tasks, slots, records, serving, epoch, entries, version, current)
 }
 
 func observeStates(o metric.Observer, g metric.Float64Observable, name string, states []StateCount) {
--- a/internal/meter/sources.go
+++ b/internal/meter/sources.go
@@ -49,7 +49,10 @@
 	// ConfigAge is the time since the version was last confirmed by a source;
 	// negative if it never was.
 	ConfigAge time.Duration
-	Draining  bool
+	// ConfigStates counts this entry and its agents by how they stand to the
+	// current version of the configuration.
+	ConfigStates []StateCount
+	Draining     bool
 }
 
 // StateCount is how many things are in a state.
@@ -67,6 +70,10 @@
 	HighestEpoch uint64
 	// Entries is the number of connected entries.
 	Entries int
+	// ConfigVersion is the version in force; 0 if there is none. ConfigCurrent is
+	// set if it is the latest and a later one would be learned.
+	ConfigVersion uint64
+	ConfigCurrent bool
 }
 
 // registrar makes instruments and keeps the first error.
