Measure a job without allocating

Cause: the measurements of one job took 10.3 us and 24 allocations, most of it to build attributes; at jobs of one task that is a few percent of a core.

--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -41,6 +41,13 @@
 	answers  metric.Int64Counter
 	verdicts metric.Int64Counter
 	store    metric.Int64Counter
+
+	answerSeries  series[answerKey]
+	jobSeries     series[answerKey]
+	verdictSeries series[verdictKey]
+	queueSeries   series[string]
+	requestSeries series[requestKey]
+	storeSeries   series[storeKey]
 }
 
 // Identity names the process in its metrics.
@@ -95,30 +102,21 @@
 // Answered records the answer to a job.
 func (m *Meter) Answered(service, outcome, reason string, took time.Duration) {
 	ctx := context.Background()
-	m.jobs.Record(ctx, took.Seconds(), metric.WithAttributes(
-		attribute.String("service", service),
-		attribute.String("outcome", outcome),
-	))
-	m.answers.Add(ctx, 1, metric.WithAttributes(
-		attribute.String("service", service),
-		attribute.String("outcome", outcome),
-		attribute.String("reason", reason),
-	))
+	key := answerKey{service, outcome, reason}
+	m.answers.Add(ctx, 1, m.answerSeries.get(key, answerKey.attributes).add...)
+	key.reason = ""
+	m.jobs.Record(ctx, took.Seconds(), m.jobSeries.get(key, answerKey.jobAttributes).record...)
 }
 
 // Judged records what an answer is for one objective of its service.
 func (m *Meter) Judged(service, objective, verdict string) {
-	m.verdicts.Add(context.Background(), 1, metric.WithAttributes(
-		attribute.String("service", service),
-		attribute.String("objective", objective),
-		attribute.String("verdict", verdict),
-	))
+	key := verdictKey{service, objective, verdict}
+	m.verdicts.Add(context.Background(), 1, m.verdictSeries.get(key, verdictKey.attributes).add...)
 }
 
 // Started records how long a job waited until its first task was sent.
 func (m *Meter) Started(service string, waited time.Duration) {
-	m.queue.Record(context.Background(), waited.Seconds(),
-		metric.WithAttributes(attribute.String("service", service)))
+	m.queue.Record(context.Background(), waited.Seconds(), m.queueSeries.get(service, serviceAttributes).record...)
 }
 
 // knownMethods are the HTTP methods that are told apart. Any other counts as
@@ -135,20 +133,15 @@
 	if !slices.Contains(knownMethods, method) {
 		method = otherMethod
 	}
-	m.requests.Record(context.Background(), took.Seconds(), metric.WithAttributes(
-		attribute.String("http.request.method", method),
-		attribute.String("http.route", route),
-		attribute.Int("http.response.status_code", status),
-	))
+	key := requestKey{method, route, status}
+	m.requests.Record(context.Background(), took.Seconds(), m.requestSeries.get(key, requestKey.attributes).record...)
 }
 
 // StoreCall records one try of a call of the platform. The kind of error is empty
 // if the call went well.
 func (m *Meter) StoreCall(operation, errorKind string) {
-	m.store.Add(context.Background(), 1, metric.WithAttributes(
-		attribute.String("operation", operation),
-		attribute.String("error.type", errorKind),
-	))
+	key := storeKey{operation, errorKind}
+	m.store.Add(context.Background(), 1, m.storeSeries.get(key, storeKey.attributes).add...)
 }
 
 func (m *Meter) register(s Sources) error {
