Draw steps as dots, so that a single one is seen

Cause: the page of a system that had run for a minute, looked at in headless Chromium on the admin address, showed no line: one step is no line. Change: each step has a dot. A test draws an objective with one step. Conclusion: the page shows a burn from its first job.

--- a/internal/reporter/plot.go
+++ b/internal/reporter/plot.go
@@ -9,6 +9,7 @@
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
 
 	"sardinelock.dev/sardinelock/internal/configurer"
 )
@@ -55,13 +56,17 @@
 		for _, xy := range points {
 			highest = max(highest, xy.Y)
 		}
-		line, err := plotter.NewLine(points)
+		line, dots, err := plotter.NewLinePoints(points)
 		if err != nil {
 			return nil, &Error{Op: "plot", Kind: KindPlot, Err: err}
 		}
 		line.Color = palette[i]
 		line.Width = vg.Points(1.5)
-		p.Add(line)
+		// A line of one step alone would not be seen.
+		dots.Color = palette[i]
+		dots.Shape = draw.CircleGlyph{}
+		dots.Radius = vg.Points(2)
+		p.Add(line, dots)
 	}
 	addThresholds(p, highest)
 	p.Y.Min = 0
--- a/internal/reporter/reporter_test.go
+++ b/internal/reporter/reporter_test.go
@@ -224,6 +224,22 @@
 	}
 }
 
+// TestPlotOfOneStep checks that an objective whose jobs all fall into one step is
+// drawn: a line needs two points to be seen.
+func TestPlotOfOneStep(t *testing.T) {
+	r := New()
+	r.Record(testStart, Event{Service: "quote", Outcome: submitter.OutcomeFailed, Reason: submitter.ReasonTaskFailed})
+	counts := r.Snapshot(testStart)
+	report := Make(testStart, time.Hour, testServices, counts)
+	plot, err := Plot(report, testServices, counts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if colour := lineColour(0); !bytes.Contains(bytes.ToLower(plot), []byte("fill:"+colour)) {
+		t.Errorf("the plot has no dot of the colour %s", colour)
+	}
+}
+
 // TestReportNames pins the keys of the JSON form.
 func TestReportNames(t *testing.T) {
 	r := New()
