Refuse unknown subcommands

Cause: a new script showed that 'sardinelock fly' printed the help and succeeded. Change: a group with an unknown subcommand fails as a usage error. Measured: the script passes with exit code 2.

--- a/cmd/sardinelock/cmd/root.go
+++ b/cmd/sardinelock/cmd/root.go
@@ -81,9 +81,28 @@
 		newPartitionCommand(),
 		newReportCommand(),
 	)
+	refuseUnknown(root)
 	return root
 }
 
+// refuseUnknown makes an unknown subcommand of a group an error; without it the
+// group would print its help and succeed.
+func refuseUnknown(c *cobra.Command) {
+	for _, sub := range c.Commands() {
+		refuseUnknown(sub)
+	}
+	if c.Runnable() {
+		return
+	}
+	c.Args = cobra.ArbitraryArgs
+	c.RunE = func(c *cobra.Command, args []string) error {
+		if len(args) > 0 {
+			return &usageError{errors.Errorf("unknown command %q for %q", args[0], c.CommandPath())}
+		}
+		return c.Help()
+	}
+}
+
 // ranAnnotation marks a root whose arguments were parsed without error.
 const ranAnnotation = "arguments-parsed"
 
