Guard the ids that the client's test records

Cause: the race detector found the fake entry's goroutine and the test on one slice. Change: a lock. Measured: the package passes with the race detector.

--- a/pkg/submitter/client_test.go
+++ b/pkg/submitter/client_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -24,20 +26,38 @@
 
 func cut(http.ResponseWriter, string) { panic(http.ErrAbortHandler) }
 
+// idLog has the ids that a fake entry was sent.
+type idLog struct {
+	mu  sync.Mutex
+	ids []string
+}
+
+// add records an id and returns how many came before it.
+func (l *idLog) add(id string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ids = append(l.ids, id)
+	return len(l.ids) - 1
+}
+
+func (l *idLog) all() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.ids)
+}
+
 // fakeEntry gives the replies in order and records the ids that it was sent.
-func fakeEntry(t *testing.T, replies ...reply) (*Client, *[]string) {
+func fakeEntry(t *testing.T, replies ...reply) (*Client, *idLog) {
 	t.Helper()
-	var ids []string
+	log := new(idLog)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		id := r.Header.Get(HeaderSubmissionID)
-		next := replies[min(len(ids), len(replies)-1)]
-		ids = append(ids, id)
-		next(w, id)
+		replies[min(log.add(id), len(replies)-1)](w, id)
 	}))
 	t.Cleanup(server.Close)
 	c := New(Options{Entries: []netip.AddrPort{netip.MustParseAddrPort(server.Listener.Addr().String())}})
 	c.Sleep = func(context.Context, time.Duration) {}
-	return c, &ids
+	return c, log
 }
 
 // A lost connection is followed by the same id.
@@ -48,7 +68,7 @@
 		t.Fatalf("got %+v, %v", answer, err)
 	}
 	want := []string{answer.SubmissionID, answer.SubmissionID, answer.SubmissionID}
-	if diff := cmp.Diff(want, *ids); diff != "" {
+	if diff := cmp.Diff(want, ids.all()); diff != "" {
 		t.Errorf("ids (-want +got):\n%s", diff)
 	}
 }
@@ -60,8 +80,8 @@
 	if err != nil || answer.Outcome != OutcomeUnknown || answer.Reason != ReasonConnectionLost {
 		t.Errorf("got %+v, %v, want unknown", answer, err)
 	}
-	if len(*ids) != maxTries {
-		t.Errorf("%d tries, want %d", len(*ids), maxTries)
+	if len(ids.all()) != maxTries {
+		t.Errorf("%d tries, want %d", len(ids.all()), maxTries)
 	}
 }
 
@@ -73,8 +93,8 @@
 	if err != nil || answer.Outcome != OutcomeComplete {
 		t.Fatalf("got %+v, %v", answer, err)
 	}
-	if len(*ids) != 2 || (*ids)[0] == (*ids)[1] {
-		t.Errorf("ids %v, want two that differ", *ids)
+	if sent := ids.all(); len(sent) != 2 || sent[0] == sent[1] {
+		t.Errorf("ids %v, want two that differ", sent)
 	}
 	c, _ = fakeEntry(t, answered(OutcomeNotRun, ReasonOwnerChanged))
 	answer, err = c.Submit(t.Context(), "quote", NewSubmissionID(""), Job{})
