--- a/internal/experimenter/experiment_test.go
+++ b/internal/experimenter/experiment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -33,9 +34,36 @@
 		Seed: 1, Duration: time.Minute, Entries: 3, Agents: 11, Slots: 8, Teams: 6,
 		Sizes: SizeUsual, DeclaredError: 0.5, Loss: 1e-4,
 	}}
+	if v := os.Getenv("X_AGE"); v != "" { b.settings.Placer.Ageing = b.number(v) }
+	if v := os.Getenv("X_DL"); v != "" { b.settings.Placer.DeadlineRatio = b.number(v) }
+	if v := os.Getenv("X_DEBT"); v != "" { b.settings.Placer.MaxDebt = b.duration(v) }
+	if v := os.Getenv("X_BATCH"); v != "" {
+		b.settings.Placer.Batch = int(b.number(v))
+	}
+	if v := os.Getenv("X_RESERVE"); v != "" {
+		b.settings.Placer.Reserve = int(b.number(v))
+	}
+	if v := os.Getenv("X_LARGE"); v != "" {
+		b.settings.Placer.LargeWork = b.duration(v)
+	}
+	if v := os.Getenv("X_Q"); v != "" {
+		b.settings.Placer.Quantum = b.duration(v)
+	}
+	if v := os.Getenv("X_DEPTH"); v != "" {
+		b.settings.Guard.Credits.Depth = int(b.number(v))
+	}
+	if v := os.Getenv("X_HOLD"); v != "" {
+		b.settings.Guard.HoldFor = b.duration(v)
+	}
+	if v := os.Getenv("X_FLOOR"); v != "" {
+		b.settings.Guard.Credits.Floor = int(b.number(v))
+	}
 	for _, l := range lines {
 		b.apply(l)
 	}
+	if os.Getenv("X_PRINT") != "" {
+		fmt.Fprintln(os.Stderr, "XX", b.out.String())
+	}
 	return b.out.String()
 }
 
@@ -174,6 +202,12 @@
 		"wasted": b.summary.Wasted,
 		"failed": b.summary.Failed,
 	}
+	switch l.Args[0] {
+	case "p99-of-unflooded":
+		figures[l.Args[0]] = ratio(b.summary.P99, b.unflooded().P99)
+	case "goodput-lost":
+		figures[l.Args[0]] = 1 - b.summary.Goodput/b.atCapacity().Goodput
+	}
 	got, known := figures[l.Args[0]]
 	if !known {
 		b.t.Fatalf("%v: unknown figure", l)
@@ -183,6 +217,31 @@
 	}
 }
 
+// unflooded returns the figures of the same arrivals without the flood.
+func (b *bench) unflooded() Summary {
+	sc := b.scenario
+	w := &Workload{}
+	for _, j := range b.workload.Jobs {
+		if b.include(&j) {
+			w.Jobs = append(w.Jobs, j)
+		}
+	}
+	s := Run(&sc, w, b.settings).Summarize(w, sc.Duration, b.include)
+	fmt.Fprintf(&b.out, "%-13s %6.3f %6.3f %6.3f\n", "unflooded",
+		ratio(s.Mean, b.ideal.Mean), ratio(s.P50, b.ideal.P50), ratio(s.P99, b.ideal.P99))
+	return s
+}
+
+// atCapacity returns the figures of the scenario at a load of 1.
+func (b *bench) atCapacity() Summary {
+	sc := b.scenario
+	sc.Load = 1
+	w := NewWorkload(&sc)
+	s := Run(&sc, w, b.settings).Summarize(w, sc.Duration, b.include)
+	fmt.Fprintf(&b.out, "%-13s goodput %.2f\n", "at capacity", s.Goodput)
+	return s
+}
+
 func ratio(a, b time.Duration) float64 { return a.Seconds() / b.Seconds() }
 
 func (b *bench) number(text string) float64 {
--- a/internal/experimenter/result.go
+++ b/internal/experimenter/result.go
@@ -48,7 +48,8 @@
 	Complete        int
 	Failed          float64 // Failed is the share of jobs that failed or stayed open.
 	Refused         float64
-	// Goodput is the run time of complete jobs in slots.
+	// Goodput is the run time of the jobs that were complete before the arrivals
+	// ended, in slots.
 	Goodput float64
 }
 
@@ -67,7 +68,9 @@
 		case JobComplete:
 			times = append(times, r.Jobs[i].Response)
 			sum += r.Jobs[i].Response
-			good += w.Jobs[i].work()
+			if w.Jobs[i].At+r.Jobs[i].Response <= duration {
+				good += w.Jobs[i].work()
+			}
 		case JobFailed, JobOpen:
 			s.Failed++
 		case JobRefused:
--- a/internal/experimenter/system.go
+++ b/internal/experimenter/system.go
@@ -26,6 +26,7 @@
 
 const (
 	service      = "print"
+	defaultHold  = time.Second
 	tickEvery    = 100 * time.Millisecond
 	announceFor  = time.Minute
 	memoryBytes  = 32 << 30
@@ -63,6 +64,9 @@
 		numbers:  make(map[identifier.Submission]int, len(w.Jobs)),
 		left:     make([]int, len(w.Jobs)),
 	}
+	if s.settings.Guard.HoldFor == 0 {
+		s.settings.Guard.HoldFor = defaultHold
+	}
 	s.build()
 	s.plan()
 	s.clock.run(sc.Duration + settleTime)
@@ -104,6 +108,9 @@
 		s.left[i] = len(j.Tasks)
 		s.numbers[j.ID] = i
 		s.clock.at(warmUp+j.At, func() { s.arrive(i) })
+		if d := s.scenario.Deadline; d > 0 {
+			s.clock.at(warmUp+j.At+d, func() { s.expire(i) })
+		}
 		if j.CancelAt > 0 {
 			s.clock.at(warmUp+j.CancelAt, func() { s.cancel(i) })
 		}
@@ -151,6 +158,17 @@
 	e.wake()
 }
 
+// expire fails a job that has not ended by its deadline.
+func (s *system) expire(i int) {
+	if s.result.Jobs[i].Outcome != JobOpen {
+		return
+	}
+	s.fail(i)
+	e := s.entries[s.workload.Jobs[i].Entry]
+	e.stop(i)
+	e.wake()
+}
+
 func (s *system) strike(f *Fault) {
 	switch f.Kind {
 	case FaultAgentsDie:
--- a/internal/guard/credit.go
+++ b/internal/guard/credit.go
@@ -1,9 +1,11 @@
 package guard
 
 import (
+	"slices"
 	"time"
 
 	"sardinelock.dev/sardinelock/internal/creditor"
+	"sardinelock.dev/sardinelock/internal/identifier"
 	"sardinelock.dev/sardinelock/internal/messenger"
 )
 
@@ -12,6 +14,8 @@
 type resources struct {
 	credits *creditor.Creditor
 	running map[TaskRef]charge
+	// open counts the tasks of each submission that wait or run.
+	open map[identifier.Submission]int
 	// memory and accelerators are the sums over running.
 	memory       int64
 	accelerators int
@@ -25,7 +29,7 @@
 }
 
 func newResources(limits creditor.Limits) resources {
-	return resources{credits: creditor.New(limits), running: make(map[TaskRef]charge)}
+	return resources{credits: creditor.New(limits), running: make(map[TaskRef]charge), open: make(map[identifier.Submission]int)}
 }
 
 // fits reports whether the upstream has the memory and accelerators for a task
@@ -59,6 +63,7 @@
 	g.resources.memory -= c.memory
 	g.resources.accelerators -= c.accelerators
 	g.resources.credits.Ended(c.from)
+	g.close(ref.Submission)
 }
 
 // entryGone frees the credits of an entry whose waiting starts are dropped.
@@ -66,6 +71,7 @@
 	for _, p := range g.waiting {
 		if p.from == entry {
 			g.resources.credits.Ended(entry)
+			g.close(p.ref.Submission)
 		}
 	}
 	for ref, c := range g.resources.running {
@@ -77,31 +83,111 @@
 	g.resources.credits.EntryDown(entry)
 }
 
-// receiveBacklog applies what a frame says about the sender's backlog. Starts
-// without such a word mean that there is none.
-func (g *Guard) receiveBacklog(now time.Time, from messenger.Peer, f *messenger.Frame) {
-	switch {
-	case f.Credit != nil:
-		g.resources.credits.Backlog(now, from, f.Credit.Backlog)
-	case len(f.Starts) > 0:
-		g.resources.credits.Backlog(now, from, 0)
-	}
-}
-
-// addCredits lets changed limits ride on frames that go out. An entry with a
-// backlog gets a frame for it.
-func (g *Guard) addCredits(now time.Time) {
+// addCredits lets changed limits ride on the frames that go out.
+func (g *Guard) addCredits() {
 	slots := 0
 	if g.state == messenger.UpstreamServing {
 		slots = g.upstream.Slots
 	}
 	g.resources.credits.SetSlots(slots)
-	for _, grant := range g.resources.credits.Divide(now) {
-		l := g.entries[grant.Entry]
-		if l == nil || l.frame == nil && !grant.Urgent {
+	for _, grant := range g.resources.credits.Divide() {
+		if l := g.entries[grant.Entry]; l != nil && l.frame != nil {
+			l.frame.Credit = &messenger.Credit{Limit: grant.Limit}
+			g.resources.credits.Told(grant)
+		}
+	}
+}
+
+// accept lets a start wait for a slot. What waits is ordered by the work that is
+// left of its job and by its age.
+func (g *Guard) accept(now time.Time, p pending) {
+	g.resources.credits.Started(p.from)
+	g.resources.open[p.ref.Submission]++
+	p.rank = p.work + time.Duration(ageing*float64(g.Clock(now)))
+	i := len(g.waiting)
+	for i > 0 && g.waiting[i-1].rank > p.rank {
+		i--
+	}
+	g.waiting = slices.Insert(g.waiting, i, p)
+}
+
+// ageing is how much one second of waiting counts against one second of work.
+const ageing = 0.25
+
+// close counts the end of a task that was accepted and reports whether the agent
+// has others of its submission.
+func (g *Guard) close(s identifier.Submission) {
+	g.resources.open[s]--
+	if g.resources.open[s] <= 0 {
+		delete(g.resources.open, s)
+	}
+}
+
+// hold keeps a result back while others of its job are to come from here and
+// reports whether it does. A failure is never held: it ends the job.
+func (g *Guard) hold(now time.Time, to messenger.Peer, s identifier.Submission, r messenger.TaskResult) bool {
+	if r.Kind != messenger.ResultDone || g.resources.open[s] == 0 || g.limits.HoldFor <= 0 {
+		return false
+	}
+	l := g.entries[to]
+	if len(l.held) == 0 {
+		l.heldSince = now
+	}
+	l.held = append(l.held, heldResult{submission: s, result: r})
+	return true
+}
+
+// release adds held results to the frames that go out, and to one of their own
+// once they have been held for long enough or their job has no other task here.
+func (g *Guard) release(now time.Time) {
+	for _, entry := range g.order {
+		l := g.entries[entry]
+		if len(l.held) == 0 || l.frame == nil && !g.wanted(now, l) {
 			continue
 		}
-		g.frameTo(grant.Entry).Credit = &messenger.Credit{Limit: grant.Limit}
-		g.resources.credits.Told(grant.Entry)
+		held := l.held
+		l.held = nil
+		for _, h := range held {
+			g.addResult(entry, h.submission, h.result)
+		}
+	}
+}
+
+// wanted reports whether held results should go in a message of their own: they
+// are old, or the entry waits for credit and the agent runs out of work.
+func (g *Guard) wanted(now time.Time, l *link) bool {
+	if now.Sub(l.heldSince) >= g.limits.HoldFor {
+		return true
+	}
+	if l.backlog == 0 {
+		return false
+	}
+	idle := len(g.waiting) == 0 && g.running < g.upstream.Slots
+	return idle || len(l.held) >= heldBatch && len(g.waiting) < g.upstream.Slots/lowWater
+}
+
+const (
+	// lowWater is the part of the slots for which starts must wait, so that an
+	// entry with a backlog need not hear of results.
+	lowWater = 2
+	// heldBatch is how many results an entry with a backlog is sent together while
+	// no slot is idle.
+	heldBatch = 6
+)
+
+// receiveBacklog applies what a frame says about the sender's backlog. Starts
+// without such a word mean that there is none.
+func (g *Guard) receiveBacklog(l *link, f *messenger.Frame) {
+	switch {
+	case f.Credit != nil:
+		l.backlog = f.Credit.Backlog
+	case len(f.Starts) > 0:
+		l.backlog = 0
 	}
 }
+
+// heldResult is a result that waits for others of its job.
+type heldResult struct {
+	submission identifier.Submission
+	result     messenger.TaskResult
+}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -29,6 +29,9 @@
 	MaxRecords int
 	// MaxWaiting bounds the starts that wait for a slot.
 	MaxWaiting int
+	// HoldFor is how long a result may wait for others of its job, so that they go
+	// in one message. Zero sends each at once.
+	HoldFor time.Duration
 	// Credits are the settings of the division of slots between entries.
 	Credits creditor.Limits
 }
@@ -85,9 +88,12 @@
 
 // link is what the guard keeps for a connected entry.
 type link struct {
-	frame  *messenger.Frame // frame gathers what goes out at the next Take; nil if nothing does.
-	ping   uint64
-	echoed uint64
+	frame     *messenger.Frame // frame gathers what goes out at the next Take; nil if nothing does.
+	held      []heldResult
+	heldSince time.Time // heldSince is when the oldest of held was added.
+	backlog   int       // backlog is how many tasks wait at the entry, as it last said.
+	ping      uint64
+	echoed    uint64
 }
 
 // pending is a start that waits for a slot.
@@ -99,6 +105,8 @@
 	startBy time.Duration
 	endBy   time.Duration
 	task    messenger.TaskStart
+	work    time.Duration // work is what is left of the job, as the entry expects.
+	rank    time.Duration // rank orders the starts that wait; the least goes first.
 }
 
 // New returns a guard without an upstream. The given time is the zero of the
@@ -178,7 +186,7 @@
 	if f.Fence != nil {
 		g.fence(from, f.Fence)
 	}
-	g.receiveBacklog(now, from, f)
+	g.receiveBacklog(l, f)
 	for i := range f.Starts {
 		g.start(now, from, &f.Starts[i])
 	}
@@ -224,13 +232,14 @@
 	if r != nil {
 		r.end(now, result)
 	}
-	g.sendResult(ref.Submission, result)
+	g.sendResult(now, ref.Submission, result)
 	g.startWaiting(now)
 }
 
 // Take returns what is to be done and clears it.
 func (g *Guard) Take(now time.Time) Output {
-	g.addCredits(now)
+	g.release(now)
+	g.addCredits()
 	for _, entry := range g.order {
 		l := g.entries[entry]
 		if l.frame == nil && l.ping == l.echoed {
@@ -275,6 +284,7 @@
 			startBy: s.StartBy,
 			endBy:   s.EndBy,
 			task:    t,
+			work:    s.Work,
 		}
 		refusal := g.check(now, &p)
 		if refusal == "" && len(g.waiting) >= g.limits.MaxWaiting {
@@ -284,8 +294,7 @@
 			g.refuse(&p, refusal)
 			continue
 		}
-		g.waiting = append(g.waiting, p)
-		g.resources.credits.Started(p.from)
+		g.accept(now, p)
 	}
 }
 
@@ -321,6 +330,7 @@
 		if refusal := g.check(now, p); refusal != "" {
 			g.refuse(p, refusal)
 			g.resources.credits.Ended(p.from)
+			g.close(p.ref.Submission)
 			n++
 			continue
 		}
@@ -391,8 +401,11 @@
 }
 
 // sendResult sends a result to the holder of the submission's partition.
-func (g *Guard) sendResult(s identifier.Submission, result messenger.TaskResult) {
-	g.addResult(g.holders[s.Partition()], s, result)
+func (g *Guard) sendResult(now time.Time, s identifier.Submission, result messenger.TaskResult) {
+	to := g.holders[s.Partition()]
+	if g.entries[to] != nil && !g.hold(now, to, s, result) {
+		g.addResult(to, s, result)
+	}
 }
 
 func (g *Guard) addResult(to messenger.Peer, s identifier.Submission, result messenger.TaskResult) {
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -103,6 +103,9 @@
 	// RequestKey and Digest are kept in the agent's record for a new owner.
 	RequestKey string `cbor:"8,keyasint,omitempty"`
 	Digest     uint64 `cbor:"9,keyasint,omitempty"`
+	// Work is how long what is left of the job is expected to take on all slots.
+	// Starts that wait at the agent go in its order, the least first.
+	Work time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // TaskStart is one task of a Start.
--- a/internal/placer/agent.go
+++ b/internal/placer/agent.go
@@ -1,6 +1,8 @@
 package placer
 
 import (
+	"time"
+
 	"sardinelock.dev/sardinelock/internal/identifier"
 	"sardinelock.dev/sardinelock/internal/messenger"
 )
@@ -45,6 +47,8 @@
 type outstanding struct {
 	need  Need // need is what is set aside for the task.
 	queue *teamQueue
+	// expected is the expected run time when the task was sent.
+	expected time.Duration
 }
 
 // free returns how many more tasks the agent may get.
--- a/internal/placer/dispatch.go
+++ b/internal/placer/dispatch.go
@@ -106,7 +106,7 @@
 		q := t.jobs.items[0]
 		need := q.job.Needs[q.waiting[0]]
 		need.MemoryBytes = s.learned.memoryBytes(need.MemoryBytes)
-		chosen := s.pick(need)
+		chosen := p.pick(s, q, need)
 		if chosen == nil {
 			p.output.blocked = append(p.output.blocked, q)
 			p.takeOut(q)
@@ -127,18 +127,19 @@
 	index := q.waiting[0]
 	q.waiting = q.waiting[1:]
 	expected := t.service.learned.runTime(need.RunTime)
+	t.service.sent += expected
 	work := min(expected, q.work)
 	q.work -= work
 	q.key -= work / t.service.divisor
 	p.count(q, -1, -work)
 	t.service.virtual = max(t.service.virtual, time.Duration(t.class)*p.limits.Quantum)
-	t.used += expected
-	t.class = int64(t.used / p.limits.Quantum)
+	p.use(t, expected)
 	t.team.take()
 	p.output.add(q, a, index)
+	p.open[q.job.Submission]++
 	p.sequence++
 	a.used = p.sequence
-	a.hold(taskRef{q.job.Submission, index}, outstanding{need: need, queue: t})
+	a.hold(taskRef{q.job.Submission, index}, outstanding{need: need, queue: t, expected: expected})
 	p.rerank(a)
 	if len(q.waiting) == 0 {
 		delete(p.jobs, q.job.Submission)
@@ -147,24 +148,64 @@
 	p.returnTurn(t)
 }
 
-// pick returns the best agent that can hold the task now.
-func (s *service) pick(need Need) *seat {
+// rank returns where the tasks of a job come among the starts that wait at an
+// agent: the time that its work takes on all slots, later by the debt of its team.
+func (q *queued) rank() time.Duration {
+	s := q.queue.service
+	debt := max(0, q.queue.used-s.virtual)
+	return (q.total + debtWeight*debt) / s.divisor
+}
+
+// debtWeight is how much a team's debt counts against work at an agent.
+const debtWeight = 4
+
+// reserve returns the credit that a job leaves at each agent to others: much if
+// its team is ahead of others, some if the job is large.
+func (p *Placer) reserve(q *queued) int {
+	s := q.queue.service
+	switch {
+	case q.queue.used-s.virtual > yieldingDebt*p.limits.Quantum:
+		return p.limits.DebtReserve
+	case q.total/s.divisor > p.limits.LargeWork:
+		return p.limits.Reserve
+	}
+	return 0
+}
+
+// yieldingDebt is by how many quanta a team must be ahead to leave DebtReserve.
+const yieldingDebt = 2
+
+// pick returns the best agent that can hold the task now, or nil.
+func (p *Placer) pick(s *service, q *queued, need Need) *seat {
+	reserve := p.reserve(q)
 	var best *seat
 	for i, seat := range s.seats.items {
 		if i >= maxTried {
 			break
 		}
-		if !seat.agent.holds(need) || best != nil && !seatBefore(seat, best) {
+		if !seat.agent.holds(need) || reserve > 0 && !p.leavesReserve(seat.agent, reserve) {
 			continue
 		}
 		if i == 0 {
 			return seat
 		}
-		best = seat
+		if best == nil || seatBefore(seat, best) {
+			best = seat
+		}
 	}
 	return best
 }
 
+// leavesReserve reports whether an agent can take a task and have credit left for
+// others. Unless a message goes there anyway, it must be able to take several, so
+// that what waits long goes in few batches.
+func (p *Placer) leavesReserve(a *agent, reserve int) bool {
+	if a.dispatch != p.output.dispatch {
+		reserve += p.limits.Batch
+	}
+	return a.free() > min(reserve, a.credit-1)
+}
+
 func (o *output) reset() {
 	o.dispatch++
 	o.assignments = o.assignments[:0]
@@ -186,7 +227,7 @@
 	if i < 0 {
 		i = len(o.meta)
 		o.meta = append(o.meta, assignmentMeta{job: q, previous: previous})
-		o.assignments = append(o.assignments, Assignment{Agent: a.peer, Submission: q.job.Submission})
+		o.assignments = append(o.assignments, Assignment{Agent: a.peer, Submission: q.job.Submission, Work: q.rank()})
 		a.batch = i
 		a.dispatch = o.dispatch
 	}
--- a/internal/placer/limits.go
+++ b/internal/placer/limits.go
@@ -18,8 +18,20 @@
 	// Quantum is the slot time by which one team may be ahead of another before
 	// its jobs yield.
 	Quantum time.Duration
-	// DeadlineRatio is the share of a job's deadline, from 0 to 1, that the
-	// expected wait and run time may take when the job is admitted.
+	// MaxDebt bounds the slot time by which one team is held to be ahead of another.
+	MaxDebt time.Duration
+	// LargeWork is the expected run time on all slots from which a job is large. It
+	// leaves Reserve credits at each agent to other jobs.
+	LargeWork time.Duration
+	Reserve   int
+	// DebtReserve is the credit at each agent that a team leaves to others while it
+	// is ahead of them by two quanta.
+	DebtReserve int
+	// Batch is how many tasks of a large job an agent must be able to take before a
+	// message is sent for them alone.
+	Batch int
+	// DeadlineRatio is the share, from 0 to 1, of what the longest task leaves of a
+	// job's deadline that the expected wait may take when the job is admitted.
 	DeadlineRatio float64
 	// MinSamples is how many results of a service replace declared values.
 	MinSamples int
@@ -50,7 +62,12 @@
 		MaxQueued:       50_000,
 		Ageing:          0.25,
 		Quantum:         4 * time.Second,
-		DeadlineRatio:   0.7,
+		MaxDebt:         32 * time.Second,
+		LargeWork:       time.Second,
+		Reserve:         2,
+		DebtReserve:     6,
+		Batch:           4,
+		DeadlineRatio:   0.6,
 		MinSamples:      20,
 		FailureStreak:   3,
 		FailureRatio:    0.5,
@@ -69,6 +86,11 @@
 	setDefault(&l.MaxQueued, d.MaxQueued)
 	setDefault(&l.Ageing, d.Ageing)
 	setDefault(&l.Quantum, d.Quantum)
+	setDefault(&l.MaxDebt, d.MaxDebt)
+	setDefault(&l.LargeWork, d.LargeWork)
+	setDefault(&l.Reserve, d.Reserve)
+	setDefault(&l.DebtReserve, d.DebtReserve)
+	setDefault(&l.Batch, d.Batch)
 	setDefault(&l.DeadlineRatio, d.DeadlineRatio)
 	setDefault(&l.MinSamples, d.MinSamples)
 	setDefault(&l.FailureStreak, d.FailureStreak)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -53,6 +53,8 @@
 	Agent      messenger.Peer
 	Submission identifier.Submission
 	Tasks      []uint16
+	// Work is how long what is left of the job is expected to take on all slots.
+	Work time.Duration
 }
 
 // Place is where an agent stands.
@@ -84,15 +86,18 @@
 	entries      int // entries is the number of entries that divide the quotas.
 	quotas       []Quota
 	jobs         map[identifier.Submission]*queued
-	waiting      int // waiting is the number of tasks that wait.
-	ejected      int // ejected is the number of agents that are ejected or probed.
-	established  bool
-	retries      *budgeter.Budgeter
-	delayed      []delayedTask // delayed has the tasks that are placed again later.
-	throttled    []*teamQueue  // throttled has the teams whose quota is used up.
-	started      time.Time     // started is the time of the first event.
-	sequence     uint64
-	output       output
+	// open counts the outstanding tasks of each job. A job that was dropped has a
+	// negative count: how its tasks end says nothing about their agents.
+	open        map[identifier.Submission]int
+	waiting     int // waiting is the number of tasks that wait.
+	ejected     int // ejected is the number of agents that are ejected or probed.
+	established bool
+	retries     *budgeter.Budgeter
+	delayed     []delayedTask // delayed has the tasks that are placed again later.
+	throttled   []*teamQueue  // throttled has the teams whose quota is used up.
+	started     time.Time     // started is the time of the first event.
+	sequence    uint64
+	output      output
 }
 
 // New returns a placer without agents.
@@ -105,6 +110,7 @@
 		teams:    make(map[string]*team),
 		entries:  1,
 		jobs:     make(map[identifier.Submission]*queued),
+		open:     make(map[identifier.Submission]int),
 		retries:  budgeter.New(limits.Replacements, 1),
 	}
 }
@@ -145,8 +151,10 @@
 	if a.health.state == stateEjected || a.health.state == stateProbing {
 		p.ejected--
 	}
-	for _, o := range a.sent {
+	for ref, o := range a.sent {
+		o.queue.service.sent -= o.expected
 		freeQuota(o.queue)
+		p.closeTask(ref.submission)
 	}
 	a.capacity.Services = nil
 	a.capacity.State = messenger.UpstreamAbsent
@@ -200,13 +208,14 @@
 	p.sequence++
 	q := &queued{
 		job:      j,
-		waiting:  slices.Clone(j.Tasks),
+		waiting:  s.longestFirst(&j),
 		work:     s.workOf(&j, j.Tasks),
 		arrived:  now.Sub(p.started),
 		sequence: p.sequence,
 		position: -1,
 		queue:    p.queueOf(s, j.Team),
 	}
+	q.total = q.work
 	p.jobs[j.Submission] = q
 	p.add(q)
 	return Refusal{}
@@ -215,6 +224,9 @@
 // Drop removes the waiting tasks of a job.
 func (p *Placer) Drop(s identifier.Submission) {
 	p.delayed = slices.DeleteFunc(p.delayed, func(d delayedTask) bool { return d.job.Submission == s })
+	if n := p.open[s]; n > 0 {
+		p.open[s] = -n
+	}
 	q := p.jobs[s]
 	if q == nil {
 		return
@@ -236,14 +248,31 @@
 		return
 	}
 	freeQuota(o.queue)
-	if e.Kind == messenger.ResultRefused {
+	o.queue.service.ended(now, o.expected, e.RunTime)
+	dropped := p.closeTask(e.Submission)
+	switch {
+	case e.Kind == messenger.ResultRefused:
 		a.refused(e.Refusal)
-	} else {
+	case dropped:
+		p.charge(o.queue, e.RunTime-o.queue.service.learned.runTime(o.need.RunTime))
+	default:
 		p.learn(now, a, o, &e)
 	}
 	p.rerank(a)
 }
 
+// closeTask counts the end of a task and reports whether its job was dropped.
+func (p *Placer) closeTask(s identifier.Submission) bool {
+	n := p.open[s]
+	switch n {
+	case -1, 0, 1:
+		delete(p.open, s)
+	default:
+		p.open[s] = n - n/max(n, -n)
+	}
+	return n < 0
+}
+
 // learn applies what the result of a task that ran says about its service, its
 // agent and its team's use of slots.
 func (p *Placer) learn(now time.Time, a *agent, o outstanding, e *End) {
--- a/internal/placer/queue.go
+++ b/internal/placer/queue.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -14,9 +15,15 @@
 	queues  map[string]*teamQueue
 	virtual time.Duration // virtual is the least slot time of a team that was served last.
 	work    time.Duration // work is the expected run time of all tasks that wait.
+	sent    time.Duration // sent is the expected run time of all tasks at agents.
 	waiting int           // waiting is the number of tasks that wait.
-	divisor time.Duration // divisor is the number of slots that keys were last computed with.
-	learned estimate
+	// used is the slot time of the tasks that have ended since usedSince, and
+	// throughput that of the window before, in slots.
+	used       time.Duration
+	usedSince  time.Time
+	throughput float64
+	divisor    time.Duration // divisor is the number of slots that keys were last computed with.
+	learned    estimate
 }
 
 // teamQueue has the jobs of one team that wait for one service.
@@ -40,6 +47,7 @@
 	job      Job
 	waiting  []uint16 // waiting has the tasks to place, in order.
 	work     time.Duration
+	total    time.Duration // total is work as it was when the job was enqueued.
 	arrived  time.Duration
 	key      time.Duration // key orders the jobs of a team; the least goes first.
 	sequence uint64
@@ -133,6 +141,32 @@
 	return n
 }
 
+// share returns how many slots this entry can count on: its equal part of all, or
+// what it has used lately if that was more.
+func (s *service) share(entries int) int {
+	n := 0
+	for _, m := range s.members {
+		if m.agent.serving() && m.agent.health.allowed > 0 {
+			n += m.agent.capacity.Slots
+		}
+	}
+	return min(n, max(1, n/entries, int(s.throughput)))
+}
+
+// throughputWindow is how long ends are counted for a throughput.
+const throughputWindow = time.Second
+
+// ended counts the end of a task.
+func (s *service) ended(now time.Time, expected, took time.Duration) {
+	s.sent -= expected
+	s.used += took
+	if window := now.Sub(s.usedSince); window >= throughputWindow {
+		s.throughput = s.used.Seconds() / window.Seconds()
+		s.used = 0
+		s.usedSince = now
+	}
+}
+
 // returnTurn puts a team into the order of its service, or moves it there.
 func (p *Placer) returnTurn(t *teamQueue) {
 	switch {
@@ -158,13 +192,19 @@
 
 // charge adds slot time to a team's account.
 func (p *Placer) charge(t *teamQueue, d time.Duration) {
-	t.used += d
-	t.class = int64(t.used / p.limits.Quantum)
+	p.use(t, d)
 	if t.position >= 0 {
 		t.service.teams.fix(t.position)
 	}
 }
 
+// use adds slot time to a team's account. The debt is bounded, so that a team
+// which was alone with much work is not shut out once others come.
+func (p *Placer) use(t *teamQueue, d time.Duration) {
+	t.used = min(t.used+d, max(t.used, t.service.virtual+p.limits.MaxDebt))
+	t.class = int64(t.used / p.limits.Quantum)
+}
+
 // workOf returns the expected run time of tasks of a job.
 func (s *service) workOf(j *Job, tasks []uint16) time.Duration {
 	var sum time.Duration
@@ -174,5 +214,15 @@
 	return sum
 }
 
+// longestFirst returns the tasks of a job, those expected to take longest first,
+// so that a long one is not left for the end.
+func (s *service) longestFirst(j *Job) []uint16 {
+	tasks := slices.Clone(j.Tasks)
+	slices.SortStableFunc(tasks, func(a, b uint16) int {
+		return cmp.Compare(s.learned.runTime(j.Needs[b].RunTime), s.learned.runTime(j.Needs[a].RunTime))
+	})
+	return tasks
+}
+
 // front puts a task before the others of a job.
 func (q *queued) front(index uint16) { q.waiting = slices.Insert(q.waiting, 0, index) }
--- a/internal/placer/refusal.go
+++ b/internal/placer/refusal.go
@@ -35,24 +35,24 @@
 	if j.Deadline.IsZero() {
 		return Refusal{}
 	}
-	budget := time.Duration(p.limits.DeadlineRatio * float64(j.Deadline.Sub(now)))
 	work := s.workOf(j, j.Tasks)
 	longest := s.longest(j)
+	budget := time.Duration(p.limits.DeadlineRatio * float64(j.Deadline.Sub(now)-longest))
 	team := p.queueOf(s, j.Team)
-	if wait, limited := team.quotaWait(work, len(j.Tasks)); limited && wait+longest > budget {
+	if wait, limited := team.quotaWait(work, len(j.Tasks)); limited && wait > budget {
 		return Refusal{
 			Reason:     submitter.ReasonQuotaExceeded,
 			Detail:     "team " + j.Team + " has as much work waiting as its quota allows to end in time",
-			RetryAfter: retryAfter(wait + longest - budget),
+			RetryAfter: retryAfter(wait - budget),
 		}
 	}
-	slots := max(1, s.slots())
-	wait := (s.workAhead(team) + work) / time.Duration(slots)
-	if wait+longest > budget {
+	slots := s.share(p.entries)
+	wait := (s.workAhead(team) + s.sent + work) / time.Duration(slots)
+	if wait > budget {
 		return Refusal{
 			Reason:     submitter.ReasonOverloaded,
 			Detail:     "the queue is too long to meet the deadline",
-			RetryAfter: retryAfter(wait + longest - budget),
+			RetryAfter: retryAfter(wait - budget),
 		}
 	}
 	return Refusal{}
--- a/internal/placer/state.go
+++ b/internal/placer/state.go
@@ -97,17 +97,17 @@
 	return out
 }
 
-// Backlog returns how many waiting tasks the entry would start at an agent now:
-// its part of the tasks that wait for the services that it serves. It rides on
-// messages to the agent.
+// Backlog returns how many tasks wait for the services of an agent. It rides on
+// starts, so that the agent does not hold results back from an entry that waits
+// for credit.
 func (p *Placer) Backlog(peer messenger.Peer) int {
 	a := p.agents[peer]
-	if a == nil || a.health.allowed != unlimited {
+	if a == nil {
 		return 0
 	}
 	n := 0
 	for _, s := range a.seats {
-		n += (s.service.waiting + len(s.service.members) - 1) / len(s.service.members)
+		n += s.service.waiting
 	}
 	return n
 }
