--- a/internal/guard/credit.go
+++ b/internal/guard/credit.go
@@ -172,7 +172,7 @@
 	lowWater = 2
 	// heldBatch is how many results an entry with a backlog is sent together while
 	// no slot is idle.
-	heldBatch = 6
+	heldBatch = 8
 )
 
 // receiveBacklog applies what a frame says about the sender's backlog. Starts
--- a/internal/placer/dispatch.go
+++ b/internal/placer/dispatch.go
@@ -173,7 +173,7 @@
 }
 
 // yieldingDebt is by how many quanta a team must be ahead to leave DebtReserve.
-const yieldingDebt = 2
+const yieldingDebt = 1
 
 // pick returns the best agent that can hold the task now, or nil.
 func (p *Placer) pick(s *service, q *queued, need Need) *seat {
--- a/internal/placer/limits.go
+++ b/internal/placer/limits.go
@@ -25,7 +25,7 @@
 	LargeWork time.Duration
 	Reserve   int
 	// DebtReserve is the credit at each agent that a team leaves to others while it
-	// is ahead of them by two quanta.
+	// is ahead of them by a quantum.
 	DebtReserve int
 	// Batch is how many tasks of a large job an agent must be able to take before a
 	// message is sent for them alone.
@@ -65,7 +65,7 @@
 		MaxDebt:         32 * time.Second,
 		LargeWork:       time.Second,
 		Reserve:         2,
-		DebtReserve:     6,
+		DebtReserve:     4,
 		Batch:           4,
 		DeadlineRatio:   0.6,
 		MinSamples:      20,
