--- /dev/null
+++ b/internal/budgeter/budgeter_test.go
@@ -0,0 +1,32 @@
+package budgeter
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestRetriesStayBounded holds that retries never exceed the burst and the ratio
+// of the work, and that a pause stays within its jitter.
+func TestRetriesStayBounded(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		limits := Limits{Ratio: 0.1, Burst: 5, Backoff: 10 * time.Millisecond, MaxBackoff: time.Second}
+		b := New(limits, rapid.Uint64().Draw(rt, "seed"))
+		for range rapid.IntRange(0, 200).Draw(rt, "steps") {
+			if rapid.Bool().Draw(rt, "work") {
+				b.Earn(rapid.IntRange(0, 10).Draw(rt, "units"))
+			} else {
+				b.Spend()
+			}
+			work, retries := b.Totals()
+			if most := limits.Burst + limits.Ratio*float64(work); float64(retries) > most+1e-6 {
+				rt.Fatalf("%d retries for %d units of work, want at most %v", retries, work, most)
+			}
+		}
+		pause := b.Pause(rapid.IntRange(0, 100).Draw(rt, "attempt"))
+		if pause < limits.Backoff/2 || pause > limits.MaxBackoff*3/2 {
+			rt.Fatalf("pause %v is outside its bounds", pause)
+		}
+	})
+}
--- a/internal/dispatcher/caller.go
+++ b/internal/dispatcher/caller.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"sardinelock.dev/sardinelock/internal/configurer"
+	"sardinelock.dev/sardinelock/internal/coordinator"
 	"sardinelock.dev/sardinelock/internal/identifier"
 	"sardinelock.dev/sardinelock/internal/messenger"
 	"sardinelock.dev/sardinelock/internal/owner"
@@ -34,16 +35,18 @@
 
 // serveSubmit takes a job and answers with its outcome.
 func (e *Entry) serveSubmit(w http.ResponseWriter, r *http.Request) {
-	job, problem := e.readJob(w, r)
+	request, problem := e.readJob(w, r)
 	if problem != nil {
 		writeProblem(w, problem)
 		return
 	}
 	reply := make(chan *messenger.Answer, 1)
+	var ticket uint64
 	posted := e.loop.Post(func(now time.Time) {
 		e.nextTicket++
-		e.tickets[e.nextTicket] = reply
-		e.coordinator.Submit(now, e.nextTicket, *job)
+		ticket = e.nextTicket
+		e.tickets[ticket] = reply
+		e.coordinator.Request(now, ticket, *request)
 	})
 	if !posted {
 		writeProblem(w, &submitter.Problem{Status: http.StatusServiceUnavailable, Title: "the entry is shutting down"})
@@ -52,13 +55,23 @@
 	select {
 	case answer := <-reply:
 		writeAnswer(w, answer)
+	case <-r.Context().Done():
+		e.loop.Post(func(now time.Time) {
+			delete(e.tickets, ticket)
+			e.coordinator.Abandon(now, ticket)
+		})
 	case <-e.background.Done():
-		writeProblem(w, &submitter.Problem{Status: http.StatusServiceUnavailable, Title: "the entry has shut down"})
+		writeAnswer(w, &messenger.Answer{
+			Submission: request.Job.Submission,
+			Outcome:    string(submitter.OutcomeUnknown),
+			Reason:     string(submitter.ReasonDraining),
+			Detail:     "the entry shut down before the answer was known",
+		})
 	}
 }
 
 // readJob reads and checks a request.
-func (e *Entry) readJob(w http.ResponseWriter, r *http.Request) (*owner.Job, *submitter.Problem) {
+func (e *Entry) readJob(w http.ResponseWriter, r *http.Request) (*coordinator.Request, *submitter.Problem) {
 	config := e.config.Read()
 	if config == nil {
 		return nil, &submitter.Problem{
@@ -79,11 +92,15 @@
 	if problem != nil {
 		return nil, problem
 	}
-	id, problem := e.submissionID(r)
+	id, fresh, problem := e.submissionID(r, body.RequestKey)
 	if problem != nil {
 		return nil, problem
 	}
-	return newJob(service, r.Header.Get(submitter.HeaderTeam), id, body), nil
+	return &coordinator.Request{
+		Kind:  coordinator.RequestSubmit,
+		Job:   newJob(service, r.Header.Get(submitter.HeaderTeam), id, body),
+		Fresh: fresh,
+	}, nil
 }
 
 func decodeJob(w http.ResponseWriter, r *http.Request) (*submitter.Job, *submitter.Problem) {
@@ -119,30 +136,48 @@
 	return body, nil
 }
 
-// submissionID reads the caller's id or makes one in a partition of this entry.
-func (e *Entry) submissionID(r *http.Request) (identifier.Submission, *submitter.Problem) {
-	text := r.Header.Get(submitter.HeaderSubmissionID)
-	if text != "" {
-		id, err := identifier.Parse(text)
-		if err != nil {
-			return id, &submitter.Problem{
-				Status: http.StatusBadRequest,
-				Title:  "the submission id is not valid",
-				Detail: err.Error(),
-			}
-		}
-		return id, nil
+// submissionID reads the caller's id, or makes one in a partition of this entry
+// or, for a job with a request key, in the key's partition. It reports whether
+// it made the id.
+func (e *Entry) submissionID(r *http.Request, key string) (identifier.Submission, bool, *submitter.Problem) {
+	if text := r.Header.Get(submitter.HeaderSubmissionID); text != "" {
+		id, problem := parseSubmissionID(text, key)
+		return id, false, problem
 	}
 	now := time.Now()
+	if key != "" {
+		if id, ok := identifier.NewForKey(now, key); ok {
+			return id, true, nil
+		}
+	}
 	if owned := e.owned.Read(); owned != nil {
 		if id, ok := identifier.NewIn(now, func(p identifier.Partition) bool { return owned[p] }); ok {
-			return id, nil
+			return id, true, nil
+		}
+	}
+	return identifier.New(now), true, nil
+}
+
+func parseSubmissionID(text, key string) (identifier.Submission, *submitter.Problem) {
+	id, err := identifier.Parse(text)
+	if err != nil {
+		return id, &submitter.Problem{
+			Status: http.StatusBadRequest,
+			Title:  "the submission id is not valid",
+			Detail: err.Error(),
+		}
+	}
+	if key != "" && id.Partition() != identifier.KeyPartition(key) {
+		return id, &submitter.Problem{
+			Status: http.StatusBadRequest,
+			Title:  "the submission id does not belong to the request key",
+			Detail: "an id for a job with a request key must fall into the key's partition; leave the id out to have one made",
 		}
 	}
-	return identifier.New(now), nil
+	return id, nil
 }
 
-func newJob(service *configurer.Service, team string, id identifier.Submission, body *submitter.Job) *owner.Job {
+func newJob(service *configurer.Service, team string, id identifier.Submission, body *submitter.Job) owner.Job {
 	timeout := service.Timeout
 	if timeout == 0 {
 		timeout = defaultTimeout
@@ -150,7 +185,7 @@
 	if body.Deadline > 0 {
 		timeout = min(time.Duration(body.Deadline), maxDeadline)
 	}
-	job := &owner.Job{
+	job := owner.Job{
 		Submission: id,
 		Service:    service.Name,
 		Team:       team,
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -21,8 +21,8 @@
 	"sardinelock.dev/sardinelock/internal/connector"
 	"sardinelock.dev/sardinelock/internal/controller"
 	"sardinelock.dev/sardinelock/internal/coordinator"
-	"sardinelock.dev/sardinelock/internal/leaser"
 	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/registrar"
 	"sardinelock.dev/sardinelock/internal/storer"
 	"sardinelock.dev/sardinelock/internal/timer"
 )
@@ -89,12 +89,12 @@
 		e.closeListeners()
 		return nil, err
 	}
-	e.coordinator = coordinator.New(leaser.Self{
+	e.coordinator = coordinator.New(registrar.Entry{
 		Peer:       s.Peer,
 		Region:     s.Region,
 		DataCentre: s.DataCentre,
 		PeerAddr:   e.PeerAddr(),
-	}, s.Limits)
+	}, s.Limits, coordinator.DefaultRules())
 	return e, nil
 }
 
@@ -145,22 +145,42 @@
 	go e.pollConfig()
 }
 
-// waitAndDrain waits for the end of the context, refuses new requests and waits
-// for those in flight.
+// waitAndDrain waits for the end of the context, hands the partitions over and
+// waits for the requests in flight. Peers are served until the end, since answers
+// come over their connections.
 func (e *Entry) waitAndDrain(ctx context.Context) error {
 	<-ctx.Done()
-	e.settings.Logger.Info().Str("event", "draining").Msg("entry finishes what is in flight")
+	e.settings.Logger.Info().Str("event", "draining").Msg("entry hands over its partitions and finishes what is in flight")
 	drain, cancel := context.WithTimeout(context.Background(), e.settings.DrainTimeout)
 	defer cancel()
+	e.loop.Post(func(now time.Time) { e.coordinator.Drain(now) })
 	for _, s := range e.servers {
 		if err := s.Shutdown(drain); err != nil {
 			e.settings.Logger.Warn().Err(err).Msg("requests were cut off at the end of the drain timeout")
 		}
 	}
+	e.awaitDrained(drain)
 	e.stop()
 	return nil
 }
 
+// awaitDrained waits until nothing is left to hand over or to answer.
+func (e *Entry) awaitDrained(ctx context.Context) {
+	for {
+		drained := false
+		e.loop.Call(func(now time.Time) { drained = e.coordinator.Drained(now) })
+		if drained {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			e.settings.Logger.Warn().Msg("partitions were not handed over before the drain timeout")
+			return
+		case <-time.After(tickEvery):
+		}
+	}
+}
+
 // flush carries out what the coordinator decided. It runs on the control thread.
 func (e *Entry) flush(now time.Time) {
 	out := e.coordinator.Take(now)
@@ -181,7 +201,7 @@
 	for _, w := range out.Writes {
 		go e.storeWrite(w)
 	}
-	if len(out.Reads) > 0 || len(out.Writes) > 0 {
+	if out.RoutesChanged {
 		e.publish()
 	}
 }
@@ -197,15 +217,12 @@
 	e.owned.Publish(set)
 }
 
-func (e *Entry) storeRead(r leaser.Read) {
+func (e *Entry) storeRead(r registrar.Read) {
 	rows, err := e.platform.Read(e.background, r.Prefix)
-	e.loop.Post(func(now time.Time) {
-		e.coordinator.StoreRead(now, r.ID, rows, err)
-		e.publish()
-	})
+	e.loop.Post(func(now time.Time) { e.coordinator.StoreRead(now, r.ID, rows, err) })
 }
 
-func (e *Entry) storeWrite(w leaser.Write) {
+func (e *Entry) storeWrite(w registrar.Write) {
 	outcome, err := e.platform.Write(e.background, w.Transaction)
 	e.loop.Post(func(now time.Time) { e.coordinator.StoreWritten(now, w.ID, outcome, err) })
 }
@@ -242,6 +259,6 @@
 		return false
 	}
 	serving := false
-	e.loop.Call(func(time.Time) { serving = e.coordinator.Serving(agents) })
+	e.loop.Call(func(now time.Time) { serving = e.coordinator.Serving(now, agents) })
 	return serving
 }
--- a/internal/experimenter/entrynode.go
+++ b/internal/experimenter/entrynode.go
@@ -39,6 +39,7 @@
 	}
 	e.placer.AgentUp(s.now(), agentPeer(a.number), placer.Place{})
 	a.guard.EntryUp(s.now(), entryPeer(e.number))
+	a.guard.Receive(s.now(), entryPeer(e.number), &messenger.Frame{Admit: &messenger.Admit{}})
 }
 
 // submit takes a job of a caller.
--- a/internal/guard/credit.go
+++ b/internal/guard/credit.go
@@ -1,7 +1,6 @@
 package guard
 
 import (
-	"slices"
 	"time"
 
 	"sardinelock.dev/sardinelock/internal/creditor"
@@ -9,6 +8,10 @@
 	"sardinelock.dev/sardinelock/internal/messenger"
 )
 
+// DefaultHoldFor is the setting of Limits.HoldFor that suits most deployments. It
+// is longer than most tasks run, so that a job's results leave an agent together.
+const DefaultHoldFor = time.Second
+
 // resources is what the tasks at the agent take: credits of entries while they
 // wait or run, memory and accelerators while they run.
 type resources struct {
@@ -66,14 +69,14 @@
 	g.close(ref.Submission)
 }
 
-// entryGone frees the credits of an entry whose waiting starts are dropped.
+// abandon frees the credit of a start that waited and will not run.
+func (g *Guard) abandon(p *pending) {
+	g.resources.credits.Ended(p.from)
+	g.close(p.ref.Submission)
+}
+
+// entryGone frees the credits of an entry, but for those of its running tasks.
 func (g *Guard) entryGone(entry messenger.Peer) {
-	for _, p := range g.waiting {
-		if p.from == entry {
-			g.resources.credits.Ended(entry)
-			g.close(p.ref.Submission)
-		}
-	}
 	for ref, c := range g.resources.running {
 		if c.from == entry {
 			c.from = ""
@@ -103,19 +106,14 @@
 func (g *Guard) accept(now time.Time, p pending) {
 	g.resources.credits.Started(p.from)
 	g.resources.open[p.ref.Submission]++
-	p.rank = p.work + time.Duration(ageing*float64(g.Clock(now)))
-	i := len(g.waiting)
-	for i > 0 && g.waiting[i-1].rank > p.rank {
-		i--
-	}
-	g.waiting = slices.Insert(g.waiting, i, p)
+	p.rank = p.start.Work + time.Duration(ageing*float64(g.Clock(now)))
+	g.waiting.insert(p)
 }
 
 // ageing is how much one second of waiting counts against one second of work.
 const ageing = 0.25
 
-// close counts the end of a task that was accepted and reports whether the agent
-// has others of its submission.
+// close counts the end of a task that was accepted.
 func (g *Guard) close(s identifier.Submission) {
 	g.resources.open[s]--
 	if g.resources.open[s] <= 0 {
@@ -162,8 +160,8 @@
 	if l.backlog == 0 {
 		return false
 	}
-	idle := len(g.waiting) == 0 && g.running < g.upstream.Slots
-	return idle || len(l.held) >= heldBatch && len(g.waiting) < g.upstream.Slots/lowWater
+	idle := g.waiting.len() == 0 && g.running < g.upstream.Slots
+	return idle || len(l.held) >= heldBatch && g.waiting.len() < g.upstream.Slots/lowWater
 }
 
 const (
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -52,6 +52,8 @@
 	Settled    []Settlement `cbor:"16,keyasint,omitempty"`
 	Query      []AdminQuery `cbor:"17,keyasint,omitempty"`
 	Reports    []AdminReply `cbor:"18,keyasint,omitempty"`
+	Admit      *Admit       `cbor:"19,keyasint,omitempty"`
+	Moved      []Moved      `cbor:"20,keyasint,omitempty"`
 }
 
 // Hello is the first message in both directions of a connection.
@@ -140,6 +142,7 @@
 	RefusalCancelled  Refusal = "cancelled"
 	RefusalMemory     Refusal = "record-memory-limit"
 	RefusalUnadmitted Refusal = "not-admitted" // The agent is not yet part of the roster.
+	RefusalInvalid    Refusal = "invalid"      // The task index is beyond the largest job.
 )
 
 // Result carries the outcomes of tasks of one submission.
@@ -245,6 +248,8 @@
 	Digest     uint64 `cbor:"6,keyasint,omitempty"`
 	// Service is that of the Start.
 	Service string `cbor:"7,keyasint,omitempty"`
+	// Settled means that an owner had the results, so that payloads are absent.
+	Settled bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Forward carries a submission from the entry that received it to the owner.
@@ -261,6 +266,17 @@
 	Attach bool `cbor:"8,keyasint,omitempty"`
 	// Cancel asks to cancel the submission.
 	Cancel bool `cbor:"9,keyasint,omitempty"`
+	// Fresh says that the sending entry made the id for this request, so that no
+	// other request can have brought it before.
+	Fresh bool `cbor:"10,keyasint,omitempty"`
+	// Abandon says that the caller of the ticket has gone; only Ticket and
+	// Submission are set then.
+	Abandon bool `cbor:"11,keyasint,omitempty"`
+}
+
+// Moved sends a Forward back: the sender does not own the partition any more.
+type Moved struct {
+	Ticket uint64 `cbor:"1,keyasint"`
 }
 
 // TaskSpec is one task as the caller declared it.
@@ -287,6 +303,8 @@
 type Routes struct {
 	Entries []EntryAddr  `cbor:"1,keyasint,omitempty"`
 	Owners  []RouteOwner `cbor:"2,keyasint,omitempty"`
+	// Revision is the table revision that the sender has seen.
+	Revision uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // EntryAddr is where an entry accepts peers.
@@ -302,14 +320,33 @@
 	Owner     Peer                 `cbor:"3,keyasint"`
 }
 
-// Handover passes partitions with their records from an owner that shuts down to
-// a peer.
+// HandoverStep is a step of a handover.
+type HandoverStep string
+
+// The steps of a handover, in order.
+const (
+	HandoverOffer  HandoverStep = "offer"  // The owner has stopped and passes its records.
+	HandoverAccept HandoverStep = "accept" // The peer has the records.
+	HandoverCommit HandoverStep = "commit" // The table names the peer as owner.
+	HandoverCancel HandoverStep = "cancel" // The owner goes on; the records are void.
+)
+
+// Handover passes partitions with their records from one entry to another.
 type Handover struct {
-	ID         uint64           `cbor:"1,keyasint"`
-	Partitions []PartitionEpoch `cbor:"2,keyasint"`
-	Jobs       []HandoverJob    `cbor:"3,keyasint,omitempty"`
-	// Accepted is set in the answer of the peer.
-	Accepted bool `cbor:"4,keyasint,omitempty"`
+	ID         string              `cbor:"1,keyasint"` // ID is unique to the handover.
+	Step       HandoverStep        `cbor:"2,keyasint"`
+	Partitions []HandoverPartition `cbor:"3,keyasint,omitempty"`
+	Jobs       []HandoverJob       `cbor:"4,keyasint,omitempty"`
+}
+
+// HandoverPartition is one partition of a handover.
+type HandoverPartition struct {
+	Partition identifier.Partition `cbor:"1,keyasint"`
+	// Epoch is that of the owner that passes the partition on.
+	Epoch uint64 `cbor:"2,keyasint"`
+	// UncertainBefore is the end of ids whose past the owner does not know; zero
+	// if it knows all.
+	UncertainBefore time.Time `cbor:"3,keyasint,omitempty"`
 }
 
 // HandoverJob is one submission with all that its owner knows.
@@ -317,8 +354,19 @@
 	Job Forward `cbor:"1,keyasint"`
 	// Answer is set if the job is answered.
 	Answer *Answer `cbor:"2,keyasint,omitempty"`
-	// Tasks has the tasks that were sent to an agent.
+	// Tasks has the tasks that were sent to an agent, for a job without an answer.
 	Tasks []HandoverTask `cbor:"3,keyasint,omitempty"`
+	// Digest is the digest of the job, as in its Start.
+	Digest uint64 `cbor:"4,keyasint,omitempty"`
+	// Age is the time since the answer, or since the job was last heard of.
+	Age time.Duration `cbor:"5,keyasint,omitempty"`
+	// Recovered means that the job is known from agents' records only: Job.Tasks
+	// is absent and Tasks says all that is known.
+	Recovered bool `cbor:"6,keyasint,omitempty"`
+	// Cancelled means that an agent will start no more of a recovered job.
+	Cancelled bool `cbor:"7,keyasint,omitempty"`
+	// AnswerLost means that the answer was given and is no longer kept.
+	AnswerLost bool `cbor:"8,keyasint,omitempty"`
 }
 
 // HandoverTask is one task that was sent to an agent.
--- a/internal/placer/dispatch.go
+++ b/internal/placer/dispatch.go
@@ -198,8 +198,12 @@
 
 // leavesReserve reports whether an agent can take a task and have credit left for
 // others. Unless a message goes there anyway, it must be able to take several, so
-// that what waits long goes in few batches.
+// that what waits long goes in few batches. An agent that has set no credit has
+// no room for starts to wait, so nothing is reserved there.
 func (p *Placer) leavesReserve(a *agent, reserve int) bool {
+	if !a.credited {
+		return true
+	}
 	if a.dispatch != p.output.dispatch {
 		reserve += p.limits.Batch
 	}
--- a/internal/placer/limits.go
+++ b/internal/placer/limits.go
@@ -65,7 +65,7 @@
 		MaxDebt:         32 * time.Second,
 		LargeWork:       time.Second,
 		Reserve:         2,
-		DebtReserve:     4,
+		DebtReserve:     3,
 		Batch:           4,
 		DeadlineRatio:   0.6,
 		MinSamples:      20,
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -261,6 +261,25 @@
 	p.rerank(a)
 }
 
+// Cancelled applies an agent's answer to the cancellation of a submission: of its
+// outstanding tasks there, all but the started ones will never start.
+func (p *Placer) Cancelled(now time.Time, peer messenger.Peer, s identifier.Submission, started []uint16) {
+	a := p.agents[peer]
+	if a == nil {
+		return
+	}
+	for ref, o := range a.sent {
+		if ref.submission != s || slices.Contains(started, ref.index) {
+			continue
+		}
+		a.release(ref)
+		freeQuota(o.queue)
+		o.queue.service.ended(now, o.expected, 0)
+		p.closeTask(s)
+	}
+	p.rerank(a)
+}
+
 // closeTask counts the end of a task and reports whether its job was dropped.
 func (p *Placer) closeTask(s identifier.Submission) bool {
 	n := p.open[s]
