--- a/internal/creditor/creditor_test.go
+++ b/internal/creditor/creditor_test.go
@@ -35,40 +35,48 @@
 // what the others have outstanding never exceed slots, floor and depth together.
 func TestLimitsFollowOutstanding(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		c := New(Limits{Floor: 1, Depth: 3})
-		c.SetSlots(8)
-		outstanding := map[messenger.Peer]int{}
-		draw := func(rt *rapid.T) messenger.Peer {
-			return rapid.SampledFrom([]messenger.Peer{"a", "b", "c"}).Draw(rt, "entry")
-		}
-		rt.Repeat(map[string]func(*rapid.T){
-			"up": func(rt *rapid.T) {
-				if peer := draw(rt); c.share(peer) == nil {
-					c.EntryUp(peer)
-				}
-			},
-			"start": func(rt *rapid.T) {
-				peer := draw(rt)
-				if s := c.share(peer); s != nil && outstanding[peer] < s.told {
-					c.Started(peer)
-					outstanding[peer]++
-				}
-			},
-			"end": func(rt *rapid.T) {
-				if peer := draw(rt); outstanding[peer] > 0 {
-					c.Ended(peer)
-					outstanding[peer]--
-				}
-			},
-			"": func(rt *rapid.T) {
-				for _, g := range c.Divide() {
-					c.Told(g)
-					others := c.Outstanding() - outstanding[g.Entry]
-					if g.Limit > max(8-others, 1)+3 || g.Limit < 1+3 {
-						rt.Fatalf("%s has the limit %d while others have %d", g.Entry, g.Limit, others)
-					}
-				}
-			},
-		})
+		d := &driver{c: New(Limits{Floor: 1, Depth: 3}), outstanding: map[messenger.Peer]int{}}
+		d.c.SetSlots(8)
+		rt.Repeat(map[string]func(*rapid.T){"up": d.up, "start": d.start, "end": d.end, "": d.check})
 	})
 }
+
+type driver struct {
+	c           *Creditor
+	outstanding map[messenger.Peer]int
+}
+
+func entry(rt *rapid.T) messenger.Peer {
+	return rapid.SampledFrom([]messenger.Peer{"a", "b", "c"}).Draw(rt, "entry")
+}
+
+func (d *driver) up(rt *rapid.T) {
+	if peer := entry(rt); d.c.share(peer) == nil {
+		d.c.EntryUp(peer)
+	}
+}
+
+func (d *driver) start(rt *rapid.T) {
+	peer := entry(rt)
+	if s := d.c.share(peer); s != nil && d.outstanding[peer] < s.told {
+		d.c.Started(peer)
+		d.outstanding[peer]++
+	}
+}
+
+func (d *driver) end(rt *rapid.T) {
+	if peer := entry(rt); d.outstanding[peer] > 0 {
+		d.c.Ended(peer)
+		d.outstanding[peer]--
+	}
+}
+
+func (d *driver) check(rt *rapid.T) {
+	for _, g := range d.c.Divide() {
+		d.c.Told(g)
+		others := d.c.Outstanding() - d.outstanding[g.Entry]
+		if g.Limit > max(8-others, 1)+3 || g.Limit < 1+3 {
+			rt.Fatalf("%s has the limit %d while others have %d", g.Entry, g.Limit, others)
+		}
+	}
+}
