--- a/internal/experimenter/experiment_test.go
+++ b/internal/experimenter/experiment_test.go
@@ -29,6 +29,7 @@
 }
 
 func runScenario(t *testing.T, lines []scripter.Line) string {
+	t.Parallel()
 	b := &bench{t: t, include: func(*Job) bool { return true }, scenario: Scenario{
 		Seed: 1, Duration: time.Minute, Entries: 3, Agents: 11, Slots: 8, Teams: 6,
 		Sizes: SizeUsual, DeclaredError: 0.5, Loss: 1e-4,
--- /dev/null
+++ b/internal/placer/script_test.go
@@ -0,0 +1,109 @@
+package placer
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/scripter"
+)
+
+func TestScripts(t *testing.T) {
+	scripter.Run(t, "testdata/*.txtar", func(t *testing.T, lines []scripter.Line) string {
+		b := &scriptBench{t: t, p: New(Limits{}), now: epoch}
+		for _, l := range lines {
+			fmt.Fprintf(&b.out, "%s %s\n", l.Verb, strings.Join(l.Args, " "))
+			b.apply(l)
+			b.dispatch()
+		}
+		return b.out.String()
+	})
+}
+
+// scriptBench drives one placer with the lines of a script.
+type scriptBench struct {
+	t   *testing.T
+	p   *Placer
+	now time.Time
+	out strings.Builder
+}
+
+func (b *scriptBench) apply(l scripter.Line) {
+	switch l.Verb {
+	case "agent":
+		peer := messenger.Peer(l.Args[0])
+		b.p.AgentUp(b.now, peer, Place{})
+		b.p.SetCapacity(b.now, peer, messenger.Capacity{
+			State: messenger.UpstreamServing, Services: []string{"print"},
+			Slots: b.number(l, "slots"), MemoryBytes: int64(b.number(l, "memory")), Accelerators: b.number(l, "accelerators"),
+		})
+	case "quota":
+		b.p.SetTeams([]Quota{{Team: l.Arg("team"), Slots: b.number(l, "slots"), StartsPerSecond: float64(b.number(l, "starts"))}})
+	case "entries":
+		b.p.SetEntries(b.number(l, "n"))
+	case "job":
+		b.enqueue(l)
+	case "end":
+		b.p.Ended(b.now, End{
+			Agent: messenger.Peer(l.Arg("at")), Submission: submission(b.number(l, "job")),
+			Index: uint16(b.number(l, "task")), Kind: messenger.ResultKind(l.Arg("kind")),
+			Refusal: messenger.Refusal(l.Arg("refusal")), RunTime: b.duration(l, "took"),
+		})
+	case "drop":
+		b.p.Drop(submission(b.number(l, "job")))
+	case "wait":
+		b.now = b.now.Add(b.duration(l, "for"))
+	default:
+		b.t.Fatalf("%v: unknown verb", l)
+	}
+}
+
+func (b *scriptBench) enqueue(l scripter.Line) {
+	j := Job{Submission: submission(b.number(l, "id")), Service: "print", Team: l.Arg("team")}
+	if d := b.duration(l, "deadline"); d > 0 {
+		j.Deadline = b.now.Add(d)
+	}
+	for i := range b.number(l, "tasks") {
+		j.Tasks = append(j.Tasks, uint16(i))
+		j.Needs = append(j.Needs, Need{
+			RunTime: b.duration(l, "run"), MemoryBytes: int64(b.number(l, "memory")), Accelerators: b.number(l, "accelerators"),
+		})
+	}
+	if r := b.p.Enqueue(b.now, j); r.Reason != "" {
+		fmt.Fprintf(&b.out, "  refused: %s retry-after=%v\n", r.Reason, r.RetryAfter)
+	}
+}
+
+// dispatch writes what is placed.
+func (b *scriptBench) dispatch() {
+	for _, a := range b.p.Dispatch(b.now) {
+		fmt.Fprintf(&b.out, "  to %s: job %d tasks %v\n", a.Agent, a.Submission[15], a.Tasks)
+	}
+}
+
+func (b *scriptBench) number(l scripter.Line, name string) int {
+	text := l.Arg(name)
+	if text == "" {
+		return 0
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		b.t.Fatalf("%v: %v", l, err)
+	}
+	return n
+}
+
+func (b *scriptBench) duration(l scripter.Line, name string) time.Duration {
+	text := l.Arg(name)
+	if text == "" {
+		return 0
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		b.t.Fatalf("%v: %v", l, err)
+	}
+	return d
+}
