Rank the starts that wait at an agent by work and age alone

The rank also counted the debt of the team. Other teams with a large job are in debt too, and their starts waited behind the flood.

--- a/internal/placer/dispatch.go
+++ b/internal/placer/dispatch.go
@@ -148,17 +148,6 @@
 	p.returnTurn(t)
 }
 
-// rank returns where the tasks of a job come among the starts that wait at an
-// agent: the time that its work takes on all slots, later by the debt of its team.
-func (q *queued) rank() time.Duration {
-	s := q.queue.service
-	debt := max(0, q.queue.used-s.virtual)
-	return (q.total + debtWeight*debt) / s.divisor
-}
-
-// debtWeight is how much a team's debt counts against work at an agent.
-const debtWeight = 4
-
 // reserve returns the credit that a job leaves at each agent to others: much if
 // its team is ahead of others, some if the job is large.
 func (p *Placer) reserve(q *queued) int {
@@ -231,7 +220,7 @@
 	if i < 0 {
 		i = len(o.meta)
 		o.meta = append(o.meta, assignmentMeta{job: q, previous: previous})
-		o.assignments = append(o.assignments, Assignment{Agent: a.peer, Submission: q.job.Submission, Work: q.rank()})
+		o.assignments = append(o.assignments, Assignment{Agent: a.peer, Submission: q.job.Submission, Work: q.total / q.queue.service.divisor})
 		a.batch = i
 		a.dispatch = o.dispatch
 	}
