--- a/cmd/sardinelock/cmd/settings.go
+++ b/cmd/sardinelock/cmd/settings.go
@@ -29,10 +29,11 @@
 	maxJobBytes     = 512 << 20
 	maxAnswerBytes  = 512 << 20
 	abandonGrace    = 5 * time.Second
-	clockDifference = 2 * time.Second
+	clockDifference = time.Second
 	maxRecordBytes  = 64 << 20
 	maxWaiting      = 1024
-	maxQueued       = 100_000
+	retainFor       = 30 * time.Second
+	retainBytes     = 8 << 20
 	lostAfter       = 2 * time.Second
 	maxReplacements = 16
 	startBudget     = 5 * time.Second
@@ -183,7 +184,7 @@
 			LostAfter:       lostAfter,
 			MaxReplacements: maxReplacements,
 		},
-		Placer:    placer.Limits{MaxQueued: maxQueued},
+		Placer:    placer.DefaultLimits(),
 		Registrar: registrar.Limits{PollEvery: pollEvery, RetryEvery: retryEvery},
 		Leaser:    leaser.Limits{Lease: lease, Margin: leaseMargin},
 		Recoverer: recoverer.Limits{
@@ -209,6 +210,8 @@
 	return guard.Limits{
 		Window:         dedupWindow + 2*clockDifference,
 		MaxRecordBytes: maxRecordBytes,
+		RetainFor:      retainFor,
+		RetainBytes:    retainBytes,
 		MaxWaiting:     maxWaiting,
 	}
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -15,11 +15,14 @@
 	"github.com/oklog/run"
 	"github.com/phuslu/log"
 
+	"sardinelock.dev/sardinelock/internal/applier"
+	"sardinelock.dev/sardinelock/internal/certifier"
 	"sardinelock.dev/sardinelock/internal/connector"
 	"sardinelock.dev/sardinelock/internal/controller"
 	"sardinelock.dev/sardinelock/internal/guard"
 	"sardinelock.dev/sardinelock/internal/invoker"
 	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/meter"
 	"sardinelock.dev/sardinelock/internal/timer"
 )
 
@@ -35,7 +38,9 @@
 	Entries      []netip.AddrPort
 	Limits       guard.Limits
 	DrainTimeout time.Duration
-	Logger       *log.Logger
+	// TLS has the certificates of the agent; nil serves and dials without TLS.
+	TLS    *certifier.Certifier
+	Logger *log.Logger
 }
 
 const (
@@ -51,13 +56,16 @@
 	counts   connector.Counts
 	listener net.Listener
 	server   *http.Server
+	meter    *meter.Meter
+	dialer   *http.Client // dialer dials entries; nil means the default client.
 
 	// The fields below belong to the control thread.
-	guard   *guard.Guard
-	invoker *invoker.Invoker
-	conns   map[messenger.Peer]*connector.Conn
-	targets map[netip.AddrPort]bool // targets has the entries' addresses; true while one is connected or dialled.
-	calls   map[guard.TaskRef]context.CancelFunc
+	guard    *guard.Guard
+	follower *applier.Follower
+	invoker  *invoker.Invoker
+	conns    map[messenger.Peer]*connector.Conn
+	targets  map[netip.AddrPort]bool // targets has the entries' addresses; true while one is connected or dialled.
+	calls    map[guard.TaskRef]context.CancelFunc
 
 	background context.Context // background ends after the drain.
 	stop       context.CancelFunc
@@ -75,6 +83,7 @@
 		timers:   timer.New(),
 		listener: l,
 		guard:    guard.New(time.Now(), s.Limits),
+		follower: applier.NewFollower(time.Now(), applier.DefaultLimits()),
 		conns:    make(map[messenger.Peer]*connector.Conn),
 		targets:  make(map[netip.AddrPort]bool),
 		calls:    make(map[guard.TaskRef]context.CancelFunc),
@@ -85,6 +94,11 @@
 	}
 	a.background, a.stop = context.WithCancel(context.Background())
 	a.loop = controller.New(a.flush)
+	if a.meter, err = a.newMeter(); err != nil {
+		_ = l.Close()
+		return nil, err
+	}
+	a.dialer = a.entryClient()
 	a.server = a.newServer()
 	return a, nil
 }
@@ -105,10 +119,14 @@
 	g.Add(func() error { return a.waitAndDrain(drainCtx) }, func(error) { cancelDrain() })
 
 	a.timers.Subscribe(tickEvery, func(time.Time) {
-		a.loop.Post(func(now time.Time) { a.guard.Tick(now) })
+		a.loop.Post(func(now time.Time) {
+			a.guard.Tick(now)
+			a.follower.Tick(now)
+		})
 	})
 	a.timers.Subscribe(dialEvery, func(time.Time) { a.loop.Post(a.dialEntries) })
 	a.loop.Post(a.dialEntries)
+	a.watchCertificates()
 	a.settings.Logger.Info().
 		Str("event", "ready").
 		Str("role", string(messenger.RoleAgent)).
@@ -160,9 +178,11 @@
 	}
 	for _, s := range out.Sends {
 		if conn := a.conns[s.To]; conn != nil {
+			s.Frame.Config = a.follower.Ride(now, s.To)
 			conn.Send(s.Frame)
 		}
 	}
+	a.flushConfig(now)
 }
 
 // invoke calls the upstream for one task. It runs on the control thread; the
--- a/internal/coordinator/requests.go
+++ b/internal/coordinator/requests.go
@@ -28,6 +28,9 @@
 	// Fresh says that this entry made the id for the request, so that no other
 	// request can have brought it before.
 	Fresh bool
+	// Resent says that the request was with another owner before, which did not
+	// answer it but may have started tasks.
+	Resent bool
 }
 
 // requests are those that no owner at this entry has taken: they wait for another
@@ -35,6 +38,7 @@
 type requests struct {
 	forwards map[uint64]*forward
 	order    []uint64 // order has the tickets of forwards in order of arrival; some may be gone.
+	unrouted int      // unrouted is at least the number of forwards that no entry has.
 	held     [identifier.Partitions][]heldRequest
 	heldSize int
 }
@@ -45,8 +49,13 @@
 	to      messenger.Peer // to is the entry that has the request; empty if none has it.
 	// sent means that some entry had the request at some time.
 	sent bool
+	// notBefore is when the request may be sent again after it came back.
+	notBefore time.Time
 }
 
+// movedPause is how long a request that came back waits for newer rows.
+const movedPause = 50 * time.Millisecond
+
 // heldRequest is a request for a partition of this entry that is not active.
 type heldRequest struct {
 	waiter  owner.Waiter
@@ -61,6 +70,7 @@
 
 func (r *requests) add(ticket uint64, f *forward) {
 	r.forwards[ticket] = f
+	r.unrouted++
 	r.order = append(r.order, ticket)
 	if len(r.order) > 2*len(r.forwards)+64 {
 		r.order = slices.DeleteFunc(r.order, func(t uint64) bool { return r.forwards[t] == nil })
@@ -85,14 +95,17 @@
 	for _, f := range r.forwards {
 		if f.to == peer {
 			f.to = ""
+			r.unrouted++
 		}
 	}
 }
 
 // moved records that the entry that had a request does not own its partition.
-func (r *requests) moved(ticket uint64) {
+func (r *requests) moved(now time.Time, ticket uint64) {
 	if f := r.forwards[ticket]; f != nil {
 		f.to = ""
+		r.unrouted++
+		f.notBefore = now.Add(movedPause)
 	}
 }
 
@@ -103,6 +116,7 @@
 
 // Request applies a request of a caller.
 func (c *Coordinator) Request(now time.Time, ticket uint64, r Request) {
+	c.now = now
 	if c.recoverer.Phase(r.Job.Submission.Partition()) != recoverer.PhaseNone {
 		c.local(now, owner.Waiter{Ticket: ticket}, r)
 		return
@@ -137,7 +151,8 @@
 		c.requests.hold(j.Submission.Partition(), heldRequest{waiter: w, request: r})
 		return
 	}
-	if !r.Fresh && c.recoverer.Uncertain(now, j.Submission) {
+	past := c.past(now, &r)
+	if past == recoverer.PastUnknown {
 		c.localUncertain(now, w, j)
 		return
 	}
@@ -150,23 +165,47 @@
 		c.attach(now, w, j)
 		return
 	}
+	known := c.owner.Known(j.Submission)
 	tasks := c.owner.Submit(now, w, j)
 	if len(tasks) == 0 {
 		return
 	}
+	if past == recoverer.PastRefused && !known {
+		c.owner.Refuse(now, j.Submission, submitter.ReasonOwnerChanged,
+			"the former owner of the submission is gone and it did not run", time.Second)
+		return
+	}
 	refusal := c.placer.Enqueue(now, placerJob(&j, tasks))
 	if refusal.Reason != "" {
 		c.owner.Refuse(now, j.Submission, refusal.Reason, refusal.Detail, refusal.RetryAfter)
 	}
 }
 
+// past returns what may have become of a request's id, or of its request key,
+// under a former owner. A new id does not help an old key: the key may have been
+// used under another id.
+func (c *Coordinator) past(now time.Time, r *Request) recoverer.Past {
+	if r.Job.RequestKey != "" && c.recoverer.Inheritance(now, r.Job.Submission.Partition()).Incomplete {
+		return recoverer.PastUnknown
+	}
+	if r.Fresh && !r.Resent {
+		return recoverer.PastNone
+	}
+	past := c.recoverer.Past(now, r.Job.Submission)
+	if r.Fresh && past == recoverer.PastRefused {
+		// Nobody but the resent request asked for the id, and it had no answer.
+		return recoverer.PastNone
+	}
+	return past
+}
+
 // localUncertain applies a request for an id that may have run under a former
 // owner. What is known of it is awaited; nothing more of it is started.
 func (c *Coordinator) localUncertain(now time.Time, w owner.Waiter, j owner.Job) {
 	if c.owner.Attach(now, w, j.Submission, j.Team, j.Deadline) {
 		return
 	}
-	c.deliver(w, unknown(j.Submission, submitter.ReasonOwnerChanged,
+	c.deliver(now, w, unknown(j.Submission, submitter.ReasonOwnerChanged,
 		"the former owner of the submission is gone and not every agent's records are known"))
 }
 
@@ -174,7 +213,7 @@
 // that is another team's, is answered the same way.
 func (c *Coordinator) attach(now time.Time, w owner.Waiter, j owner.Job) {
 	if !c.owner.Attach(now, w, j.Submission, j.Team, j.Deadline) {
-		c.deliver(w, unknown(j.Submission, submitter.ReasonNoSuchSubmission, "no such submission is known"))
+		c.deliver(now, w, unknown(j.Submission, submitter.ReasonNoSuchSubmission, "no such submission is known"))
 	}
 }
 
@@ -197,7 +236,7 @@
 // known or not connected, the request waits; one of another region does not.
 func (c *Coordinator) route(now time.Time, ticket uint64) {
 	f := c.requests.forwards[ticket]
-	if f == nil || f.to != "" {
+	if f == nil || f.to != "" || now.Before(f.notBefore) {
 		return
 	}
 	s := f.request.Job.Submission
@@ -223,22 +262,27 @@
 	f.sent = true
 	frame := e.gather()
 	frame.Forwards = append(frame.Forwards, forwardMessage(now, ticket, &f.request))
+	f.request.Resent = true
 }
 
 // routeRequests routes every request that no entry has.
 func (c *Coordinator) routeRequests(now time.Time) {
-	if len(c.requests.forwards) == 0 {
+	if c.requests.unrouted == 0 {
 		return
 	}
+	c.requests.unrouted = 0
 	for _, ticket := range slices.Clone(c.requests.order) {
 		c.route(now, ticket)
+		if f := c.requests.forwards[ticket]; f != nil && f.to == "" {
+			c.requests.unrouted++
+		}
 	}
 }
 
 // passOn makes a request of a partition that is lost wait for the new owner.
 func (c *Coordinator) passOn(w owner.Waiter, r Request) {
 	if w.Peer == "" {
-		r.Fresh = false
+		r.Resent = true
 		c.requests.add(w.Ticket, &forward{request: r, sent: true})
 		return
 	}
@@ -259,7 +303,7 @@
 		f.Moved = append(f.Moved, messenger.Moved{Ticket: m.Ticket})
 		return
 	}
-	c.local(now, w, Request{Kind: kindOf(m), Fresh: m.Fresh, Job: owner.Job{
+	c.local(now, w, Request{Kind: kindOf(m), Fresh: m.Fresh, Resent: m.Resent, Job: owner.Job{
 		Submission: m.Submission,
 		Service:    m.Service,
 		Team:       m.Team,
@@ -306,13 +350,18 @@
 			c.requests.hold(p, h)
 			continue
 		}
-		c.deliver(h.waiter, unknown(h.request.Job.Submission, submitter.ReasonOwnerChanged,
+		c.deliver(now, h.waiter, unknown(h.request.Job.Submission, submitter.ReasonOwnerChanged,
 			"the owner of the submission was being replaced when the deadline passed"))
 	}
 }
 
-// deliver gives an answer to who waits for it.
-func (c *Coordinator) deliver(w owner.Waiter, a *messenger.Answer) {
+// deliver gives an answer to who waits for it. Without the lease another entry may
+// own the submission by now and may still run it, so only a complete answer is true.
+func (c *Coordinator) deliver(now time.Time, w owner.Waiter, a *messenger.Answer) {
+	if a.Outcome != string(submitter.OutcomeComplete) && !c.leaser.Held(now) {
+		a = unknown(a.Submission, submitter.ReasonOwnerChanged,
+			"the entry cannot tell whether it still owns the submission; it found: "+a.Reason)
+	}
 	if w.Peer == "" {
 		c.out.Answers = append(c.out.Answers, TicketAnswer{Ticket: w.Ticket, Answer: a})
 		return
@@ -338,6 +387,7 @@
 		Remaining:  j.Deadline.Sub(now),
 		Tasks:      j.Tasks,
 		Fresh:      r.Fresh,
+		Resent:     r.Resent,
 		Attach:     r.Kind == RequestAttach,
 		Cancel:     r.Kind == RequestCancel,
 	}
--- a/internal/dispatcher/caller.go
+++ b/internal/dispatcher/caller.go
@@ -16,25 +16,20 @@
 	"sardinelock.dev/sardinelock/pkg/submitter"
 )
 
-// Limits of what a caller may send.
-const (
-	maxBodyBytes   = 32 << 20
-	bodyTimeout    = 30 * time.Second
-	maxDeadline    = 10 * time.Minute
-	defaultTimeout = 30 * time.Second
-)
-
 // partitionSet has the partitions that this entry owns.
 type partitionSet [identifier.Partitions]bool
 
 func (e *Entry) callerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/services/{service}/jobs", e.serveSubmit)
+	mux.HandleFunc("GET /v1/jobs/{submission}", e.serveJob)
+	mux.HandleFunc("DELETE /v1/jobs/{submission}", e.serveCancelJob)
 	return mux
 }
 
 // serveSubmit takes a job and answers with its outcome.
 func (e *Entry) serveSubmit(w http.ResponseWriter, r *http.Request) {
+	begun := time.Now()
 	request, problem := e.readJob(w, r)
 	if problem != nil {
 		writeProblem(w, problem)
@@ -54,6 +49,7 @@
 	}
 	select {
 	case answer := <-reply:
+		e.answered(request.Job.Service, answer, time.Since(begun))
 		writeAnswer(w, answer)
 	case <-r.Context().Done():
 		e.loop.Post(func(now time.Time) {
@@ -74,11 +70,11 @@
 func (e *Entry) readJob(w http.ResponseWriter, r *http.Request) (*coordinator.Request, *submitter.Problem) {
 	config := e.config.Read()
 	if config == nil {
-		return nil, &submitter.Problem{
-			Status: http.StatusServiceUnavailable,
-			Title:  "no configuration is in force yet",
-			Detail: "the entry has not learned the operators' configuration",
-		}
+		return nil, noConfiguration()
+	}
+	team, problem := e.team(r)
+	if problem != nil {
+		return nil, problem
 	}
 	service, ok := config.Service(r.PathValue("service"))
 	if !ok {
@@ -88,7 +84,7 @@
 			Detail: "no service has the name " + strconv.Quote(r.PathValue("service")),
 		}
 	}
-	body, problem := decodeJob(w, r)
+	body, problem := decodeJob(w, r, &config.Limits)
 	if problem != nil {
 		return nil, problem
 	}
@@ -98,16 +94,16 @@
 	}
 	return &coordinator.Request{
 		Kind:  coordinator.RequestSubmit,
-		Job:   newJob(service, r.Header.Get(submitter.HeaderTeam), id, body),
+		Job:   newJob(config, service, team, id, body),
 		Fresh: fresh,
 	}, nil
 }
 
-func decodeJob(w http.ResponseWriter, r *http.Request) (*submitter.Job, *submitter.Problem) {
+func decodeJob(w http.ResponseWriter, r *http.Request, limits *configurer.Limits) (*submitter.Job, *submitter.Problem) {
 	// The connection may not support deadlines, as in tests; then none is set.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(limits.BodyTimeout))
 	body := new(submitter.Job)
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(body); err != nil {
 		var tooLarge *http.MaxBytesError
@@ -115,7 +111,7 @@
 			return nil, &submitter.Problem{
 				Status: http.StatusRequestEntityTooLarge,
 				Title:  "the body is too large",
-				Detail: "the limit is " + strconv.Itoa(maxBodyBytes) + " bytes",
+				Detail: "the limit is " + strconv.FormatInt(limits.MaxBodyBytes, 10) + " bytes",
 			}
 		}
 		return nil, &submitter.Problem{
@@ -177,13 +173,10 @@
 	return id, nil
 }
 
-func newJob(service *configurer.Service, team string, id identifier.Submission, body *submitter.Job) owner.Job {
+func newJob(config *configurer.Config, service *configurer.Service, team string, id identifier.Submission, body *submitter.Job) owner.Job {
 	timeout := service.Timeout
-	if timeout == 0 {
-		timeout = defaultTimeout
-	}
 	if body.Deadline > 0 {
-		timeout = min(time.Duration(body.Deadline), maxDeadline)
+		timeout = min(time.Duration(body.Deadline), config.Limits.MaxDeadline)
 	}
 	job := owner.Job{
 		Submission: id,
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -29,6 +29,10 @@
 	// MaxRecordBytes bounds the memory of the records and of the results that the
 	// owners may not have. At the bound new work is refused; nothing is forgotten.
 	MaxRecordBytes int
+	// RetainFor and RetainBytes bound the results that are kept although their
+	// owner has them, so that a new owner can answer when that one dies.
+	RetainFor   time.Duration
+	RetainBytes int
 	// MaxWaiting bounds the starts that wait for a slot.
 	MaxWaiting int
 	// HoldFor is how long a result may wait for others of its job, so that they go
@@ -83,9 +87,8 @@
 	order    []messenger.Peer // order lists the connected entries in order of arrival.
 
 	resources resources
-
-	waiting startQueue
-	running int // running is at most upstream.Slots at the time of each start.
+	waiting   startQueue
+	running   int // running is at most upstream.Slots at the time of each start.
 	// Rules are the checks of a start.
 	Rules Rules
 	out   Output
@@ -177,12 +180,14 @@
 	g.entryGone(entry)
 }
 
+// dropWaiting drops the waiting starts of an entry and frees their credits.
 func (g *Guard) dropWaiting(entry messenger.Peer) {
 	g.waiting.filter(func(p *pending) bool {
-		if p.from == entry {
-			g.abandon(p)
+		if p.from != entry {
+			return true
 		}
-		return p.from != entry
+		g.abandon(p)
+		return false
 	})
 }
 
@@ -209,7 +214,7 @@
 		g.cancel(now, from, &f.Cancels[i])
 	}
 	for i := range f.Settled {
-		g.settle(&f.Settled[i])
+		g.settle(now, &f.Settled[i])
 	}
 	g.startWaiting(now)
 }
@@ -237,6 +242,7 @@
 	}
 	g.refuseWaiting(now)
 	g.startWaiting(now)
+	g.records.release(g.Clock(now), g.limits.RetainBytes)
 	g.records.forget(g.Clock(now), g.limits.Window)
 }
 
@@ -411,10 +417,14 @@
 	})
 }
 
-func (g *Guard) settle(s *messenger.Settlement) {
-	if r := g.records.get(s.Submission.Partition(), s.Submission); r != nil {
-		g.records.bytes -= r.settle()
+func (g *Guard) settle(now time.Time, s *messenger.Settlement) {
+	r := g.records.get(s.Submission.Partition(), s.Submission)
+	if r == nil || r.known {
+		return
 	}
+	r.known = true
+	g.records.retain(s.Submission, g.Clock(now)+g.limits.RetainFor, r.resultBytes())
+	g.records.release(g.Clock(now), g.limits.RetainBytes)
 }
 
 // sendResult sends a result to the holder of the submission's partition.
--- a/internal/owner/due.go
+++ b/internal/owner/due.go
@@ -56,7 +56,7 @@
 	if j.phase != phaseOpen {
 		o.expireWaiters(now, j)
 		if !now.Before(j.keptTill) {
-			o.forget(now, j)
+			o.forget(j)
 		}
 		return
 	}
@@ -70,6 +70,13 @@
 	}
 }
 
+// expireAtOnce ends an open job whose request arrived after its deadline.
+func (o *Owner) expireAtOnce(now time.Time, j *job) {
+	if j.phase == phaseOpen && !now.Before(j.spec.Deadline) {
+		o.expire(now, j)
+	}
+}
+
 // expireWaiters answers the requests whose own deadline comes before the job's.
 func (o *Owner) expireWaiters(now time.Time, j *job) {
 	for i := 0; i < len(j.waiters); {
@@ -87,14 +94,18 @@
 }
 
 // forget drops a job that is not open.
-func (o *Owner) forget(_ time.Time, j *job) {
+func (o *Owner) forget(j *job) {
+	o.answerWaiters(j, unknown(j.spec.Submission, submitter.ReasonStale, "the record of the submission has expired"))
+	o.remove(j)
+}
+
+// answerWaiters gives an answer to every request that waits for a job.
+func (o *Owner) answerWaiters(j *job, a *messenger.Answer) {
 	for _, w := range j.waiters {
-		o.out.Answers = append(o.out.Answers, Answered{
-			Waiter: w.Waiter,
-			Answer: unknown(j.spec.Submission, submitter.ReasonStale, "the record of the submission has expired"),
-		})
+		delete(o.waiting, w.Waiter)
+		o.out.Answers = append(o.out.Answers, Answered{Waiter: w.Waiter, Answer: a})
 	}
-	o.remove(j)
+	j.waiters = nil
 }
 
 // remove drops a job with all that refers to it but for what is due.
@@ -122,9 +133,13 @@
 	}
 	o.results += size
 	o.kept = append(o.kept, j.spec.Submission)
-	for o.results > o.limits.MaxAnswerBytes && len(o.kept) > 0 {
-		if old := o.jobs[o.kept[0]]; old != nil {
-			o.dropResults(old)
+	for len(o.kept) > 0 {
+		oldest := o.jobs[o.kept[0]]
+		if oldest != nil && oldest.hasResults() && o.results <= o.limits.MaxAnswerBytes {
+			return
+		}
+		if oldest != nil {
+			o.dropResults(oldest)
 		}
 		o.kept = o.kept[1:]
 	}
@@ -132,7 +147,7 @@
 
 // dropResults frees the results of an answered job; its record stays.
 func (o *Owner) dropResults(j *job) {
-	if j.answer == nil || len(j.answer.Results) == 0 {
+	if !j.hasResults() {
 		return
 	}
 	o.results -= resultBytes(j.answer)
--- a/internal/placer/agent.go
+++ b/internal/placer/agent.go
@@ -14,6 +14,7 @@
 	capacity messenger.Capacity
 	credit   int
 	credited bool // credited means that the agent itself has set the credit.
+	held     Hold // held is what an operator has set; empty lets the agent work.
 	// sent has the tasks that are outstanding at the agent.
 	sent map[taskRef]outstanding
 	// freeMemory and freeAccelerators are what the outstanding tasks leave.
@@ -76,7 +77,7 @@
 
 // rerank moves an agent to where its free credit puts it in each service.
 func (p *Placer) rerank(a *agent) {
-	want := a.serving() && a.free() > 0
+	want := a.serving() && a.held == "" && a.free() > 0
 	for _, s := range a.seats {
 		switch {
 		case want && s.position < 0:
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -89,8 +89,10 @@
 	// open counts the outstanding tasks of each job. A job that was dropped has a
 	// negative count: how its tasks end says nothing about their agents.
 	open        map[identifier.Submission]int
-	waiting     int // waiting is the number of tasks that wait.
-	ejected     int // ejected is the number of agents that are ejected or probed.
+	holds       map[messenger.Peer]Hold
+	ejections   uint64 // ejections counts those by results, ever.
+	waiting     int    // waiting is the number of tasks that wait.
+	ejected     int    // ejected is the number of agents that are ejected or probed.
 	established bool
 	retries     *budgeter.Budgeter
 	delayed     []delayedTask // delayed has the tasks that are placed again later.
@@ -133,7 +135,7 @@
 // agent that comes later than the first task result starts with few tasks.
 func (p *Placer) AgentUp(_ time.Time, peer messenger.Peer, place Place) {
 	p.AgentDown(time.Time{}, peer)
-	a := &agent{peer: peer, place: place, sent: make(map[taskRef]outstanding)}
+	a := &agent{peer: peer, place: place, held: p.holds[peer], sent: make(map[taskRef]outstanding)}
 	a.health = health{state: stateNormal, allowed: unlimited}
 	if p.established {
 		a.health = health{state: stateReturning, allowed: p.limits.SlowStart}
@@ -280,6 +282,22 @@
 	p.rerank(a)
 }
 
+// Disown frees the places of tasks whose results will go to another entry.
+func (p *Placer) Disown(now time.Time, gone func(identifier.Submission) bool) {
+	p.touch(now)
+	for _, a := range p.order {
+		for ref, o := range a.sent {
+			if gone(ref.submission) {
+				a.release(ref)
+				freeQuota(o.queue)
+				o.queue.service.ended(now, o.expected, 0)
+				p.closeTask(ref.submission)
+			}
+		}
+		p.rerank(a)
+	}
+}
+
 // closeTask counts the end of a task and reports whether its job was dropped.
 func (p *Placer) closeTask(s identifier.Submission) bool {
 	n := p.open[s]
--- a/internal/placer/queue.go
+++ b/internal/placer/queue.go
@@ -146,7 +146,7 @@
 func (s *service) share(entries int) int {
 	n := 0
 	for _, m := range s.members {
-		if m.agent.serving() && m.agent.health.allowed > 0 {
+		if m.agent.serving() && m.agent.held == "" && m.agent.health.allowed > 0 {
 			n += m.agent.capacity.Slots
 		}
 	}
--- a/internal/placer/refusal.go
+++ b/internal/placer/refusal.go
@@ -46,6 +46,10 @@
 			RetryAfter: retryAfter(wait - budget),
 		}
 	}
+	if s.waiting == 0 {
+		// An idle service may be tried: declared run times are often far off.
+		return Refusal{}
+	}
 	slots := s.share(p.entries)
 	wait := (s.workAhead(team) + s.sent + work) / time.Duration(slots)
 	if wait > budget {
