--- /dev/null
+++ b/internal/creditor/creditor_test.go
@@ -0,0 +1,82 @@
+package creditor
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"sardinelock.dev/sardinelock/internal/messenger"
+)
+
+// TestDeadEntryReturnsCredits holds that the others' limits rise at once by what a
+// dead entry had waiting, and by the rest as its tasks end.
+func TestDeadEntryReturnsCredits(t *testing.T) {
+	c := New(Limits{Floor: 1, Depth: 2})
+	c.SetSlots(8)
+	c.EntryUp("a")
+	c.EntryUp("b")
+	for range 6 {
+		c.Started("a")
+	}
+	if diff := cmp.Diff([]Grant{{"a", 10}, {"b", 4}}, c.Divide()); diff != "" {
+		t.Fatalf("limits (-want +got):\n%s", diff)
+	}
+	c.EntryDown("a")
+	for range 6 {
+		c.Ended("")
+	}
+	if diff := cmp.Diff([]Grant{{"b", 10}}, c.Divide()); diff != "" {
+		t.Fatalf("limits after the end of a (-want +got):\n%s", diff)
+	}
+}
+
+// TestLimitsFollowOutstanding drives a creditor at random. An entry's limit and
+// what the others have outstanding never exceed slots, floor and depth together.
+func TestLimitsFollowOutstanding(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		d := &driver{c: New(Limits{Floor: 1, Depth: 3}), outstanding: map[messenger.Peer]int{}}
+		d.c.SetSlots(8)
+		rt.Repeat(map[string]func(*rapid.T){"up": d.up, "start": d.start, "end": d.end, "": d.check})
+	})
+}
+
+type driver struct {
+	c           *Creditor
+	outstanding map[messenger.Peer]int
+}
+
+func entry(rt *rapid.T) messenger.Peer {
+	return rapid.SampledFrom([]messenger.Peer{"a", "b", "c"}).Draw(rt, "entry")
+}
+
+func (d *driver) up(rt *rapid.T) {
+	if peer := entry(rt); d.c.share(peer) == nil {
+		d.c.EntryUp(peer)
+	}
+}
+
+func (d *driver) start(rt *rapid.T) {
+	peer := entry(rt)
+	if s := d.c.share(peer); s != nil && d.outstanding[peer] < s.told {
+		d.c.Started(peer)
+		d.outstanding[peer]++
+	}
+}
+
+func (d *driver) end(rt *rapid.T) {
+	if peer := entry(rt); d.outstanding[peer] > 0 {
+		d.c.Ended(peer)
+		d.outstanding[peer]--
+	}
+}
+
+func (d *driver) check(rt *rapid.T) {
+	for _, g := range d.c.Divide() {
+		d.c.Told(g)
+		others := d.c.Outstanding() - d.outstanding[g.Entry]
+		if g.Limit > max(8-others, 1)+3 || g.Limit < 1+3 {
+			rt.Fatalf("%s has the limit %d while others have %d", g.Entry, g.Limit, others)
+		}
+	}
+}
--- a/internal/experimenter/entrynode.go
+++ b/internal/experimenter/entrynode.go
@@ -39,6 +39,7 @@
 	}
 	e.placer.AgentUp(s.now(), agentPeer(a.number), placer.Place{})
 	a.guard.EntryUp(s.now(), entryPeer(e.number))
+	a.guard.Receive(s.now(), entryPeer(e.number), &messenger.Frame{Admit: &messenger.Admit{}})
 }
 
 // submit takes a job of a caller.
@@ -162,7 +163,7 @@
 		if agentPeer(n) != a.Agent {
 			continue
 		}
-		start := messenger.Start{Submission: a.Submission, Epoch: 1, StartBy: time.Hour, EndBy: time.Hour}
+		start := messenger.Start{Submission: a.Submission, Epoch: 1, StartBy: time.Hour, EndBy: time.Hour, Work: a.Work}
 		for _, index := range a.Tasks {
 			start.Tasks = append(start.Tasks, messenger.TaskStart{Index: index})
 		}
--- a/internal/experimenter/experiment_test.go
+++ b/internal/experimenter/experiment_test.go
@@ -1,5 +1,3 @@
-//go:build red
-
 package experimenter
 
 import (
@@ -13,6 +11,10 @@
 	"sardinelock.dev/sardinelock/internal/scripter"
 )
 
+func TestScenarios(t *testing.T) {
+	scripter.Run(t, "testdata/*.txtar", runScenario)
+}
+
 // bench is one scenario with the results that its script asked for.
 type bench struct {
 	t        *testing.T
@@ -27,6 +29,7 @@
 }
 
 func runScenario(t *testing.T, lines []scripter.Line) string {
+	t.Parallel()
 	b := &bench{t: t, include: func(*Job) bool { return true }, scenario: Scenario{
 		Seed: 1, Duration: time.Minute, Entries: 3, Agents: 11, Slots: 8, Teams: 6,
 		Sizes: SizeUsual, DeclaredError: 0.5, Loss: 1e-4,
@@ -145,6 +148,9 @@
 		s := b.settings
 		s.NoCredits = true
 		b.summary = b.summarize(Run(&b.scenario, b.workload, s))
+	case "unflooded":
+		b.unflooded()
+		return
 	default:
 		b.summary = b.summarize(RunPush(&b.scenario, b.workload, Policy(name)))
 	}
@@ -172,6 +178,12 @@
 		"wasted": b.summary.Wasted,
 		"failed": b.summary.Failed,
 	}
+	switch l.Args[0] {
+	case "p99-of-unflooded":
+		figures[l.Args[0]] = ratio(b.summary.P99, b.unflooded().P99)
+	case "goodput-lost":
+		figures[l.Args[0]] = 1 - b.summary.Goodput/b.atCapacity().Goodput
+	}
 	got, known := figures[l.Args[0]]
 	if !known {
 		b.t.Fatalf("%v: unknown figure", l)
@@ -181,6 +193,31 @@
 	}
 }
 
+// unflooded returns the figures of the same arrivals without the flood.
+func (b *bench) unflooded() Summary {
+	sc := b.scenario
+	w := &Workload{}
+	for _, j := range b.workload.Jobs {
+		if b.include(&j) {
+			w.Jobs = append(w.Jobs, j)
+		}
+	}
+	s := Run(&sc, w, b.settings).Summarize(w, sc.Duration, b.include)
+	fmt.Fprintf(&b.out, "%-13s %6.3f %6.3f %6.3f\n", "unflooded",
+		ratio(s.Mean, b.ideal.Mean), ratio(s.P50, b.ideal.P50), ratio(s.P99, b.ideal.P99))
+	return s
+}
+
+// atCapacity returns the figures of the scenario at a load of 1.
+func (b *bench) atCapacity() Summary {
+	sc := b.scenario
+	sc.Load = 1
+	w := NewWorkload(&sc)
+	s := Run(&sc, w, b.settings).Summarize(w, sc.Duration, b.include)
+	fmt.Fprintf(&b.out, "%-13s goodput %.2f\n", "at capacity", s.Goodput)
+	return s
+}
+
 func ratio(a, b time.Duration) float64 { return a.Seconds() / b.Seconds() }
 
 func (b *bench) number(text string) float64 {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -35,6 +35,9 @@
 	RetainBytes int
 	// MaxWaiting bounds the starts that wait for a slot.
 	MaxWaiting int
+	// HoldFor is how long a result may wait for others of its job, so that they go
+	// in one message. Zero sends each at once.
+	HoldFor time.Duration
 	// Credits are the settings of the division of slots between entries.
 	Credits creditor.Limits
 }
@@ -93,10 +96,13 @@
 
 // link is what the guard keeps for a connected entry.
 type link struct {
-	frame  *messenger.Frame // frame gathers what goes out at the next Take; nil if nothing does.
-	ping   uint64
-	echoed uint64
-	raised partitionSet // raised has the partitions whose epoch rose since the last contact.
+	frame     *messenger.Frame // frame gathers what goes out at the next Take; nil if nothing does.
+	ping      uint64
+	echoed    uint64
+	held      []heldResult
+	heldSince time.Time    // heldSince is when the oldest of held was added.
+	backlog   int          // backlog is how many tasks wait at the entry, as it last said.
+	raised    partitionSet // raised has the partitions whose epoch rose since the last contact.
 }
 
 // New returns a guard without an upstream. The given time is the zero of the
@@ -155,6 +161,7 @@
 		}
 	}
 	g.dropWaiting(entry)
+	g.entryGone(entry)
 	g.resources.credits.EntryUp(entry)
 	g.frameTo(entry).Capacity = g.capacity()
 }
@@ -179,7 +186,7 @@
 		if p.from != entry {
 			return true
 		}
-		g.resources.credits.Ended(entry)
+		g.abandon(p)
 		return false
 	})
 }
@@ -199,7 +206,7 @@
 	if f.Fence != nil {
 		g.fence(now, from, f.Fence)
 	}
-	g.receiveBacklog(now, from, f)
+	g.receiveBacklog(l, f)
 	for i := range f.Starts {
 		g.start(now, from, &f.Starts[i])
 	}
@@ -246,13 +253,14 @@
 	if r := g.records.get(ref.Submission.Partition(), ref.Submission); r != nil {
 		g.records.bytes += r.end(g.Clock(now), result)
 	}
-	g.sendResult(ref.Submission, result)
+	g.sendResult(now, ref.Submission, result)
 	g.startWaiting(now)
 }
 
 // Take returns what is to be done and clears it.
 func (g *Guard) Take(now time.Time) Output {
-	g.addCredits(now)
+	g.release(now)
+	g.addCredits()
 	for _, entry := range g.order {
 		l := g.entries[entry]
 		if l.frame == nil && l.ping == l.echoed {
@@ -346,8 +354,7 @@
 		}
 		g.raise(s.Submission.Partition(), s.Epoch)
 		g.holders[s.Submission.Partition()] = from
-		g.waiting.push(p)
-		g.resources.credits.Started(p.from)
+		g.accept(now, p)
 	}
 }
 
@@ -358,7 +365,7 @@
 		p := g.waiting.first()
 		if refusal := g.check(now, p); refusal != "" {
 			g.refuse(p, refusal)
-			g.resources.credits.Ended(p.from)
+			g.abandon(p)
 			g.waiting.pop()
 			continue
 		}
@@ -423,8 +430,11 @@
 }
 
 // sendResult sends a result to the holder of the submission's partition.
-func (g *Guard) sendResult(s identifier.Submission, result messenger.TaskResult) {
-	g.addResult(g.holders[s.Partition()], s, result)
+func (g *Guard) sendResult(now time.Time, s identifier.Submission, result messenger.TaskResult) {
+	to := g.holders[s.Partition()]
+	if g.entries[to] != nil && !g.hold(now, to, s, result) {
+		g.addResult(to, s, result)
+	}
 }
 
 func (g *Guard) addResult(to messenger.Peer, s identifier.Submission, result messenger.TaskResult) {
--- a/internal/guard/queue.go
+++ b/internal/guard/queue.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"slices"
 	"time"
 
 	"sardinelock.dev/sardinelock/internal/identifier"
@@ -13,9 +14,10 @@
 	ref   TaskRef
 	start *messenger.Start // start is shared by the tasks of one message and is not changed.
 	task  *messenger.TaskStart
+	rank  time.Duration // rank orders the starts that wait; the least goes first.
 }
 
-// startQueue has the starts that wait, in order of arrival.
+// startQueue has the starts that wait, in order of rank.
 type startQueue struct {
 	items []pending // the first head items have left.
 	head  int
@@ -23,7 +25,14 @@
 
 func (q *startQueue) len() int { return len(q.items) - q.head }
 
-func (q *startQueue) push(p pending) { q.items = append(q.items, p) }
+// insert adds a start behind those of the same rank.
+func (q *startQueue) insert(p pending) {
+	i := len(q.items)
+	for i > q.head && q.items[i-1].rank > p.rank {
+		i--
+	}
+	q.items = slices.Insert(q.items, i, p)
+}
 
 func (q *startQueue) first() *pending { return &q.items[q.head] }
 
@@ -63,7 +72,7 @@
 		refusal := g.check(now, p)
 		if refusal != "" {
 			g.refuse(p, refusal)
-			g.resources.credits.Ended(p.from)
+			g.abandon(p)
 		}
 		return refusal == ""
 	})
