Measure what each role costs by size and state its capacity

The users ask for a page that gives each role's state, messages, processor time and memory at the size of the next two years, worked out from measured slopes.

--- a/cmd/sardinelock/cmd/dev_platform.go
+++ b/cmd/sardinelock/cmd/dev_platform.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"sardinelock.dev/sardinelock/internal/emulator"
+	"sardinelock.dev/sardinelock/internal/launcher"
 )
 
 const standInHeaderTimeout = 5 * time.Second
@@ -22,6 +23,8 @@
 		faults  emulator.Faults
 		latency time.Duration
 		seed    uint64
+		base    string
+		config  bool
 	)
 	c := &cobra.Command{
 		Use:   "platform",
@@ -44,7 +47,13 @@
 				return err
 			}
 			faults.Latency = latency.String()
-			return serveStandIn(c, listen, "platform", emulator.NewPlatform(seed, faults).Handler())
+			platform := emulator.NewPlatform(seed, faults)
+			if config || base != "" {
+				if err := launcher.StoreConfig(platform, base); err != nil {
+					return err
+				}
+			}
+			return serveStandIn(c, listen, "platform", platform.Handler())
 		},
 	}
 	f := c.Flags()
@@ -52,6 +61,8 @@
 	f.BoolVar(&faults.Down, "down", false, "answer every call with status 503")
 	f.DurationVar(&latency, "latency", 0, "delay of every call")
 	f.Float64Var(&faults.LoseAnswerRatio, "lose-answer-ratio", 0, "share of writes whose answer is lost after they took effect")
+	f.StringVar(&base, "base", "", "base configuration to start with (default: none)")
+	f.BoolVar(&config, "shipped-base", false, "start with the shipped base configuration")
 	f.Uint64Var(&seed, "seed", 1, "seed of the faults")
 	return c
 }
--- /dev/null
+++ b/cmd/sardinelock/cmd/survey.go
@@ -0,0 +1,203 @@
+package cmd
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+
+	"sardinelock.dev/sardinelock/internal/surveyor"
+)
+
+func newSurveyCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "survey",
+		Short: "Measure what the parts of the system cost by size",
+		Long: `Measure what the parts of the system cost by size, on this machine.
+
+Each subcommand prints the slopes that it measured as JSON, one object a slope;
+"survey report" turns them into the tables of docs/CAPACITY.md. The script
+.ci/survey runs all of them with the processes that they need.`,
+		Args: cobra.NoArgs,
+	}
+	c.AddCommand(newSurveyStateCommand(), newSurveyAgentsCommand(), newSurveyEntriesCommand(),
+		newSurveyTasksCommand(), newSurveyReportCommand())
+	return c
+}
+
+func newSurveyStateCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "state",
+		Short:   "Measure records, kept jobs, messages, rows and configuration",
+		Example: `  sardinelock survey state`,
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			slopes, err := surveyor.State()
+			if err != nil {
+				return err
+			}
+			return writeSlopes(c.OutOrStdout(), slopes)
+		},
+	}
+}
+
+// surveyFlags are the flags of the measurements over connections.
+type surveyFlags struct {
+	options surveyor.Options
+	entry   netip.AddrPort
+	caller  netip.AddrPort
+}
+
+func (s *surveyFlags) register(c *cobra.Command, sizes []int, what string) {
+	f := c.Flags()
+	f.IntVar(&s.options.PID, "pid", 0, "process on this machine that is measured")
+	f.DurationVar(&s.options.Hold, "hold", 5*time.Second, "how long each size is measured")
+	f.IntSliceVar(&s.options.Sizes, "sizes", sizes, what)
+}
+
+// check completes the options and reports what is wrong with them. The addresses
+// must be on loopback: a survey loads what it measures.
+func (s *surveyFlags) check(addrs ...netip.AddrPort) error {
+	var faults []string
+	for _, a := range addrs {
+		if !a.Addr().IsLoopback() {
+			faults = append(faults, "addresses must be set and on loopback")
+		}
+	}
+	if s.options.PID <= 0 {
+		faults = append(faults, "--pid must be set")
+	}
+	if s.options.Hold < time.Second {
+		faults = append(faults, "--hold must be at least 1s")
+	}
+	if len(s.options.Sizes) < 4 {
+		faults = append(faults, "--sizes needs at least four sizes")
+	}
+	s.options.Limits = entryLimits()
+	s.options.AgentLimits = agentLimits()
+	s.options.Logger = newLogger("error")
+	return usageFaults(faults)
+}
+
+func newSurveyAgentsCommand() *cobra.Command {
+	var s surveyFlags
+	c := &cobra.Command{
+		Use:     "agents",
+		Short:   "Measure an entry by the number of idle agents",
+		Example: `  sardinelock survey agents --entry 127.0.0.1:7401 --pid 4711`,
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if err := s.check(s.entry); err != nil {
+				return err
+			}
+			slopes, err := surveyor.Agents(c.Context(), s.entry, s.options)
+			if err != nil {
+				return err
+			}
+			return writeSlopes(c.OutOrStdout(), slopes)
+		},
+	}
+	s.register(c, []int{11, 110, 300, 900}, "numbers of agents")
+	c.Flags().Var(addrFlag{&s.entry}, "entry", "peer address of the entry")
+	return c
+}
+
+func newSurveyEntriesCommand() *cobra.Command {
+	var s surveyFlags
+	c := &cobra.Command{
+		Use:     "entries",
+		Short:   "Measure an agent and the table by the number of entries",
+		Example: `  sardinelock survey entries --peer-listen 127.0.0.1:7401 --pid 4712`,
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if err := s.check(s.entry); err != nil {
+				return err
+			}
+			slopes, err := surveyor.Entries(c.Context(), s.entry, s.options)
+			if err != nil {
+				return err
+			}
+			return writeSlopes(c.OutOrStdout(), slopes)
+		},
+	}
+	s.register(c, []int{1, 3, 10, 20}, "numbers of entries")
+	c.Flags().Var(addrFlag{&s.entry}, "peer-listen", "address at which the first entry accepts the agent")
+	return c
+}
+
+func newSurveyTasksCommand() *cobra.Command {
+	var s surveyFlags
+	c := &cobra.Command{
+		Use:     "tasks",
+		Short:   "Measure an entry under load by the tasks of a job",
+		Example: `  sardinelock survey tasks --entry 127.0.0.1:7401 --caller 127.0.0.1:7400 --pid 4711`,
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if err := s.check(s.entry, s.caller); err != nil {
+				return err
+			}
+			slopes, err := surveyor.Tasks(c.Context(), s.entry, s.caller, s.options)
+			if err != nil {
+				return err
+			}
+			return writeSlopes(c.OutOrStdout(), slopes)
+		},
+	}
+	s.register(c, []int{1, 11, 58, 290, 580}, "tasks of a job")
+	c.Flags().Var(addrFlag{&s.entry}, "entry", "peer address of the entry")
+	c.Flags().Var(addrFlag{&s.caller}, "caller", "callers' address of the entry")
+	return c
+}
+
+func newSurveyReportCommand() *cobra.Command {
+	size := surveyor.LetterSize
+	var file string
+	c := &cobra.Command{
+		Use:     "report",
+		Short:   "Turn slopes into the capacity tables, as Markdown",
+		Example: `  sardinelock survey report --slopes slopes.json --entries 20`,
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if file == "" {
+				return usageFaults([]string{"--slopes must be set"})
+			}
+			f, err := os.Open(file)
+			if err != nil {
+				return errors.Trace(err)
+			}
+			defer f.Close()
+			slopes, err := surveyor.ReadSlopes(f)
+			if err != nil {
+				return err
+			}
+			text, err := surveyor.Report(slopes, size)
+			if err != nil {
+				return err
+			}
+			fmt.Fprint(c.OutOrStdout(), text)
+			return nil
+		},
+	}
+	f := c.Flags()
+	f.StringVar(&file, "slopes", "", "file with slopes, as the other subcommands print them")
+	f.IntVar(&size.Entries, "entries", size.Entries, "number of entries")
+	f.IntVar(&size.Agents, "agents", size.Agents, "number of agents")
+	f.Float64Var(&size.StartsPerSecond, "starts-per-second", size.StartsPerSecond, "task starts a second")
+	f.Float64Var(&size.TasksPerJob, "tasks-per-job", size.TasksPerJob, "mean number of tasks of a job")
+	return c
+}
+
+func writeSlopes(w io.Writer, slopes []surveyor.Slope) error {
+	enc := json.NewEncoder(w)
+	for _, s := range slopes {
+		if err := enc.Encode(s); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -92,6 +92,9 @@
 // Addr returns the bound address for announcements.
 func (a *Agent) Addr() netip.AddrPort { return a.listener.Addr().(*net.TCPAddr).AddrPort() }
 
+// Traffic returns the totals of all connections to entries so far.
+func (a *Agent) Traffic() connector.Totals { return a.counts.Totals() }
+
 // Ready is closed once the agent serves.
 func (a *Agent) Ready() <-chan struct{} { return a.ready }
 
--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -38,6 +38,22 @@
 	BytesRead    atomic.Uint64
 }
 
+// Totals are the values of [Counts] at one moment.
+type Totals struct {
+	MessagesSent, BytesSent uint64
+	MessagesRead, BytesRead uint64
+}
+
+// Totals reads the counts.
+func (c *Counts) Totals() Totals {
+	return Totals{
+		MessagesSent: c.MessagesSent.Load(),
+		BytesSent:    c.BytesSent.Load(),
+		MessagesRead: c.MessagesRead.Load(),
+		BytesRead:    c.BytesRead.Load(),
+	}
+}
+
 // Conn is one connection to a peer.
 type Conn struct {
 	ws     *websocket.Conn
@@ -88,7 +104,7 @@
 func handshake(ctx context.Context, ws *websocket.Conn, o Options) (*Conn, error) {
 	ws.SetReadLimit(messenger.MaxMessageBytes)
 	hello := o.Hello()
-	peer, err := exchangeHello(ctx, ws, &hello)
+	peer, err := exchangeHello(ctx, ws, &hello, o.Counts)
 	if err != nil {
 		_ = ws.CloseNow()
 		return nil, err
@@ -104,7 +120,7 @@
 	}, nil
 }
 
-func exchangeHello(ctx context.Context, ws *websocket.Conn, own *messenger.Hello) (*messenger.Hello, error) {
+func exchangeHello(ctx context.Context, ws *websocket.Conn, own *messenger.Hello, counts *Counts) (*messenger.Hello, error) {
 	const op = "handshake"
 	var buf bytes.Buffer
 	if err := messenger.Append(&buf, &messenger.Frame{Hello: own}); err != nil {
@@ -124,6 +140,10 @@
 	if peer == nil || peer.Version != messenger.ProtocolVersion || peer.Peer == "" {
 		return nil, &Error{Op: op, Kind: KindVersion, Err: errVersion}
 	}
+	counts.MessagesSent.Add(1)
+	counts.BytesSent.Add(uint64(buf.Len()))
+	counts.MessagesRead.Add(1)
+	counts.BytesRead.Add(uint64(len(message)))
 	return peer, nil
 }
 
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -107,6 +107,9 @@
 // AdminAddr returns the bound address for administration.
 func (e *Entry) AdminAddr() netip.AddrPort { return boundAddr(e.admin) }
 
+// Traffic returns the totals of all connections to peers so far.
+func (e *Entry) Traffic() connector.Totals { return e.counts.Totals() }
+
 // Ready is closed once the entry serves.
 func (e *Entry) Ready() <-chan struct{} { return e.ready }
 
@@ -251,6 +254,14 @@
 	})
 }
 
+// Peers returns the number of agents and entries that are connected. It must not
+// be called on the control thread.
+func (e *Entry) Peers() int {
+	n := 0
+	e.loop.Call(func(time.Time) { n = len(e.peers) })
+	return n
+}
+
 // Serving reports whether the entry knows a configuration, knows an owner for
 // every partition, is connected to those owners, and has the given number of
 // agents that serve. It must not be called on the control thread.
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -75,7 +75,7 @@
 // Start starts a system, which runs until the context ends.
 func Start(ctx context.Context, o Options) (*System, error) {
 	s := &System{Platform: emulator.NewPlatform(1, emulator.Faults{})}
-	if err := s.storeConfig(o.BaseFile); err != nil {
+	if err := StoreConfig(s.Platform, o.BaseFile); err != nil {
 		return nil, err
 	}
 	platform, err := s.serve(ctx, s.Platform.Handler())
@@ -126,7 +126,9 @@
 	return s.faults
 }
 
-func (s *System) storeConfig(baseFile string) error {
+// StoreConfig makes a base file, or the shipped one if the name is empty, the
+// first accepted configuration of a platform.
+func StoreConfig(platform *emulator.Platform, baseFile string) error {
 	base := shippedBase
 	if baseFile != "" {
 		var err error
@@ -141,7 +143,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	s.Platform.Write(storer.Transaction{
+	platform.Write(storer.Transaction{
 		RequestID: "dev-config",
 		Puts:      []storer.Put{{Key: configurer.CurrentKey, Value: value}},
 	})
--- /dev/null
+++ b/internal/surveyor/connections.go
@@ -0,0 +1,236 @@
+package surveyor
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/phuslu/log"
+
+	"sardinelock.dev/sardinelock/internal/agent"
+	"sardinelock.dev/sardinelock/internal/connector"
+	"sardinelock.dev/sardinelock/internal/coordinator"
+	"sardinelock.dev/sardinelock/internal/dispatcher"
+	"sardinelock.dev/sardinelock/internal/emulator"
+	"sardinelock.dev/sardinelock/internal/guard"
+	"sardinelock.dev/sardinelock/internal/invoker"
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/pkg/submitter"
+)
+
+// Options are what the measurements over connections share.
+type Options struct {
+	// PID is the process that is measured; it runs on this machine.
+	PID int
+	// Hold is how long each size is measured after it has settled.
+	Hold        time.Duration
+	Sizes       []int
+	Limits      coordinator.Limits
+	AgentLimits guard.Limits
+	Logger      *log.Logger
+}
+
+const (
+	settleTime   = 2 * time.Second
+	stopTimeout  = time.Second
+	readyTimeout = 30 * time.Second
+	readyPoll    = 20 * time.Millisecond
+	slots        = 8
+	longTTL      = time.Minute
+)
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// crowd is a set of processes' worth of agents in this process.
+type crowd struct {
+	options  Options
+	entries  []netip.AddrPort
+	upstream *httptest.Server
+	agents   []*agent.Agent
+	wg       sync.WaitGroup
+}
+
+// grow starts agents until there are n.
+func (c *crowd) grow(ctx context.Context, n int) error {
+	for len(c.agents) < n {
+		i := len(c.agents)
+		a, err := agent.New(agent.Settings{
+			Peer:         messenger.Peer("agent-survey-" + strconv.Itoa(i)),
+			Region:       "default",
+			DataCentre:   "default",
+			Rack:         strconv.Itoa(i / 3),
+			Listen:       loopback,
+			Entries:      c.entries,
+			Limits:       c.options.AgentLimits,
+			DrainTimeout: stopTimeout,
+			Logger:       c.options.Logger,
+		})
+		if err != nil {
+			return errors.Trace(err)
+		}
+		c.agents = append(c.agents, a)
+		c.wg.Go(func() { _ = a.Run(ctx) })
+		c.wg.Go(func() { _ = emulator.Announce(ctx, a.Addr(), announcementOf(c.upstream)) })
+	}
+	return nil
+}
+
+func announcementOf(upstream *httptest.Server) invoker.Announcement {
+	return invoker.Announcement{
+		Address:     netip.MustParseAddrPort(upstream.Listener.Addr().String()),
+		Services:    []string{"quote"},
+		Slots:       slots,
+		Connections: slots * slots,
+		MemoryBytes: 32 << 30,
+		TimeToLive:  submitter.Duration(longTTL),
+	}
+}
+
+// traffic sums the traffic of all agents.
+func (c *crowd) traffic() connector.Totals {
+	var sum connector.Totals
+	for _, a := range c.agents {
+		t := a.Traffic()
+		sum.MessagesSent += t.MessagesSent
+		sum.BytesSent += t.BytesSent
+		sum.MessagesRead += t.MessagesRead
+		sum.BytesRead += t.BytesRead
+	}
+	return sum
+}
+
+// Agents measures the entry with the given address for peers by the number of
+// idle agents that are connected to it.
+func Agents(ctx context.Context, entry netip.AddrPort, o Options) ([]Slope, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	c := &crowd{options: o, entries: []netip.AddrPort{entry}, upstream: httptest.NewServer(emulator.NewUpstream(emulator.UpstreamOptions{Slots: slots}))}
+	defer c.upstream.Close()
+	defer c.wg.Wait()
+	defer cancel()
+	m := newMeters("agent",
+		meter{"entry-idle-core", "core"}, meter{"entry-resident", "B"},
+		meter{"entry-idle-messages", "1/s"}, meter{"entry-idle-bytes", "B/s"},
+		meter{"entry-join-time", "us"}, meter{"entry-join-messages", "1"}, meter{"entry-join-bytes", "B"})
+	joining := 0.0 // joining is the processor time of all joins so far, in microseconds.
+	for _, n := range o.Sizes {
+		before, err := ReadUsage(o.PID)
+		if err != nil {
+			return nil, err
+		}
+		begun := time.Now()
+		if err := c.grow(ctx, n); err != nil {
+			return nil, err
+		}
+		pause(ctx, settleTime)
+		joined, took := c.traffic(), time.Since(begun)
+		settled, err := ReadUsage(o.PID)
+		if err != nil {
+			return nil, err
+		}
+		r, err := measure(ctx, o, c.traffic)
+		if err != nil {
+			return nil, err
+		}
+		joining += (settled.ProcessorTime-before.ProcessorTime).Seconds()*1e6 - r.cores*took.Seconds()*1e6
+		m.add(float64(n), r.cores, r.resident, r.messages, r.bytes,
+			joining, float64(joined.MessagesSent+joined.MessagesRead), float64(joined.BytesSent+joined.BytesRead))
+	}
+	return m.slopes(), ctx.Err()
+}
+
+// Entries measures the agent process o.PID by the number of entries, which accept
+// peers at the given address and at the ports that follow it, and what entries
+// cost each other and the table. The agent must be connected to every entry.
+func Entries(ctx context.Context, first netip.AddrPort, o Options) ([]Slope, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	f := &fleet{options: o, first: first, store: emulator.NewPlatform(1, emulator.Faults{})}
+	f.platform = httptest.NewServer(f.store.Handler())
+	defer f.platform.Close()
+	defer f.wg.Wait()
+	defer cancel()
+	m := newMeters("entry",
+		meter{"agent-idle-core", "core"}, meter{"agent-resident", "B"},
+		meter{"entries-messages", "1/s"}, meter{"entries-bytes", "B/s"},
+		meter{"store-reads", "1/s"}, meter{"store-writes", "1/s"})
+	for _, n := range o.Sizes {
+		if err := f.grow(ctx, n); err != nil {
+			return nil, err
+		}
+		pause(ctx, 2*settleTime)
+		if err := f.checkConnected(); err != nil {
+			return nil, err
+		}
+		reads, writes := f.store.Counts()
+		r, err := measure(ctx, o, f.traffic)
+		if err != nil {
+			return nil, err
+		}
+		readsAfter, writesAfter := f.store.Counts()
+		seconds := r.took.Seconds()
+		m.add(float64(n), r.cores, r.resident, r.messages, r.bytes,
+			float64(readsAfter-reads)/seconds, float64(writesAfter-writes)/seconds)
+	}
+	return m.slopes(), ctx.Err()
+}
+
+// fleet is a set of processes' worth of entries in this process.
+type fleet struct {
+	options  Options
+	first    netip.AddrPort
+	store    *emulator.Platform
+	platform *httptest.Server
+	entries  []*dispatcher.Entry
+	wg       sync.WaitGroup
+}
+
+func (f *fleet) grow(ctx context.Context, n int) error {
+	for len(f.entries) < n {
+		listen := netip.AddrPortFrom(f.first.Addr(), f.first.Port()+uint16(len(f.entries)))
+		e, err := dispatcher.New(dispatcher.Settings{
+			Peer:         messenger.Peer("entry-survey-" + strconv.Itoa(len(f.entries))),
+			Region:       "default",
+			DataCentre:   "default",
+			CallerListen: loopback,
+			PeerListen:   listen,
+			AdminListen:  loopback,
+			Platform:     netip.MustParseAddrPort(f.platform.Listener.Addr().String()),
+			Limits:       f.options.Limits,
+			DrainTimeout: stopTimeout,
+			Logger:       f.options.Logger,
+		})
+		if err != nil {
+			return errors.Trace(err)
+		}
+		f.entries = append(f.entries, e)
+		f.wg.Go(func() { _ = e.Run(ctx) })
+	}
+	return nil
+}
+
+// checkConnected fails unless the agent and every entry are connected.
+func (f *fleet) checkConnected() error {
+	for i, e := range f.entries {
+		// The agent and every other entry.
+		if want := len(f.entries); e.Peers() != want {
+			return &Error{Op: "entries", Kind: KindSystem, Err: errors.Errorf("entry %d has %d peers, not %d", i, e.Peers(), want)}
+		}
+	}
+	return nil
+}
+
+// traffic sums the traffic of all entries.
+func (f *fleet) traffic() connector.Totals {
+	var sum connector.Totals
+	for _, e := range f.entries {
+		t := e.Traffic()
+		sum.MessagesSent += t.MessagesSent
+		sum.BytesSent += t.BytesSent
+		sum.MessagesRead += t.MessagesRead
+		sum.BytesRead += t.BytesRead
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/surveyor/error.go
@@ -0,0 +1,29 @@
+package surveyor
+
+import "fmt"
+
+// Kind says what went wrong with a measurement.
+type Kind string
+
+// The kinds of errors of this package.
+const (
+	KindFormat  Kind = "format"
+	KindProcess Kind = "process"
+	KindSystem  Kind = "system"
+	KindAbsent  Kind = "absent-slope"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string // Op is the operation that failed.
+	Kind Kind   // Kind is one of the Kind constants.
+	Err  error  // Err is the cause and is never nil.
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("survey: %s: %s: %v", e.Op, e.Kind, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/surveyor/state.go
@@ -0,0 +1,292 @@
+package surveyor
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"runtime"
+	"strings"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/configurer"
+	"sardinelock.dev/sardinelock/internal/emulator"
+	"sardinelock.dev/sardinelock/internal/guard"
+	"sardinelock.dev/sardinelock/internal/identifier"
+	"sardinelock.dev/sardinelock/internal/invoker"
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/owner"
+	"sardinelock.dev/sardinelock/internal/storer"
+	"sardinelock.dev/sardinelock/pkg/submitter"
+)
+
+// The shape of the tasks whose state is measured.
+const (
+	payloadBytes = 100
+	jobTasks     = 58
+	stateWindow  = 5 * time.Minute
+	plenty       = 1 << 30
+	repeats      = 20
+)
+
+// The sizes at which state is measured.
+var (
+	recordCounts    = []int{1_000, 5_000, 20_000, 50_000}
+	jobCounts       = []int{100, 500, 2_000, 5_000}
+	taskCounts      = []int{1, 11, 58, 290, 580}
+	partitionCounts = []int{32, 64, 128, 256}
+	teamCounts      = []int{10, 40, 130, 260}
+	fencedCounts    = []int{10, 100, 1_000, 5_000}
+)
+
+// State measures the slopes that need no connections.
+func State() ([]Slope, error) {
+	var out []Slope
+	out = append(out, recordSlopes()...)
+	out = append(out, jobSlopes()...)
+	out = append(out, frameSlopes()...)
+	tables, err := tableSlopes()
+	if err != nil {
+		return nil, err
+	}
+	return append(out, tables...), nil
+}
+
+// heapOf returns the growth of the heap that make leaves behind.
+func heapOf(build func() any) float64 {
+	before := liveHeap()
+	kept := build()
+	after := liveHeap()
+	runtime.KeepAlive(kept)
+	return float64(after) - float64(before)
+}
+
+func liveHeap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// recordSlopes measures the records of an agent's guard and the time of its tick.
+func recordSlopes() []Slope {
+	var bytesOf, tickOf []Sample
+	for _, n := range recordCounts {
+		var g *guard.Guard
+		now := time.Now()
+		size := heapOf(func() any {
+			g = guardWithRecords(now, n)
+			return g
+		})
+		bytesOf = append(bytesOf, Sample{float64(n), size})
+		tickOf = append(tickOf, Sample{float64(n), microseconds(func() { g.Tick(now.Add(time.Second)) })})
+	}
+	return []Slope{
+		NewSlope("agent-record-bytes", "B", "record", bytesOf),
+		NewSlope("agent-record-tick", "us", "record", tickOf),
+	}
+}
+
+// guardWithRecords returns a guard that ran one task of each of n submissions.
+func guardWithRecords(now time.Time, n int) *guard.Guard {
+	const entry = "entry"
+	g := guard.New(now, guard.Limits{Window: stateWindow, MaxRecords: plenty, MaxWaiting: plenty})
+	g.EntryUp(now, entry)
+	admitAll(now, g, entry)
+	g.Announce(now, invoker.Announcement{
+		Address:    netip.MustParseAddrPort("127.0.0.1:1"),
+		Services:   []string{"quote"},
+		Slots:      plenty,
+		TimeToLive: submitter.Duration(time.Hour),
+	})
+	for range n {
+		id := identifier.New(now)
+		g.Receive(now, entry, &messenger.Frame{Starts: []messenger.Start{{
+			Submission: id,
+			Epoch:      1,
+			Service:    "quote",
+			StartBy:    time.Hour,
+			EndBy:      time.Hour,
+			Tasks:      []messenger.TaskStart{{Payload: payload()}},
+		}}})
+		g.Ended(now, guard.TaskRef{Submission: id}, messenger.TaskResult{Kind: messenger.ResultDone, Payload: payload()})
+		g.Receive(now, entry, &messenger.Frame{Settled: []messenger.Settlement{{Submission: id}}})
+		g.Take(now)
+	}
+	return g
+}
+
+// jobSlopes measures the answered jobs that an entry keeps, and the time of its tick.
+func jobSlopes() []Slope {
+	var bytesOf, tickOf []Sample
+	for _, n := range jobCounts {
+		var o *owner.Owner
+		now := time.Now()
+		size := heapOf(func() any {
+			o = ownerWithJobs(now, n)
+			return o
+		})
+		bytesOf = append(bytesOf, Sample{float64(n * jobTasks), size})
+		tickOf = append(tickOf, Sample{float64(n), microseconds(func() { o.Tick(now.Add(time.Second)) })})
+	}
+	return []Slope{
+		NewSlope("entry-kept-task-bytes", "B", "kept task", bytesOf),
+		NewSlope("entry-job-tick", "us", "kept job", tickOf),
+	}
+}
+
+// ownerWithJobs returns an owner that keeps n answered jobs of [jobTasks] tasks.
+func ownerWithJobs(now time.Time, n int) *owner.Owner {
+	const agent = "agent"
+	o := owner.New(owner.Limits{Window: stateWindow, MaxJobs: plenty, LostAfter: time.Second, MaxReplacements: 1})
+	for range n {
+		job := owner.Job{
+			Submission: identifier.New(now),
+			Service:    "quote",
+			Deadline:   now.Add(time.Hour),
+			Tasks:      make([]messenger.TaskSpec, jobTasks),
+		}
+		results := messenger.Result{Submission: job.Submission}
+		for i := range job.Tasks {
+			job.Tasks[i].Payload = payload()
+			results.Tasks = append(results.Tasks, messenger.TaskResult{
+				Index: uint16(i), Kind: messenger.ResultDone, Payload: payload(),
+			})
+		}
+		tasks := o.Submit(now, owner.Waiter{Ticket: 1}, job)
+		o.Sent(job.Submission, agent, tasks)
+		o.Result(now, agent, &results)
+		o.Take()
+	}
+	return o
+}
+
+// frameSlopes measures the bytes and the processor time of a start message and
+// of a result message by the tasks they carry, and of an answer to a fence by its
+// records.
+func frameSlopes() []Slope {
+	var startBytes, resultBytes, startTime, resultTime []Sample
+	for _, n := range taskCounts {
+		id := identifier.New(time.Now())
+		start := messenger.Start{Submission: id, Epoch: 1, Service: "quote", Path: "/quote", StartBy: time.Hour, EndBy: time.Hour}
+		result := messenger.Result{Submission: id}
+		for i := range n {
+			start.Tasks = append(start.Tasks, messenger.TaskStart{Index: uint16(i), Payload: payload(), MemoryBytes: 64 << 20})
+			result.Tasks = append(result.Tasks, messenger.TaskResult{
+				Index: uint16(i), Kind: messenger.ResultDone, Payload: payload(), RunTime: 200 * time.Millisecond,
+			})
+		}
+		size, spent := codecCost(&messenger.Frame{Starts: []messenger.Start{start}})
+		startBytes = append(startBytes, Sample{float64(n), size})
+		startTime = append(startTime, Sample{float64(n), spent})
+		size, spent = codecCost(&messenger.Frame{Results: []messenger.Result{result}})
+		resultBytes = append(resultBytes, Sample{float64(n), size})
+		resultTime = append(resultTime, Sample{float64(n), spent})
+	}
+	var recordBytes, recordTime []Sample
+	for _, n := range fencedCounts {
+		fenced := messenger.Fenced{Epoch: 1}
+		for range n {
+			fenced.Records = append(fenced.Records, messenger.Record{
+				Submission: identifier.New(time.Now()),
+				Ended:      []messenger.TaskResult{{Index: 57, Kind: messenger.ResultDone, RunTime: 200 * time.Millisecond}},
+				Digest:     1 << 63,
+				Service:    "quote",
+			})
+		}
+		size, spent := codecCost(&messenger.Frame{Fenced: []messenger.Fenced{fenced}})
+		recordBytes = append(recordBytes, Sample{float64(n), size})
+		recordTime = append(recordTime, Sample{float64(n), spent})
+	}
+	return []Slope{
+		NewSlope("record-message-bytes", "B", "record", recordBytes),
+		NewSlope("record-message-time", "us", "record", recordTime),
+		NewSlope("start-message-bytes", "B", "task", startBytes),
+		NewSlope("result-message-bytes", "B", "task", resultBytes),
+		NewSlope("start-message-time", "us", "task", startTime),
+		NewSlope("result-message-time", "us", "task", resultTime),
+	}
+}
+
+// codecCost returns the size of a frame in bytes and the time to encode and
+// decode it once.
+func codecCost(f *messenger.Frame) (size, spent float64) {
+	var buf bytes.Buffer
+	spent = microseconds(func() {
+		buf.Reset()
+		// A frame of this package always encodes; a fault would show as size 0.
+		_ = messenger.Append(&buf, f)
+		_ = messenger.Decode(buf.Bytes(), func(*messenger.Frame) {})
+	})
+	return float64(buf.Len()), spent
+}
+
+// tableSlopes measures what is read from the table by its rows.
+func tableSlopes() ([]Slope, error) {
+	var rowBytes, configBytes, parseTime []Sample
+	for _, n := range partitionCounts {
+		p := emulator.NewPlatform(1, emulator.Faults{})
+		for i := range n {
+			p.Write(storer.Transaction{
+				RequestID: fmt.Sprint(i),
+				Puts: []storer.Put{{
+					Key:   fmt.Sprintf("partitions/%03d", i),
+					Value: json.RawMessage(`{"owner":"entry-0192f0c1-2f4e-7c3a-9d2b-1f2e3d4c5b6a","epoch":17,"region":"default"}`),
+				}},
+			})
+		}
+		body, err := json.Marshal(p.Read("partitions/"))
+		if err != nil {
+			return nil, &Error{Op: "tables", Kind: KindFormat, Err: err}
+		}
+		rowBytes = append(rowBytes, Sample{float64(n), float64(len(body))})
+	}
+	for _, n := range teamCounts {
+		text := baseWithTeams(n)
+		if _, err := configurer.Parse("base", text); err != nil {
+			return nil, err
+		}
+		configBytes = append(configBytes, Sample{float64(n), float64(len(text))})
+		parseTime = append(parseTime, Sample{float64(n), microseconds(func() {
+			_, _ = configurer.Parse("base", text)
+		})})
+	}
+	return []Slope{
+		NewSlope("partition-row-bytes", "B", "partition", rowBytes),
+		NewSlope("config-bytes", "B", "team", configBytes),
+		NewSlope("config-parse-time", "us", "team", parseTime),
+	}, nil
+}
+
+// baseWithTeams returns a base file with one service and n teams.
+func baseWithTeams(n int) []byte {
+	var b strings.Builder
+	b.WriteString("services:\n  - name: quote\n    path: /quote\n    timeout: 30s\n    default-run-time: 200ms\n" +
+		"    default-memory-bytes: 67108864\n    objective: {latency: 2s, latency-ratio: 0.99, success-ratio: 0.999}\nteams:\n")
+	for i := range n {
+		fmt.Fprintf(&b, "  - name: team-%03d\n    slots: 64\n    starts-per-second: 600\n    token-hashes: [%q]\n",
+			i, strings.Repeat("ab", 32))
+	}
+	return []byte(b.String())
+}
+
+// microseconds returns the mean time of a call in microseconds.
+func microseconds(call func()) float64 {
+	begun := time.Now()
+	for range repeats {
+		call()
+	}
+	return float64(time.Since(begun).Nanoseconds()) / repeats / 1e3
+}
+
+func payload() []byte { return bytes.Repeat([]byte{'1'}, payloadBytes) }
+
+// admitAll makes a guard accept starts of every partition from the entry.
+func admitAll(now time.Time, g *guard.Guard, entry messenger.Peer) {
+	f := &messenger.Fence{}
+	for p := range identifier.Partitions {
+		f.Partitions = append(f.Partitions, messenger.PartitionEpoch{Partition: identifier.Partition(p), Epoch: 1})
+	}
+	g.Receive(now, entry, &messenger.Frame{Fence: f})
+}
