--- a/cmd/sardinelock/cmd/dev_platform.go
+++ b/cmd/sardinelock/cmd/dev_platform.go
@@ -49,7 +49,7 @@
 			faults.Latency = latency.String()
 			platform := emulator.NewPlatform(seed, faults)
 			if config || base != "" {
-				if err := launcher.StoreConfig(platform, base); err != nil {
+				if _, err := launcher.StoreConfig(platform, base); err != nil {
 					return err
 				}
 			}
--- a/cmd/sardinelock/cmd/root.go
+++ b/cmd/sardinelock/cmd/root.go
@@ -68,6 +68,7 @@
 		newAgentCommand(),
 		newDevCommand(),
 		newSubmitCommand(),
+		newLoadCommand(),
 		newSurveyCommand(),
 	)
 	return root
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/oklog/run"
@@ -58,10 +59,15 @@
 	conns   map[messenger.Peer]*connector.Conn
 	targets map[netip.AddrPort]bool // targets has the entries' addresses; true while one is connected or dialled.
 	calls   map[guard.TaskRef]context.CancelFunc
+	// draining means that the agent shuts down: whatever the upstream announces
+	// since, it takes no new work.
+	draining bool
 
 	background context.Context // background ends after the drain.
 	stop       context.CancelFunc
 	ready      chan struct{}
+	killed     chan struct{} // killed is closed by Kill.
+	killOnce   sync.Once
 }
 
 // New returns an agent that is bound to its address but does not serve yet.
@@ -79,6 +85,7 @@
 		targets:  make(map[netip.AddrPort]bool),
 		calls:    make(map[guard.TaskRef]context.CancelFunc),
 		ready:    make(chan struct{}),
+		killed:   make(chan struct{}),
 	}
 	for _, addr := range s.Entries {
 		a.targets[addr] = false
@@ -106,6 +113,14 @@
 	g.Add(a.serve, func(error) { _ = a.server.Close() })
 	drainCtx, cancelDrain := context.WithCancel(ctx)
 	g.Add(func() error { return a.waitAndDrain(drainCtx) }, func(error) { cancelDrain() })
+	ended := make(chan struct{})
+	g.Add(func() error {
+		select {
+		case <-a.killed:
+		case <-ended:
+		}
+		return nil
+	}, func(error) { close(ended) })
 
 	a.timers.Subscribe(tickEvery, func(time.Time) {
 		a.loop.Post(func(now time.Time) { a.guard.Tick(now) })
@@ -127,9 +142,14 @@
 // waitAndDrain waits for the end of the context, refuses new starts and waits
 // for the tasks that run.
 func (a *Agent) waitAndDrain(ctx context.Context) error {
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-a.killed:
+		return nil
+	}
 	a.settings.Logger.Info().Str("event", "draining").Msg("agent finishes what runs")
 	a.loop.Post(func(now time.Time) {
+		a.draining = true
 		upstream, _ := a.guard.Upstream()
 		upstream.Leaving = true
 		a.guard.Announce(now, upstream)
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -58,6 +58,7 @@
 	if a.invoker == nil || before.Connections != in.Connections {
 		a.invoker = invoker.New(in.Connections)
 	}
+	in.Leaving = in.Leaving || a.draining
 	a.guard.Announce(now, in)
 }
 
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -82,16 +82,17 @@
 }
 
 func (l *Loop) applyBatch(first Event) {
-	now := time.Now()
-	first(now)
+	// The time is read for each event and for the flush: a process may be paused
+	// between any two of them, and what holds a lease must see that.
+	first(time.Now())
 	for range batchEvents - 1 {
 		select {
 		case e := <-l.events:
-			e(now)
+			e(time.Now())
 			continue
 		default:
 		}
 		break
 	}
-	l.flush(now)
+	l.flush(time.Now())
 }
--- a/internal/dispatcher/caller.go
+++ b/internal/dispatcher/caller.go
@@ -61,6 +61,7 @@
 			e.coordinator.Abandon(now, ticket)
 		})
 	case <-e.background.Done():
+		e.abortIfKilled()
 		writeAnswer(w, &messenger.Answer{
 			Submission: request.Job.Submission,
 			Outcome:    string(submitter.OutcomeUnknown),
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/oklog/run"
@@ -71,6 +72,8 @@
 	background          context.Context // background ends after the drain.
 	stop                context.CancelFunc
 	ready               chan struct{}
+	killed              chan struct{} // killed is closed by Kill.
+	killOnce            sync.Once
 }
 
 // New returns an entry that is bound to its addresses but does not serve yet.
@@ -82,6 +85,7 @@
 		peers:    make(map[messenger.Peer]*connector.Conn),
 		tickets:  make(map[uint64]chan<- *messenger.Answer),
 		ready:    make(chan struct{}),
+		killed:   make(chan struct{}),
 	}
 	e.background, e.stop = context.WithCancel(context.Background())
 	e.loop = controller.New(e.flush)
@@ -123,6 +127,14 @@
 	e.addServer(&g, e.admin, e.adminHandler())
 	drainCtx, cancelDrain := context.WithCancel(ctx)
 	g.Add(func() error { return e.waitAndDrain(drainCtx) }, func(error) { cancelDrain() })
+	ended := make(chan struct{})
+	g.Add(func() error {
+		select {
+		case <-e.killed:
+		case <-ended:
+		}
+		return nil
+	}, func(error) { close(ended) })
 
 	e.subscribe()
 	e.settings.Logger.Info().
@@ -152,7 +164,11 @@
 // waits for the requests in flight. Peers are served until the end, since answers
 // come over their connections.
 func (e *Entry) waitAndDrain(ctx context.Context) error {
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-e.killed:
+		return nil
+	}
 	e.settings.Logger.Info().Str("event", "draining").Msg("entry hands over its partitions and finishes what is in flight")
 	drain, cancel := context.WithTimeout(context.Background(), e.settings.DrainTimeout)
 	defer cancel()
--- a/internal/emulator/upstream.go
+++ b/internal/emulator/upstream.go
@@ -37,12 +37,13 @@
 	random  *rand.Rand
 	log     *json.Encoder
 	running int
-	starts  map[taskRef]int // starts counts the starts of each task.
+	starts  map[TaskRef]int // starts counts the starts of each task.
 }
 
-type taskRef struct {
-	submission string
-	task       int
+// TaskRef names one task of a submission.
+type TaskRef struct {
+	Submission string
+	Task       int
 }
 
 // logLine is one line of an upstream's log.
@@ -73,7 +74,7 @@
 		options: o,
 		random:  rand.New(rand.NewPCG(o.Seed, 2)),
 		log:     json.NewEncoder(log),
-		starts:  make(map[taskRef]int),
+		starts:  make(map[TaskRef]int),
 	}
 }
 
@@ -89,6 +90,22 @@
 	return total, repeated
 }
 
+// AddStarts adds the number of starts of each task to counts.
+func (u *Upstream) AddStarts(counts map[TaskRef]int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for ref, n := range u.starts {
+		counts[ref] += n
+	}
+}
+
+// SetFailRatio changes the share of tasks that fail.
+func (u *Upstream) SetFailRatio(ratio float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.options.FailRatio = ratio
+}
+
 // ServeHTTP runs one task.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxRequestBytes))
@@ -100,7 +117,7 @@
 	// Payloads of other forms are legal: they take no time.
 	_ = json.Unmarshal(body, &todo)
 	index, _ := strconv.Atoi(r.Header.Get(invoker.HeaderTask))
-	ref := taskRef{submission: r.Header.Get(invoker.HeaderSubmission), task: index}
+	ref := TaskRef{Submission: r.Header.Get(invoker.HeaderSubmission), Task: index}
 
 	fail := u.start(ref) || todo.Fail
 	defer u.end(ref)
@@ -114,7 +131,7 @@
 }
 
 // start records a start and draws whether the task fails.
-func (u *Upstream) start(ref taskRef) (fail bool) {
+func (u *Upstream) start(ref TaskRef) (fail bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.running++
@@ -123,7 +140,7 @@
 	return u.random.Float64() < u.options.FailRatio
 }
 
-func (u *Upstream) end(ref taskRef) {
+func (u *Upstream) end(ref TaskRef) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.running--
@@ -131,12 +148,12 @@
 }
 
 // write must be called with the lock held.
-func (u *Upstream) write(event string, ref taskRef) {
+func (u *Upstream) write(event string, ref TaskRef) {
 	if u.options.Log == nil {
 		return
 	}
 	_ = u.log.Encode(logLine{
-		Event: event, Time: time.Now(), SubmissionID: ref.submission, Task: ref.task, Running: u.running,
+		Event: event, Time: time.Now(), SubmissionID: ref.Submission, Task: ref.Task, Running: u.running,
 	})
 }
 
--- /dev/null
+++ b/internal/launcher/control.go
@@ -0,0 +1,123 @@
+package launcher
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	"sardinelock.dev/sardinelock/internal/agent"
+	"sardinelock.dev/sardinelock/internal/connector"
+	"sardinelock.dev/sardinelock/internal/dispatcher"
+	"sardinelock.dev/sardinelock/internal/emulator"
+)
+
+// KillEntry ends an entry at once.
+func (s *System) KillEntry(i int) error {
+	e, err := s.entry(i)
+	if err == nil {
+		e.Kill()
+	}
+	return err
+}
+
+// PauseEntry stops the control thread of an entry for a while.
+func (s *System) PauseEntry(i int, d time.Duration) error {
+	e, err := s.entry(i)
+	if err == nil {
+		e.Pause(d)
+	}
+	return err
+}
+
+// DrainEntry lets an entry shut down in order.
+func (s *System) DrainEntry(i int) error {
+	if _, err := s.entry(i); err != nil {
+		return err
+	}
+	s.drainEntries[i]()
+	return nil
+}
+
+// KillAgent ends an agent at once. Its upstream stays and is not reached any more.
+func (s *System) KillAgent(i int) error {
+	a, err := s.agent(i)
+	if err == nil {
+		a.Kill()
+	}
+	return err
+}
+
+// PauseAgent stops the control thread of an agent for a while.
+func (s *System) PauseAgent(i int, d time.Duration) error {
+	a, err := s.agent(i)
+	if err == nil {
+		a.Pause(d)
+	}
+	return err
+}
+
+// DrainAgent lets an agent shut down in order and its upstream leave.
+func (s *System) DrainAgent(i int) error {
+	if _, err := s.agent(i); err != nil {
+		return err
+	}
+	s.drainAgents[i]()
+	return nil
+}
+
+// FailUpstream makes an upstream fail a share of its tasks.
+func (s *System) FailUpstream(i int, ratio float64) error {
+	if _, err := s.agent(i); err != nil {
+		return err
+	}
+	s.Upstreams[i].SetFailRatio(ratio)
+	return nil
+}
+
+// Traffic sums the traffic of all entries and agents. Every message is counted
+// once as sent, by whoever sent it.
+func (s *System) Traffic() connector.Totals {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var sum connector.Totals
+	add := func(t connector.Totals) {
+		sum.MessagesSent += t.MessagesSent
+		sum.BytesSent += t.BytesSent
+		sum.MessagesRead += t.MessagesRead
+		sum.BytesRead += t.BytesRead
+	}
+	for _, e := range s.Entries {
+		add(e.Traffic())
+	}
+	for _, a := range s.Agents {
+		add(a.Traffic())
+	}
+	return sum
+}
+
+// Starts adds the number of starts of each task over all upstreams.
+func (s *System) Starts(into map[emulator.TaskRef]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, u := range s.Upstreams {
+		u.AddStarts(into)
+	}
+}
+
+func (s *System) entry(i int) (*dispatcher.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i < 0 || i >= len(s.Entries) {
+		return nil, errors.Errorf("there is no entry %d", i)
+	}
+	return s.Entries[i], nil
+}
+
+func (s *System) agent(i int) (*agent.Agent, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i < 0 || i >= len(s.Agents) {
+		return nil, errors.Errorf("there is no agent %d", i)
+	}
+	return s.Agents[i], nil
+}
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -52,19 +52,29 @@
 type Options struct {
 	Entries, Agents int
 	// BaseFile is the base configuration; empty means the shipped one.
-	BaseFile    string
+	BaseFile string
+	// Slots are the slots of each upstream; zero means 8.
+	Slots       int
 	Limits      coordinator.Limits
 	AgentLimits guard.Limits
 	Logger      *log.Logger
 }
 
-// System is a running system.
+// System is a running system. Entries and agents that were killed or drained
+// stay in its lists, so that an index always means the same one.
 type System struct {
 	Platform  *emulator.Platform
 	Entries   []*dispatcher.Entry
 	Agents    []*agent.Agent
 	Upstreams []*emulator.Upstream
 
+	ctx          context.Context
+	options      Options
+	platform     netip.AddrPort
+	services     []string
+	drainEntries []context.CancelFunc // drainEntries has one function an entry.
+	drainAgents  []context.CancelFunc // drainAgents has one function an agent.
+
 	wg     sync.WaitGroup
 	mu     sync.Mutex
 	faults []error
@@ -74,21 +84,24 @@
 
 // Start starts a system, which runs until the context ends.
 func Start(ctx context.Context, o Options) (*System, error) {
-	s := &System{Platform: emulator.NewPlatform(1, emulator.Faults{})}
-	if err := StoreConfig(s.Platform, o.BaseFile); err != nil {
+	if o.Slots == 0 {
+		o.Slots = upstreamSlots
+	}
+	s := &System{ctx: ctx, options: o, Platform: emulator.NewPlatform(1, emulator.Faults{})}
+	var err error
+	if s.services, err = StoreConfig(s.Platform, o.BaseFile); err != nil {
 		return nil, err
 	}
-	platform, err := s.serve(ctx, s.Platform.Handler())
-	if err != nil {
+	if s.platform, err = s.serve(ctx, s.Platform.Handler()); err != nil {
 		return nil, err
 	}
-	for i := range o.Entries {
-		if err := s.startEntry(ctx, i, platform, o); err != nil {
+	for range o.Entries {
+		if err := s.AddEntry(); err != nil {
 			return nil, err
 		}
 	}
-	for i := range o.Agents {
-		if err := s.startAgent(ctx, i, o); err != nil {
+	for range o.Agents {
+		if err := s.AddAgent(); err != nil {
 			return nil, err
 		}
 	}
@@ -127,30 +140,40 @@
 }
 
 // StoreConfig makes a base file, or the shipped one if the name is empty, the
-// first accepted configuration of a platform.
-func StoreConfig(platform *emulator.Platform, baseFile string) error {
+// first accepted configuration of a platform. It returns the names of its services.
+func StoreConfig(platform *emulator.Platform, baseFile string) ([]string, error) {
 	base := shippedBase
 	if baseFile != "" {
 		var err error
 		if base, err = os.ReadFile(baseFile); err != nil {
-			return errors.Trace(err)
+			return nil, errors.Trace(err)
 		}
 	}
-	if _, err := configurer.Parse(baseFile, base); err != nil {
-		return err
+	config, err := configurer.Parse(baseFile, base)
+	if err != nil {
+		return nil, err
 	}
 	value, err := json.Marshal(configurer.Version{Number: 1, ChangeID: "dev", Base: string(base)})
 	if err != nil {
-		return errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
 	platform.Write(storer.Transaction{
 		RequestID: "dev-config",
 		Puts:      []storer.Put{{Key: configurer.CurrentKey, Value: value}},
 	})
-	return nil
+	var services []string
+	for _, service := range config.Services {
+		services = append(services, service.Name)
+	}
+	return services, nil
 }
 
-func (s *System) startEntry(ctx context.Context, i int, platform netip.AddrPort, o Options) error {
+// AddEntry starts one more entry.
+func (s *System) AddEntry() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := len(s.Entries)
+	ctx, drain := context.WithCancel(s.ctx)
 	e, err := dispatcher.New(dispatcher.Settings{
 		Peer:         messenger.Peer("entry-" + strconv.Itoa(i)),
 		Region:       "default",
@@ -158,20 +181,27 @@
 		CallerListen: loopback,
 		PeerListen:   loopback,
 		AdminListen:  loopback,
-		Platform:     platform,
-		Limits:       o.Limits,
+		Platform:     s.platform,
+		Limits:       s.options.Limits,
 		DrainTimeout: drainTimeout,
-		Logger:       o.Logger,
+		Logger:       s.options.Logger,
 	})
 	if err != nil {
+		drain()
 		return err
 	}
+	s.drainEntries = append(s.drainEntries, drain)
 	s.Entries = append(s.Entries, e)
 	s.run(func() error { return e.Run(ctx) })
 	return nil
 }
 
-func (s *System) startAgent(ctx context.Context, i int, o Options) error {
+// AddAgent starts one more agent with its upstream.
+func (s *System) AddAgent() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := len(s.Agents)
+	ctx, drain := context.WithCancel(s.ctx)
 	var entries []netip.AddrPort
 	for _, e := range s.Entries {
 		entries = append(entries, e.PeerAddr())
@@ -183,26 +213,29 @@
 		Rack:         "r" + strconv.Itoa(i/agentsPerRack),
 		Listen:       loopback,
 		Entries:      entries,
-		Limits:       o.AgentLimits,
+		Limits:       s.options.AgentLimits,
 		DrainTimeout: drainTimeout,
-		Logger:       o.Logger,
+		Logger:       s.options.Logger,
 	})
 	if err != nil {
+		drain()
 		return err
 	}
-	upstream := emulator.NewUpstream(emulator.UpstreamOptions{Slots: upstreamSlots, Seed: uint64(i)})
-	addr, err := s.serve(ctx, upstream)
+	upstream := emulator.NewUpstream(emulator.UpstreamOptions{Slots: s.options.Slots, Seed: uint64(i)})
+	addr, err := s.serve(s.ctx, upstream)
 	if err != nil {
+		drain()
 		return err
 	}
+	s.drainAgents = append(s.drainAgents, drain)
 	s.Agents = append(s.Agents, a)
 	s.Upstreams = append(s.Upstreams, upstream)
 	s.run(func() error { return a.Run(ctx) })
 	s.run(func() error {
 		return emulator.Announce(ctx, a.Addr(), invoker.Announcement{
 			Address:     addr,
-			Services:    []string{"quote", "proof", "artwork-check"},
-			Slots:       upstreamSlots,
+			Services:    s.services,
+			Slots:       s.options.Slots,
 			Connections: upstreamConnections,
 			MemoryBytes: upstreamMemoryBytes,
 			TimeToLive:  submitter.Duration(timeToLive),
--- a/internal/surveyor/state.go
+++ b/internal/surveyor/state.go
@@ -91,7 +91,7 @@
 // guardWithRecords returns a guard that ran one task of each of n submissions.
 func guardWithRecords(now time.Time, n int) *guard.Guard {
 	const entry = "entry"
-	g := guard.New(now, guard.Limits{Window: stateWindow, MaxRecords: plenty, MaxWaiting: plenty})
+	g := guard.New(now, guard.Limits{Window: stateWindow, MaxRecordBytes: plenty, MaxWaiting: plenty})
 	g.EntryUp(now, entry)
 	admitAll(now, g, entry)
 	g.Announce(now, invoker.Announcement{
@@ -139,7 +139,15 @@
 // ownerWithJobs returns an owner that keeps n answered jobs of [jobTasks] tasks.
 func ownerWithJobs(now time.Time, n int) *owner.Owner {
 	const agent = "agent"
-	o := owner.New(owner.Limits{Window: stateWindow, MaxJobs: plenty, LostAfter: time.Second, MaxReplacements: 1})
+	o := owner.New(owner.Limits{
+		Window:          stateWindow,
+		ClockDifference: time.Minute,
+		MaxRecordBytes:  plenty,
+		MaxAnswerBytes:  plenty,
+		LostAfter:       time.Second,
+		MaxReplacements: 1,
+		AbandonGrace:    time.Minute,
+	})
 	for range n {
 		job := owner.Job{
 			Submission: identifier.New(now),
@@ -155,7 +163,7 @@
 			})
 		}
 		tasks := o.Submit(now, owner.Waiter{Ticket: 1}, job)
-		o.Sent(job.Submission, agent, tasks)
+		o.Sent(now, job.Submission, agent, tasks)
 		o.Result(now, agent, &results)
 		o.Take()
 	}
@@ -285,8 +293,12 @@
 // admitAll makes a guard accept starts of every partition from the entry.
 func admitAll(now time.Time, g *guard.Guard, entry messenger.Peer) {
 	f := &messenger.Fence{}
+	epochs := make([]uint64, identifier.Partitions)
 	for p := range identifier.Partitions {
+		epochs[p] = 1
 		f.Partitions = append(f.Partitions, messenger.PartitionEpoch{Partition: identifier.Partition(p), Epoch: 1})
 	}
+	g.Receive(now, entry, &messenger.Frame{Admit: &messenger.Admit{Roster: 1, Epochs: epochs}})
 	g.Receive(now, entry, &messenger.Frame{Fence: f})
+	g.Take(now)
 }
--- a/pkg/submitter/client.go
+++ b/pkg/submitter/client.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/google/uuid"
+
+	"sardinelock.dev/sardinelock/internal/identifier"
 )
 
 // Client submits jobs to entries.
@@ -51,13 +53,27 @@
 // NewSubmissionID returns a submission id made now.
 func NewSubmissionID() string { return uuid.Must(uuid.NewV7()).String() }
 
+// NewSubmissionIDFor returns a submission id made now for a job with the given
+// request key, which names the owner of the key and so of the id. An empty key is
+// as good as none.
+func NewSubmissionIDFor(key string) string {
+	if key == "" {
+		return NewSubmissionID()
+	}
+	for {
+		if id, ok := identifier.NewForKey(time.Now(), key); ok {
+			return id.String()
+		}
+	}
+}
+
 // Submit submits a job and waits for its answer. An empty id makes one. After a
 // lost connection the same id is submitted again, through the next entry; if no
 // entry answers in the end, the outcome is unknown. An error means that the
 // request was no valid submission; it is of type [*Error].
 func (c *Client) Submit(ctx context.Context, service, id string, job Job) (Answer, error) {
 	if id == "" {
-		id = NewSubmissionID()
+		id = NewSubmissionIDFor(job.RequestKey)
 	}
 	body, err := json.Marshal(job)
 	if err != nil {
