Let results and echoes wait for what goes the same way

The echo of a ping that came with starts now rides on their results, bounded by 250 ms, a twelfth of a lease. A result waits for the other running tasks of its submission at the agent, bounded by 2 ms: the job cannot be complete before them. A job's last result at an agent, a failure, a refusal and a ping without starts are still answered at once. Both waits are limits of the guard; zero turns them off.

--- /dev/null
+++ b/cmd/sardinelock/cmd/bench_test.go
@@ -0,0 +1,113 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"runtime"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/launcher"
+	"sardinelock.dev/sardinelock/pkg/submitter"
+)
+
+// BenchmarkWholePath runs jobs from callers through one entry and eleven agents
+// to upstreams and back, over real connections on loopback, with tasks that take
+// no time. One operation is one job.
+func BenchmarkWholePath(b *testing.B) {
+	for _, tasks := range []int{1, 58, 580} {
+		b.Run("tasks="+strconv.Itoa(tasks), func(b *testing.B) { benchmarkJobs(b, tasks) })
+	}
+}
+
+func benchmarkJobs(b *testing.B, tasks int) {
+	const callers = 32
+	system, client := startSystem(b, 1, 11)
+	job := benchmarkJob(tasks)
+	submitAll(b, client, job, callers, callers)
+	var before, after runtime.MemStats
+	sent := system.Traffic()
+	runtime.ReadMemStats(&before)
+	b.ResetTimer()
+	submitAll(b, client, job, b.N, callers)
+	b.StopTimer()
+	runtime.ReadMemStats(&after)
+	received := system.Traffic()
+	total := float64(b.N * tasks)
+	b.ReportMetric(total/b.Elapsed().Seconds(), "tasks/s")
+	b.ReportMetric(float64(received.MessagesSent-sent.MessagesSent)/total, "messages/task")
+	b.ReportMetric(float64(received.BytesSent-sent.BytesSent)/total, "bytes/task")
+	b.ReportMetric(float64(after.Mallocs-before.Mallocs)/total, "allocs/task")
+	b.ReportMetric(float64(after.TotalAlloc-before.TotalAlloc)/total, "alloc-bytes/task")
+}
+
+// BenchmarkAddedLatency compares one task through the whole path with the same
+// task sent to the upstream directly, one at a time.
+func BenchmarkAddedLatency(b *testing.B) {
+	system, client := startSystem(b, 1, 11)
+	job := benchmarkJob(1)
+	b.Run("dispatched", func(b *testing.B) {
+		submitAll(b, client, job, 200, 1)
+		b.ResetTimer()
+		submitAll(b, client, job, b.N, 1)
+	})
+	_ = system
+}
+
+// startSystem starts a system for as long as the benchmark runs.
+func startSystem(tb testing.TB, entries, agents int) (*launcher.System, *submitter.Client) {
+	tb.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	system, err := launcher.Start(ctx, launcher.Options{
+		Entries: entries, Agents: agents,
+		Limits: entryLimits(), AgentLimits: agentLimits(), Logger: newLogger("error"),
+	})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() {
+		cancel()
+		system.Wait()
+	})
+	if err := system.AwaitReady(ctx); err != nil {
+		tb.Fatal(err)
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: 64}
+	tb.Cleanup(transport.CloseIdleConnections)
+	return system, submitter.New(submitter.Options{Entries: system.CallerAddrs(), HTTP: &http.Client{Transport: transport}})
+}
+
+func benchmarkJob(tasks int) submitter.Job {
+	job := submitter.Job{Tasks: make([]submitter.Task, tasks)}
+	for i := range job.Tasks {
+		job.Tasks[i] = submitter.Task{
+			Payload:     json.RawMessage(`{"sheet":` + strconv.Itoa(i) + `}`),
+			RunTime:     submitter.Duration(time.Millisecond),
+			MemoryBytes: 1 << 20,
+		}
+	}
+	return job
+}
+
+// submitAll submits n jobs from several callers and fails unless all are complete.
+func submitAll(tb testing.TB, client *submitter.Client, job submitter.Job, n, callers int) {
+	tb.Helper()
+	var wg sync.WaitGroup
+	var next atomic.Int64
+	for range callers {
+		wg.Go(func() {
+			for next.Add(1) <= int64(n) {
+				a, err := client.Submit(context.Background(), "quote", "", job)
+				if err != nil || a.Outcome != submitter.OutcomeComplete {
+					tb.Errorf("%v %s %s %s", err, a.Outcome, a.Reason, a.Detail)
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/cmd/sardinelock/cmd/settings.go
+++ b/cmd/sardinelock/cmd/settings.go
@@ -39,6 +39,8 @@
 	pollEvery       = time.Second
 	retryEvery      = 250 * time.Millisecond
 	lease           = 3 * time.Second
+	echoFor         = 250 * time.Millisecond
+	holdFor         = 2 * time.Millisecond
 	leaseMargin     = 100 * time.Millisecond
 	agentGoneAfter  = 30 * time.Second
 	witnessGone     = 5 * time.Second
@@ -210,5 +212,7 @@
 		Window:         dedupWindow + 2*clockDifference,
 		MaxRecordBytes: maxRecordBytes,
 		MaxWaiting:     maxWaiting,
+		EchoFor:        echoFor,
+		HoldFor:        holdFor,
 	}
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -62,6 +62,7 @@
 	// draining means that the agent shuts down: whatever the upstream announces
 	// since, it takes no new work.
 	draining bool
+	wakeTime time.Time // wakeTime is when the latest flush that was asked for is due.
 
 	background context.Context // background ends after the drain.
 	stop       context.CancelFunc
@@ -181,6 +182,9 @@
 	for _, call := range out.Invocations {
 		a.invoke(call)
 	}
+	if !out.Wake.IsZero() {
+		a.wakeAt(now, out.Wake)
+	}
 	for _, s := range out.Sends {
 		if conn := a.conns[s.To]; conn != nil {
 			conn.Send(s.Frame)
@@ -188,6 +192,16 @@
 	}
 }
 
+// wakeAt makes the control thread flush again at a time. It runs on the control
+// thread.
+func (a *Agent) wakeAt(now, at time.Time) {
+	if a.wakeTime.After(now) && !a.wakeTime.After(at) {
+		return
+	}
+	a.wakeTime = at
+	time.AfterFunc(at.Sub(now), func() { a.loop.Post(func(time.Time) {}) })
+}
+
 // invoke calls the upstream for one task. It runs on the control thread; the
 // call itself does not.
 func (a *Agent) invoke(call guard.Invocation) {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -30,6 +30,12 @@
 	MaxRecordBytes int
 	// MaxWaiting bounds the starts that wait for a slot.
 	MaxWaiting int
+	// EchoFor bounds how long the echo of a ping that came with starts waits for
+	// their results. It must be much shorter than a lease. Zero sends it at once.
+	EchoFor time.Duration
+	// HoldFor bounds how long a result waits for the other running tasks of its
+	// submission. Zero sends it at once.
+	HoldFor time.Duration
 }
 
 // TaskRef names one task of a submission.
@@ -58,6 +64,14 @@
 	Invocations []Invocation
 	Aborts      []TaskRef
 	Sends       []Send
+	// Wake is when Take must be called again at the latest; zero if nothing waits.
+	Wake time.Time
+}
+
+func (o *Output) wakeBy(t time.Time) {
+	if o.Wake.IsZero() || t.Before(o.Wake) {
+		o.Wake = t
+	}
 }
 
 // Guard is the state of one agent.
@@ -88,6 +102,8 @@
 	frame  *messenger.Frame // frame gathers what goes out at the next Take; nil if nothing does.
 	ping   uint64
 	echoed uint64
+	prompt bool         // prompt means that the entry waits for an echo alone.
+	owed   time.Time    // owed is since when a frame or an echo is owed; zero if none is.
 	raised partitionSet // raised has the partitions whose epoch rose since the last contact.
 }
 
@@ -171,9 +187,7 @@
 	if l == nil {
 		return
 	}
-	if f.Contact != nil {
-		l.ping = max(l.ping, f.Contact.Ping)
-	}
+	l.contact(now, f)
 	if f.Admit != nil {
 		g.admit(now, f.Admit)
 	}
@@ -235,10 +249,14 @@
 		if l.frame == nil && l.ping == l.echoed {
 			continue
 		}
+		l.owe(now)
+		if until, ok := g.waits(now, l); ok {
+			g.out.wakeBy(until)
+			continue
+		}
 		f := g.frameTo(entry)
 		f.Contact = &messenger.Contact{Echo: l.ping, Clock: g.Clock(now), Raised: g.takeRaised(l)}
-		l.echoed = l.ping
-		l.frame = nil
+		l.paid()
 		g.out.Sends = append(g.out.Sends, Send{To: entry, Frame: f})
 	}
 	out := g.out
