Take memory for connections only while they carry something

A connection kept a queue of 4096 pointers, a write buffer and a goroutine for writing; now the queue grows with what waits, buffers are shared, and the writer lives while frames are queued. An accepted connection leaves the HTTP server's goroutine.

--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -1,8 +1,8 @@
 // Package connector moves frames between two processes over a WebSocket.
 //
-// A [Conn] has a bounded queue of outgoing frames and one goroutine that writes
-// them: whatever has gathered while a write was under way goes out as one
-// message. A peer that reads too slowly fills the queue, and then its connection
+// A [Conn] has a bounded queue of outgoing frames and a goroutine that writes them
+// while there are any: whatever has gathered while a write was under way goes out
+// as one message. A peer that reads too slowly fills the queue, and then its connection
 // is closed; nothing else waits for it. A peer that sends what cannot be decoded
 // or is too large loses its connection as well.
 package connector
@@ -21,8 +21,10 @@
 )
 
 const (
-	queueFrames     = 4096
-	maxBatchBytes   = 1 << 20
+	queueFrames   = 4096
+	maxBatchBytes = 1 << 20
+	// keepBytes is the largest write buffer that is kept between messages.
+	keepBytes       = 64 << 10
 	writeTimeout    = 5 * time.Second
 	handshakeWindow = 5 * time.Second
 )
@@ -58,7 +60,7 @@
 type Conn struct {
 	ws     *websocket.Conn
 	hello  messenger.Hello // hello is what the peer said first; it does not change.
-	queue  chan *messenger.Frame
+	queue  *frameQueue
 	counts *Counts
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -113,7 +115,7 @@
 	return &Conn{
 		ws:     ws,
 		hello:  *peer,
-		queue:  make(chan *messenger.Frame, queueFrames),
+		queue:  newFrameQueue(queueFrames),
 		counts: o.Counts,
 		ctx:    connCtx,
 		cancel: cancel,
@@ -153,28 +155,25 @@
 // Send queues a frame, which must not be changed afterwards. If the queue is
 // full the connection is closed and Send reports false.
 func (c *Conn) Send(f *messenger.Frame) bool {
-	select {
-	case <-c.ctx.Done():
+	if c.ctx.Err() != nil {
 		return false
-	default:
 	}
-	select {
-	case c.queue <- f:
-		return true
-	default:
+	queued, idle := c.queue.push(f)
+	if !queued {
 		c.Close()
 		return false
 	}
+	if idle {
+		go c.write()
+	}
+	return true
 }
 
-// Run writes queued frames and passes each received frame to handle, until the
-// connection ends. It returns the cause.
+// Run passes each received frame to handle, until the connection ends. It returns
+// the cause.
 func (c *Conn) Run(handle func(*messenger.Frame)) error {
-	var wg sync.WaitGroup
-	wg.Go(c.writeLoop)
 	err := c.readLoop(handle)
 	c.Close()
-	wg.Wait()
 	return err
 }
 
@@ -201,37 +200,41 @@
 	}
 }
 
-func (c *Conn) writeLoop() {
-	defer c.Close()
-	var buf bytes.Buffer
+// write writes what is queued and ends when nothing is left. There is at most one
+// writer a connection, and none while it is idle, so that the many connections of
+// an entry cost little memory.
+func (c *Conn) write() {
 	for {
-		select {
-		case <-c.ctx.Done():
+		if err := c.writeBatch(); err != nil {
+			c.Close()
+			return
+		}
+		if c.queue.rest() {
 			return
-		case f := <-c.queue:
-			if c.writeBatch(&buf, f) != nil {
-				return
-			}
 		}
 	}
 }
 
-// writeBatch writes the given frame and those queued behind it as one message.
-func (c *Conn) writeBatch(buf *bytes.Buffer, f *messenger.Frame) error {
+// buffers has write buffers; connections do not keep one each.
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// writeBatch writes what is queued as one message, up to a size.
+func (c *Conn) writeBatch() error {
+	buf := buffers.Get().(*bytes.Buffer)
+	defer func() {
+		if buf.Cap() <= keepBytes {
+			buffers.Put(buf)
+		}
+	}()
 	buf.Reset()
-	if err := messenger.Append(buf, f); err != nil {
-		return err
-	}
 	for buf.Len() < maxBatchBytes {
-		select {
-		case next := <-c.queue:
-			if err := messenger.Append(buf, next); err != nil {
-				return err
-			}
-			continue
-		default:
+		f := c.queue.pop()
+		if f == nil {
+			break
+		}
+		if err := messenger.Append(buf, f); err != nil {
+			return err
 		}
-		break
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, writeTimeout)
 	defer cancel()
--- a/internal/coordinator/agents.go
+++ b/internal/coordinator/agents.go
@@ -56,6 +56,7 @@
 }
 
 func (c *Coordinator) agentUp(now time.Time, h messenger.Hello) {
+	c.rosterChecked = time.Time{}
 	if h.Region != c.self.Region {
 		return
 	}
@@ -78,6 +79,7 @@
 }
 
 func (c *Coordinator) agentDown(now time.Time, peer messenger.Peer) {
+	c.rosterChecked = time.Time{}
 	delete(c.agents, peer)
 	c.agentOrder = removePeer(c.agentOrder, peer)
 	c.away[peer] = now
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -112,8 +112,11 @@
 	handover handovers
 	draining bool
 	pingedAt time.Time
-	paths    map[string]string // paths has the HTTP path of each service at its upstreams.
-	out      Output
+	// rosterChecked is when the roster was last found in order; zero once an agent
+	// came or went since.
+	rosterChecked time.Time
+	paths         map[string]string // paths has the HTTP path of each service at its upstreams.
+	out           Output
 }
 
 // New returns a coordinator that owns nothing.
--- a/internal/coordinator/ownership.go
+++ b/internal/coordinator/ownership.go
@@ -139,9 +139,12 @@
 		c.registrar.Propose(t)
 		return
 	}
-	if t, ok := c.rosterWrite(now); ok {
-		c.registrar.Propose(t)
-		return
+	if c.rosterDue(now) {
+		if t, ok := c.rosterWrite(now); ok {
+			c.registrar.Propose(t)
+			return
+		}
+		c.rosterChecked = now
 	}
 	if t, ok := c.cleanup(now); ok {
 		c.registrar.Propose(t)
--- a/internal/dispatcher/peer.go
+++ b/internal/dispatcher/peer.go
@@ -18,7 +18,8 @@
 			e.settings.Logger.Warn().Err(err).Msg("a peer was turned away")
 			return
 		}
-		e.serveConn(conn)
+		// A goroutine of its own has a smaller stack than the HTTP server's.
+		go e.serveConn(conn)
 	})
 	return mux
 }
