Count the wait of a result from its own end

The wait was counted from the ping that brought the start, so that results of tasks longer than 2 ms did not wait at all (found by TestWaiting).

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -104,6 +104,7 @@
 	echoed uint64
 	prompt bool         // prompt means that the entry waits for an echo alone.
 	owed   time.Time    // owed is since when a frame or an echo is owed; zero if none is.
+	framed time.Time    // framed is since when the frame is owed; zero if there is none.
 	raised partitionSet // raised has the partitions whose epoch rose since the last contact.
 }
 
--- a/internal/guard/hold.go
+++ b/internal/guard/hold.go
@@ -22,7 +22,7 @@
 	case l.frame == nil:
 		until = l.owed.Add(g.limits.EchoFor)
 	case g.mayWait(l.frame):
-		until = l.owed.Add(g.limits.HoldFor)
+		until = l.framed.Add(g.limits.HoldFor)
 	default:
 		return now, false
 	}
@@ -66,11 +66,14 @@
 	l.owe(now)
 }
 
-// owe notes since when something is owed to the entry.
+// owe notes since when an echo or a frame is owed to the entry.
 func (l *link) owe(now time.Time) {
 	if l.owed.IsZero() {
 		l.owed = now
 	}
+	if l.frame != nil && l.framed.IsZero() {
+		l.framed = now
+	}
 }
 
 // paid clears what was owed when a frame goes out.
@@ -79,4 +82,5 @@
 	l.frame = nil
 	l.prompt = false
 	l.owed = time.Time{}
+	l.framed = time.Time{}
 }
