--- a/internal/loader/result.go
+++ b/internal/loader/result.go
@@ -214,8 +214,12 @@
 	writeLatency(t, "latency of other answers", r.Other)
 	fmt.Fprintf(t, "response against ideal\tmean %.3f, p50 %.3f, p99 %.3f\n", r.MeanRatio, r.RatioP50, r.RatioP99)
 	fmt.Fprintf(t, "task starts\t%d, %.0f a second\n", r.Starts, r.StartsPerSecond)
-	fmt.Fprintf(t, "messages a task\t%.3f\n", r.MessagesPerTask)
-	fmt.Fprintf(t, "bytes a task\t%.0f\n", r.BytesPerTask)
+	if r.MessagesPerTask > 0 {
+		fmt.Fprintf(t, "messages a task\t%.3f\n", r.MessagesPerTask)
+		fmt.Fprintf(t, "bytes a task\t%.0f\n", r.BytesPerTask)
+	} else {
+		fmt.Fprintf(t, "messages a task\tnot counted\n")
+	}
 	for _, s := range r.Steps {
 		fmt.Fprintf(t, "step at %s\t%s %s\n", s.At.Round(time.Millisecond), s.Do, s.Error)
 	}
