--- a/cmd/sardinelock/cmd/bench_test.go
+++ b/cmd/sardinelock/cmd/bench_test.go
@@ -33,12 +33,12 @@
 	const callers = 32
 	system, client := startSystem(b, 1, 11)
 	job := benchmarkJob(tasks)
-	submitAll(b, client, job, callers, callers)
+	submitMany(b, client, job, callers, callers)
 	var before, after runtime.MemStats
 	sent := system.Traffic()
 	runtime.ReadMemStats(&before)
 	b.ResetTimer()
-	submitAll(b, client, job, b.N, callers)
+	submitMany(b, client, job, b.N, callers)
 	b.StopTimer()
 	runtime.ReadMemStats(&after)
 	received := system.Traffic()
@@ -71,13 +71,13 @@
 	for range warmUp {
 		call()
 	}
-	submitAll(b, client, job, warmUp, 1)
+	submitMany(b, client, job, warmUp, 1)
 	direct := hdrhistogram.New(1, int64(time.Minute), 3)
 	dispatched := hdrhistogram.New(1, int64(time.Minute), 3)
 	b.ResetTimer()
 	for range b.N {
 		record(b, direct, call)
-		record(b, dispatched, func() { submitAll(b, client, job, 1, 1) })
+		record(b, dispatched, func() { submitMany(b, client, job, 1, 1) })
 	}
 	for _, q := range []float64{50, 99} {
 		added := dispatched.ValueAtQuantile(q) - direct.ValueAtQuantile(q)
@@ -153,8 +153,8 @@
 	return job
 }
 
-// submitAll submits n jobs from several callers and fails unless all are complete.
-func submitAll(tb testing.TB, client *submitter.Client, job submitter.Job, n, callers int) {
+// submitMany submits n jobs from several callers and fails unless all are complete.
+func submitMany(tb testing.TB, client *submitter.Client, job submitter.Job, n, callers int) {
 	tb.Helper()
 	var wg sync.WaitGroup
 	var next atomic.Int64
--- /dev/null
+++ b/internal/administrator/hold.go
@@ -0,0 +1,302 @@
+package administrator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/authenticator"
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/placer"
+	"sardinelock.dev/sardinelock/internal/storer"
+	"sardinelock.dev/sardinelock/pkg/submitter"
+)
+
+// HoldPrefix is the prefix of the rows that keep work from upstreams and
+// entries. A row stands while the hold does.
+const HoldPrefix = "holds/"
+
+const (
+	upstreamHolds = HoldPrefix + "upstreams/"
+	entryHolds    = HoldPrefix + "entries/"
+)
+
+// holdRow is the value of a row.
+type holdRow struct {
+	Hold     placer.Hold `json:"hold"`
+	By       string      `json:"by"`
+	At       time.Time   `json:"at"`
+	ChangeID string      `json:"change-id"`
+}
+
+// forgetAfter is how old a hold must be before it is removed if its upstream or
+// entry is not known any more. The names are those of one run of a process, so
+// that one that is gone for so long does not come back.
+const forgetAfter = 24 * time.Hour
+
+// Holds are all holds in force.
+type Holds struct {
+	Upstreams map[messenger.Peer]placer.Hold
+	Entries   map[messenger.Peer]bool
+}
+
+// ReadHolds reads the rows below [HoldPrefix]. Rows that cannot be read are
+// left out.
+func ReadHolds(rows storer.Range) Holds {
+	h := Holds{Upstreams: make(map[messenger.Peer]placer.Hold), Entries: make(map[messenger.Peer]bool)}
+	for _, row := range rows.Rows {
+		var v holdRow
+		if json.Unmarshal(row.Value, &v) != nil {
+			continue
+		}
+		if peer, ok := strings.CutPrefix(row.Key, upstreamHolds); ok {
+			h.Upstreams[messenger.Peer(peer)] = v.Hold
+		}
+		if peer, ok := strings.CutPrefix(row.Key, entryHolds); ok {
+			h.Entries[messenger.Peer(peer)] = true
+		}
+	}
+	return h
+}
+
+// changeUpstream drains, undrains, ejects or restores an upstream.
+func (s *Service) changeUpstream(r *http.Request, who authenticator.Principal) (any, *submitter.Problem) {
+	peer := r.PathValue("peer")
+	action := Action(r.PathValue("action") + "-upstream")
+	var hold placer.Hold
+	switch action {
+	case ActionDrainUpstream:
+		hold = placer.HoldDrained
+	case ActionEjectUpstream:
+		hold = placer.HoldEjected
+	case ActionUndrainUpstream, ActionRestoreUpstream:
+	default:
+		return nil, noSuchAction()
+	}
+	return s.change(r, who, action, peer, func(ctx context.Context, record *Record) ([]Silent, *submitter.Problem) {
+		if hold != "" {
+			known, problem := s.findUpstream(ctx, peer)
+			if problem != nil {
+				return nil, problem
+			}
+			s.forgetHolds(ctx, upstreamHolds, known)
+		}
+		if problem := s.writeHold(ctx, upstreamHolds+peer, hold, record); problem != nil {
+			return nil, problem
+		}
+		if action == ActionRestoreUpstream {
+			s.endEjections(ctx, peer, record)
+		}
+		return s.tellHolds(ctx), nil
+	})
+}
+
+// endEjections ends the ejections of an upstream by the entries themselves. The
+// entries that do not answer find out by probes.
+func (s *Service) endEjections(ctx context.Context, peer string, record *Record) {
+	parts, _ := gather[Restored](ctx, s, CallRestore, encode(Restore{Peer: messenger.Peer(peer)}))
+	ended := 0
+	for _, p := range parts {
+		if p.part.Ended {
+			ended++
+		}
+	}
+	if ended > 0 {
+		record.Detail += "; entries that had ejected it by themselves: " + strconv.Itoa(ended)
+	}
+}
+
+// released returns the hold that an action takes away; empty if it sets one.
+func released(a Action) placer.Hold {
+	switch a {
+	case ActionUndrainUpstream, ActionUndrainEntry:
+		return placer.HoldDrained
+	case ActionRestoreUpstream:
+		return placer.HoldEjected
+	}
+	return ""
+}
+
+// changeEntry drains or undrains an entry.
+func (s *Service) changeEntry(r *http.Request, who authenticator.Principal) (any, *submitter.Problem) {
+	peer := r.PathValue("peer")
+	action := Action(r.PathValue("action") + "-entry")
+	var hold placer.Hold
+	switch action {
+	case ActionDrainEntry:
+		hold = placer.HoldDrained
+	case ActionUndrainEntry:
+	default:
+		return nil, noSuchAction()
+	}
+	return s.change(r, who, action, peer, func(ctx context.Context, record *Record) ([]Silent, *submitter.Problem) {
+		if hold != "" {
+			known, problem := s.findEntry(ctx, peer)
+			if problem != nil {
+				return nil, problem
+			}
+			s.forgetHolds(ctx, entryHolds, known)
+		}
+		if problem := s.writeHold(ctx, entryHolds+peer, hold, record); problem != nil {
+			return nil, problem
+		}
+		return s.tellHolds(ctx), nil
+	})
+}
+
+// writeHold sets a hold, or takes one away if it is empty. The change id is the
+// request id of the transaction, so that a repeated change is recognised by the
+// table, and the record of the change is written in the same transaction.
+func (s *Service) writeHold(ctx context.Context, key string, hold placer.Hold, record *Record) *submitter.Problem {
+	rows, err := s.o.Read(ctx, key)
+	if err != nil {
+		return &submitter.Problem{
+			Status: http.StatusServiceUnavailable,
+			Title:  "the platform cannot be reached",
+			Detail: "nothing was changed",
+		}
+	}
+	before, revision := rowOf(rows, key)
+	t := storer.Transaction{
+		RequestID:  record.ChangeID,
+		Conditions: []storer.Condition{{Key: key, Revision: revision}},
+	}
+	switch {
+	case hold != "":
+		record.Detail = "now " + string(hold)
+		t.Puts = []storer.Put{{Key: key, Value: encode(holdRow{
+			Hold:     hold,
+			By:       record.By,
+			At:       record.At,
+			ChangeID: record.ChangeID,
+		})}}
+	case before == "":
+		record.Detail = "was not held"
+		return nil
+	case before != released(record.Action):
+		return &submitter.Problem{
+			Status: http.StatusConflict,
+			Title:  "it is held in another way",
+			Detail: "it is " + string(before) + "; the operator who did so used another action",
+		}
+	default:
+		record.Detail = "no longer " + string(before)
+		t.Deletes = []string{key}
+	}
+	t.Puts = append(t.Puts, storer.Put{Key: recordPrefix + record.ChangeID, Value: encode(record)})
+	return s.writeTransaction(ctx, t)
+}
+
+// encode marshals a type of this package, which cannot fail.
+func encode(v any) json.RawMessage {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+func (s *Service) writeTransaction(ctx context.Context, t storer.Transaction) *submitter.Problem {
+	outcome, err := s.o.Write(ctx, t)
+	if err != nil {
+		return &submitter.Problem{
+			Status: http.StatusServiceUnavailable,
+			Title:  "whether the change was made is not known",
+			Detail: "repeat it with the change id " + t.RequestID,
+		}
+	}
+	if !outcome.Applied {
+		return &submitter.Problem{
+			Status: http.StatusConflict,
+			Title:  "another change came between",
+			Detail: "look at the present state and repeat the change with a new change id",
+		}
+	}
+	return nil
+}
+
+// tellHolds lets every entry read the holds now.
+func (s *Service) tellHolds(ctx context.Context) []Silent {
+	_, silent := gather[json.RawMessage](ctx, s, CallHolds, nil)
+	return silent
+}
+
+// findUpstream returns the names of all upstreams if the given one is among them.
+// The names are nil if some entry did not answer.
+func (s *Service) findUpstream(ctx context.Context, peer string) ([]messenger.Peer, *submitter.Problem) {
+	parts, silent := gather[[]Upstream](ctx, s, CallUpstreams, nil)
+	var known []messenger.Peer
+	for _, p := range parts {
+		for _, u := range p.part {
+			known = append(known, u.Peer)
+		}
+	}
+	if slices.Contains(known, messenger.Peer(peer)) {
+		if len(silent) > 0 {
+			known = nil
+		}
+		return known, nil
+	}
+	return nil, &submitter.Problem{Status: http.StatusNotFound, Title: "no such upstream", Detail: "no entry that answered is connected to it"}
+}
+
+// forgetHolds removes the old holds below a prefix whose holders are not known any
+// more. It does nothing without the names of all. What fails is done at the next
+// hold.
+func (s *Service) forgetHolds(ctx context.Context, prefix string, known []messenger.Peer) {
+	if known == nil {
+		return
+	}
+	rows, err := s.o.Read(ctx, prefix)
+	if err != nil {
+		return
+	}
+	t := storer.Transaction{RequestID: storer.NewRequestID()}
+	for _, row := range rows.Rows {
+		var v holdRow
+		peer := messenger.Peer(strings.TrimPrefix(row.Key, prefix))
+		if json.Unmarshal(row.Value, &v) != nil || s.o.Now().Sub(v.At) < forgetAfter || slices.Contains(known, peer) {
+			continue
+		}
+		t.Conditions = append(t.Conditions, storer.Condition{Key: row.Key, Revision: row.Revision})
+		t.Deletes = append(t.Deletes, row.Key)
+	}
+	if len(t.Deletes) > 0 {
+		_, _ = s.o.Write(ctx, t)
+	}
+}
+
+// findEntry returns the names of all entries if the given one is among them.
+func (s *Service) findEntry(ctx context.Context, peer string) ([]messenger.Peer, *submitter.Problem) {
+	var known []messenger.Peer
+	for _, p := range s.o.AskAll(ctx, CallEntry, nil) {
+		known = append(known, p.Peer)
+	}
+	if slices.Contains(known, messenger.Peer(peer)) {
+		return known, nil
+	}
+	return nil, &submitter.Problem{Status: http.StatusNotFound, Title: "no such entry"}
+}
+
+// rowOf returns the hold and the revision of the row with exactly the key.
+func rowOf(rows storer.Range, key string) (placer.Hold, uint64) {
+	for _, row := range rows.Rows {
+		if row.Key != key {
+			continue
+		}
+		var v holdRow
+		if json.Unmarshal(row.Value, &v) != nil {
+			return "", row.Revision
+		}
+		return v.Hold, row.Revision
+	}
+	return "", 0
+}
+
+func noSuchAction() *submitter.Problem {
+	return &submitter.Problem{Status: http.StatusNotFound, Title: "no such action"}
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,11 +16,14 @@
 	"github.com/oklog/run"
 	"github.com/phuslu/log"
 
+	"sardinelock.dev/sardinelock/internal/applier"
+	"sardinelock.dev/sardinelock/internal/certifier"
 	"sardinelock.dev/sardinelock/internal/connector"
 	"sardinelock.dev/sardinelock/internal/controller"
 	"sardinelock.dev/sardinelock/internal/guard"
 	"sardinelock.dev/sardinelock/internal/invoker"
 	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/meter"
 	"sardinelock.dev/sardinelock/internal/timer"
 )
 
@@ -36,7 +39,9 @@
 	Entries      []netip.AddrPort
 	Limits       guard.Limits
 	DrainTimeout time.Duration
-	Logger       *log.Logger
+	// TLS has the certificates of the agent; nil serves and dials without TLS.
+	TLS    *certifier.Certifier
+	Logger *log.Logger
 }
 
 const (
@@ -52,13 +57,16 @@
 	counts   connector.Counts
 	listener net.Listener
 	server   *http.Server
+	meter    *meter.Meter
+	dialer   *http.Client // dialer dials entries; nil means the default client.
 
 	// The fields below belong to the control thread.
-	guard   *guard.Guard
-	invoker *invoker.Invoker
-	conns   map[messenger.Peer]*connector.Conn
-	targets map[netip.AddrPort]bool // targets has the entries' addresses; true while one is connected or dialled.
-	calls   map[guard.TaskRef]context.CancelFunc
+	guard    *guard.Guard
+	follower *applier.Follower
+	invoker  *invoker.Invoker
+	conns    map[messenger.Peer]*connector.Conn
+	targets  map[netip.AddrPort]bool // targets has the entries' addresses; true while one is connected or dialled.
+	calls    map[guard.TaskRef]context.CancelFunc
 	// draining means that the agent shuts down: whatever the upstream announces
 	// since, it takes no new work.
 	draining bool
@@ -82,6 +90,7 @@
 		timers:   timer.New(),
 		listener: l,
 		guard:    guard.New(time.Now(), s.Limits),
+		follower: applier.NewFollower(time.Now(), applier.DefaultLimits()),
 		conns:    make(map[messenger.Peer]*connector.Conn),
 		targets:  make(map[netip.AddrPort]bool),
 		calls:    make(map[guard.TaskRef]context.CancelFunc),
@@ -93,6 +102,11 @@
 	}
 	a.background, a.stop = context.WithCancel(context.Background())
 	a.loop = controller.New(a.flush)
+	if a.meter, err = a.newMeter(); err != nil {
+		_ = l.Close()
+		return nil, err
+	}
+	a.dialer = a.entryClient()
 	a.server = a.newServer()
 	return a, nil
 }
@@ -124,10 +138,14 @@
 	}, func(error) { close(ended) })
 
 	a.timers.Subscribe(tickEvery, func(time.Time) {
-		a.loop.Post(func(now time.Time) { a.guard.Tick(now) })
+		a.loop.Post(func(now time.Time) {
+			a.guard.Tick(now)
+			a.follower.Tick(now)
+		})
 	})
 	a.timers.Subscribe(dialEvery, func(time.Time) { a.loop.Post(a.dialEntries) })
 	a.loop.Post(a.dialEntries)
+	a.watchCertificates()
 	a.settings.Logger.Info().
 		Str("event", "ready").
 		Str("role", string(messenger.RoleAgent)).
@@ -187,9 +205,11 @@
 	}
 	for _, s := range out.Sends {
 		if conn := a.conns[s.To]; conn != nil {
+			s.Frame.Config = a.follower.Ride(now, s.To)
 			conn.Send(s.Frame)
 		}
 	}
+	a.flushConfig(now)
 }
 
 // wakeAt makes the control thread flush again at a time. It runs on the control
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -10,6 +10,7 @@
 package coordinator
 
 import (
+	"slices"
 	"time"
 
 	"sardinelock.dev/sardinelock/internal/enroller"
@@ -83,6 +84,8 @@
 	Writes  []registrar.Write
 	// RoutesChanged says that owners or entries differ from before.
 	RoutesChanged bool
+	// Waits are those of jobs of which a first task is sent.
+	Waits []Wait
 }
 
 // Coordinator is the control state of one entry.
@@ -90,6 +93,7 @@
 	self    registrar.Entry // self is what the entry's row should say.
 	limits  Limits
 	started time.Time // started is the time of the first tick.
+	now     time.Time // now is the time of the event that is being applied.
 
 	registrar *registrar.Registrar
 	leaser    *leaser.Leaser
@@ -111,6 +115,7 @@
 	requests requests
 	handover handovers
 	draining bool
+	disowned bool // disowned means that a partition was lost or stopped since the last Take.
 	pingedAt time.Time
 	// rosterChecked is when the roster was last found in order; zero once an agent
 	// came or went since.
@@ -124,7 +129,7 @@
 	if len(limits.Regions) == 0 {
 		limits.Regions = []string{self.Region}
 	}
-	return &Coordinator{
+	c := &Coordinator{
 		self:      self,
 		limits:    limits,
 		registrar: registrar.New(self, limits.Registrar, rules.Registrar),
@@ -140,6 +145,8 @@
 		handover:  newHandovers(),
 		paths:     make(map[string]string),
 	}
+	c.owner.Rules.Holds = func(p identifier.Partition) bool { return c.Owns(p) && c.leaser.Held(c.now) }
+	return c
 }
 
 // SetPath sets the HTTP path of a service at its upstreams.
@@ -172,6 +179,7 @@
 
 // Receive applies a frame from a peer.
 func (c *Coordinator) Receive(now time.Time, from messenger.Peer, f *messenger.Frame) {
+	c.now = now
 	if a := c.agents[from]; a != nil {
 		c.receiveAgent(now, a, f)
 		return
@@ -183,12 +191,14 @@
 
 // StoreRead applies the outcome of a read.
 func (c *Coordinator) StoreRead(now time.Time, id uint64, r storer.Range, err error) {
+	c.now = now
 	c.registrar.StoreRead(now, id, r, err)
 	c.applyRows(now)
 }
 
 // StoreWritten applies the outcome of a write.
 func (c *Coordinator) StoreWritten(now time.Time, id uint64, o storer.Outcome, err error) {
+	c.now = now
 	c.registrar.StoreWritten(now, id, o, err)
 	c.applyRows(now)
 }
@@ -206,11 +216,12 @@
 		return false
 	}
 	_, open := c.owner.Jobs()
-	return open == 0 && (len(c.Owned()) == 0 || len(c.live(now)) == 0)
+	return open == 0 && c.owner.Waiting() == 0 && (len(c.Owned()) == 0 || len(c.live(now)) == 0)
 }
 
 // Tick applies the passing of time.
 func (c *Coordinator) Tick(now time.Time) {
+	c.now = now
 	if c.started.IsZero() {
 		c.started = now
 	}
@@ -220,6 +231,7 @@
 		c.releaseHeld(now)
 	}
 	c.expireRequests(now)
+	c.routeRequests(now)
 	c.pingWitnesses(now)
 	c.pingEntries(now)
 	c.tickHandover(now)
@@ -229,6 +241,8 @@
 // Take runs the controllers on what has happened, returns what is to be done and
 // clears it.
 func (c *Coordinator) Take(now time.Time) Output {
+	c.now = now
+	c.disown(now)
 	c.applyOwner(now)
 	if c.leaser.Held(now) {
 		c.dispatch(now)
@@ -248,7 +262,7 @@
 func (c *Coordinator) applyOwner(now time.Time) {
 	out := c.owner.Take()
 	for _, a := range out.Answers {
-		c.deliver(a.Waiter, a.Answer)
+		c.deliver(now, a.Waiter, a.Answer)
 	}
 	for _, r := range out.Requeues {
 		if j, ok := c.owner.Job(r.Submission); ok {
@@ -279,15 +293,46 @@
 		if !ok || link == nil {
 			continue
 		}
-		a.Tasks = c.owner.Sent(now, a.Submission, a.Agent, a.Tasks)
+		placed := a.Tasks
+		a.Tasks = c.owner.Sent(now, a.Submission, a.Agent, placed)
+		c.returnPlaces(now, a, placed)
 		if len(a.Tasks) == 0 {
 			continue
 		}
+		c.noteFirstSend(now, &j)
 		f := link.gather()
 		f.Starts = append(f.Starts, c.start(now, link, &j, a))
 	}
 }
 
+// returnPlaces frees the places of tasks that the owner did not let go, because
+// they are known to be at an agent.
+func (c *Coordinator) returnPlaces(now time.Time, a placer.Assignment, placed []uint16) {
+	if len(a.Tasks) == len(placed) {
+		return
+	}
+	for _, index := range placed {
+		if !slices.Contains(a.Tasks, index) {
+			c.placer.Ended(now, placer.End{
+				Agent:      a.Agent,
+				Submission: a.Submission,
+				Index:      index,
+				Kind:       messenger.ResultRefused,
+			})
+		}
+	}
+}
+
+// disown frees the places of tasks of partitions that this entry does not run any
+// more: their results go to the new owner.
+func (c *Coordinator) disown(now time.Time) {
+	if !c.disowned {
+		return
+	}
+	c.disowned = false
+	c.placer.Disown(now, func(s identifier.Submission) bool { return !c.Owns(s.Partition()) })
+}
+
 func (c *Coordinator) start(now time.Time, link *agentLink, j *owner.Job, a placer.Assignment) messenger.Start {
 	clock := link.clock + now.Sub(link.clockAt)
 	s := messenger.Start{
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -8,21 +8,23 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/run"
 	"github.com/phuslu/log"
 
+	"sardinelock.dev/sardinelock/internal/certifier"
 	"sardinelock.dev/sardinelock/internal/configurer"
 	"sardinelock.dev/sardinelock/internal/connector"
 	"sardinelock.dev/sardinelock/internal/controller"
 	"sardinelock.dev/sardinelock/internal/coordinator"
 	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/meter"
 	"sardinelock.dev/sardinelock/internal/registrar"
 	"sardinelock.dev/sardinelock/internal/storer"
 	"sardinelock.dev/sardinelock/internal/timer"
@@ -37,16 +39,23 @@
 	PeerListen   netip.AddrPort
 	AdminListen  netip.AddrPort
 	Platform     netip.AddrPort
-	Limits       coordinator.Limits
+	// Entries are the peer addresses of some entries, from which this one takes
+	// the configuration if it starts while the platform is down.
+	Entries []netip.AddrPort
+	Limits  coordinator.Limits
 	// DrainTimeout bounds how long a shutdown waits for requests in flight.
 	DrainTimeout time.Duration
-	Logger       *log.Logger
+	// Instance names the place of the entry, which a successor takes over; empty
+	// means its data centre and peer address.
+	Instance string
+	// TLS has the certificates of all listeners; nil serves without TLS.
+	TLS    *certifier.Certifier
+	Logger *log.Logger
 }
 
 const (
-	tickEvery       = 10 * time.Millisecond
-	configPollEvery = time.Second
-	dialEvery       = 250 * time.Millisecond
+	tickEvery = 10 * time.Millisecond
+	dialEvery = 250 * time.Millisecond
 )
 
 // Entry is a running entry.
@@ -60,12 +69,23 @@
 	config controller.Cell[configurer.Config]
 	routes controller.Cell[[]messenger.EntryAddr]
 	owned  controller.Cell[partitionSet]
+	auth   controller.Cell[credentials]
+
+	meter         *meter.Meter
+	peerDialer    *http.Client  // peerDialer dials peers; nil means the default client.
+	stopping      atomic.Bool   // stopping is set once the entry shuts down.
+	drained       atomic.Bool   // drained is set while an operator drains the entry.
+	configVersion atomic.Uint64 // configVersion is the version of config; 0 if none is known.
+	queries       queryTable
+	burn          *burnCounts
+	holds         holds
 
 	// The fields below belong to the control thread.
 	coordinator *coordinator.Coordinator
 	peers       map[messenger.Peer]*connector.Conn
 	tickets     map[uint64]chan<- *messenger.Answer
 	nextTicket  uint64
+	versions    configState
 
 	caller, peer, admin net.Listener
 	servers             []*http.Server
@@ -87,9 +107,15 @@
 		tickets:  make(map[uint64]chan<- *messenger.Answer),
 		ready:    make(chan struct{}),
 		killed:   make(chan struct{}),
+		burn:     newBurnCounts(),
 	}
 	e.background, e.stop = context.WithCancel(context.Background())
 	e.loop = controller.New(e.flush)
+	var err error
+	if e.meter, err = e.newMeter(); err != nil {
+		return nil, err
+	}
+	e.peerDialer = e.peerClient()
 	if err := e.listen(); err != nil {
 		e.closeListeners()
 		return nil, err
@@ -100,6 +126,7 @@
 		DataCentre: s.DataCentre,
 		PeerAddr:   e.PeerAddr(),
 	}, s.Limits, coordinator.DefaultRules())
+	e.newConfigState(time.Now())
 	return e, nil
 }
 
@@ -123,9 +150,9 @@
 	var g run.Group
 	loopCtx, stopLoop := context.WithCancel(context.Background())
 	g.Add(func() error { return e.loop.Run(loopCtx) }, func(error) { stopLoop() })
-	e.addServer(&g, e.caller, e.callerHandler())
-	e.addServer(&g, e.peer, e.peerHandler())
-	e.addServer(&g, e.admin, e.adminHandler())
+	e.addServer(&g, e.secure(e.caller, false), e.measured(e.callerHandler()))
+	e.addServer(&g, e.secure(e.peer, true), e.peerHandler())
+	e.addServer(&g, e.secure(e.admin, false), e.adminHandler())
 	drainCtx, cancelDrain := context.WithCancel(ctx)
 	g.Add(func() error { return e.waitAndDrain(drainCtx) }, func(error) { cancelDrain() })
 	ended := make(chan struct{})
@@ -157,8 +184,8 @@
 		e.loop.Post(func(now time.Time) { e.coordinator.Tick(now) })
 	})
 	e.timers.Subscribe(dialEvery, func(time.Time) { e.dialEntries() })
-	e.timers.Subscribe(configPollEvery, func(time.Time) { e.pollConfig() })
-	go e.pollConfig()
+	e.subscribeConfig()
+	e.subscribeAdministration()
 }
 
 // waitAndDrain waits for the end of the context, hands the partitions over and
@@ -170,6 +197,7 @@
 	case <-e.killed:
 		return nil
 	}
+	e.stopping.Store(true)
 	e.settings.Logger.Info().Str("event", "draining").Msg("entry hands over its partitions and finishes what is in flight")
 	drain, cancel := context.WithTimeout(context.Background(), e.settings.DrainTimeout)
 	defer cancel()
@@ -180,6 +208,7 @@
 		}
 	}
 	e.awaitDrained(drain)
+	e.keepBurn(drain)
 	e.stop()
 	return nil
 }
@@ -215,6 +244,9 @@
 			reply <- a.Answer
 		}
 	}
+	for _, w := range out.Waits {
+		e.meter.Started(w.Service, w.Duration)
+	}
 	for _, r := range out.Reads {
 		go e.storeRead(r)
 	}
@@ -225,6 +257,7 @@
 		e.publish()
 		go e.dialEntries()
 	}
+	e.flushConfig(now)
 }
 
 // publish renews the blackboard. It runs on the control thread.
@@ -248,30 +281,6 @@
 	e.loop.Post(func(now time.Time) { e.coordinator.StoreWritten(now, w.ID, outcome, err) })
 }
 
-// pollConfig reads the version in force and publishes it.
-func (e *Entry) pollConfig() {
-	rows, err := e.platform.Read(e.background, configurer.CurrentKey)
-	if err != nil || len(rows.Rows) == 0 {
-		return
-	}
-	var v configurer.Version
-	if err := json.Unmarshal(rows.Rows[0].Value, &v); err != nil {
-		e.settings.Logger.Error().Err(err).Msg("the stored configuration cannot be read")
-		return
-	}
-	c, err := configurer.Parse("base", []byte(v.Base))
-	if err != nil {
-		e.settings.Logger.Error().Err(err).Uint64("version", v.Number).Msg("the stored configuration is not valid")
-		return
-	}
-	e.loop.Post(func(time.Time) {
-		for _, s := range c.Services {
-			e.coordinator.SetPath(s.Name, s.Path)
-		}
-		e.config.Publish(c)
-	})
-}
-
 // Peers returns the number of agents and entries that are connected. It must not
 // be called on the control thread.
 func (e *Entry) Peers() int {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -14,6 +14,7 @@
 import (
 	"time"
 
+	"sardinelock.dev/sardinelock/internal/creditor"
 	"sardinelock.dev/sardinelock/internal/identifier"
 	"sardinelock.dev/sardinelock/internal/invoker"
 	"sardinelock.dev/sardinelock/internal/messenger"
@@ -28,6 +29,10 @@
 	// MaxRecordBytes bounds the memory of the records and of the results that the
 	// owners may not have. At the bound new work is refused; nothing is forgotten.
 	MaxRecordBytes int
+	// RetainFor and RetainBytes bound the results that are kept although their
+	// owner has them, so that a new owner can answer when that one dies.
+	RetainFor   time.Duration
+	RetainBytes int
 	// MaxWaiting bounds the starts that wait for a slot.
 	MaxWaiting int
 	// EchoFor bounds how long the echo of a ping that came with starts waits for
@@ -36,6 +41,8 @@
 	// HoldFor bounds how long a result waits for the other running tasks of its
 	// submission. Zero sends it at once.
 	HoldFor time.Duration
+	// Credits are the settings of the division of slots between entries.
+	Credits creditor.Limits
 }
 
 // TaskRef names one task of a submission.
@@ -90,8 +97,9 @@
 	entries  map[messenger.Peer]*link
 	order    []messenger.Peer // order lists the connected entries in order of arrival.
 
-	waiting startQueue
-	running int // running is at most upstream.Slots at the time of each start.
+	resources resources
+	waiting   startQueue
+	running   int // running is at most upstream.Slots at the time of each start.
 	// Rules are the checks of a start.
 	Rules Rules
 	out   Output
@@ -118,6 +126,8 @@
 		records: newRecordTable(limits.MaxRecordBytes),
 		entries: make(map[messenger.Peer]*link),
 		Rules:   DefaultRules(),
+
+		resources: newResources(limits.Credits),
 	}
 }
 
@@ -162,6 +172,7 @@
 		}
 	}
 	g.dropWaiting(entry)
+	g.resources.credits.EntryUp(entry)
 	g.frameTo(entry).Capacity = g.capacity()
 }
 
@@ -176,10 +187,18 @@
 		}
 	}
 	g.dropWaiting(entry)
+	g.entryGone(entry)
 }
 
+// dropWaiting drops the waiting starts of an entry and frees their credits.
 func (g *Guard) dropWaiting(entry messenger.Peer) {
-	g.waiting.filter(func(p *pending) bool { return p.from != entry })
+	g.waiting.filter(func(p *pending) bool {
+		if p.from != entry {
+			return true
+		}
+		g.resources.credits.Ended(entry)
+		return false
+	})
 }
 
 // Receive applies a frame from an entry.
@@ -195,6 +214,7 @@
 	if f.Fence != nil {
 		g.fence(now, from, f.Fence)
 	}
+	g.receiveBacklog(now, from, f)
 	for i := range f.Starts {
 		g.start(now, from, &f.Starts[i])
 	}
@@ -202,7 +222,7 @@
 		g.cancel(now, from, &f.Cancels[i])
 	}
 	for i := range f.Settled {
-		g.settle(&f.Settled[i])
+		g.settle(now, &f.Settled[i])
 	}
 	g.startWaiting(now)
 }
@@ -230,12 +250,14 @@
 	}
 	g.refuseWaiting(now)
 	g.startWaiting(now)
+	g.records.release(g.Clock(now), g.limits.RetainBytes)
 	g.records.forget(g.Clock(now), g.limits.Window)
 }
 
 // Ended applies the end of a call of the upstream.
 func (g *Guard) Ended(now time.Time, ref TaskRef, result messenger.TaskResult) {
 	g.running--
+	g.giveBack(ref)
 	if r := g.records.get(ref.Submission.Partition(), ref.Submission); r != nil {
 		g.records.bytes += r.end(g.Clock(now), result)
 	}
@@ -245,6 +267,7 @@
 
 // Take returns what is to be done and clears it.
 func (g *Guard) Take(now time.Time) Output {
+	g.addCredits(now)
 	for _, entry := range g.order {
 		l := g.entries[entry]
 		if l.frame == nil && l.ping == l.echoed {
@@ -341,6 +364,7 @@
 		g.raise(s.Submission.Partition(), s.Epoch)
 		g.holders[s.Submission.Partition()] = from
 		g.waiting.push(p)
+		g.resources.credits.Started(p.from)
 	}
 }
 
@@ -351,10 +375,11 @@
 		p := g.waiting.first()
 		if refusal := g.check(now, p); refusal != "" {
 			g.refuse(p, refusal)
+			g.resources.credits.Ended(p.from)
 			g.waiting.pop()
 			continue
 		}
-		if g.running >= g.upstream.Slots {
+		if g.running >= g.upstream.Slots || !g.fits(p) {
 			return
 		}
 		g.run(now, p)
@@ -368,6 +393,7 @@
 	g.records.describe(r, p.start)
 	r.start(g.Clock(now), p.ref.Index)
 	g.running++
+	g.take(p)
 	g.out.Invocations = append(g.out.Invocations, Invocation{
 		Ref:     p.ref,
 		Path:    p.start.Path,
@@ -403,10 +429,14 @@
 	})
 }
 
-func (g *Guard) settle(s *messenger.Settlement) {
-	if r := g.records.get(s.Submission.Partition(), s.Submission); r != nil {
-		g.records.bytes -= r.settle()
+func (g *Guard) settle(now time.Time, s *messenger.Settlement) {
+	r := g.records.get(s.Submission.Partition(), s.Submission)
+	if r == nil || r.known {
+		return
 	}
+	r.known = true
+	g.records.retain(s.Submission, g.Clock(now)+g.limits.RetainFor, r.resultBytes())
+	g.records.release(g.Clock(now), g.limits.RetainBytes)
 }
 
 // sendResult sends a result to the holder of the submission's partition.
--- a/internal/guard/hold.go
+++ b/internal/guard/hold.go
@@ -9,7 +9,8 @@
 // waits reports whether what is owed to an entry may wait for more to go with
 // it, and until when. It may wait as long as no job is answered later for it:
 //   - an echo of a message that brought starts rides on their results; a message
-//     without starts asks for nothing but the echo and gets it at once;
+//     without starts asks for nothing but the echo and gets it at once, and so
+//     does an entry that waits for a credit;
 //   - results of a submission of which a task still runs here wait for that task,
 //     since the job cannot be complete before it ends.
 //
@@ -30,9 +31,9 @@
 }
 
 // mayWait reports whether a frame has nothing but successful results of
-// submissions that have tasks running here.
+// submissions that have tasks running here, and credits that nobody waits for.
 func (g *Guard) mayWait(f *messenger.Frame) bool {
-	if f.Capacity != nil || f.Credit != nil || len(f.Fenced) > 0 || len(f.CancelAcks) > 0 {
+	if f.Capacity != nil || len(f.Fenced) > 0 || len(f.CancelAcks) > 0 {
 		return false
 	}
 	for i := range f.Results {
--- a/internal/guard/record.go
+++ b/internal/guard/record.go
@@ -36,12 +36,13 @@
 	used      time.Duration          // used is the agent's clock at the last event; the window counts from it.
 	started   taskSet                // started has every task that was ever started.
 	running   []uint16               // running has the tasks that started and have not ended.
-	ended     []messenger.TaskResult // ended has the results that the owner may not have; it is nil once settled.
+	ended     []messenger.TaskResult // ended has the results; it is nil once settled.
 	key       string                 // key is the request key of the first start.
 	service   string                 // service is shared between records.
 	digest    uint64
 	cancelled bool // cancelled bars every further start.
-	settled   bool // settled means that the owner has the results.
+	known     bool // known means that the owner has said that it has the results.
+	settled   bool // settled means that the results were dropped after that.
 }
 
 func (r *record) start(clock time.Duration, index uint16) {
@@ -63,12 +64,18 @@
 	return resultBytes(&result)
 }
 
-// settle drops the results, which the owner has, and returns the bytes freed.
-func (r *record) settle() int {
-	freed := 0
+// resultBytes returns the bytes that the results take.
+func (r *record) resultBytes() int {
+	n := 0
 	for i := range r.ended {
-		freed += resultBytes(&r.ended[i])
+		n += resultBytes(&r.ended[i])
 	}
+	return n
+}
+
+// settle drops the results, which the owner has, and returns the bytes freed.
+func (r *record) settle() int {
+	freed := r.resultBytes()
 	r.ended = nil
 	r.settled = true
 	return freed
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -7,12 +7,9 @@
 
 import (
 	"context"
-	_ "embed"
-	"encoding/json"
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"slices"
 	"strconv"
 	"sync"
@@ -22,20 +19,16 @@
 	"github.com/phuslu/log"
 
 	"sardinelock.dev/sardinelock/internal/agent"
-	"sardinelock.dev/sardinelock/internal/configurer"
+	"sardinelock.dev/sardinelock/internal/certifier"
 	"sardinelock.dev/sardinelock/internal/coordinator"
 	"sardinelock.dev/sardinelock/internal/dispatcher"
 	"sardinelock.dev/sardinelock/internal/emulator"
 	"sardinelock.dev/sardinelock/internal/guard"
 	"sardinelock.dev/sardinelock/internal/invoker"
 	"sardinelock.dev/sardinelock/internal/messenger"
-	"sardinelock.dev/sardinelock/internal/storer"
 	"sardinelock.dev/sardinelock/pkg/submitter"
 )
 
-//go:embed base.yaml
-var shippedBase []byte
-
 // The shape of an upstream.
 const (
 	upstreamSlots       = 8
@@ -54,24 +47,29 @@
 	Entries, Agents int
 	// BaseFile is the base configuration; empty means the shipped one.
 	BaseFile string
+	// OverlayFiles are the overlays of sites; the data centres are dc-0 to dc-2.
+	OverlayFiles []string
 	// Slots are the slots of each upstream; zero means 8.
 	Slots       int
 	Limits      coordinator.Limits
 	AgentLimits guard.Limits
-	Logger      *log.Logger
+	// TLS has the certificates of all processes; nil runs without TLS.
+	TLS    *certifier.Certifier
+	Logger *log.Logger
 }
 
 // System is a running system. Entries and agents that were killed or drained
 // stay in its lists, so that an index always means the same one.
 type System struct {
-	Platform  *emulator.Platform
-	Entries   []*dispatcher.Entry
-	Agents    []*agent.Agent
-	Upstreams []*emulator.Upstream
+	Platform *emulator.Platform
+	// PlatformAddr is where the platform is served.
+	PlatformAddr netip.AddrPort
+	Entries      []*dispatcher.Entry
+	Agents       []*agent.Agent
+	Upstreams    []*emulator.Upstream
 
 	ctx           context.Context
 	options       Options
-	platform      netip.AddrPort
 	services      []string
 	upstreamAddrs []netip.AddrPort     // upstreamAddrs has one address an upstream.
 	drainEntries  []context.CancelFunc // drainEntries has one function an entry.
@@ -91,10 +89,10 @@
 	}
 	s := &System{ctx: ctx, options: o, Platform: emulator.NewPlatform(1, emulator.Faults{})}
 	var err error
-	if s.services, err = StoreConfig(s.Platform, o.BaseFile); err != nil {
+	if s.services, err = StoreConfig(s.Platform, o.BaseFile, o.OverlayFiles); err != nil {
 		return nil, err
 	}
-	if s.platform, err = s.serve(ctx, s.Platform.Handler()); err != nil {
+	if s.PlatformAddr, err = s.serve(ctx, s.Platform.Handler()); err != nil {
 		return nil, err
 	}
 	for range o.Entries {
@@ -126,6 +124,23 @@
 	return slices.Clone(s.upstreamAddrs)
 }
 
+// AdminAddrs returns the addresses of the entries for administration.
+func (s *System) AdminAddrs() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, e := range s.Entries {
+		out = append(out, e.AdminAddr())
+	}
+	return out
+}
+
+func (s *System) peerAddrs() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, e := range s.Entries {
+		out = append(out, e.PeerAddr())
+	}
+	return out
+}
+
 // AwaitReady waits until every entry can place tasks at every agent.
 func (s *System) AwaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
@@ -148,35 +163,6 @@
 	return s.faults
 }
 
-// StoreConfig makes a base file, or the shipped one if the name is empty, the
-// first accepted configuration of a platform. It returns the names of its services.
-func StoreConfig(platform *emulator.Platform, baseFile string) ([]string, error) {
-	base := shippedBase
-	if baseFile != "" {
-		var err error
-		if base, err = os.ReadFile(baseFile); err != nil {
-			return nil, errors.Trace(err)
-		}
-	}
-	config, err := configurer.Parse(baseFile, base)
-	if err != nil {
-		return nil, err
-	}
-	value, err := json.Marshal(configurer.Version{Number: 1, ChangeID: "dev", Base: string(base)})
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	platform.Write(storer.Transaction{
-		RequestID: "dev-config",
-		Puts:      []storer.Put{{Key: configurer.CurrentKey, Value: value}},
-	})
-	var services []string
-	for _, service := range config.Services {
-		services = append(services, service.Name)
-	}
-	return services, nil
-}
-
 // AddEntry starts one more entry.
 func (s *System) AddEntry() error {
 	s.mu.Lock()
@@ -190,9 +176,11 @@
 		CallerListen: loopback,
 		PeerListen:   loopback,
 		AdminListen:  loopback,
-		Platform:     s.platform,
+		Platform:     s.PlatformAddr,
+		Entries:      s.peerAddrs(),
 		Limits:       s.options.Limits,
 		DrainTimeout: drainTimeout,
+		TLS:          s.options.TLS,
 		Logger:       s.options.Logger,
 	})
 	if err != nil {
@@ -211,19 +199,16 @@
 	defer s.mu.Unlock()
 	i := len(s.Agents)
 	ctx, drain := context.WithCancel(s.ctx)
-	var entries []netip.AddrPort
-	for _, e := range s.Entries {
-		entries = append(entries, e.PeerAddr())
-	}
 	a, err := agent.New(agent.Settings{
 		Peer:         messenger.Peer("agent-" + strconv.Itoa(i)),
 		Region:       "default",
 		DataCentre:   dataCentre(i),
 		Rack:         "r" + strconv.Itoa(i/agentsPerRack),
 		Listen:       loopback,
-		Entries:      entries,
+		Entries:      s.peerAddrs(),
 		Limits:       s.options.AgentLimits,
 		DrainTimeout: drainTimeout,
+		TLS:          s.options.TLS,
 		Logger:       s.options.Logger,
 	})
 	if err != nil {
--- a/internal/loader/experiment.go
+++ b/internal/loader/experiment.go
@@ -49,6 +49,9 @@
 	Jobs    []Mix         `yaml:"jobs"`
 	// Teams submit jobs in turn at random; empty submits without a team.
 	Teams []string `yaml:"teams"`
+	// TokenSuffix makes the bearer token of a team from its name, as in the
+	// examples' configurations; empty sends the team's name alone.
+	TokenSuffix string `yaml:"token-suffix"`
 	// DuplicateRatio is the share of jobs that are submitted again with the same
 	// id, through another entry where there is one.
 	DuplicateRatio float64       `yaml:"duplicate-ratio"`
--- a/internal/loader/runner.go
+++ b/internal/loader/runner.go
@@ -164,7 +164,7 @@
 		client := submitter.New(submitter.Options{
 			Entries: r.entriesFrom(p.entry, duplicate),
 			Team:    p.team,
-			Token:   r.target.Token,
+			Token:   r.token(p),
 			HTTP:    r.http,
 		})
 		answer, err := client.Submit(ctx, p.service, id, body)
@@ -196,14 +196,22 @@
 	if p.team != "" {
 		req.Header.Set(submitter.HeaderTeam, p.team)
 	}
-	if r.target.Token != "" {
-		req.Header.Set("Authorization", "Bearer "+r.target.Token)
+	if token := r.token(p); token != "" {
+		req.Header.Set("Authorization", "Bearer "+token)
 	}
 	if resp, err := r.http.Do(req); err == nil {
 		_ = resp.Body.Close()
 	}
 }
 
+// token returns the bearer token of a job's team; empty if there is none.
+func (r *runner) token(p *planned) string {
+	if r.target.Token == "" && p.team != "" && r.experiment.TokenSuffix != "" {
+		return p.team + r.experiment.TokenSuffix
+	}
+	return r.target.Token
+}
+
 func (r *runner) step(ctx context.Context, s Step) {
 	if !r.sleepUntil(ctx, s.At) {
 		return
--- /dev/null
+++ b/internal/placer/status.go
@@ -0,0 +1,82 @@
+package placer
+
+import (
+	"slices"
+
+	"sardinelock.dev/sardinelock/internal/messenger"
+)
+
+// Hold says that an operator keeps an upstream from new work. The empty hold
+// lets it work.
+type Hold string
+
+// The holds.
+const (
+	HoldDrained Hold = "drained" // The upstream finishes what runs and gets nothing new.
+	HoldEjected Hold = "ejected" // The upstream is taken out as if it had failed.
+)
+
+// UpstreamStatus is what a placer tells about one agent and its upstream.
+type UpstreamStatus struct {
+	Peer     messenger.Peer
+	Place    Place
+	Capacity messenger.Capacity
+	// Credit is the number of tasks that this entry may have outstanding there;
+	// Outstanding is the number that it has.
+	Credit, Outstanding int
+	Hold                Hold
+	// Ejected is why the placer has ejected the upstream by itself; empty if it has
+	// not.
+	Ejected EjectReason
+	// FailureRatio is the recent share of failures.
+	FailureRatio float64
+}
+
+// Ejections returns how often the placer has ejected an upstream.
+func (p *Placer) Ejections() uint64 { return p.ejections }
+
+// Upstreams returns the status of every connected agent, sorted by name.
+func (p *Placer) Upstreams() []UpstreamStatus {
+	out := make([]UpstreamStatus, 0, len(p.order))
+	for _, a := range p.order {
+		out = append(out, UpstreamStatus{
+			Peer:         a.peer,
+			Place:        a.place,
+			Capacity:     a.capacity,
+			Credit:       a.credit,
+			Outstanding:  len(a.sent),
+			Hold:         a.held,
+			Ejected:      a.health.ejected(),
+			FailureRatio: a.health.failures,
+		})
+	}
+	slices.SortFunc(out, func(a, b UpstreamStatus) int { return compare(a.Peer, b.Peer) })
+	return out
+}
+
+// SetHolds replaces the holds of all agents, connected or not.
+func (p *Placer) SetHolds(holds map[messenger.Peer]Hold) {
+	p.holds = holds
+	for _, a := range p.order {
+		a.held = holds[a.peer]
+		p.rerank(a)
+	}
+}
+
+// ejected returns why the agent is ejected or probed, or "".
+func (h *health) ejected() EjectReason {
+	if h.state == stateEjected || h.state == stateProbing {
+		return h.reason
+	}
+	return ""
+}
+
+func compare(a, b messenger.Peer) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
