--- a/cmd/sardinelock/cmd/root.go
+++ b/cmd/sardinelock/cmd/root.go
@@ -72,6 +72,8 @@
 		newAgentCommand(),
 		newDevCommand(),
 		newSubmitCommand(),
+		newLoadCommand(),
+		newSurveyCommand(),
 		newConfigCommand(),
 		newJobCommand(),
 		newUpstreamCommand(),
--- a/cmd/sardinelock/cmd/settings.go
+++ b/cmd/sardinelock/cmd/settings.go
@@ -40,6 +40,7 @@
 	pollEvery       = time.Second
 	retryEvery      = 250 * time.Millisecond
 	lease           = 3 * time.Second
+	echoFor         = 250 * time.Millisecond
 	leaseMargin     = 100 * time.Millisecond
 	agentGoneAfter  = 30 * time.Second
 	witnessGone     = 5 * time.Second
@@ -213,5 +214,7 @@
 		RetainFor:      retainFor,
 		RetainBytes:    retainBytes,
 		MaxWaiting:     maxWaiting,
+		EchoFor:        echoFor,
+		HoldFor:        guard.DefaultHoldFor,
 	}
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/oklog/run"
@@ -66,10 +67,16 @@
 	conns    map[messenger.Peer]*connector.Conn
 	targets  map[netip.AddrPort]bool // targets has the entries' addresses; true while one is connected or dialled.
 	calls    map[guard.TaskRef]context.CancelFunc
+	// draining means that the agent shuts down: whatever the upstream announces
+	// since, it takes no new work.
+	draining bool
+	wakeTime time.Time // wakeTime is when the latest flush that was asked for is due.
 
 	background context.Context // background ends after the drain.
 	stop       context.CancelFunc
 	ready      chan struct{}
+	killed     chan struct{} // killed is closed by Kill.
+	killOnce   sync.Once
 }
 
 // New returns an agent that is bound to its address but does not serve yet.
@@ -88,6 +95,7 @@
 		targets:  make(map[netip.AddrPort]bool),
 		calls:    make(map[guard.TaskRef]context.CancelFunc),
 		ready:    make(chan struct{}),
+		killed:   make(chan struct{}),
 	}
 	for _, addr := range s.Entries {
 		a.targets[addr] = false
@@ -106,6 +114,9 @@
 // Addr returns the bound address for announcements.
 func (a *Agent) Addr() netip.AddrPort { return a.listener.Addr().(*net.TCPAddr).AddrPort() }
 
+// Traffic returns the totals of all connections to entries so far.
+func (a *Agent) Traffic() connector.Totals { return a.counts.Totals() }
+
 // Ready is closed once the agent serves.
 func (a *Agent) Ready() <-chan struct{} { return a.ready }
 
@@ -117,6 +128,14 @@
 	g.Add(a.serve, func(error) { _ = a.server.Close() })
 	drainCtx, cancelDrain := context.WithCancel(ctx)
 	g.Add(func() error { return a.waitAndDrain(drainCtx) }, func(error) { cancelDrain() })
+	ended := make(chan struct{})
+	g.Add(func() error {
+		select {
+		case <-a.killed:
+		case <-ended:
+		}
+		return nil
+	}, func(error) { close(ended) })
 
 	a.timers.Subscribe(tickEvery, func(time.Time) {
 		a.loop.Post(func(now time.Time) {
@@ -142,9 +161,14 @@
 // waitAndDrain waits for the end of the context, refuses new starts and waits
 // for the tasks that run.
 func (a *Agent) waitAndDrain(ctx context.Context) error {
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-a.killed:
+		return nil
+	}
 	a.settings.Logger.Info().Str("event", "draining").Msg("agent finishes what runs")
 	a.loop.Post(func(now time.Time) {
+		a.draining = true
 		upstream, _ := a.guard.Upstream()
 		upstream.Leaving = true
 		a.guard.Announce(now, upstream)
@@ -176,6 +200,9 @@
 	for _, call := range out.Invocations {
 		a.invoke(call)
 	}
+	if !out.Wake.IsZero() {
+		a.wakeAt(now, out.Wake)
+	}
 	for _, s := range out.Sends {
 		if conn := a.conns[s.To]; conn != nil {
 			s.Frame.Config = a.follower.Ride(now, s.To)
@@ -185,6 +212,16 @@
 	a.flushConfig(now)
 }
 
+// wakeAt makes the control thread flush again at a time. It runs on the control
+// thread.
+func (a *Agent) wakeAt(now, at time.Time) {
+	if a.wakeTime.After(now) && !a.wakeTime.After(at) {
+		return
+	}
+	a.wakeTime = at
+	time.AfterFunc(at.Sub(now), func() { a.loop.Post(func(time.Time) {}) })
+}
+
 // invoke calls the upstream for one task. It runs on the control thread; the
 // call itself does not.
 func (a *Agent) invoke(call guard.Invocation) {
--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -1,8 +1,8 @@
 // Package connector moves frames between two processes over a WebSocket.
 //
-// A [Conn] has a bounded queue of outgoing frames and one goroutine that writes
-// them: whatever has gathered while a write was under way goes out as one
-// message. A peer that reads too slowly fills the queue, and then its connection
+// A [Conn] has a bounded queue of outgoing frames and a goroutine that writes them
+// while there are any: whatever has gathered while a write was under way goes out
+// as one message. A peer that reads too slowly fills the queue, and then its connection
 // is closed; nothing else waits for it. A peer that sends what cannot be decoded
 // or is too large loses its connection as well.
 package connector
@@ -21,8 +21,10 @@
 )
 
 const (
-	queueFrames     = 4096
-	maxBatchBytes   = 1 << 20
+	queueFrames   = 4096
+	maxBatchBytes = 1 << 20
+	// keepBytes is the largest write buffer that is kept between messages.
+	keepBytes       = 64 << 10
 	writeTimeout    = 5 * time.Second
 	handshakeWindow = 5 * time.Second
 )
@@ -58,11 +60,27 @@
 	c.SentKinds[kinds.Leading()].Bytes.Add(uint64(size))
 }
 
+// Totals are the values of [Counts] at one moment.
+type Totals struct {
+	MessagesSent, BytesSent uint64
+	MessagesRead, BytesRead uint64
+}
+
+// Totals reads the counts.
+func (c *Counts) Totals() Totals {
+	return Totals{
+		MessagesSent: c.MessagesSent.Load(),
+		BytesSent:    c.BytesSent.Load(),
+		MessagesRead: c.MessagesRead.Load(),
+		BytesRead:    c.BytesRead.Load(),
+	}
+}
+
 // Conn is one connection to a peer.
 type Conn struct {
 	ws     *websocket.Conn
 	hello  messenger.Hello // hello is what the peer said first; it does not change.
-	queue  chan *messenger.Frame
+	queue  *frameQueue
 	counts *Counts
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -108,7 +126,7 @@
 func handshake(ctx context.Context, ws *websocket.Conn, o Options) (*Conn, error) {
 	ws.SetReadLimit(messenger.MaxMessageBytes)
 	hello := o.Hello()
-	peer, err := exchangeHello(ctx, ws, &hello)
+	peer, err := exchangeHello(ctx, ws, &hello, o.Counts)
 	if err != nil {
 		_ = ws.CloseNow()
 		return nil, err
@@ -117,14 +135,14 @@
 	return &Conn{
 		ws:     ws,
 		hello:  *peer,
-		queue:  make(chan *messenger.Frame, queueFrames),
+		queue:  newFrameQueue(queueFrames),
 		counts: o.Counts,
 		ctx:    connCtx,
 		cancel: cancel,
 	}, nil
 }
 
-func exchangeHello(ctx context.Context, ws *websocket.Conn, own *messenger.Hello) (*messenger.Hello, error) {
+func exchangeHello(ctx context.Context, ws *websocket.Conn, own *messenger.Hello, counts *Counts) (*messenger.Hello, error) {
 	const op = "handshake"
 	var buf bytes.Buffer
 	if err := messenger.Append(&buf, &messenger.Frame{Hello: own}); err != nil {
@@ -144,6 +162,10 @@
 	if peer == nil || peer.Version != messenger.ProtocolVersion || peer.Peer == "" {
 		return nil, &Error{Op: op, Kind: KindVersion, Err: errVersion}
 	}
+	counts.MessagesSent.Add(1)
+	counts.BytesSent.Add(uint64(buf.Len()))
+	counts.MessagesRead.Add(1)
+	counts.BytesRead.Add(uint64(len(message)))
 	return peer, nil
 }
 
@@ -153,28 +175,25 @@
 // Send queues a frame, which must not be changed afterwards. If the queue is
 // full the connection is closed and Send reports false.
 func (c *Conn) Send(f *messenger.Frame) bool {
-	select {
-	case <-c.ctx.Done():
+	if c.ctx.Err() != nil {
 		return false
-	default:
 	}
-	select {
-	case c.queue <- f:
-		return true
-	default:
+	queued, idle := c.queue.push(f)
+	if !queued {
 		c.Close()
 		return false
 	}
+	if idle {
+		go c.write()
+	}
+	return true
 }
 
-// Run writes queued frames and passes each received frame to handle, until the
-// connection ends. It returns the cause.
+// Run passes each received frame to handle, until the connection ends. It returns
+// the cause.
 func (c *Conn) Run(handle func(*messenger.Frame)) error {
-	var wg sync.WaitGroup
-	wg.Go(c.writeLoop)
 	err := c.readLoop(handle)
 	c.Close()
-	wg.Wait()
 	return err
 }
 
@@ -201,37 +220,41 @@
 	}
 }
 
-func (c *Conn) writeLoop() {
-	defer c.Close()
-	var buf bytes.Buffer
+// write writes what is queued and ends when nothing is left. There is at most one
+// writer a connection, and none while it is idle, so that the many connections of
+// an entry cost little memory.
+func (c *Conn) write() {
 	for {
-		select {
-		case <-c.ctx.Done():
+		if err := c.writeBatch(); err != nil {
+			c.Close()
+			return
+		}
+		if c.queue.rest() {
 			return
-		case f := <-c.queue:
-			if c.writeBatch(&buf, f) != nil {
-				return
-			}
 		}
 	}
 }
 
-// writeBatch writes the given frame and those queued behind it as one message.
-func (c *Conn) writeBatch(buf *bytes.Buffer, f *messenger.Frame) error {
+// buffers has write buffers; connections do not keep one each.
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// writeBatch writes what is queued as one message, up to a size.
+func (c *Conn) writeBatch() error {
+	buf := buffers.Get().(*bytes.Buffer)
+	defer func() {
+		if buf.Cap() <= keepBytes {
+			buffers.Put(buf)
+		}
+	}()
 	buf.Reset()
-	if err := c.appendFrame(buf, f); err != nil {
-		return err
-	}
 	for buf.Len() < maxBatchBytes {
-		select {
-		case next := <-c.queue:
-			if err := c.appendFrame(buf, next); err != nil {
-				return err
-			}
-			continue
-		default:
+		f := c.queue.pop()
+		if f == nil {
+			break
+		}
+		if err := c.appendFrame(buf, f); err != nil {
+			return err
 		}
-		break
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, writeTimeout)
 	defer cancel()
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -91,20 +91,22 @@
 }
 
 func (l *Loop) applyBatch(first Event) {
-	now := time.Now()
-	first(now)
+	// The time is read for each event and for the flush: a process may be paused
+	// between any two of them, and what holds a lease must see that.
+	begun := time.Now()
+	first(begun)
 	applied := uint64(1)
 	for range batchEvents - 1 {
 		select {
 		case e := <-l.events:
-			e(now)
+			e(time.Now())
 			applied++
 			continue
 		default:
 		}
 		break
 	}
-	l.flush(now)
-	l.busy.Add(int64(time.Since(now)))
+	l.flush(time.Now())
+	l.busy.Add(int64(time.Since(begun)))
 	l.count.Add(applied)
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -117,8 +117,11 @@
 	draining bool
 	disowned bool // disowned means that a partition was lost or stopped since the last Take.
 	pingedAt time.Time
-	paths    map[string]string // paths has the HTTP path of each service at its upstreams.
-	out      Output
+	// rosterChecked is when the roster was last found in order; zero once an agent
+	// came or went since.
+	rosterChecked time.Time
+	paths         map[string]string // paths has the HTTP path of each service at its upstreams.
+	out           Output
 }
 
 // New returns a coordinator that owns nothing.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -91,6 +92,9 @@
 	background          context.Context // background ends after the drain.
 	stop                context.CancelFunc
 	ready               chan struct{}
+	killed              chan struct{} // killed is closed by Kill.
+	killOnce            sync.Once
+	dialling            sync.Mutex // dialling is held while the other entries are dialled.
 }
 
 // New returns an entry that is bound to its addresses but does not serve yet.
@@ -102,6 +106,7 @@
 		peers:    make(map[messenger.Peer]*connector.Conn),
 		tickets:  make(map[uint64]chan<- *messenger.Answer),
 		ready:    make(chan struct{}),
+		killed:   make(chan struct{}),
 		burn:     newBurnCounts(),
 	}
 	e.background, e.stop = context.WithCancel(context.Background())
@@ -134,6 +139,9 @@
 // AdminAddr returns the bound address for administration.
 func (e *Entry) AdminAddr() netip.AddrPort { return boundAddr(e.admin) }
 
+// Traffic returns the totals of all connections to peers so far.
+func (e *Entry) Traffic() connector.Totals { return e.counts.Totals() }
+
 // Ready is closed once the entry serves.
 func (e *Entry) Ready() <-chan struct{} { return e.ready }
 
@@ -147,6 +155,14 @@
 	e.addServer(&g, e.secure(e.admin, false), e.adminHandler())
 	drainCtx, cancelDrain := context.WithCancel(ctx)
 	g.Add(func() error { return e.waitAndDrain(drainCtx) }, func(error) { cancelDrain() })
+	ended := make(chan struct{})
+	g.Add(func() error {
+		select {
+		case <-e.killed:
+		case <-ended:
+		}
+		return nil
+	}, func(error) { close(ended) })
 
 	e.subscribe()
 	e.settings.Logger.Info().
@@ -176,7 +192,11 @@
 // waits for the requests in flight. Peers are served until the end, since answers
 // come over their connections.
 func (e *Entry) waitAndDrain(ctx context.Context) error {
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-e.killed:
+		return nil
+	}
 	e.stopping.Store(true)
 	e.settings.Logger.Info().Str("event", "draining").Msg("entry hands over its partitions and finishes what is in flight")
 	drain, cancel := context.WithTimeout(context.Background(), e.settings.DrainTimeout)
@@ -235,6 +255,7 @@
 	}
 	if out.RoutesChanged {
 		e.publish()
+		go e.dialEntries()
 	}
 	e.flushConfig(now)
 }
@@ -260,6 +281,14 @@
 	e.loop.Post(func(now time.Time) { e.coordinator.StoreWritten(now, w.ID, outcome, err) })
 }
 
+// Peers returns the number of agents and entries that are connected. It must not
+// be called on the control thread.
+func (e *Entry) Peers() int {
+	n := 0
+	e.loop.Call(func(time.Time) { n = len(e.peers) })
+	return n
+}
+
 // Serving reports whether the entry knows a configuration, knows an owner for
 // every partition, is connected to those owners, and has the given number of
 // agents that serve. It must not be called on the control thread.
--- a/internal/dispatcher/peer.go
+++ b/internal/dispatcher/peer.go
@@ -18,7 +18,8 @@
 			e.settings.Logger.Warn().Err(err).Msg("a peer was turned away")
 			return
 		}
-		e.serveConn(conn)
+		// A goroutine of its own has a smaller stack than the HTTP server's.
+		go e.serveConn(conn)
 	})
 	return mux
 }
@@ -83,6 +84,10 @@
 // dialEntries connects to the entries that have a greater name, so that two
 // entries have one connection.
 func (e *Entry) dialEntries() {
+	if !e.dialling.TryLock() {
+		return
+	}
+	defer e.dialling.Unlock()
 	entries := e.routes.Read()
 	if entries == nil {
 		return
--- a/internal/guard/credit.go
+++ b/internal/guard/credit.go
@@ -140,7 +140,11 @@
 func (g *Guard) release(now time.Time) {
 	for _, entry := range g.order {
 		l := g.entries[entry]
-		if len(l.held) == 0 || l.frame == nil && !g.wanted(now, l) {
+		if len(l.held) == 0 {
+			continue
+		}
+		if l.frame == nil && !g.wanted(now, l) {
+			g.out.wakeBy(l.heldSince.Add(g.limits.HoldFor))
 			continue
 		}
 		held := l.held
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -35,6 +35,9 @@
 	RetainBytes int
 	// MaxWaiting bounds the starts that wait for a slot.
 	MaxWaiting int
+	// EchoFor bounds how long the echo of a ping that came with starts waits for
+	// their results. It must be much shorter than a lease. Zero sends it at once.
+	EchoFor time.Duration
 	// HoldFor is how long a result may wait for others of its job, so that they go
 	// in one message. Zero sends each at once.
 	HoldFor time.Duration
@@ -68,6 +71,14 @@
 	Invocations []Invocation
 	Aborts      []TaskRef
 	Sends       []Send
+	// Wake is when Take must be called again at the latest; zero if nothing waits.
+	Wake time.Time
+}
+
+func (o *Output) wakeBy(t time.Time) {
+	if o.Wake.IsZero() || t.Before(o.Wake) {
+		o.Wake = t
+	}
 }
 
 // Guard is the state of one agent.
@@ -99,6 +110,8 @@
 	frame     *messenger.Frame // frame gathers what goes out at the next Take; nil if nothing does.
 	ping      uint64
 	echoed    uint64
+	prompt    bool      // prompt means that the entry waits for an echo alone.
+	owed      time.Time // owed is since when an echo is owed; zero if none is.
 	held      []heldResult
 	heldSince time.Time    // heldSince is when the oldest of held was added.
 	backlog   int          // backlog is how many tasks wait at the entry, as it last said.
@@ -197,9 +210,7 @@
 	if l == nil {
 		return
 	}
-	if f.Contact != nil {
-		l.ping = max(l.ping, f.Contact.Ping)
-	}
+	l.contact(now, f)
 	if f.Admit != nil {
 		g.admit(now, f.Admit)
 	}
@@ -266,10 +277,14 @@
 		if l.frame == nil && l.ping == l.echoed {
 			continue
 		}
+		l.owe(now)
+		if until, ok := g.waits(now, l); ok {
+			g.out.wakeBy(until)
+			continue
+		}
 		f := g.frameTo(entry)
 		f.Contact = &messenger.Contact{Echo: l.ping, Clock: g.Clock(now), Raised: g.takeRaised(l)}
-		l.echoed = l.ping
-		l.frame = nil
+		l.paid()
 		g.out.Sends = append(g.out.Sends, Send{To: entry, Frame: f})
 	}
 	out := g.out
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -48,14 +49,17 @@
 	BaseFile string
 	// OverlayFiles are the overlays of sites; the data centres are dc-0 to dc-2.
 	OverlayFiles []string
-	Limits       coordinator.Limits
-	AgentLimits  guard.Limits
+	// Slots are the slots of each upstream; zero means 8.
+	Slots       int
+	Limits      coordinator.Limits
+	AgentLimits guard.Limits
 	// TLS has the certificates of all processes; nil runs without TLS.
 	TLS    *certifier.Certifier
 	Logger *log.Logger
 }
 
-// System is a running system.
+// System is a running system. Entries and agents that were killed or drained
+// stay in its lists, so that an index always means the same one.
 type System struct {
 	Platform *emulator.Platform
 	// PlatformAddr is where the platform is served.
@@ -64,6 +68,13 @@
 	Agents       []*agent.Agent
 	Upstreams    []*emulator.Upstream
 
+	ctx           context.Context
+	options       Options
+	services      []string
+	upstreamAddrs []netip.AddrPort     // upstreamAddrs has one address an upstream.
+	drainEntries  []context.CancelFunc // drainEntries has one function an entry.
+	drainAgents   []context.CancelFunc // drainAgents has one function an agent.
+
 	wg     sync.WaitGroup
 	mu     sync.Mutex
 	faults []error
@@ -73,21 +84,24 @@
 
 // Start starts a system, which runs until the context ends.
 func Start(ctx context.Context, o Options) (*System, error) {
-	s := &System{Platform: emulator.NewPlatform(1, emulator.Faults{})}
-	if err := s.storeConfig(o.BaseFile, o.OverlayFiles); err != nil {
-		return nil, err
+	if o.Slots == 0 {
+		o.Slots = upstreamSlots
 	}
+	s := &System{ctx: ctx, options: o, Platform: emulator.NewPlatform(1, emulator.Faults{})}
 	var err error
+	if s.services, err = StoreConfig(s.Platform, o.BaseFile, o.OverlayFiles); err != nil {
+		return nil, err
+	}
 	if s.PlatformAddr, err = s.serve(ctx, s.Platform.Handler()); err != nil {
 		return nil, err
 	}
-	for i := range o.Entries {
-		if err := s.startEntry(ctx, i, o); err != nil {
+	for range o.Entries {
+		if err := s.AddEntry(); err != nil {
 			return nil, err
 		}
 	}
-	for i := range o.Agents {
-		if err := s.startAgent(ctx, i, o); err != nil {
+	for range o.Agents {
+		if err := s.AddAgent(); err != nil {
 			return nil, err
 		}
 	}
@@ -103,6 +117,13 @@
 	return out
 }
 
+// UpstreamAddrs returns the addresses of the upstreams.
+func (s *System) UpstreamAddrs() []netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.upstreamAddrs)
+}
+
 // AdminAddrs returns the addresses of the entries for administration.
 func (s *System) AdminAddrs() []netip.AddrPort {
 	var out []netip.AddrPort
@@ -142,7 +163,12 @@
 	return s.faults
 }
 
-func (s *System) startEntry(ctx context.Context, i int, o Options) error {
+// AddEntry starts one more entry.
+func (s *System) AddEntry() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := len(s.Entries)
+	ctx, drain := context.WithCancel(s.ctx)
 	e, err := dispatcher.New(dispatcher.Settings{
 		Peer:         messenger.Peer("entry-" + strconv.Itoa(i)),
 		Region:       "default",
@@ -152,20 +178,27 @@
 		AdminListen:  loopback,
 		Platform:     s.PlatformAddr,
 		Entries:      s.peerAddrs(),
-		Limits:       o.Limits,
+		Limits:       s.options.Limits,
 		DrainTimeout: drainTimeout,
-		TLS:          o.TLS,
-		Logger:       o.Logger,
+		TLS:          s.options.TLS,
+		Logger:       s.options.Logger,
 	})
 	if err != nil {
+		drain()
 		return err
 	}
+	s.drainEntries = append(s.drainEntries, drain)
 	s.Entries = append(s.Entries, e)
 	s.run(func() error { return e.Run(ctx) })
 	return nil
 }
 
-func (s *System) startAgent(ctx context.Context, i int, o Options) error {
+// AddAgent starts one more agent with its upstream.
+func (s *System) AddAgent() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := len(s.Agents)
+	ctx, drain := context.WithCancel(s.ctx)
 	a, err := agent.New(agent.Settings{
 		Peer:         messenger.Peer("agent-" + strconv.Itoa(i)),
 		Region:       "default",
@@ -173,27 +206,31 @@
 		Rack:         "r" + strconv.Itoa(i/agentsPerRack),
 		Listen:       loopback,
 		Entries:      s.peerAddrs(),
-		Limits:       o.AgentLimits,
+		Limits:       s.options.AgentLimits,
 		DrainTimeout: drainTimeout,
-		TLS:          o.TLS,
-		Logger:       o.Logger,
+		TLS:          s.options.TLS,
+		Logger:       s.options.Logger,
 	})
 	if err != nil {
+		drain()
 		return err
 	}
-	upstream := emulator.NewUpstream(emulator.UpstreamOptions{Slots: upstreamSlots, Seed: uint64(i)})
-	addr, err := s.serve(ctx, upstream)
+	upstream := emulator.NewUpstream(emulator.UpstreamOptions{Slots: s.options.Slots, Seed: uint64(i)})
+	addr, err := s.serve(s.ctx, upstream)
 	if err != nil {
+		drain()
 		return err
 	}
+	s.drainAgents = append(s.drainAgents, drain)
 	s.Agents = append(s.Agents, a)
 	s.Upstreams = append(s.Upstreams, upstream)
+	s.upstreamAddrs = append(s.upstreamAddrs, addr)
 	s.run(func() error { return a.Run(ctx) })
 	s.run(func() error {
 		return emulator.Announce(ctx, a.Addr(), invoker.Announcement{
 			Address:     addr,
-			Services:    []string{"quote", "proof", "artwork-check"},
-			Slots:       upstreamSlots,
+			Services:    s.services,
+			Slots:       s.options.Slots,
 			Connections: upstreamConnections,
 			MemoryBytes: upstreamMemoryBytes,
 			TimeToLive:  submitter.Duration(timeToLive),
