Give each surveyed team a token of its own

The merged configuration refuses a token that two teams share, which broke survey state (TestScripts/survey).

--- a/internal/surveyor/state.go
+++ b/internal/surveyor/state.go
@@ -274,7 +274,7 @@
 		"    default-memory-bytes: 67108864\n    objective: {latency: 2s, latency-ratio: 0.99, success-ratio: 0.999}\nteams:\n")
 	for i := range n {
 		fmt.Fprintf(&b, "  - name: team-%03d\n    slots: 64\n    starts-per-second: 600\n    token-hashes: [%q]\n",
-			i, strings.Repeat("ab", 32))
+			i, fmt.Sprintf("%064x", i+1))
 	}
 	return []byte(b.String())
 }
