Keep the credit of an agent that is not in the roster yet; pass on the work that is left

Cause: an agent tells its credit once, before it is admitted, and the placer did not know the agent then; entries worked with as many credits as slots. Change: the link keeps the credit and applies it on admission; starts carry the work left of their job.

--- a/internal/coordinator/agents.go
+++ b/internal/coordinator/agents.go
@@ -18,6 +18,7 @@
 	settled  []messenger.Settlement
 	admitted bool                // admitted means that the agent was told that it is in the roster.
 	capacity *messenger.Capacity // capacity is the latest one; nil until the agent sent one.
+	credit   *messenger.Credit   // credit is the latest one; nil until the agent sent one.
 	ping     uint64
 	pings    []sentPing    // pings are those without an echo, oldest first.
 	clock    time.Duration // clock is the agent's clock in its latest message.
@@ -108,6 +109,9 @@
 	if a.capacity != nil {
 		c.placer.SetCapacity(now, a.peer, *a.capacity)
 	}
+	if a.credit != nil {
+		c.placer.SetCredit(now, a.peer, a.credit.Limit)
+	}
 }
 
 // fence sends an agent the epochs of partitions that this entry owns. An agent
@@ -139,6 +143,7 @@
 		c.placer.SetCapacity(now, a.peer, *f.Capacity)
 	}
 	if f.Credit != nil {
+		a.credit = f.Credit
 		c.placer.SetCredit(now, a.peer, f.Credit.Limit)
 	}
 	if len(f.Fenced) > 0 {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -342,6 +342,7 @@
 		Path:       c.paths[j.Service],
 		StartBy:    clock + c.limits.StartBudget,
 		EndBy:      clock + j.Deadline.Sub(now),
+		Work:       a.Work,
 		Tasks:      make([]messenger.TaskStart, len(a.Tasks)),
 		RequestKey: j.RequestKey,
 		Digest:     owner.Digest(j),
