Let the directed histories of a split owner have more tasks than credits

Cause: with credits known at admission both owners spread twelve tasks in the same order over three agents, one or two of which each cannot reach, so their starts never met and three guards no longer showed that they are needed. Change: the submission has 80 tasks; the check itself is as it was. Conclusion: the guards are needed as before.

--- a/internal/coordinator/directed_test.go
+++ b/internal/coordinator/directed_test.go
@@ -89,8 +89,9 @@
 		return
 	}
 	w.until(after, func() bool { return false })
-	// So many tasks that both place some of the same.
-	s := w.newSubmission(p, "", 12, time.Second)
+	// More tasks than either has credits at agents that do not answer, so that both
+	// place some of the same at those that do.
+	s := w.newSubmission(p, "", 80, time.Second)
 	w.submitTo(old, s, coordinator.RequestSubmit)
 	w.submitTo(w.ownerOf(p, w.entries[1:]), s, coordinator.RequestSubmit)
 	w.until(time.Second, func() bool { return w.oracle.violation != "" })
