Judge no entry by silence during an own pause; end waits for records early

An entry that had been paused suspected all others, since their frames were unread, and took their partitions over; and a request attached to a recovered job was never completed. Conclusion: what remains unknown are ids made around a takeover with an agent gone.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -179,7 +179,7 @@
 
 // Receive applies a frame from a peer.
 func (c *Coordinator) Receive(now time.Time, from messenger.Peer, f *messenger.Frame) {
-	c.now = now
+	c.begin(now)
 	if a := c.agents[from]; a != nil {
 		c.receiveAgent(now, a, f)
 		return
@@ -191,14 +191,14 @@
 
 // StoreRead applies the outcome of a read.
 func (c *Coordinator) StoreRead(now time.Time, id uint64, r storer.Range, err error) {
-	c.now = now
+	c.begin(now)
 	c.registrar.StoreRead(now, id, r, err)
 	c.applyRows(now)
 }
 
 // StoreWritten applies the outcome of a write.
 func (c *Coordinator) StoreWritten(now time.Time, id uint64, o storer.Outcome, err error) {
-	c.now = now
+	c.begin(now)
 	c.registrar.StoreWritten(now, id, o, err)
 	c.applyRows(now)
 }
@@ -221,7 +221,7 @@
 
 // Tick applies the passing of time.
 func (c *Coordinator) Tick(now time.Time) {
-	c.now = now
+	c.begin(now)
 	if c.started.IsZero() {
 		c.started = now
 	}
@@ -241,7 +241,7 @@
 // Take runs the controllers on what has happened, returns what is to be done and
 // clears it.
 func (c *Coordinator) Take(now time.Time) Output {
-	c.now = now
+	c.begin(now)
 	c.disown(now)
 	c.applyOwner(now)
 	if c.leaser.Held(now) {
--- a/internal/coordinator/entries.go
+++ b/internal/coordinator/entries.go
@@ -73,6 +73,22 @@
 	}
 }
 
+// begin notes the time of an event. After a pause of this process the frames of
+// the others may wait unread: their silence until now says nothing about them.
+func (c *Coordinator) begin(now time.Time) {
+	paused := !c.now.IsZero() && now.Sub(c.now) >= c.limits.SuspectAfter/2
+	c.now = now
+	if !paused {
+		return
+	}
+	for _, e := range c.entries {
+		e.heardAt = now
+	}
+	for peer := range c.sighted {
+		c.sighted[peer] = now
+	}
+}
+
 // responsive reports whether an entry is connected and was heard lately.
 func (c *Coordinator) responsive(now time.Time, peer messenger.Peer) bool {
 	e := c.entries[peer]
--- a/internal/coordinator/requests.go
+++ b/internal/coordinator/requests.go
@@ -60,6 +60,9 @@
 type heldRequest struct {
 	waiter  owner.Waiter
 	request Request
+	// until is when the records of agents are awaited no more; zero if the request
+	// does not wait for them.
+	until time.Time
 }
 
 func newRequests() requests {
@@ -116,7 +119,7 @@
 
 // Request applies a request of a caller.
 func (c *Coordinator) Request(now time.Time, ticket uint64, r Request) {
-	c.now = now
+	c.begin(now)
 	if c.recoverer.Phase(r.Job.Submission.Partition()) != recoverer.PhaseNone {
 		c.local(now, owner.Waiter{Ticket: ticket}, r)
 		return
@@ -146,6 +149,11 @@
 
 // local applies a request for a partition that this entry owns.
 func (c *Coordinator) local(now time.Time, w owner.Waiter, r Request) {
+	c.localUntil(now, w, r, now.Add(c.limits.Owner.LostAfter))
+}
+
+// localUntil applies a request that waits for records until the given time.
+func (c *Coordinator) localUntil(now time.Time, w owner.Waiter, r Request, until time.Time) {
 	j := r.Job
 	if c.recoverer.Phase(j.Submission.Partition()) != recoverer.PhaseActive {
 		c.requests.hold(j.Submission.Partition(), heldRequest{waiter: w, request: r})
@@ -153,7 +161,7 @@
 	}
 	past := c.past(now, &r)
 	if past == recoverer.PastUnknown {
-		c.localUncertain(now, w, j)
+		c.localUncertain(now, w, r, until)
 		return
 	}
 	switch r.Kind {
@@ -200,13 +208,22 @@
 }
 
 // localUncertain applies a request for an id that may have run under a former
-// owner. What is known of it is awaited; nothing more of it is started.
-func (c *Coordinator) localUncertain(now time.Time, w owner.Waiter, j owner.Job) {
-	if c.owner.Attach(now, w, j.Submission, j.Team, j.Deadline) {
-		return
+// owner while some agent's records are missing. If every task is known to have
+// started, the job goes on, since nothing of it can be started again. If some are,
+// the request waits for a while for the records of the others.
+func (c *Coordinator) localUncertain(now time.Time, w owner.Waiter, r Request, until time.Time) {
+	j := r.Job
+	started := c.owner.Started(j.Submission)
+	switch {
+	case r.Kind == RequestSubmit && started > 0 && started == len(j.Tasks):
+		c.owner.Submit(now, w, j)
+	case r.Kind == RequestSubmit && started > 0 && now.Before(until):
+		c.requests.hold(j.Submission.Partition(), heldRequest{waiter: w, request: r, until: until})
+	case r.Kind != RequestSubmit && c.owner.Attach(now, w, j.Submission, j.Team, j.Deadline):
+	default:
+		c.deliver(now, w, unknown(j.Submission, submitter.ReasonOwnerChanged,
+			"the former owner of the submission is gone and not every agent's records are known"))
 	}
-	c.deliver(now, w, unknown(j.Submission, submitter.ReasonOwnerChanged,
-		"the former owner of the submission is gone and not every agent's records are known"))
 }
 
 // attach answers for a known submission. A submission that is not known here, or
@@ -227,7 +244,10 @@
 			continue
 		}
 		for _, h := range c.requests.takeHeld(p) {
-			c.local(now, h.waiter, h.request)
+			if h.until.IsZero() {
+				h.until = now.Add(c.limits.Owner.LostAfter)
+			}
+			c.localUntil(now, h.waiter, h.request, h.until)
 		}
 	}
 }
@@ -346,6 +366,10 @@
 func (c *Coordinator) expireHeld(now time.Time, p identifier.Partition) {
 	held := c.requests.takeHeld(p)
 	for _, h := range held {
+		if !h.until.IsZero() && !now.Before(h.until) {
+			c.localUntil(now, h.waiter, h.request, h.until)
+			continue
+		}
 		if now.Before(h.request.Job.Deadline) {
 			c.requests.hold(p, h)
 			continue
--- a/internal/owner/recover.go
+++ b/internal/owner/recover.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"sardinelock.dev/sardinelock/internal/identifier"
 	"sardinelock.dev/sardinelock/internal/messenger"
 	"sardinelock.dev/sardinelock/pkg/submitter"
 )
@@ -154,6 +155,22 @@
 	return j.unsent()
 }
 
+// Started returns how many tasks of a submission are known to have been sent to
+// an agent or to have ended.
+func (o *Owner) Started(s identifier.Submission) int {
+	j := o.jobs[s]
+	if j == nil {
+		return 0
+	}
+	n := 0
+	for i := range j.tasks {
+		if j.tasks[i].state != taskWaiting {
+			n++
+		}
+	}
+	return n
+}
+
 // Released is a job without an answer that leaves this owner, with the requests
 // that wait for it and have its deadline.
 type Released struct {
