Dial gone entries no more, and redial with a jittered back-off

Cause: agents kept every address they had ever heard of and dialled each four times a second, all agents at the same pace. Change: an entry's list replaces the former one; the pause doubles to 4 s and is jittered.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -65,7 +65,7 @@
 	follower *applier.Follower
 	invoker  *invoker.Invoker
 	conns    map[messenger.Peer]*connector.Conn
-	targets  map[netip.AddrPort]bool // targets has the entries' addresses; true while one is connected or dialled.
+	targets  map[netip.AddrPort]*target
 	calls    map[guard.TaskRef]context.CancelFunc
 	// draining means that the agent shuts down: whatever the upstream announces
 	// since, it takes no new work.
@@ -92,13 +92,13 @@
 		guard:    guard.New(time.Now(), s.Limits),
 		follower: applier.NewFollower(time.Now(), applier.DefaultLimits()),
 		conns:    make(map[messenger.Peer]*connector.Conn),
-		targets:  make(map[netip.AddrPort]bool),
+		targets:  make(map[netip.AddrPort]*target),
 		calls:    make(map[guard.TaskRef]context.CancelFunc),
 		ready:    make(chan struct{}),
 		killed:   make(chan struct{}),
 	}
 	for _, addr := range s.Entries {
-		a.targets[addr] = false
+		a.targets[addr] = &target{fixed: true}
 	}
 	a.background, a.stop = context.WithCancel(context.Background())
 	a.loop = controller.New(a.flush)
--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -9,21 +10,71 @@
 	"sardinelock.dev/sardinelock/internal/messenger"
 )
 
+// target is an entry's address that the agent dials.
+type target struct {
+	busy     bool      // busy means that the entry is connected or dialled.
+	fixed    bool      // fixed means that the address comes from the settings.
+	failures int       // failures counts the dials that failed since the last connection.
+	next     time.Time // next is when the address may be dialled again.
+}
+
+const (
+	minRedial = 250 * time.Millisecond
+	maxRedial = 4 * time.Second
+)
+
 // dialEntries dials the entries that are not connected. It runs on the control
 // thread; the dialling does not.
-func (a *Agent) dialEntries(time.Time) {
-	for addr, busy := range a.targets {
-		if busy {
+func (a *Agent) dialEntries(now time.Time) {
+	for addr, t := range a.targets {
+		if t.busy || now.Before(t.next) {
 			continue
 		}
-		a.targets[addr] = true
+		t.busy = true
 		go a.link(addr)
 	}
 }
 
+// unlinked plans the next dial of an address after a connection or a dial ended.
+// The pause doubles with every failure and is jittered, so that the agents of a
+// region do not dial an entry that is back all at once.
+func (a *Agent) unlinked(now time.Time, addr netip.AddrPort, connected bool) {
+	t := a.targets[addr]
+	if t == nil {
+		return
+	}
+	t.busy = false
+	if connected {
+		t.failures = 0
+	}
+	pause := min(minRedial<<min(t.failures, 8), maxRedial)
+	t.failures++
+	t.next = now.Add(pause/2 + rand.N(pause))
+}
+
+// setRoutes replaces the entries that the agent dials by those that an entry has
+// named. Addresses of the settings stay, and so do connected ones.
+func (a *Agent) setRoutes(entries []messenger.EntryAddr) {
+	named := make(map[netip.AddrPort]bool, len(entries))
+	for _, e := range entries {
+		named[e.Addr] = true
+		if a.targets[e.Addr] == nil {
+			a.targets[e.Addr] = &target{}
+		}
+	}
+	for addr, t := range a.targets {
+		if !named[addr] && !t.fixed && !t.busy {
+			delete(a.targets, addr)
+		}
+	}
+}
+
 // link connects to one entry and serves the connection until it ends.
 func (a *Agent) link(addr netip.AddrPort) {
-	defer a.loop.Post(func(time.Time) { a.targets[addr] = false })
+	connected := false
+	defer func() {
+		a.loop.Post(func(now time.Time) { a.unlinked(now, addr, connected) })
+	}()
 	conn, err := connector.Dial(a.background, a.entryURL(addr), connector.Options{
 		Hello:  a.hello,
 		Counts: &a.counts,
@@ -32,6 +83,7 @@
 	if err != nil {
 		return
 	}
+	connected = true
 	entry := conn.Hello().Peer
 	up := a.loop.Call(func(now time.Time) {
 		if old := a.conns[entry]; old != nil {
@@ -58,12 +110,8 @@
 	if a.conns[entry] != conn {
 		return
 	}
-	if f.Routes != nil {
-		for _, e := range f.Routes.Entries {
-			if _, known := a.targets[e.Addr]; !known {
-				a.targets[e.Addr] = false
-			}
-		}
+	if f.Routes != nil && len(f.Routes.Entries) > 0 {
+		a.setRoutes(f.Routes.Entries)
 	}
 	if f.Config != nil {
 		a.follower.Receive(now, entry, f.Config)
--- /dev/null
+++ b/internal/agent/link_test.go
@@ -0,0 +1,50 @@
+package agent
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sardinelock.dev/sardinelock/internal/messenger"
+)
+
+func addr(text string) netip.AddrPort { return netip.MustParseAddrPort(text) }
+
+// The addresses of entries that are gone are dialled no more; those of the
+// settings and connected ones stay.
+func TestSetRoutes(t *testing.T) {
+	a := &Agent{targets: map[netip.AddrPort]*target{
+		addr("127.0.0.1:1"): {fixed: true},
+		addr("127.0.0.1:2"): {busy: true},
+		addr("127.0.0.1:3"): {},
+	}}
+	a.setRoutes([]messenger.EntryAddr{{Peer: "entry-4", Addr: addr("127.0.0.1:4")}})
+	got := slices.SortedFunc(maps.Keys(a.targets), netip.AddrPort.Compare)
+	want := []netip.AddrPort{addr("127.0.0.1:1"), addr("127.0.0.1:2"), addr("127.0.0.1:4")}
+	if diff := cmp.Diff(want, got, cmp.Comparer(func(x, y netip.AddrPort) bool { return x == y })); diff != "" {
+		t.Errorf("targets (-want +got):\n%s", diff)
+	}
+}
+
+// The pause before the next dial grows with failures up to its bound, and begins
+// anew after a connection.
+func TestRedialBacksOff(t *testing.T) {
+	at := addr("127.0.0.1:1")
+	a := &Agent{targets: map[netip.AddrPort]*target{at: {busy: true}}}
+	now := time.Unix(1_700_000_000, 0)
+	for failure := range 10 {
+		a.unlinked(now, at, false)
+		mean := min(minRedial<<failure, maxRedial)
+		if pause := a.targets[at].next.Sub(now); pause < mean/2 || pause > mean*3/2 {
+			t.Errorf("after failure %d the pause is %s, want %s to %s", failure, pause, mean/2, mean*3/2)
+		}
+	}
+	a.unlinked(now, at, true)
+	if pause := a.targets[at].next.Sub(now); pause > minRedial*3/2 {
+		t.Errorf("after a connection the pause is %s, want at most %s", pause, minRedial*3/2)
+	}
+}
