Split grown files and tell about upstreams once

Cause: requests.go and guard.go had grown past 400 lines with two jobs each; the placer had two listings of agents and two ways for operators to eject. Tests read the same facts from what is left.

--- a/internal/coordinator/requests.go
+++ b/internal/coordinator/requests.go
@@ -43,19 +43,6 @@
 	heldSize int
 }
 
-// forward is a request of this entry for a partition that another entry owns.
-type forward struct {
-	request Request
-	to      messenger.Peer // to is the entry that has the request; empty if none has it.
-	// sent means that some entry had the request at some time.
-	sent bool
-	// notBefore is when the request may be sent again after it came back.
-	notBefore time.Time
-}
-
-// movedPause is how long a request that came back waits for newer rows.
-const movedPause = 50 * time.Millisecond
-
 // heldRequest is a request for a partition of this entry that is not active.
 type heldRequest struct {
 	waiter  owner.Waiter
@@ -93,25 +80,6 @@
 	return out
 }
 
-// lost records that an entry is not connected any more.
-func (r *requests) lost(peer messenger.Peer) {
-	for _, f := range r.forwards {
-		if f.to == peer {
-			f.to = ""
-			r.unrouted++
-		}
-	}
-}
-
-// moved records that the entry that had a request does not own its partition.
-func (r *requests) moved(now time.Time, ticket uint64) {
-	if f := r.forwards[ticket]; f != nil {
-		f.to = ""
-		r.unrouted++
-		f.notBefore = now.Add(movedPause)
-	}
-}
-
 // Submit applies a request to run a job whose id the caller chose.
 func (c *Coordinator) Submit(now time.Time, ticket uint64, j owner.Job) {
 	c.Request(now, ticket, Request{Kind: RequestSubmit, Job: j})
@@ -252,98 +220,6 @@
 	}
 }
 
-// route passes a request on to the owner of its partition. While the owner is not
-// known or not connected, the request waits; one of another region does not.
-func (c *Coordinator) route(now time.Time, ticket uint64) {
-	f := c.requests.forwards[ticket]
-	if f == nil || f.to != "" || now.Before(f.notBefore) {
-		return
-	}
-	s := f.request.Job.Submission
-	p := s.Partition()
-	if c.recoverer.Phase(p) != recoverer.PhaseNone {
-		delete(c.requests.forwards, ticket)
-		c.local(now, owner.Waiter{Ticket: ticket}, f.request)
-		return
-	}
-	row := c.registrar.Partition(p)
-	e := c.entries[row.Owner]
-	if e == nil {
-		if row.Region != "" && row.Region != c.self.Region {
-			c.answerForward(ticket, unknown(s, submitter.ReasonRegionUnreachable,
-				"the submission belongs to region "+row.Region+", which cannot be reached"))
-		}
-		return
-	}
-	if row.Epoch < c.highest[p] {
-		return
-	}
-	f.to = e.peer
-	f.sent = true
-	frame := e.gather()
-	frame.Forwards = append(frame.Forwards, forwardMessage(now, ticket, &f.request))
-	f.request.Resent = true
-}
-
-// routeRequests routes every request that no entry has.
-func (c *Coordinator) routeRequests(now time.Time) {
-	if c.requests.unrouted == 0 {
-		return
-	}
-	c.requests.unrouted = 0
-	for _, ticket := range slices.Clone(c.requests.order) {
-		c.route(now, ticket)
-		if f := c.requests.forwards[ticket]; f != nil && f.to == "" {
-			c.requests.unrouted++
-		}
-	}
-}
-
-// passOn makes a request of a partition that is lost wait for the new owner.
-func (c *Coordinator) passOn(w owner.Waiter, r Request) {
-	if w.Peer == "" {
-		r.Resent = true
-		c.requests.add(w.Ticket, &forward{request: r, sent: true})
-		return
-	}
-	if e := c.entries[w.Peer]; e != nil {
-		f := e.gather()
-		f.Moved = append(f.Moved, messenger.Moved{Ticket: w.Ticket})
-	}
-}
-
-func (c *Coordinator) receiveForward(now time.Time, e *entryLink, m *messenger.Forward) {
-	w := owner.Waiter{Peer: e.peer, Ticket: m.Ticket}
-	if m.Abandon {
-		c.owner.Abandon(now, w)
-		return
-	}
-	if c.recoverer.Phase(m.Submission.Partition()) == recoverer.PhaseNone {
-		f := e.gather()
-		f.Moved = append(f.Moved, messenger.Moved{Ticket: m.Ticket})
-		return
-	}
-	c.local(now, w, Request{Kind: kindOf(m), Fresh: m.Fresh, Resent: m.Resent, Job: owner.Job{
-		Submission: m.Submission,
-		Service:    m.Service,
-		Team:       m.Team,
-		RequestKey: m.RequestKey,
-		Deadline:   now.Add(m.Remaining),
-		Tasks:      m.Tasks,
-	}})
-}
-
-func (c *Coordinator) receiveAnswer(a *messenger.Answer) {
-	if c.requests.forwards[a.Ticket] != nil {
-		c.answerForward(a.Ticket, a)
-	}
-}
-
-func (c *Coordinator) answerForward(ticket uint64, a *messenger.Answer) {
-	delete(c.requests.forwards, ticket)
-	c.out.Answers = append(c.out.Answers, TicketAnswer{Ticket: ticket, Answer: a})
-}
-
 // expireRequests answers the requests whose deadline has passed, after a pause in
 // which the owner's own answer may still arrive. A request whose id was made for
 // it and that never left this entry did not run.
@@ -400,47 +276,6 @@
 	f.Answers = append(f.Answers, own)
 }
 
-func forwardMessage(now time.Time, ticket uint64, r *Request) messenger.Forward {
-	j := &r.Job
-	return messenger.Forward{
-		Ticket:     ticket,
-		Submission: j.Submission,
-		Service:    j.Service,
-		Team:       j.Team,
-		RequestKey: j.RequestKey,
-		Remaining:  j.Deadline.Sub(now),
-		Tasks:      j.Tasks,
-		Fresh:      r.Fresh,
-		Resent:     r.Resent,
-		Attach:     r.Kind == RequestAttach,
-		Cancel:     r.Kind == RequestCancel,
-	}
-}
-
-func kindOf(m *messenger.Forward) RequestKind {
-	switch {
-	case m.Attach:
-		return RequestAttach
-	case m.Cancel:
-		return RequestCancel
-	}
-	return RequestSubmit
-}
-
-// unowned answers a request that no owner answered in time.
-func unowned(f *forward) *messenger.Answer {
-	if f.request.Fresh && !f.sent {
-		return &messenger.Answer{
-			Submission: f.request.Job.Submission,
-			Outcome:    string(submitter.OutcomeNotRun),
-			Reason:     string(submitter.ReasonNoOwner),
-			Detail:     "no entry that owns the submission could be reached before the deadline",
-			RetryAfter: time.Second,
-		}
-	}
-	return unknown(f.request.Job.Submission, submitter.ReasonNoOwner, "the owner of the submission cannot be reached")
-}
-
 // unknown returns an answer that claims nothing.
 func unknown(s identifier.Submission, reason submitter.Reason, detail string) *messenger.Answer {
 	return &messenger.Answer{
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -136,13 +136,6 @@
 // Clock converts a time to the agent's clock.
 func (g *Guard) Clock(now time.Time) time.Duration { return now.Sub(g.started) }
 
-// Epochs returns a copy of the highest epochs seen, indexed by partition.
-func (g *Guard) Epochs() []uint64 {
-	out := make([]uint64, identifier.Partitions)
-	copy(out, g.epochs[:])
-	return out
-}
-
 // Running returns the number of tasks that run.
 func (g *Guard) Running() int { return g.running }
 
@@ -292,64 +285,6 @@
 	return out
 }
 
-// admit applies that the agent is part of the roster. Holders stay as they are:
-// an admission says nothing about who the owners are.
-func (g *Guard) admit(now time.Time, a *messenger.Admit) {
-	g.admitted = true
-	for p, epoch := range a.Epochs[:min(len(a.Epochs), identifier.Partitions)] {
-		g.raise(identifier.Partition(p), epoch)
-	}
-	g.refuseWaiting(now)
-}
-
-// fence raises epochs and answers with the records of the partitions. A fence of
-// a lower epoch than is known gets the higher epoch and no records.
-func (g *Guard) fence(now time.Time, from messenger.Peer, f *messenger.Fence) {
-	frame := g.frameTo(from)
-	for _, p := range f.Partitions {
-		if int(p.Partition) >= identifier.Partitions {
-			continue
-		}
-		answer := messenger.Fenced{Partition: p.Partition}
-		if !g.Rules.StaleEpoch(p.Epoch, g.epochs[p.Partition]) {
-			g.raise(p.Partition, p.Epoch)
-			g.holders[p.Partition] = from
-			if g.Rules.Recorded() {
-				answer.Records = g.records.of(p.Partition, f.UnsettledOnly)
-			}
-		}
-		answer.Epoch = g.epochs[p.Partition]
-		frame.Fenced = append(frame.Fenced, answer)
-	}
-	g.refuseWaiting(now)
-}
-
-// raise raises the epoch of a partition and notes it for every connection.
-func (g *Guard) raise(p identifier.Partition, epoch uint64) {
-	if epoch <= g.epochs[p] {
-		return
-	}
-	g.epochs[p] = epoch
-	for _, entry := range g.order {
-		g.entries[entry].raised.add(p)
-	}
-}
-
-// takeRaised returns what the connection has not been told and clears it.
-func (g *Guard) takeRaised(l *link) []messenger.PartitionEpoch {
-	if l.raised.empty() {
-		return nil
-	}
-	var out []messenger.PartitionEpoch
-	for p, epoch := range g.epochs {
-		if l.raised.has(identifier.Partition(p)) {
-			out = append(out, messenger.PartitionEpoch{Partition: identifier.Partition(p), Epoch: epoch})
-		}
-	}
-	l.raised = partitionSet{}
-	return out
-}
-
 // start checks one start and queues or refuses each of its tasks.
 func (g *Guard) start(now time.Time, from messenger.Peer, s *messenger.Start) {
 	for i := range s.Tasks {
--- /dev/null
+++ b/internal/placer/backlog.go
@@ -0,0 +1,18 @@
+package placer
+
+import "sardinelock.dev/sardinelock/internal/messenger"
+
+// Backlog returns how many tasks wait for the services of an agent. It rides on
+// starts, so that the agent does not hold results back from an entry that waits
+// for credit.
+func (p *Placer) Backlog(peer messenger.Peer) int {
+	a := p.agents[peer]
+	if a == nil {
+		return 0
+	}
+	n := 0
+	for _, s := range a.seats {
+		n += s.service.waiting
+	}
+	return n
+}
--- a/internal/placer/health.go
+++ b/internal/placer/health.go
@@ -23,9 +23,8 @@
 
 // The reasons of ejection.
 const (
-	EjectFailing  EjectReason = "failing"  // Its tasks fail.
-	EjectSlow     EjectReason = "slow"     // Its tasks take much longer than elsewhere.
-	EjectOperator EjectReason = "operator" // An operator ejected it.
+	EjectFailing EjectReason = "failing" // Its tasks fail.
+	EjectSlow    EjectReason = "slow"    // Its tasks take much longer than elsewhere.
 )
 
 // health is what the results of one agent say about it.
@@ -33,7 +32,6 @@
 	state     HealthState
 	allowed   int // allowed bounds the outstanding tasks beside the credit.
 	reason    EjectReason
-	since     time.Time // since is when the agent was ejected.
 	probeAt   time.Time // probeAt is when the next probe is due; zero if none is.
 	pause     time.Duration
 	successes int     // successes counts those since allowed was raised.
@@ -147,7 +145,7 @@
 func (p *Placer) eject(now time.Time, a *agent, reason EjectReason) {
 	h := &a.health
 	if h.state != stateEjected && h.state != stateProbing {
-		if reason != EjectOperator && !p.mayEject() {
+		if !p.mayEject() {
 			return
 		}
 		p.ejections++
@@ -156,15 +154,11 @@
 	h.state = stateEjected
 	h.allowed = 0
 	h.reason = reason
-	h.since = now
 	h.streak = 0
 	h.timed = 0
 	h.slowness = 0
-	h.probeAt = time.Time{}
-	if reason != EjectOperator {
-		h.pause = min(max(2*h.pause, p.limits.ProbeAfter), p.limits.MaxProbeAfter)
-		h.probeAt = now.Add(h.pause)
-	}
+	h.pause = min(max(2*h.pause, p.limits.ProbeAfter), p.limits.MaxProbeAfter)
+	h.probeAt = now.Add(h.pause)
 }
 
 func (p *Placer) mayEject() bool {
@@ -190,18 +184,6 @@
 	}
 }
 
-// Eject stops the placement of tasks at an agent until [Placer.Restore]. It
-// reports whether the agent is known.
-func (p *Placer) Eject(now time.Time, peer messenger.Peer) bool {
-	a := p.agents[peer]
-	if a == nil {
-		return false
-	}
-	p.eject(now, a, EjectOperator)
-	p.rerank(a)
-	return true
-}
-
 // Restore lets an ejected agent take tasks again, at first few. It reports
 // whether the agent is known.
 func (p *Placer) Restore(_ time.Time, peer messenger.Peer) bool {
--- a/internal/placer/health_test.go
+++ b/internal/placer/health_test.go
@@ -44,18 +44,18 @@
 	for n := range 10 {
 		fail(p, epoch, n, 4, bad)
 	}
-	if s := p.State()[2]; s.Health != stateEjected || s.EjectReason != EjectFailing {
-		t.Fatalf("agent-2 is %s for %q, want ejected for failing", s.Health, s.EjectReason)
+	if s := p.Upstreams()[2]; s.Health != stateEjected || s.Ejected != EjectFailing {
+		t.Fatalf("agent-2 is %s for %q, want ejected for failing", s.Health, s.Ejected)
 	}
 	later := epoch.Add(DefaultLimits().ProbeAfter)
 	fail(p, later, 100, 4, func(messenger.Peer) bool { return false })
-	if s := p.State()[2]; s.Health != stateReturning || s.Credit >= s.Slots {
-		t.Fatalf("agent-2 is %s with %d of %d credits, want few", s.Health, s.Credit, s.Slots)
+	if s := p.Upstreams()[2]; s.Health != stateReturning || s.Credit >= s.Capacity.Slots {
+		t.Fatalf("agent-2 is %s with %d of %d credits, want few", s.Health, s.Credit, s.Capacity.Slots)
 	}
 	for n := range 20 {
 		fail(p, later, 200+n, 32, func(messenger.Peer) bool { return false })
 	}
-	if s := p.State()[2]; s.Health != stateNormal {
+	if s := p.Upstreams()[2]; s.Health != stateNormal {
 		t.Fatalf("agent-2 is %s, want normal", s.Health)
 	}
 }
@@ -67,12 +67,12 @@
 	for n := range 40 {
 		fail(p, epoch, n, 4, func(messenger.Peer) bool { return true })
 	}
-	for _, s := range p.State() {
+	for _, s := range p.Upstreams() {
 		if s.Health != stateNormal {
 			t.Errorf("%s is %s, want normal", s.Peer, s.Health)
 		}
 	}
-	if !p.ServiceStates()[0].Failing {
+	if !p.serviceOrder[0].failsEverywhere() {
 		t.Error("the service is not reported as failing")
 	}
 }
--- a/internal/placer/status.go
+++ b/internal/placer/status.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"slices"
 
 	"sardinelock.dev/sardinelock/internal/messenger"
@@ -25,6 +26,7 @@
 	// Outstanding is the number that it has.
 	Credit, Outstanding int
 	Hold                Hold
+	Health              HealthState
 	// Ejected is why the placer has ejected the upstream by itself; empty if it has
 	// not.
 	Ejected EjectReason
@@ -43,14 +45,15 @@
 			Peer:         a.peer,
 			Place:        a.place,
 			Capacity:     a.capacity,
-			Credit:       a.credit,
+			Credit:       min(a.credit, a.health.allowed),
 			Outstanding:  len(a.sent),
 			Hold:         a.held,
+			Health:       a.health.state,
 			Ejected:      a.health.ejected(),
 			FailureRatio: a.health.failures,
 		})
 	}
-	slices.SortFunc(out, func(a, b UpstreamStatus) int { return compare(a.Peer, b.Peer) })
+	slices.SortFunc(out, func(a, b UpstreamStatus) int { return cmp.Compare(a.Peer, b.Peer) })
 	return out
 }
 
@@ -70,13 +73,3 @@
 	}
 	return ""
 }
-
-func compare(a, b messenger.Peer) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
