--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -111,6 +111,8 @@
 	sighted map[messenger.Peer]time.Time
 	// highest has the highest epoch of each partition that any source reported.
 	highest [identifier.Partitions]uint64
+	// superseded has when each partition was last taken over from this entry.
+	superseded [identifier.Partitions]time.Time
 
 	requests requests
 	handover handovers
--- a/internal/coordinator/ownership.go
+++ b/internal/coordinator/ownership.go
@@ -110,6 +110,9 @@
 // lose ends the ownership of a partition. The requests that wait are passed on to
 // the new owner, which learns from the agents what has started.
 func (c *Coordinator) lose(now time.Time, p identifier.Partition) {
+	if c.recoverer.Phase(p) != recoverer.PhaseStopped {
+		c.superseded[p] = now
+	}
 	c.recoverer.End(p)
 	c.disowned = true
 	for _, r := range c.owner.Release(now, p) {
@@ -192,5 +195,15 @@
 	if row.Owner == "" {
 		return claimer.Home(p, c.limits.Regions) == c.self.Region
 	}
-	return row.Region == c.self.Region && row.Owner != c.self.Peer && c.suspected(now, row.Owner)
+	if row.Region != c.self.Region || row.Owner == c.self.Peer || !c.suspected(now, row.Owner) {
+		return false
+	}
+	since := c.superseded[p]
+	return since.IsZero() || now.Sub(since) >= supersededPauses*c.limits.SuspectAfter
 }
+
+// supersededPauses is how many times the suspicion time an entry waits before it
+// takes back a partition that was taken over from it. Two entries that reach the
+// platform and not each other would otherwise take partitions from each other
+// faster than either can serve them.
+const supersededPauses = 10
