--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -20,7 +20,7 @@
 
 const (
 	minRedial = 250 * time.Millisecond
-	maxRedial = 4 * time.Second
+	maxRedial = time.Second
 )
 
 // dialEntries dials the entries that are not connected. It runs on the control
