--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -47,6 +47,8 @@
 const (
 	tickEvery = 50 * time.Millisecond
 	dialEvery = 250 * time.Millisecond
+	// flushPause is how long a drained agent keeps its connections.
+	flushPause = 250 * time.Millisecond
 )
 
 // Agent is a running agent.
@@ -177,15 +179,17 @@
 	for time.Now().Before(deadline) && !a.idle() {
 		time.Sleep(tickEvery)
 	}
+	// The last results may still be on their way to the entries.
+	time.Sleep(flushPause)
 	a.stop()
 	return nil
 }
 
-// idle reports whether no task runs or waits. It must not be called on the
-// control thread.
+// idle reports whether no task runs or waits and no result is held back. It must
+// not be called on the control thread.
 func (a *Agent) idle() bool {
 	idle := true
-	a.loop.Call(func(time.Time) { idle = a.guard.Running() == 0 && a.guard.Waiting() == 0 })
+	a.loop.Call(func(time.Time) { idle = a.guard.Running()+a.guard.Waiting()+a.guard.Held() == 0 })
 	return idle
 }
 
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -142,6 +142,15 @@
 // Waiting returns the number of starts that wait for a slot.
 func (g *Guard) Waiting() int { return g.waiting.len() }
 
+// Held returns the number of results that wait to be sent with others.
+func (g *Guard) Held() int {
+	n := 0
+	for _, entry := range g.order {
+		n += len(g.entries[entry].held)
+	}
+	return n
+}
+
 // Admitted reports whether the agent is part of the roster.
 func (g *Guard) Admitted() bool { return g.admitted }
 
