Free the place of a task in one function, and drop what nothing reads

Cause: reading the whole change again: Cancelled and Disown of the placer freed places by the same four lines; a takeover kept a time that nothing read; the leaser offered a majority that nobody asked for. Change: Placer.vacate serves both; the other two go. Behaviour is as it was.

--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -123,9 +123,6 @@
 	return out
 }
 
-// Majority returns how many of n witnesses are needed.
-func (l *Leaser) Majority(n int) int { return l.rules.Majority(n) }
-
 func (l *Leaser) term() time.Duration { return l.limits.Lease - l.limits.Margin }
 
 func (l *Leaser) isWitness(agent messenger.Peer) bool {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -274,10 +274,7 @@
 		if ref.submission != s || slices.Contains(started, ref.index) {
 			continue
 		}
-		a.release(ref)
-		freeQuota(o.queue)
-		o.queue.service.ended(now, o.expected, 0)
-		p.closeTask(s)
+		p.vacate(now, a, ref, o)
 	}
 	p.rerank(a)
 }
@@ -288,16 +285,21 @@
 	for _, a := range p.order {
 		for ref, o := range a.sent {
 			if gone(ref.submission) {
-				a.release(ref)
-				freeQuota(o.queue)
-				o.queue.service.ended(now, o.expected, 0)
-				p.closeTask(ref.submission)
+				p.vacate(now, a, ref, o)
 			}
 		}
 		p.rerank(a)
 	}
 }
 
+// vacate frees the place of a task without a result.
+func (p *Placer) vacate(now time.Time, a *agent, ref taskRef, o outstanding) {
+	a.release(ref)
+	freeQuota(o.queue)
+	o.queue.service.ended(now, o.expected, 0)
+	p.closeTask(ref.submission)
+}
+
 // closeTask counts the end of a task and reports whether its job was dropped.
 func (p *Placer) closeTask(s identifier.Submission) bool {
 	n := p.open[s]
--- a/internal/recoverer/recoverer.go
+++ b/internal/recoverer/recoverer.go
@@ -111,7 +111,6 @@
 
 // takeover is a set of partitions that were gained together.
 type takeover struct {
-	begun     time.Time
 	witnesses [][]messenger.Peer // witnesses has one or two sets; a majority of each is needed.
 	missing   []messenger.Peer   // missing is sorted.
 	fencedAt  time.Time          // fencedAt is when the majorities were complete; zero until then.
@@ -173,7 +172,6 @@
 		return
 	}
 	t := &takeover{
-		begun:     now,
 		witnesses: [][]messenger.Peer{slices.Clone(roster.Witnesses)},
 	}
 	if len(roster.Previous) > 0 {
