--- a/internal/identifier/identifier.go
+++ b/internal/identifier/identifier.go
@@ -25,30 +25,19 @@
 type Submission uuid.UUID
 
 // New returns an id made at the given wall-clock time.
-func New(now time.Time) Submission {
-	id := uuid.New()
-	millis := uint64(now.UnixMilli())
-	var stamp [8]byte
-	binary.BigEndian.PutUint64(stamp[:], millis<<16)
-	copy(id[:6], stamp[:6])
-	id[6] = 0x70 | id[6]&0x0f
-	return Submission(id)
-}
+func New(now time.Time) Submission { return secure.New(now) }
 
 // NewIn returns an id made at the given time that falls into a partition which
 // accept allows. It returns false if no id was found in a bounded number of
 // tries, as when accept allows nothing.
 func NewIn(now time.Time, accept func(Partition) bool) (Submission, bool) {
-	const tries = 16 * Partitions
-	for range tries {
-		id := New(now)
-		if accept(id.Partition()) {
-			return id, true
-		}
-	}
-	return Submission{}, false
+	return secure.NewIn(now, accept)
 }
 
+// NewForKey returns an id made at the given time for a submission with a request
+// key. An empty key allows any partition.
+func NewForKey(now time.Time, key string) (Submission, bool) { return secure.NewForKey(now, key) }
+
 // Parse reads the canonical text form of an id. It returns an error of kind
 // [KindMalformed] if the text is no UUID and [KindVersion] if it is a UUID of
 // another version.
@@ -106,13 +95,3 @@
 func KeyPartition(key string) Partition {
 	return Partition(xxhash.Sum64String(key) % Partitions)
 }
-
-// NewForKey returns an id made at the given time for a submission with a request
-// key. An empty key allows any partition.
-func NewForKey(now time.Time, key string) (Submission, bool) {
-	if key == "" {
-		return New(now), true
-	}
-	want := KeyPartition(key)
-	return NewIn(now, func(p Partition) bool { return p == want })
-}
