Hand partitions over in pieces of a bounded size

Cause: found when the capacity of a handover was to be worked out. A handover was one message with all records of up to 64 partitions. With 20 entries at 77,000 starts a second an entry keeps some 20,000 jobs of 58 tasks; a quarter of them is about 35 MB, near the largest message that a peer takes (64 MiB), and pings wait behind it. Ruled out as sufficient: fewer partitions a handover, as one partition may be large by itself.

Change: a handover takes partitions up to 4 MiB of records, or one; its records go in pieces of 1 MiB, each sent when the peer asks. The step commit, which did nothing, is gone. The owner keeps jobs by partition, so that listing one partition does not look at all jobs. The fuzz runs with pieces of 500 bytes.

Conclusion: no message between entries grows with the jobs that are kept.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -10,6 +10,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -41,6 +42,9 @@
 	PingEntriesEvery time.Duration
 	// SteadyAfter is how long an entry must be connected before it is handed partitions.
 	SteadyAfter time.Duration
+	// HandoverBytes is about how much the records of one handover take, unless one
+	// partition has more; HandoverPieceBytes is that of one message of it.
+	HandoverBytes, HandoverPieceBytes int
 	// AnswerSlack is how long after a deadline the owner's answer is awaited.
 	AnswerSlack time.Duration
 	// Regions are all regions, in an order that never changes; empty means that
@@ -128,9 +132,7 @@
 
 // New returns a coordinator that owns nothing.
 func New(self registrar.Entry, limits Limits, rules Rules) *Coordinator {
-	if len(limits.Regions) == 0 {
-		limits.Regions = []string{self.Region}
-	}
+	limits = limits.withDefaults(self.Region)
 	c := &Coordinator{
 		self:      self,
 		limits:    limits,
@@ -151,6 +153,16 @@
 	return c
 }
 
+// withDefaults fills in what may be left out.
+func (l Limits) withDefaults(region string) Limits {
+	if len(l.Regions) == 0 {
+		l.Regions = []string{region}
+	}
+	l.HandoverBytes = cmp.Or(l.HandoverBytes, DefaultHandoverBytes)
+	l.HandoverPieceBytes = cmp.Or(l.HandoverPieceBytes, DefaultHandoverPieceBytes)
+	return l
+}
+
 // SetPath sets the HTTP path of a service at its upstreams.
 func (c *Coordinator) SetPath(service, path string) { c.paths[service] = path }
 
--- a/internal/coordinator/handover.go
+++ b/internal/coordinator/handover.go
@@ -16,6 +16,14 @@
 // maxHandoverPartitions bounds the partitions of one handover.
 const maxHandoverPartitions = 64
 
+// Defaults for the bytes of handovers, both chosen: a piece takes a small part of
+// the time after which a silent entry is suspected, and requests for the stopped
+// partitions wait no longer than a few pieces take.
+const (
+	DefaultHandoverBytes      = 4 << 20
+	DefaultHandoverPieceBytes = 1 << 20
+)
+
 // handovers are the one handover that this entry makes and those that are offered
 // to it.
 //
@@ -47,6 +55,30 @@
 	state      outgoingState
 	partitions []messenger.HandoverPartition // partitions are stopped here.
 	jobs       []messenger.HandoverJob
+	passed     int // passed counts the jobs that went to the peer.
+	pieces     int // pieces counts the pieces in which they went.
+}
+
+// piece returns the next piece of the records, which has at least one job if any
+// is left. The jobs take about the given bytes at most, but for a larger first one.
+func (o *outgoing) piece(step messenger.HandoverStep, maxBytes int) *messenger.Handover {
+	begin, size := o.passed, 0
+	for o.passed < len(o.jobs) {
+		size += o.jobs[o.passed].Size()
+		if size > maxBytes && o.passed > begin {
+			break
+		}
+		o.passed++
+	}
+	h := &messenger.Handover{
+		ID:    o.id,
+		Step:  step,
+		Jobs:  o.jobs[begin:o.passed],
+		Piece: o.pieces,
+		Last:  o.passed == len(o.jobs),
+	}
+	o.pieces++
+	return h
 }
 
 // offer is a handover at the peer that it is made to.
@@ -54,7 +86,20 @@
 	from       messenger.Peer
 	at         time.Time
 	partitions []messenger.HandoverPartition
-	jobs       []messenger.HandoverJob
+	jobs       []messenger.HandoverJob // jobs are those of the pieces so far.
+	pieces     int                     // pieces counts the pieces that came.
+	complete   bool                    // complete means that the last piece came.
+}
+
+// add takes a piece of the records. It returns false if it is not the next one.
+func (o *offer) add(h *messenger.Handover) bool {
+	if o.complete || h.Piece != o.pieces {
+		return false
+	}
+	o.jobs = append(o.jobs, h.Jobs...)
+	o.pieces++
+	o.complete = h.Last
+	return true
 }
 
 func newHandovers() handovers { return handovers{offered: make(map[string]*offer)} }
@@ -86,23 +131,22 @@
 	}
 	c.handover.out = out
 	c.out.RoutesChanged = true
-	c.entries[to].gather().Handover = &messenger.Handover{
-		ID:   out.id,
-		Step: messenger.HandoverOffer,
-		// The frame is encoded later, and the handover drops partitions meanwhile.
-		Partitions: slices.Clone(out.partitions),
-		Jobs:       out.jobs,
-	}
+	h := out.piece(messenger.HandoverOffer, c.limits.HandoverPieceBytes)
+	// The frame is encoded later, and the handover drops partitions meanwhile.
+	h.Partitions = slices.Clone(out.partitions)
+	c.entries[to].gather().Handover = h
 }
 
 // chooseHandover returns the entry that wants most and what it should get.
-// Partitions whose past is not known in full stay, unless this entry drains.
+// Partitions whose past is not known in full stay, unless this entry drains. The
+// records take no more than the limit in bytes, but for one partition that does.
 func (c *Coordinator) chooseHandover(now time.Time) (messenger.Peer, []identifier.Partition) {
 	live := c.live(now)
 	var to messenger.Peer
 	var out []identifier.Partition
+	bytes := 0
 	for p := range identifier.Partition(identifier.Partitions) {
-		if c.recoverer.Phase(p) != recoverer.PhaseActive || len(out) == maxHandoverPartitions {
+		if c.recoverer.Phase(p) != recoverer.PhaseActive {
 			continue
 		}
 		if !c.draining && c.recoverer.Inheritance(now, p).Incomplete {
@@ -112,8 +156,15 @@
 		if want == "" || want == c.self.Peer || !c.steady(now, want) || (to != "" && want != to) {
 			continue
 		}
+		bytes += c.owner.PartitionBytes(p)
+		if len(out) > 0 && bytes > c.limits.HandoverBytes {
+			break
+		}
 		to = want
 		out = append(out, p)
+		if len(out) == maxHandoverPartitions {
+			break
+		}
 	}
 	return to, out
 }
@@ -188,7 +239,8 @@
 		return c.recoverer.Phase(hp.Partition) != recoverer.PhaseStopped || c.recoverer.Epoch(hp.Partition) != hp.Epoch
 	})
 	if len(out.partitions) == 0 {
-		c.endHandover(out)
+		// The peer learns of the rows by their revision, which its next frame brings.
+		c.handover.out = nil
 		return
 	}
 	if out.state == outgoingOffered || out.state == outgoingAccepted {
@@ -203,13 +255,6 @@
 	}
 }
 
-func (c *Coordinator) endHandover(out *outgoing) {
-	c.handover.out = nil
-	if e := c.entries[out.to]; e != nil {
-		e.gather().Handover = &messenger.Handover{ID: out.id, Step: messenger.HandoverCommit}
-	}
-}
-
 // cancelHandover goes on with partitions for which no write was asked for.
 func (c *Coordinator) cancelHandover(now time.Time, out *outgoing) {
 	c.handover.out = nil
@@ -243,7 +288,7 @@
 // gainHandover makes a partition active that its owner has passed to this entry.
 func (c *Coordinator) gainHandover(now time.Time, gained messenger.PartitionEpoch, id string) bool {
 	o := c.handover.offered[id]
-	if id == "" || o == nil {
+	if id == "" || o == nil || !o.complete {
 		return false
 	}
 	for _, hp := range o.partitions {
@@ -260,22 +305,47 @@
 func (c *Coordinator) receiveHandover(now time.Time, e *entryLink, h *messenger.Handover) {
 	switch h.Step {
 	case messenger.HandoverOffer:
-		c.handover.offered[h.ID] = &offer{from: e.peer, at: now, partitions: h.Partitions, jobs: h.Jobs}
-		e.gather().Handover = &messenger.Handover{ID: h.ID, Step: messenger.HandoverAccept}
+		c.handover.offered[h.ID] = &offer{from: e.peer, at: now, partitions: h.Partitions}
+		c.receivePiece(e, h)
+	case messenger.HandoverRecords:
+		c.receivePiece(e, h)
+	case messenger.HandoverNext:
+		if out := c.handover.out; out != nil && out.id == h.ID && out.to == e.peer && out.pieces == h.Piece {
+			e.gather().Handover = out.piece(messenger.HandoverRecords, c.limits.HandoverPieceBytes)
+		}
 	case messenger.HandoverAccept:
-		if out := c.handover.out; out != nil && out.id == h.ID && out.state == outgoingOffered {
+		if out := c.handover.out; out != nil && out.id == h.ID && out.to == e.peer && out.state == outgoingOffered {
 			out.state = outgoingAccepted
 			c.propose(now)
 		}
 	case messenger.HandoverCancel:
 		delete(c.handover.offered, h.ID)
-	case messenger.HandoverCommit:
-		// The rows tell; the table revision that comes with it makes this entry read them.
 	}
 }
 
-// handoverPeerDown goes on with partitions whose write was not asked for yet.
+// receivePiece takes a piece of what is offered and asks for the next one, or
+// accepts when the last is in. A piece out of order says that its handover has
+// ended or that the connection was another then; the owner cancels it.
+func (c *Coordinator) receivePiece(e *entryLink, h *messenger.Handover) {
+	o := c.handover.offered[h.ID]
+	if o == nil || o.from != e.peer || !o.add(h) {
+		return
+	}
+	reply := &messenger.Handover{ID: h.ID, Step: messenger.HandoverNext, Piece: o.pieces}
+	if o.complete {
+		reply = &messenger.Handover{ID: h.ID, Step: messenger.HandoverAccept}
+	}
+	e.gather().Handover = reply
+}
+
+// handoverPeerDown goes on with partitions whose write was not asked for yet, and
+// forgets what the peer has offered in part.
 func (c *Coordinator) handoverPeerDown(now time.Time, peer messenger.Peer) {
+	for id, o := range c.handover.offered {
+		if o.from == peer && !o.complete {
+			delete(c.handover.offered, id)
+		}
+	}
 	out := c.handover.out
 	if out == nil || out.to != peer {
 		return
--- /dev/null
+++ b/internal/coordinator/handover_test.go
@@ -0,0 +1,88 @@
+package coordinator_test
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/coordinator"
+	"sardinelock.dev/sardinelock/internal/identifier"
+	"sardinelock.dev/sardinelock/internal/messenger"
+)
+
+// TestHandoverInPieces drains an entry that keeps many answers, with the limits of
+// production. No message of the handover may be so large that it holds up the
+// pings beside it, and each answer must be known afterwards.
+func TestHandoverInPieces(t *testing.T) {
+	const (
+		jobs     = 600
+		tasks    = 20
+		taskSize = 1000
+		// A message that holds more than the jobs that end it has them in a piece.
+		most = coordinator.DefaultHandoverPieceBytes + 2*tasks*taskSize
+	)
+	w := newWorld(func(n int) int { return n - 1 }, worldOptions{
+		entries: 2, agents: 3, slots: 8,
+		limits: func(l *coordinator.Limits) {
+			l.Owner.Window, l.Owner.MaxRecordBytes, l.Owner.MaxAnswerBytes = time.Hour, 1<<30, 1<<30
+			l.HandoverBytes, l.HandoverPieceBytes = 0, 0
+		},
+	})
+	w.settleUntil(2*time.Second, w.serving)
+	var submissions []*submission
+	for i := range jobs {
+		// All jobs are in a fourth of the partitions.
+		s := w.largeSubmission(identifier.Partition(i%64), tasks, taskSize)
+		submissions = append(submissions, s)
+		w.submitTo(w.entries[i%2], s, coordinator.RequestSubmit)
+		w.settle(50 * time.Millisecond)
+	}
+	handovers, largest := 0, 0
+	w.sent = func(f *messenger.Frame) {
+		if f.Handover == nil {
+			return
+		}
+		handovers++
+		largest = max(largest, encodedSize(t, f))
+	}
+	drained := w.entries[0]
+	drained.leaving = true
+	drained.entry.Drain(w.now)
+	w.settleUntil(10*time.Second, func() bool { return !drained.alive })
+	if drained.alive {
+		t.Error("the entry did not drain")
+	}
+	t.Logf("%d messages of handovers, the largest of %d bytes", handovers, largest)
+	if largest > most {
+		t.Errorf("the largest message of a handover has %d bytes, want at most %d", largest, most)
+	}
+	for _, s := range submissions {
+		w.submitTo(w.entries[1], s, coordinator.RequestSubmit)
+	}
+	w.settle(time.Second)
+	w.oracle.checkEnd()
+	if w.oracle.violation != "" {
+		t.Error(w.oracle.violation)
+	}
+	if complete := w.oracle.outcomes["complete "]; complete != 2*jobs {
+		t.Errorf("%d answers are complete, want %d:\n%s", complete, 2*jobs, table(w.oracle.outcomes))
+	}
+}
+
+// largeSubmission adds a submission whose tasks have payloads of a size.
+func (w *world) largeSubmission(p identifier.Partition, tasks, size int) *submission {
+	s := w.newSubmission(p, "", tasks, 5*time.Second)
+	for i := range s.payload {
+		s.payload[i] = append(s.payload[i], bytes.Repeat([]byte{'/'}, size)...)
+	}
+	return s
+}
+
+func encodedSize(t *testing.T, f *messenger.Frame) int {
+	t.Helper()
+	var buf bytes.Buffer
+	if err := messenger.Append(&buf, f); err != nil {
+		t.Fatal(err)
+	}
+	return buf.Len()
+}
--- a/internal/coordinator/world_test.go
+++ b/internal/coordinator/world_test.go
@@ -123,6 +123,10 @@
 		PingEntriesEvery: 50 * time.Millisecond,
 		SteadyAfter:      100 * time.Millisecond,
 		AnswerSlack:      20 * time.Millisecond,
+		// Records of a few jobs take several pieces, and those of many partitions
+		// several handovers.
+		HandoverBytes:      4_000,
+		HandoverPieceBytes: 500,
 	}
 	worldGuardLimits = guard.Limits{
 		Window:         worldWindow + 2*worldClockDifference + 200*time.Millisecond,
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -340,20 +340,28 @@
 // HandoverStep is a step of a handover.
 type HandoverStep string
 
-// The steps of a handover, in order.
+// The steps of a handover, in order. The records come in pieces, the first with
+// the offer, and each further one when the peer asks for it, so that a large
+// handover holds up nothing else on the connection.
 const (
-	HandoverOffer  HandoverStep = "offer"  // The owner has stopped and passes its records.
-	HandoverAccept HandoverStep = "accept" // The peer has the records.
-	HandoverCommit HandoverStep = "commit" // The table names the peer as owner.
-	HandoverCancel HandoverStep = "cancel" // The owner goes on; the records are void.
+	HandoverOffer   HandoverStep = "offer"   // The owner has stopped and passes the first piece.
+	HandoverNext    HandoverStep = "next"    // The peer has a piece and asks for the next.
+	HandoverRecords HandoverStep = "records" // The owner passes a further piece.
+	HandoverAccept  HandoverStep = "accept"  // The peer has all records.
+	HandoverCancel  HandoverStep = "cancel"  // The owner goes on; the records are void.
 )
 
 // Handover passes partitions with their records from one entry to another.
 type Handover struct {
 	ID         string              `cbor:"1,keyasint"` // ID is unique to the handover.
 	Step       HandoverStep        `cbor:"2,keyasint"`
-	Partitions []HandoverPartition `cbor:"3,keyasint,omitempty"`
+	Partitions []HandoverPartition `cbor:"3,keyasint,omitempty"` // Partitions come with the offer.
 	Jobs       []HandoverJob       `cbor:"4,keyasint,omitempty"`
+	// Piece counts the pieces from 0: of an offer and of records it is the piece
+	// that they bring, of next the piece that is asked for.
+	Piece int `cbor:"5,keyasint,omitempty"`
+	// Last means that no piece follows.
+	Last bool `cbor:"6,keyasint,omitempty"`
 }
 
 // HandoverPartition is one partition of a handover.
@@ -388,6 +396,32 @@
 	AnswerLost bool `cbor:"8,keyasint,omitempty"`
 }
 
+// What a message spends beside payloads and names; about what CBOR takes.
+const (
+	handoverJobBytes  = 128
+	handoverTaskBytes = 64
+	// handoverResultBytes is the head of a byte string.
+	handoverResultBytes = 8
+)
+
+// Size returns about how many bytes the job takes in a message, and not less.
+func (j *HandoverJob) Size() int {
+	n := handoverJobBytes + len(j.Job.Service) + len(j.Job.Team) + len(j.Job.RequestKey)
+	if j.Answer != nil {
+		n += len(j.Answer.Detail) + len(j.Answer.Reason)
+		for _, r := range j.Answer.Results {
+			n += handoverResultBytes + len(r)
+		}
+	}
+	for i := range j.Tasks {
+		n += handoverTaskBytes + len(j.Tasks[i].Agent)
+		if r := j.Tasks[i].Result; r != nil {
+			n += handoverTaskBytes + len(r.Payload) + len(r.Detail)
+		}
+	}
+	return n
+}
+
 // HandoverTask is one task that was sent to an agent.
 type HandoverTask struct {
 	Index  uint16      `cbor:"1,keyasint"`
--- a/internal/owner/due.go
+++ b/internal/owner/due.go
@@ -122,7 +122,7 @@
 	}
 	o.dropResults(j)
 	o.bytes -= j.bytes
-	delete(o.jobs, j.spec.Submission)
+	o.jobs.remove(j)
 }
 
 // keepResults bounds the results that are kept, dropping the oldest.
@@ -134,7 +134,7 @@
 	o.results += size
 	o.kept = append(o.kept, j.spec.Submission)
 	for len(o.kept) > 0 {
-		oldest := o.jobs[o.kept[0]]
+		oldest := o.jobs.get(o.kept[0])
 		if oldest != nil && oldest.hasResults() && o.results <= o.limits.MaxAnswerBytes {
 			return
 		}
--- a/internal/owner/handover.go
+++ b/internal/owner/handover.go
@@ -12,19 +12,31 @@
 // ids. Requests that wait are not part of it; [Owner.Release] gives them back.
 func (o *Owner) Export(now time.Time, p identifier.Partition) []messenger.HandoverJob {
 	var out []messenger.HandoverJob
-	for _, j := range o.sortedJobs(inPartition(p)) {
+	for _, j := range o.jobs.in(p) {
 		out = append(out, o.export(now, j))
 	}
 	return out
 }
 
+// PartitionBytes returns about how many bytes [Owner.Export] returns of a partition.
+func (o *Owner) PartitionBytes(p identifier.Partition) int {
+	n := 0
+	for _, j := range o.jobs.partitions[p] {
+		n += j.bytes
+		if j.hasResults() {
+			n += resultBytes(j.answer)
+		}
+	}
+	return n
+}
+
 // Release forgets the jobs of a partition. It returns those without an answer
 // for which requests wait, so that they can be passed to the new owner. Requests
 // that wait for a job without a specification brought no tasks; they are answered,
 // because no other request for the job may ever come.
 func (o *Owner) Release(_ time.Time, p identifier.Partition) []Released {
 	var out []Released
-	for _, j := range o.sortedJobs(inPartition(p)) {
+	for _, j := range o.jobs.in(p) {
 		if j.phase == phaseOpen {
 			out = append(out, released(j)...)
 			o.out.Drops = append(o.out.Drops, j.spec.Submission)
@@ -53,7 +65,7 @@
 // answered one; a request that is passed on attaches to it by [Owner.Submit]. What
 // is known already is not replaced.
 func (o *Owner) Import(now time.Time, h messenger.HandoverJob) {
-	if o.jobs[h.Job.Submission] != nil {
+	if o.jobs.get(h.Job.Submission) != nil {
 		return
 	}
 	j := &job{
@@ -137,7 +149,3 @@
 	}
 	return h
 }
-
-func inPartition(p identifier.Partition) func(*job) bool {
-	return func(j *job) bool { return j.spec.Submission.Partition() == p }
-}
--- a/internal/owner/lifecycle.go
+++ b/internal/owner/lifecycle.go
@@ -12,7 +12,7 @@
 // Sent records that tasks of a submission are sent to an agent. It returns those
 // that may be sent: a task that is known to be at an agent is not among them.
 func (o *Owner) Sent(now time.Time, s identifier.Submission, agent messenger.Peer, tasks []uint16) []uint16 {
-	j := o.jobs[s]
+	j := o.jobs.get(s)
 	if j == nil || j.phase != phaseOpen {
 		return nil
 	}
@@ -36,7 +36,7 @@
 // Result applies the results of an agent. Results of unknown submissions and
 // those that come twice have no effect.
 func (o *Owner) Result(now time.Time, agent messenger.Peer, r *messenger.Result) {
-	j := o.jobs[r.Submission]
+	j := o.jobs.get(r.Submission)
 	if j == nil {
 		return
 	}
@@ -213,14 +213,14 @@
 
 // add takes a job into the records.
 func (o *Owner) add(j *job) *job {
-	o.jobs[j.spec.Submission] = j
+	o.jobs.put(j)
 	o.weigh(j)
 	return j
 }
 
 // weigh accounts for the memory of a job after it has changed.
 func (o *Owner) weigh(j *job) {
-	if o.jobs[j.spec.Submission] != j {
+	if o.jobs.get(j.spec.Submission) != j {
 		return
 	}
 	n := j.memory()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -97,7 +97,7 @@
 	limits Limits
 	// Rules are the decisions that at-most-once rests on.
 	Rules     Rules
-	jobs      map[identifier.Submission]*job
+	jobs      jobSet
 	open      int                              // open counts the jobs in phase open.
 	waiting   map[Waiter]*job                  // waiting has the job of each request that waits.
 	keys      map[string]identifier.Submission // keys has the submission that holds each request key.
@@ -117,7 +117,6 @@
 	return &Owner{
 		limits:    limits,
 		Rules:     DefaultRules(),
-		jobs:      make(map[identifier.Submission]*job),
 		waiting:   make(map[Waiter]*job),
 		keys:      make(map[string]identifier.Submission),
 		agents:    make(map[messenger.Peer]*agentJobs),
@@ -126,7 +125,7 @@
 }
 
 // Jobs returns the number of jobs that are kept and of those without an answer.
-func (o *Owner) Jobs() (kept, open int) { return len(o.jobs), o.open }
+func (o *Owner) Jobs() (kept, open int) { return o.jobs.count, o.open }
 
 // Waiting returns the number of requests that wait for an answer.
 func (o *Owner) Waiting() int { return len(o.waiting) }
@@ -135,11 +134,11 @@
 func (o *Owner) Bytes() (jobs, results int) { return o.bytes, o.results }
 
 // Known reports whether the owner has a record of the submission.
-func (o *Owner) Known(s identifier.Submission) bool { return o.jobs[s] != nil }
+func (o *Owner) Known(s identifier.Submission) bool { return o.jobs.get(s) != nil }
 
 // Job returns the job of a submission that has no answer yet.
 func (o *Owner) Job(s identifier.Submission) (Job, bool) {
-	j := o.jobs[s]
+	j := o.jobs.get(s)
 	if j == nil || j.phase != phaseOpen {
 		return Job{}, false
 	}
@@ -153,7 +152,7 @@
 // A recovered job may be submitted only once every agent that may have started a
 // task of it has answered the fence; [Owner.Attach] serves requests before that.
 func (o *Owner) Submit(now time.Time, w Waiter, in Job) []uint16 {
-	if j := o.jobs[in.Submission]; j != nil {
+	if j := o.jobs.get(in.Submission); j != nil {
 		return o.resubmit(now, j, w, in)
 	}
 	if a := o.inadmissible(now, &in); a != nil {
@@ -178,7 +177,7 @@
 // Attach lets a request wait for the answer of a known submission without
 // bringing its tasks. It returns false if the submission is not known to the team.
 func (o *Owner) Attach(now time.Time, w Waiter, s identifier.Submission, team string, deadline time.Time) bool {
-	j := o.jobs[s]
+	j := o.jobs.get(s)
 	if j == nil || !j.belongsTo(team) {
 		return false
 	}
@@ -199,7 +198,7 @@
 // Cancel ends a job without an answer. It returns false if the team has no such
 // job.
 func (o *Owner) Cancel(now time.Time, s identifier.Submission, team string) bool {
-	j := o.jobs[s]
+	j := o.jobs.get(s)
 	if j == nil || !j.belongsTo(team) {
 		return false
 	}
@@ -212,7 +211,7 @@
 // Refuse ends a job that cannot be placed. The answer is not-run if none of its
 // tasks may have started.
 func (o *Owner) Refuse(now time.Time, s identifier.Submission, reason submitter.Reason, detail string, retryAfter time.Duration) {
-	j := o.jobs[s]
+	j := o.jobs.get(s)
 	if j == nil || j.phase != phaseOpen {
 		return
 	}
@@ -224,7 +223,7 @@
 	o.expireLost(now)
 	for len(o.due) > 0 && !now.Before(o.due[0].at) {
 		d := o.due.pop()
-		if j := o.jobs[d.id]; j != nil {
+		if j := o.jobs.get(d.id); j != nil {
 			o.expire(now, j)
 		}
 	}
--- a/internal/owner/recover.go
+++ b/internal/owner/recover.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"slices"
 	"time"
 
 	"sardinelock.dev/sardinelock/internal/identifier"
@@ -13,7 +12,7 @@
 // not known becomes a recovered job, which costs only its record until it is
 // submitted again.
 func (o *Owner) Recover(now time.Time, agent messenger.Peer, r messenger.Record) {
-	j := o.jobs[r.Submission]
+	j := o.jobs.get(r.Submission)
 	switch {
 	case j == nil:
 		j = &job{
@@ -158,7 +157,7 @@
 // Started returns how many tasks of a submission are known to have been sent to
 // an agent or to have ended.
 func (o *Owner) Started(s identifier.Submission) int {
-	j := o.jobs[s]
+	j := o.jobs.get(s)
 	if j == nil {
 		return 0
 	}
@@ -177,17 +176,3 @@
 	Job     Job
 	Waiters []Waiter
 }
-
-// sortedJobs returns the jobs that keep accepts, in the order of their ids.
-func (o *Owner) sortedJobs(keep func(*job) bool) []*job {
-	var out []*job
-	for _, j := range o.jobs {
-		if keep(j) {
-			out = append(out, j)
-		}
-	}
-	slices.SortFunc(out, func(x, y *job) int {
-		return slices.Compare(x.spec.Submission[:], y.spec.Submission[:])
-	})
-	return out
-}
--- a/internal/owner/status.go
+++ b/internal/owner/status.go
@@ -33,7 +33,7 @@
 
 // Status returns the status of a job that is kept.
 func (o *Owner) Status(s identifier.Submission) (Status, bool) {
-	j := o.jobs[s]
+	j := o.jobs.get(s)
 	if j == nil {
 		return Status{}, false
 	}
@@ -58,7 +58,7 @@
 func (o *Owner) Usage() []Usage {
 	index := make(map[[2]string]int)
 	var out []Usage
-	for _, j := range o.jobs {
+	for j := range o.jobs.all() {
 		key := [2]string{j.spec.Service, j.spec.Team}
 		i, ok := index[key]
 		if !ok {
@@ -83,11 +83,13 @@
 // Open returns the open jobs of a service and a team in the order of their ids.
 // An empty name stands for all.
 func (o *Owner) Open(service, team string) []identifier.Submission {
-	jobs := o.sortedJobs(func(j *job) bool {
-		return j.phase == phaseOpen &&
-			(service == "" || service == j.spec.Service) &&
-			(team == "" || team == j.spec.Team)
-	})
+	var jobs []*job
+	for j := range o.jobs.all() {
+		if j.phase == phaseOpen && (service == "" || service == j.spec.Service) && (team == "" || team == j.spec.Team) {
+			jobs = append(jobs, j)
+		}
+	}
+	sortJobs(jobs)
 	var out []identifier.Submission
 	for _, j := range jobs {
 		out = append(out, j.spec.Submission)
@@ -97,7 +99,7 @@
 
 // CancelAny ends a job without an answer, whatever team it belongs to.
 func (o *Owner) CancelAny(now time.Time, s identifier.Submission) {
-	if j := o.jobs[s]; j != nil {
+	if j := o.jobs.get(s); j != nil {
 		o.Cancel(now, s, j.spec.Team)
 	}
 }
@@ -105,7 +107,7 @@
 // FirstSend records that tasks of a job are sent. It returns how long the job
 // has waited for that, and false if tasks of it were sent before.
 func (o *Owner) FirstSend(now time.Time, s identifier.Submission) (time.Duration, bool) {
-	j := o.jobs[s]
+	j := o.jobs.get(s)
 	if j == nil || j.firstSent {
 		return 0, false
 	}
