Measure the client library, listings, handovers and forwards for the capacity page

The capacity has rows for the administration, the client library, a drained entry and two regions. The messages' slopes have a file of their own and one function for a kind of message.

--- a/cmd/sardinelock/cmd/survey.go
+++ b/cmd/sardinelock/cmd/survey.go
@@ -51,6 +51,7 @@
 	options surveyor.Options
 	entry   netip.AddrPort
 	caller  netip.AddrPort
+	admin   netip.AddrPort
 }
 
 func (s *surveyFlags) register(c *cobra.Command, sizes []int, what string) {
@@ -89,13 +90,13 @@
 	c := &cobra.Command{
 		Use:     "agents",
 		Short:   "Measure an entry by the number of idle agents",
-		Example: `  sardinelock survey agents --entry 127.0.0.1:7401 --pid 4711`,
+		Example: `  sardinelock survey agents --entry 127.0.0.1:7401 --admin 127.0.0.1:7402 --pid 4711`,
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			if err := s.check(s.entry); err != nil {
+			if err := s.check(s.entry, s.admin); err != nil {
 				return err
 			}
-			slopes, err := surveyor.Agents(c.Context(), s.entry, s.options)
+			slopes, err := surveyor.Agents(c.Context(), s.entry, s.admin, s.options)
 			if err != nil {
 				return err
 			}
@@ -104,6 +105,7 @@
 	}
 	s.register(c, []int{11, 110, 300, 900}, "numbers of agents")
 	c.Flags().Var(addrFlag{&s.entry}, "entry", "peer address of the entry")
+	c.Flags().Var(addrFlag{&s.admin}, "admin", "administration address of the entry")
 	return c
 }
 
--- a/internal/surveyor/capacity.go
+++ b/internal/surveyor/capacity.go
@@ -75,6 +75,8 @@
 	lines := entryLines(t, z)
 	lines = append(lines, agentLines(t, z)...)
 	lines = append(lines, storeLines(t, z)...)
+	lines = append(lines, administrationLines(t, z)...)
+	lines = append(lines, clientLines(t, z)...)
 	lines = append(lines, eventLines(t, z)...)
 	if len(t.absent) > 0 {
 		return nil, &Error{Op: "capacity", Kind: KindAbsent, Err: errors.New(strings.Join(t.absent, ", "))}
@@ -131,9 +133,36 @@
 		{"table", "state: configuration in force", "B", "config-bytes × teams", t.fit("config-bytes").At(float64(z.Teams)), 0},
 		{"table", "configuration read by all entries", "B/s", "config-bytes × teams × polls × entries",
 			t.fit("config-bytes").At(float64(z.Teams)) * entries * t.fit("store-reads").PerUnit / 3, 0},
+	}
+}
+
+// listingsPerSecond is how often operators and their tools are taken to ask for the
+// upstreams; it is chosen.
+const listingsPerSecond = 0.2
+
+func administrationLines(t *table, z Size) []Line {
+	agents := float64(z.Agents)
+	spent := t.fit("listing-time").At(agents)
+	return []Line{
 		{"administration", "configuration versions kept a day", "MiB", "config-bytes × teams × changes a day",
 			t.fit("config-bytes").At(float64(z.Teams)) * z.ChangesPerDay / (1 << 20), 0},
 		{"administration", "processor time to read one version", "ms", "config-parse-time × teams", t.fit("config-parse-time").At(float64(z.Teams)) / 1e3, 0},
+		{"administration", "processor time of a listing of the upstreams, at each entry", "ms", "listing-time × agents", spent / 1e3, 0},
+		{"administration", "bytes of a listing of the upstreams", "B", "listing-bytes × agents", t.fit("listing-bytes").At(agents), 0},
+		{"administration", "processor time of listings, one in 5 s", "core", "listing-time × agents × 0.2/s", spent * listingsPerSecond / 1e6, boundCore},
+	}
+}
+
+// largestJob is the number of tasks of the largest job.
+const largestJob = 580
+
+func clientLines(t *table, z Size) []Line {
+	perJob := t.fit("client-job-time").At(z.TasksPerJob)
+	return []Line{
+		{"client library", "memory of the largest job in flight", "KiB", "client-job-bytes × 580", t.fit("client-job-bytes").At(largestJob) / (1 << 10), 0},
+		{"client library", "processor time of a job", "us", "client-job-time × tasks", perJob, 0},
+		{"client library", "processor time of all callers together", "core", "client-job-time × tasks × jobs/s", perJob * z.StartsPerSecond / z.TasksPerJob / 1e6, 0},
+		{"client library", "jobs a second of all callers, one request and one answer each", "1/s", "starts/s / tasks", z.StartsPerSecond / z.TasksPerJob, 0},
 	}
 }
 
@@ -143,12 +172,20 @@
 	join := t.fit("entry-join-time").PerUnit
 	joinBytes := t.fit("entry-join-bytes").PerUnit
 	records := z.StartsPerSecond * z.WindowSeconds / entries
+	jobs := z.StartsPerSecond / entries / z.TasksPerJob
+	kept := jobs * z.WindowSeconds
+	handover := t.fit("handover-message-bytes").PerUnit * kept
 	return []Line{
 		{"entry restarted", "bytes from and to agents", "MiB", "entry-join-bytes × agents", joinBytes * agents / (1 << 20), 0},
 		{"entry restarted", "its processor time for all agents to join", "s", "entry-join-time × agents", join * agents / 1e6, 0},
 		{"entry lost", "records that agents send its successors, one task a record", "1", "starts/s × window / entries", records, 0},
 		{"entry lost", "bytes of these records", "MiB", "record-message-bytes × records", t.fit("record-message-bytes").PerUnit * records / (1 << 20), 0},
 		{"entry lost", "processor time to code and decode them", "s", "record-message-time × records", t.fit("record-message-time").PerUnit * records / 1e6, 0},
+		{"entry drained", "bytes of kept jobs that it passes on", "MiB", "handover-message-bytes × jobs/s × window", handover / (1 << 20), 0},
+		{"entry drained", "messages with these records", "1", "bytes / 1 MiB", math.Ceil(handover / (1 << 20)), 0},
+		{"entry drained", "processor time to code and decode them", "s", "handover-message-time × jobs/s × window", t.fit("handover-message-time").PerUnit * kept / 1e6, 0},
+		{"two regions", "bytes an entry passes to the other region and gets back, half of its jobs", "B/s", "(forward- + answer-message-bytes) × tasks × jobs/s / 2",
+			(t.fit("forward-message-bytes").At(z.TasksPerJob) + t.fit("answer-message-bytes").At(z.TasksPerJob)) * jobs / 2, 0},
 		{"data centre lost", "records that agents send, a fifth of the entries lost", "1", "starts/s × window / 5", z.StartsPerSecond * z.WindowSeconds / 5, 0},
 		{"data centre lost", "bytes of these records over all entries", "MiB", "record-message-bytes × records",
 			t.fit("record-message-bytes").PerUnit * z.StartsPerSecond * z.WindowSeconds / 5 / (1 << 20), 0},
--- a/internal/surveyor/connections.go
+++ b/internal/surveyor/connections.go
@@ -103,9 +103,9 @@
 	return sum
 }
 
-// Agents measures the entry with the given address for peers by the number of
-// idle agents that are connected to it.
-func Agents(ctx context.Context, entry netip.AddrPort, o Options) ([]Slope, error) {
+// Agents measures the entry with the given addresses for peers and for
+// administration by the number of idle agents that are connected to it.
+func Agents(ctx context.Context, entry, admin netip.AddrPort, o Options) ([]Slope, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	c := &crowd{options: o, entries: []netip.AddrPort{entry}, upstream: httptest.NewServer(emulator.NewUpstream(emulator.UpstreamOptions{Slots: slots}))}
 	defer c.upstream.Close()
@@ -114,7 +114,8 @@
 	m := newMeters("agent",
 		meter{"entry-idle-core", "core"}, meter{"entry-resident", "B"},
 		meter{"entry-idle-messages", "1/s"}, meter{"entry-idle-bytes", "B/s"},
-		meter{"entry-join-time", "us"}, meter{"entry-join-messages", "1"}, meter{"entry-join-bytes", "B"})
+		meter{"entry-join-time", "us"}, meter{"entry-join-messages", "1"}, meter{"entry-join-bytes", "B"},
+		meter{"listing-time", "us"}, meter{"listing-bytes", "B"})
 	joining := 0.0 // joining is the processor time of all joins so far, in microseconds.
 	for _, n := range o.Sizes {
 		before, err := ReadUsage(o.PID)
@@ -135,9 +136,14 @@
 		if err != nil {
 			return nil, err
 		}
+		l, err := measureListing(ctx, admin, o.PID, r.cores)
+		if err != nil {
+			return nil, err
+		}
 		joining += (settled.ProcessorTime-before.ProcessorTime).Seconds()*1e6 - r.cores*took.Seconds()*1e6
 		m.add(float64(n), r.cores, r.resident, r.messages, r.bytes,
-			joining, float64(joined.MessagesSent+joined.MessagesRead), float64(joined.BytesSent+joined.BytesRead))
+			joining, float64(joined.MessagesSent+joined.MessagesRead), float64(joined.BytesSent+joined.BytesRead),
+			l.time, l.bytes)
 	}
 	return m.slopes(), ctx.Err()
 }
--- a/internal/surveyor/state.go
+++ b/internal/surveyor/state.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"runtime"
+	"slices"
 	"strings"
 	"time"
 
@@ -36,7 +37,6 @@
 	taskCounts      = []int{1, 11, 58, 290, 580}
 	partitionCounts = []int{32, 64, 128, 256}
 	teamCounts      = []int{10, 40, 130, 260}
-	fencedCounts    = []int{10, 100, 1_000, 5_000}
 )
 
 // State measures the slopes that need no connections.
@@ -44,12 +44,16 @@
 	var out []Slope
 	out = append(out, recordSlopes()...)
 	out = append(out, jobSlopes()...)
-	out = append(out, frameSlopes()...)
+	out = append(out, messageSlopes()...)
+	client, err := clientSlopes()
+	if err != nil {
+		return nil, err
+	}
 	tables, err := tableSlopes()
 	if err != nil {
 		return nil, err
 	}
-	return append(out, tables...), nil
+	return slices.Concat(out, client, tables), nil
 }
 
 // heapOf returns the growth of the heap that make leaves behind.
@@ -170,66 +174,6 @@
 	return o
 }
 
-// frameSlopes measures the bytes and the processor time of a start message and
-// of a result message by the tasks they carry, and of an answer to a fence by its
-// records.
-func frameSlopes() []Slope {
-	var startBytes, resultBytes, startTime, resultTime []Sample
-	for _, n := range taskCounts {
-		id := identifier.New(time.Now())
-		start := messenger.Start{Submission: id, Epoch: 1, Service: "quote", Path: "/quote", StartBy: time.Hour, EndBy: time.Hour}
-		result := messenger.Result{Submission: id}
-		for i := range n {
-			start.Tasks = append(start.Tasks, messenger.TaskStart{Index: uint16(i), Payload: payload(), MemoryBytes: 64 << 20})
-			result.Tasks = append(result.Tasks, messenger.TaskResult{
-				Index: uint16(i), Kind: messenger.ResultDone, Payload: payload(), RunTime: 200 * time.Millisecond,
-			})
-		}
-		size, spent := codecCost(&messenger.Frame{Starts: []messenger.Start{start}})
-		startBytes = append(startBytes, Sample{float64(n), size})
-		startTime = append(startTime, Sample{float64(n), spent})
-		size, spent = codecCost(&messenger.Frame{Results: []messenger.Result{result}})
-		resultBytes = append(resultBytes, Sample{float64(n), size})
-		resultTime = append(resultTime, Sample{float64(n), spent})
-	}
-	var recordBytes, recordTime []Sample
-	for _, n := range fencedCounts {
-		fenced := messenger.Fenced{Epoch: 1}
-		for range n {
-			fenced.Records = append(fenced.Records, messenger.Record{
-				Submission: identifier.New(time.Now()),
-				Ended:      []messenger.TaskResult{{Index: 57, Kind: messenger.ResultDone, RunTime: 200 * time.Millisecond}},
-				Digest:     1 << 63,
-				Service:    "quote",
-			})
-		}
-		size, spent := codecCost(&messenger.Frame{Fenced: []messenger.Fenced{fenced}})
-		recordBytes = append(recordBytes, Sample{float64(n), size})
-		recordTime = append(recordTime, Sample{float64(n), spent})
-	}
-	return []Slope{
-		NewSlope("record-message-bytes", "B", "record", recordBytes),
-		NewSlope("record-message-time", "us", "record", recordTime),
-		NewSlope("start-message-bytes", "B", "task", startBytes),
-		NewSlope("result-message-bytes", "B", "task", resultBytes),
-		NewSlope("start-message-time", "us", "task", startTime),
-		NewSlope("result-message-time", "us", "task", resultTime),
-	}
-}
-
-// codecCost returns the size of a frame in bytes and the time to encode and
-// decode it once.
-func codecCost(f *messenger.Frame) (size, spent float64) {
-	var buf bytes.Buffer
-	spent = microseconds(func() {
-		buf.Reset()
-		// A frame of this package always encodes; a fault would show as size 0.
-		_ = messenger.Append(&buf, f)
-		_ = messenger.Decode(buf.Bytes(), func(*messenger.Frame) {})
-	})
-	return float64(buf.Len()), spent
-}
-
 // tableSlopes measures what is read from the table by its rows.
 func tableSlopes() ([]Slope, error) {
 	var rowBytes, configBytes, parseTime []Sample
