Poll the table's revision instead of rows, and measure what entries read

Cause: docs/CAPACITY.md gives 24485 B/s of table reads an entry (bound 18000). The figure was worked out as all 256 partition rows times the polls; nothing measured it. An idle entry in fact read the rows of all entries each second and all rows only when the table's revision had moved; the configuration poll reads the small row config/current, not the document, so that the line "configuration read by all entries" (278525 B/s) was wrong as well.

Change: the registrar polls a key that has no row, whose answer is the table's revision alone. It decides as before: a higher revision makes it read all rows together, the known one proves them current. Every write of the table moves the revision, so what leases, claims and takeovers rest on is as fresh as before; writes remain conditional on the revisions of rows. The platform's protocol is the same. survey entries counts the bytes on the connections of the platform (store-bytes, with HTTP's headers, with a configuration in force); the capacity of an entry adds the reads that changes cause, with a new slope for the roster's row. connector.Totals has Add for the two loops that summed.

Ruled out: a row with a change counter (every writer must raise it); a range read since a revision (needs deletions in the protocol).

The generated tables are not renewed here.

--- a/cmd/sardinelock/cmd/counting_test.go
+++ b/cmd/sardinelock/cmd/counting_test.go
@@ -11,14 +11,18 @@
 	"testing"
 	"time"
 
+	"sardinelock.dev/sardinelock/internal/applier"
+	"sardinelock.dev/sardinelock/internal/configurer"
 	"sardinelock.dev/sardinelock/internal/coordinator"
 	"sardinelock.dev/sardinelock/internal/emulator"
 	"sardinelock.dev/sardinelock/internal/guard"
 	"sardinelock.dev/sardinelock/internal/identifier"
 	"sardinelock.dev/sardinelock/internal/invoker"
+	"sardinelock.dev/sardinelock/internal/launcher"
 	"sardinelock.dev/sardinelock/internal/messenger"
 	"sardinelock.dev/sardinelock/internal/owner"
 	"sardinelock.dev/sardinelock/internal/registrar"
+	"sardinelock.dev/sardinelock/internal/storer"
 	"sardinelock.dev/sardinelock/pkg/submitter"
 )
 
@@ -38,6 +42,7 @@
 	tickets  uint64
 	messages int
 	bytes    int
+	read     int // read counts the bytes of rows that were read, as JSON.
 	starts   int
 	answers  int
 	complete int
@@ -165,7 +170,7 @@
 	}
 	for _, r := range out.Reads {
 		w.after(countedLatency, func() {
-			w.entry.StoreRead(w.now, r.ID, w.store.Read(r.Prefix), nil)
+			w.entry.StoreRead(w.now, r.ID, w.readTable(r.Prefix), nil)
 			w.flushEntry()
 		})
 	}
@@ -177,6 +182,25 @@
 	}
 }
 
+// readTable reads rows as the platform sends them.
+func (w *counted) readTable(prefix string) storer.Range {
+	rows := w.store.Read(prefix)
+	// A range always encodes; a fault would show as 0 bytes.
+	body, _ := json.Marshal(rows)
+	w.read += len(body)
+	return rows
+}
+
+// followConfig polls the version of the configuration as an entry does.
+func (w *counted) followConfig(a *applier.Applier) {
+	a.Tick(w.now)
+	if a.Take(w.now).ReadHead {
+		w.readTable(configurer.CurrentKey)
+		a.HeadRead(w.now, 0, nil)
+	}
+	w.after(100*time.Millisecond, func() { w.followConfig(a) })
+}
+
 func (w *counted) flushAgent(a *countedAgent) {
 	out := a.guard.Take(w.now)
 	for _, call := range out.Invocations {
@@ -296,6 +320,32 @@
 	report(t, "entry-bytes-at-rest-900-agents", float64(w.bytes)/10, "B/s", 18_000)
 }
 
+// TestTrafficWithTableAtRest holds what an entry reads of the table while nothing
+// changes to the bound for control a node. The other entries are of another region,
+// so that one entry is enough.
+func TestTrafficWithTableAtRest(t *testing.T) {
+	const agents, entries = 900, 20
+	w := newCounted(agents)
+	if _, err := launcher.StoreConfig(w.store, "", nil); err != nil {
+		t.Fatal(err)
+	}
+	for i := range entries - 1 {
+		other := registrar.Entry{Peer: messenger.Peer(fmt.Sprintf("entry-%02d", i)), Region: "other", DataCentre: "other", PeerAddr: netip.MustParseAddrPort("127.0.0.1:3")}
+		w.store.Write(storer.Transaction{RequestID: string(other.Peer), Puts: []storer.Put{registrar.EntryPut(other)}})
+	}
+	w.followConfig(applier.New(w.now, messenger.Hello{Peer: countedEntry}, applier.DefaultLimits(), nil))
+	if !w.runUntil(time.Minute, func() bool { return w.entry.Serving(w.now, agents) }) {
+		t.Fatal("the entry does not serve")
+	}
+	w.runUntil(10*time.Second, func() bool { return false })
+	w.read = 0
+	w.runUntil(10*time.Second, func() bool { return false })
+	if w.read == 0 {
+		t.Error("the entry reads nothing, so that it would not learn of a change")
+	}
+	report(t, "table-bytes-at-rest-900-agents", float64(w.read)/10, "B/s", 18_000)
+}
+
 // TestAllocationsOfCodec bounds what a task costs in one start message of 58
 // tasks that is encoded and decoded: one payload to hold, and a share of the rest.
 func TestAllocationsOfCodec(t *testing.T) {
--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -66,6 +66,16 @@
 	MessagesRead, BytesRead uint64
 }
 
+// Add returns the sum of two totals.
+func (t Totals) Add(o Totals) Totals {
+	return Totals{
+		MessagesSent: t.MessagesSent + o.MessagesSent,
+		BytesSent:    t.BytesSent + o.BytesSent,
+		MessagesRead: t.MessagesRead + o.MessagesRead,
+		BytesRead:    t.BytesRead + o.BytesRead,
+	}
+}
+
 // Totals reads the counts.
 func (c *Counts) Totals() Totals {
 	return Totals{
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -3,8 +3,10 @@
 //
 // There are three kinds of rows: one for each entry, one for each partition with
 // its owner and epoch, and one for each region with the roster of its agents. The
-// registrar polls them cheaply: it reads the entries' rows, and reads the rest
-// only when the table's revision has moved. It has at most one write under way
+// registrar polls them cheaply: a read of a key that has no row is answered with
+// the table's revision alone, and the rows are read only when it has moved. Since
+// every write of the table moves the revision, an answer with the known one proves
+// that all rows are as they are known. It has at most one write under way
 // and reads the rows again after each, so that whoever proposes a write decides
 // on rows that are current. A write whose outcome is unknown is resolved by that
 // reading alone. The package does no I/O: calls are asked for in the output and
@@ -173,7 +175,7 @@
 		r.readAll(now)
 		return
 	}
-	r.read(now, entryPrefix)
+	r.read(now, revisionKey)
 }
 
 // Propose asks for a write. It must be called only while the registrar is idle.
@@ -203,7 +205,7 @@
 		}
 		r.applyAll(rows)
 		r.readAt = r.polledAt
-	case entryPrefix:
+	case revisionKey:
 		if rows.Revision > r.revision {
 			r.readAll(now)
 			return
--- a/internal/registrar/row.go
+++ b/internal/registrar/row.go
@@ -19,6 +19,8 @@
 	entryPrefix     = "cluster/entries/"
 	partitionPrefix = "cluster/partitions/"
 	rosterPrefix    = "cluster/roster/"
+	// revisionKey has no row: a read of it asks for the table's revision alone.
+	revisionKey = "cluster/revision"
 )
 
 // Entry is the row of an entry.
--- a/internal/surveyor/capacity.go
+++ b/internal/surveyor/capacity.go
@@ -42,6 +42,8 @@
 	boundWrites = 300
 )
 
+const secondsPerDay = 24 * 60 * 60
+
 // Line is one figure of a role at a size.
 type Line struct {
 	Role, Figure, Unit, Formula string
@@ -88,15 +90,13 @@
 	agents, entries := float64(z.Agents), float64(z.Entries)
 	starts := z.StartsPerSecond / entries
 	jobs := starts / z.TasksPerJob
-	row := t.fit("partition-row-bytes")
-	polls := t.fit("store-reads").PerUnit / 3
 	keptJobs := jobs * z.WindowSeconds
 	return []Line{
 		{"entry", "idle processor time", "core", "entry-idle-core × agents", t.fit("entry-idle-core").At(agents), boundCore},
 		{"entry", "resident memory, idle", "MiB", "entry-resident × agents", t.fit("entry-resident").At(agents) / (1 << 20), boundBytes >> 20},
 		{"entry", "idle messages from and to agents", "1/s", "entry-idle-messages × agents", t.fit("entry-idle-messages").At(agents), 0},
 		{"entry", "idle traffic with agents", "B/s", "entry-idle-bytes × agents", t.fit("entry-idle-bytes").At(agents), boundRate},
-		{"entry", "reads of the table", "B/s", "partition-row-bytes × 256 × polls", row.At(256) * polls, boundRate},
+		{"entry", "traffic with the table", "B/s", "store-bytes + rows × changes a day", t.fit("store-bytes").PerUnit + changedRows(t, z), boundRate},
 		{"entry", "memory of kept answers", "MiB", "entry-kept-task-bytes × starts/s × window", t.fit("entry-kept-task-bytes").PerUnit * starts * z.WindowSeconds / (1 << 20), 0},
 		{"entry", "processor time of expiry", "core", "entry-job-tick × kept jobs × 100/s", t.fit("entry-job-tick").At(keptJobs) * 100 / 1e6, boundCore},
 		{"entry", "processor time of jobs", "core", "entry-job-time × tasks × jobs/s", t.fit("entry-job-time").At(z.TasksPerJob) * jobs / 1e6, 0},
@@ -109,6 +109,15 @@
 	}
 }
 
+// changedRows returns the bytes a second at which an entry reads the shared rows
+// because the table changed: all of them once a change of the configuration, and
+// the new version with them.
+func changedRows(t *table, z Size) float64 {
+	rows := t.fit("partition-row-bytes").At(256) + t.fit("roster-row-bytes").At(float64(z.Agents)) +
+		t.fit("config-bytes").At(float64(z.Teams))
+	return rows * z.ChangesPerDay / secondsPerDay
+}
+
 func agentLines(t *table, z Size) []Line {
 	entries := float64(z.Entries)
 	starts := z.StartsPerSecond / float64(z.Agents)
@@ -131,8 +140,9 @@
 		{"table", "writes at rest", "1/s", "store-writes × entries", t.fit("store-writes").At(entries), boundWrites},
 		{"table", "state: partitions", "B", "partition-row-bytes × 256", row.At(256), 0},
 		{"table", "state: configuration in force", "B", "config-bytes × teams", t.fit("config-bytes").At(float64(z.Teams)), 0},
-		{"table", "configuration read by all entries", "B/s", "config-bytes × teams × polls × entries",
-			t.fit("config-bytes").At(float64(z.Teams)) * entries * t.fit("store-reads").PerUnit / 3, 0},
+		{"table", "state: roster", "B", "roster-row-bytes × agents", t.fit("roster-row-bytes").At(float64(z.Agents)), 0},
+		{"table", "configuration read by all entries", "B/s", "config-bytes × teams × changes a day × entries",
+			t.fit("config-bytes").At(float64(z.Teams)) * z.ChangesPerDay / secondsPerDay * entries, 0},
 	}
 }
 
--- a/internal/surveyor/connections.go
+++ b/internal/surveyor/connections.go
@@ -18,6 +18,7 @@
 	"sardinelock.dev/sardinelock/internal/emulator"
 	"sardinelock.dev/sardinelock/internal/guard"
 	"sardinelock.dev/sardinelock/internal/invoker"
+	"sardinelock.dev/sardinelock/internal/launcher"
 	"sardinelock.dev/sardinelock/internal/messenger"
 	"sardinelock.dev/sardinelock/pkg/submitter"
 )
@@ -94,11 +95,7 @@
 func (c *crowd) traffic() connector.Totals {
 	var sum connector.Totals
 	for _, a := range c.agents {
-		t := a.Traffic()
-		sum.MessagesSent += t.MessagesSent
-		sum.BytesSent += t.BytesSent
-		sum.MessagesRead += t.MessagesRead
-		sum.BytesRead += t.BytesRead
+		sum = sum.Add(a.Traffic())
 	}
 	return sum
 }
@@ -152,16 +149,22 @@
 // peers at the given address and at the ports that follow it, and what entries
 // cost each other and the table. The agent must be connected to every entry.
 func Entries(ctx context.Context, first netip.AddrPort, o Options) ([]Slope, error) {
-	ctx, cancel := context.WithCancel(ctx)
 	f := &fleet{options: o, first: first, store: emulator.NewPlatform(1, emulator.Faults{})}
-	f.platform = httptest.NewServer(f.store.Handler())
+	if _, err := launcher.StoreConfig(f.store, "", nil); err != nil {
+		return nil, errors.Trace(err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	f.platform = httptest.NewUnstartedServer(f.store.Handler())
+	f.table = &countingListener{Listener: f.platform.Listener}
+	f.platform.Listener = f.table
+	f.platform.Start()
 	defer f.platform.Close()
 	defer f.wg.Wait()
 	defer cancel()
 	m := newMeters("entry",
 		meter{"agent-idle-core", "core"}, meter{"agent-resident", "B"},
 		meter{"entries-messages", "1/s"}, meter{"entries-bytes", "B/s"},
-		meter{"store-reads", "1/s"}, meter{"store-writes", "1/s"})
+		meter{"store-reads", "1/s"}, meter{"store-writes", "1/s"}, meter{"store-bytes", "B/s"})
 	for _, n := range o.Sizes {
 		if err := f.grow(ctx, n); err != nil {
 			return nil, err
@@ -171,6 +174,7 @@
 			return nil, err
 		}
 		reads, writes := f.store.Counts()
+		bytes := f.table.bytes.Load()
 		r, err := measure(ctx, o, f.traffic)
 		if err != nil {
 			return nil, err
@@ -178,7 +182,8 @@
 		readsAfter, writesAfter := f.store.Counts()
 		seconds := r.took.Seconds()
 		m.add(float64(n), r.cores, r.resident, r.messages, r.bytes,
-			float64(readsAfter-reads)/seconds, float64(writesAfter-writes)/seconds)
+			float64(readsAfter-reads)/seconds, float64(writesAfter-writes)/seconds,
+			float64(f.table.bytes.Load()-bytes)/seconds)
 	}
 	return m.slopes(), ctx.Err()
 }
@@ -189,6 +194,7 @@
 	first    netip.AddrPort
 	store    *emulator.Platform
 	platform *httptest.Server
+	table    *countingListener // table counts the bytes of calls of the platform.
 	entries  []*dispatcher.Entry
 	wg       sync.WaitGroup
 }
@@ -232,11 +238,7 @@
 func (f *fleet) traffic() connector.Totals {
 	var sum connector.Totals
 	for _, e := range f.entries {
-		t := e.Traffic()
-		sum.MessagesSent += t.MessagesSent
-		sum.BytesSent += t.BytesSent
-		sum.MessagesRead += t.MessagesRead
-		sum.BytesRead += t.BytesRead
+		sum = sum.Add(e.Traffic())
 	}
 	return sum
 }
--- a/internal/surveyor/state.go
+++ b/internal/surveyor/state.go
@@ -17,6 +17,7 @@
 	"sardinelock.dev/sardinelock/internal/invoker"
 	"sardinelock.dev/sardinelock/internal/messenger"
 	"sardinelock.dev/sardinelock/internal/owner"
+	"sardinelock.dev/sardinelock/internal/registrar"
 	"sardinelock.dev/sardinelock/internal/storer"
 	"sardinelock.dev/sardinelock/pkg/submitter"
 )
@@ -37,6 +38,7 @@
 	taskCounts      = []int{1, 11, 58, 290, 580}
 	partitionCounts = []int{32, 64, 128, 256}
 	teamCounts      = []int{10, 40, 130, 260}
+	memberCounts    = []int{11, 110, 300, 900}
 )
 
 // State measures the slopes that need no connections.
@@ -176,7 +178,7 @@
 
 // tableSlopes measures what is read from the table by its rows.
 func tableSlopes() ([]Slope, error) {
-	var rowBytes, configBytes, parseTime []Sample
+	var rowBytes, rosterBytes, configBytes, parseTime []Sample
 	for _, n := range partitionCounts {
 		p := emulator.NewPlatform(1, emulator.Faults{})
 		for i := range n {
@@ -194,6 +196,10 @@
 		}
 		rowBytes = append(rowBytes, Sample{float64(n), float64(len(body))})
 	}
+	for _, n := range memberCounts {
+		put := registrar.RosterPut("default", rosterOf(n))
+		rosterBytes = append(rosterBytes, Sample{float64(n), float64(len(put.Key) + len(put.Value))})
+	}
 	for _, n := range teamCounts {
 		text := baseWithTeams(n)
 		if _, err := configurer.Parse("base", text); err != nil {
@@ -206,11 +212,22 @@
 	}
 	return []Slope{
 		NewSlope("partition-row-bytes", "B", "partition", rowBytes),
+		NewSlope("roster-row-bytes", "B", "agent", rosterBytes),
 		NewSlope("config-bytes", "B", "team", configBytes),
 		NewSlope("config-parse-time", "us", "team", parseTime),
 	}, nil
 }
 
+// rosterOf returns a roster of n agents with names as processes choose them.
+func rosterOf(n int) registrar.Roster {
+	r := registrar.Roster{Version: uint64(n)}
+	for i := range n {
+		peer := messenger.Peer(fmt.Sprintf("agent-0192f0c1-2f4e-7c3a-9d2b-%012x", i))
+		r.Members = append(r.Members, registrar.Member{Peer: peer, DataCentre: "default", Rack: fmt.Sprint(i / 3)})
+	}
+	return r
+}
+
 // baseWithTeams returns a base file with one service and n teams.
 func baseWithTeams(n int) []byte {
 	var b strings.Builder
