Cancel a job after a takeover or handover that nobody asks for

Cause: Coordinator.Abandon ended requests that wait at the owner or at another entry, and ignored those that are held while their partition is taken over or handed over. The job then ran on every upstream until its deadline. The same happened to jobs whose callers were connected to the dead owner. A RequestCancel found a recovered job "not open" and did nothing, and while an agent's records were missing it only attached. A GET or DELETE over HTTP said "no such job" of a job whose partition was not active yet, which is not true.

Ruled out: marking held requests and submitting them (starts what had not started, does nothing for callers of the dead entry); cancelling at the agents at once (another request for the id may be on its way).

Change: a recovered job with a task at an agent counts as abandoned until somebody asks; its grace time counts from when its partition is active and the lease is held, and a held request keeps it going. A held request that is abandoned is dropped. Cancelling works on such a job, and it may be said to have failed, since a task that runs rules out that its former owner answered complete. GET and DELETE get 503 "the submission is changing its owner" until the partition is active. The deadline of held requests was right already (answered unknown at it); their jobs are now cancelled too.

--- a/internal/administrator/call.go
+++ b/internal/administrator/call.go
@@ -144,6 +144,8 @@
 type JobReply struct {
 	Found bool      `json:"found"`
 	State *JobState `json:"state,omitempty"`
+	// Undecided means that the entry cannot tell yet whether there is such a job.
+	Undecided bool `json:"undecided,omitempty"`
 }
 
 // JobState is where a job stands.
--- a/internal/administrator/listing.go
+++ b/internal/administrator/listing.go
@@ -228,12 +228,24 @@
 			Detail: part.Detail,
 		}
 	}
+	if reply.Undecided {
+		return nil, UndecidedJob()
+	}
 	if !reply.Found {
 		return nil, &submitter.Problem{Status: http.StatusNotFound, Title: "no such job", Detail: "no job of this id is kept"}
 	}
 	return reply.State, nil
 }
 
+// UndecidedJob is the problem of a call for a job that the owner cannot decide yet.
+func UndecidedJob() *submitter.Problem {
+	return &submitter.Problem{
+		Status: http.StatusServiceUnavailable,
+		Title:  "the submission is changing its owner",
+		Detail: "whether there is such a job is not known yet; nothing was changed, try again in some seconds",
+	}
+}
+
 func noConfiguration() *submitter.Problem {
 	return &submitter.Problem{
 		Status: http.StatusServiceUnavailable,
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -150,6 +150,7 @@
 		paths:     make(map[string]string),
 	}
 	c.owner.Rules.Holds = func(p identifier.Partition) bool { return c.Owns(p) && c.leaser.Held(c.now) }
+	c.owner.Awaited = c.awaited
 	return c
 }
 
--- a/internal/coordinator/forward.go
+++ b/internal/coordinator/forward.go
@@ -105,7 +105,7 @@
 func (c *Coordinator) receiveForward(now time.Time, e *entryLink, m *messenger.Forward) {
 	w := owner.Waiter{Peer: e.peer, Ticket: m.Ticket}
 	if m.Abandon {
-		c.owner.Abandon(now, w)
+		c.abandon(now, w)
 		return
 	}
 	if c.recoverer.Phase(m.Submission.Partition()) == recoverer.PhaseNone {
--- a/internal/coordinator/handover.go
+++ b/internal/coordinator/handover.go
@@ -264,7 +264,7 @@
 	var resumed []messenger.PartitionEpoch
 	for _, hp := range out.partitions {
 		if c.recoverer.Phase(hp.Partition) == recoverer.PhaseStopped {
-			c.recoverer.Resume(hp.Partition, hp.Epoch)
+			c.recoverer.Resume(now, hp.Partition, hp.Epoch)
 			resumed = append(resumed, messenger.PartitionEpoch{Partition: hp.Partition, Epoch: hp.Epoch})
 		}
 	}
@@ -280,7 +280,7 @@
 	if out == nil || id != reclaimID(out.id) || c.recoverer.Phase(gained.Partition) != recoverer.PhaseStopped {
 		return false
 	}
-	c.recoverer.Resume(gained.Partition, gained.Epoch)
+	c.recoverer.Resume(now, gained.Partition, gained.Epoch)
 	c.importJobs(now, jobsOf(out.jobs, gained.Partition))
 	return true
 }
@@ -293,7 +293,7 @@
 	}
 	for _, hp := range o.partitions {
 		if hp.Partition == gained.Partition && hp.Epoch+1 == gained.Epoch {
-			c.recoverer.BeginHandover(gained, recoverer.Inheritance{Before: hp.PastBefore, Incomplete: hp.Incomplete})
+			c.recoverer.BeginHandover(now, gained, recoverer.Inheritance{Before: hp.PastBefore, Incomplete: hp.Incomplete})
 			c.importJobs(now, jobsOf(o.jobs, gained.Partition))
 			return true
 		}
--- a/internal/coordinator/query.go
+++ b/internal/coordinator/query.go
@@ -7,6 +7,7 @@
 	"sardinelock.dev/sardinelock/internal/messenger"
 	"sardinelock.dev/sardinelock/internal/owner"
 	"sardinelock.dev/sardinelock/internal/placer"
+	"sardinelock.dev/sardinelock/internal/recoverer"
 )
 
 // Wait is how long a job waited for its first start.
@@ -25,6 +26,13 @@
 	return c.owner.Status(s)
 }
 
+// Undecided reports whether this entry owns the partition of a submission and cannot
+// tell yet whether there is a job: the partition is being taken over or handed over.
+func (c *Coordinator) Undecided(s identifier.Submission) bool {
+	phase := c.recoverer.Phase(s.Partition())
+	return phase != recoverer.PhaseNone && phase != recoverer.PhaseActive
+}
+
 // CancelJob ends a job of this entry that has no answer.
 func (c *Coordinator) CancelJob(now time.Time, s identifier.Submission) { c.owner.CancelAny(now, s) }
 
--- a/internal/coordinator/requests.go
+++ b/internal/coordinator/requests.go
@@ -96,25 +96,6 @@
 	c.route(now, ticket)
 }
 
-// Abandon records that the caller of a request has gone. A job that nobody waits
-// for any more is cancelled after a while.
-func (c *Coordinator) Abandon(now time.Time, ticket uint64) {
-	f := c.requests.forwards[ticket]
-	if f == nil {
-		c.owner.Abandon(now, owner.Waiter{Ticket: ticket})
-		return
-	}
-	delete(c.requests.forwards, ticket)
-	if e := c.entries[f.to]; e != nil {
-		frame := e.gather()
-		frame.Forwards = append(frame.Forwards, messenger.Forward{
-			Ticket:     ticket,
-			Submission: f.request.Job.Submission,
-			Abandon:    true,
-		})
-	}
-}
-
 // local applies a request for a partition that this entry owns.
 func (c *Coordinator) local(now time.Time, w owner.Waiter, r Request) {
 	c.localUntil(now, w, r, now.Add(c.limits.Owner.LostAfter))
@@ -187,7 +168,9 @@
 		c.owner.Submit(now, w, j)
 	case r.Kind == RequestSubmit && started > 0 && now.Before(until):
 		c.requests.hold(j.Submission.Partition(), heldRequest{waiter: w, request: r, until: until})
-	case r.Kind != RequestSubmit && c.owner.Attach(now, w, j.Submission, j.Team, j.Deadline):
+	case r.Kind == RequestCancel && c.owner.Cancel(now, j.Submission, j.Team):
+		c.attach(now, w, j)
+	case r.Kind == RequestAttach && c.owner.Attach(now, w, j.Submission, j.Team, j.Deadline):
 	default:
 		c.deliver(now, w, unknown(j.Submission, submitter.ReasonOwnerChanged,
 			"the former owner of the submission is gone and not every agent's records are known"))
--- a/internal/dispatcher/jobs.go
+++ b/internal/dispatcher/jobs.go
@@ -60,6 +60,9 @@
 			Detail: "whether there is such a job is not known at the moment",
 		}
 	}
+	if reply.Undecided {
+		return nil, administrator.UndecidedJob()
+	}
 	if !reply.Found {
 		return nil, &submitter.Problem{
 			Status: http.StatusNotFound,
--- a/internal/dispatcher/parts.go
+++ b/internal/dispatcher/parts.go
@@ -204,10 +204,12 @@
 // jobPart finds a job of this entry and cancels it if asked to.
 func (e *Entry) jobPart(q administrator.JobQuery, cancel bool) administrator.JobReply {
 	var (
-		status owner.Status
-		found  bool
+		status    owner.Status
+		found     bool
+		undecided bool
 	)
 	e.loop.Call(func(now time.Time) {
+		undecided = e.coordinator.Undecided(q.Submission)
 		status, found = e.coordinator.JobStatus(q.Submission)
 		found = found && (q.AnyTeam || visible(&status, q.Team))
 		if !found || !cancel {
@@ -217,7 +219,7 @@
 		status, _ = e.coordinator.JobStatus(q.Submission)
 	})
 	if !found {
-		return administrator.JobReply{}
+		return administrator.JobReply{Undecided: undecided}
 	}
 	state := &submitter.JobState{
 		SubmissionID: status.Submission.String(),
@@ -237,9 +239,9 @@
 }
 
 // visible reports whether a team may see a job. The team of a job that is known
-// from records only is not known; such a job is nobody's.
+// from agents' records only is not known; such a job is nobody's.
 func visible(s *owner.Status, team string) bool {
-	return s.State != submitter.StateRecovered && s.Team == team
+	return s.Team == team && (s.State != submitter.StateRecovered || s.Team != "")
 }
 
 // cancelPart cancels the open jobs of this entry that are selected.
--- a/internal/owner/due.go
+++ b/internal/owner/due.go
@@ -57,7 +57,9 @@
 		o.expireWaiters(now, j)
 		if !now.Before(j.keptTill) {
 			o.forget(j)
+			return
 		}
+		o.expireAbandoned(now, j)
 		return
 	}
 	if !now.Before(j.spec.Deadline) {
@@ -65,9 +67,34 @@
 		return
 	}
 	o.expireWaiters(now, j)
-	if !j.abandoned.IsZero() && now.Sub(j.abandoned) >= o.limits.AbandonGrace {
-		o.stop(now, j, submitter.ReasonCancelled, "no request waits for the job")
+	o.expireAbandoned(now, j)
+}
+
+// expireAbandoned ends a job for which no request has waited for the grace time.
+// A recovered job, of which this entry may not know every request yet, gets the
+// time again.
+func (o *Owner) expireAbandoned(now time.Time, j *job) {
+	if j.abandoned.IsZero() || now.Sub(j.abandoned) < o.limits.AbandonGrace || !o.runs(j) {
+		return
+	}
+	if j.phase == phaseRecovered && o.Awaited(now, j.spec.Submission) {
+		o.abandon(now, j)
+		return
 	}
+	o.stop(now, j, submitter.ReasonCancelled, "no request waits for the job")
+}
+
+// abandon begins the grace time of a job for which no request waits.
+func (o *Owner) abandon(now time.Time, j *job) {
+	j.abandoned = now
+	o.due.push(due{at: now.Add(o.limits.AbandonGrace), id: j.spec.Submission})
+}
+
+// runs reports whether a job has no answer and may run. A recovered job with a
+// task at an agent has had no complete answer under a former owner, so that it may
+// still be said to have failed.
+func (o *Owner) runs(j *job) bool {
+	return j.phase == phaseOpen || j.phase == phaseRecovered && !j.answerLost && j.inState(taskSent) > 0
 }
 
 // expireAtOnce ends an open job whose request arrived after its deadline.
--- a/internal/owner/handover.go
+++ b/internal/owner/handover.go
@@ -95,6 +95,7 @@
 		o.importTask(now, j, &h.Tasks[i])
 	}
 	o.weigh(j)
+	o.abandonRecovered(now, j)
 }
 
 // importTask takes over a task that was sent to an agent. Whether it started
--- a/internal/owner/job.go
+++ b/internal/owner/job.go
@@ -104,10 +104,10 @@
 // hasResults reports whether the results of the answer are kept.
 func (j *job) hasResults() bool { return j.answer != nil && len(j.answer.Results) > 0 }
 
-// belongsTo reports whether the job is the team's. A job known from records has
-// no team.
+// belongsTo reports whether the job is the team's. A job known from agents' records
+// has no team; nobody learns its id but from who submitted it.
 func (j *job) belongsTo(team string) bool {
-	return j.phase == phaseRecovered || j.spec.Team == team
+	return j.spec.Team == "" || j.spec.Team == team
 }
 
 // mayHaveStarted reports whether any task is at, or has ended at, an agent.
--- a/internal/owner/lifecycle.go
+++ b/internal/owner/lifecycle.go
@@ -300,8 +300,7 @@
 func (o *Owner) unwait(now time.Time, j *job, w Waiter) {
 	delete(o.waiting, w)
 	j.waiters = slices.DeleteFunc(j.waiters, func(x waiter) bool { return x.Waiter == w })
-	if len(j.waiters) == 0 && j.phase == phaseOpen {
-		j.abandoned = now
-		o.due.push(due{at: now.Add(o.limits.AbandonGrace), id: j.spec.Submission})
+	if len(j.waiters) == 0 && o.runs(j) {
+		o.abandon(now, j)
 	}
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -96,7 +96,10 @@
 type Owner struct {
 	limits Limits
 	// Rules are the decisions that at-most-once rests on.
-	Rules     Rules
+	Rules Rules
+	// Awaited reports whether requests for a recovered job may be on their way to
+	// this owner, so that it is not yet known that nobody asks for the job.
+	Awaited   func(now time.Time, s identifier.Submission) bool
 	jobs      jobSet
 	open      int                              // open counts the jobs in phase open.
 	waiting   map[Waiter]*job                  // waiting has the job of each request that waits.
@@ -117,6 +120,7 @@
 	return &Owner{
 		limits:    limits,
 		Rules:     DefaultRules(),
+		Awaited:   func(time.Time, identifier.Submission) bool { return false },
 		waiting:   make(map[Waiter]*job),
 		keys:      make(map[string]identifier.Submission),
 		agents:    make(map[messenger.Peer]*agentJobs),
@@ -187,6 +191,7 @@
 
 // Abandon records that the caller of a request went away. A job for which no
 // request waits is cancelled after the grace time, unless it is submitted again.
+// A recovered job of which tasks may run counts as abandoned from the start.
 func (o *Owner) Abandon(now time.Time, w Waiter) {
 	j := o.waiting[w]
 	if j == nil {
@@ -202,7 +207,7 @@
 	if j == nil || !j.belongsTo(team) {
 		return false
 	}
-	if j.phase == phaseOpen {
+	if o.runs(j) {
 		o.stop(now, j, submitter.ReasonCancelled, "the job was cancelled")
 	}
 	return true
--- a/internal/owner/recover.go
+++ b/internal/owner/recover.go
@@ -32,6 +32,15 @@
 	}
 	o.merge(now, j, agent, &r)
 	o.weigh(j)
+	o.abandonRecovered(now, j)
+}
+
+// abandonRecovered begins the grace time of a recovered job that may run. Those
+// who asked the former owner for it may have gone with that one.
+func (o *Owner) abandonRecovered(now time.Time, j *job) {
+	if j.phase == phaseRecovered && len(j.waiters) == 0 && j.abandoned.IsZero() && o.runs(j) {
+		o.abandon(now, j)
+	}
 }
 
 // recoverAnswered lets the agent drop its results and stops what still runs.
--- a/internal/recoverer/recoverer.go
+++ b/internal/recoverer/recoverer.go
@@ -99,6 +99,9 @@
 	takeover *takeover // takeover is nil for a partition without an uncertain past.
 	// inherited is what came with a handover.
 	inherited Inheritance
+	// activeSince is when the partition became active; zero before, and for one
+	// that nobody owned before.
+	activeSince time.Time
 }
 
 // Inheritance is what an owner that hands a partition over knows of its past.
@@ -161,8 +164,8 @@
 
 // BeginHandover starts the tenure of a partition that its former owner passed on
 // after it had stopped.
-func (r *Recoverer) BeginHandover(p messenger.PartitionEpoch, in Inheritance) {
-	r.tenures[p.Partition] = tenure{phase: PhaseActive, epoch: p.Epoch, inherited: in}
+func (r *Recoverer) BeginHandover(now time.Time, p messenger.PartitionEpoch, in Inheritance) {
+	r.tenures[p.Partition] = tenure{phase: PhaseActive, epoch: p.Epoch, inherited: in, activeSince: now}
 }
 
 // BeginTakeover starts the tenure of partitions whose former owner is gone. The
@@ -200,11 +203,16 @@
 func (r *Recoverer) Stop(p identifier.Partition) { r.tenures[p].phase = PhaseStopped }
 
 // Resume makes a stopped partition active again under a new epoch.
-func (r *Recoverer) Resume(p identifier.Partition, epoch uint64) {
+func (r *Recoverer) Resume(now time.Time, p identifier.Partition, epoch uint64) {
 	r.tenures[p].phase = PhaseActive
 	r.tenures[p].epoch = epoch
+	r.tenures[p].activeSince = now
 }
 
+// ActiveSince returns when an active partition became so; the zero time if nobody
+// owned it before.
+func (r *Recoverer) ActiveSince(p identifier.Partition) time.Time { return r.tenures[p].activeSince }
+
 // Inheritance returns what is known of a partition's past.
 func (r *Recoverer) Inheritance(now time.Time, p identifier.Partition) Inheritance {
 	t := &r.tenures[p]
@@ -308,6 +316,11 @@
 	// the former owner's, and the former owner's against this entry's.
 	t.pastBefore = now.Add(2 * r.limits.ClockDifference)
 	r.setPhase(t, PhaseActive)
+	for p := range r.tenures {
+		if r.tenures[p].takeover == t {
+			r.tenures[p].activeSince = now
+		}
+	}
 }
 
 func (r *Recoverer) setPhase(t *takeover, phase Phase) {
