Run scripts over many ids by one function

Change: scripter.RunSeeds; the scripts' test and that over the ids are one. Conclusion: the check is the same.

--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -2,14 +2,12 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
+	"io"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
-
 	"sardinelock.dev/sardinelock/internal/identifier"
 	"sardinelock.dev/sardinelock/internal/messenger"
 	"sardinelock.dev/sardinelock/internal/scripter"
@@ -26,24 +24,11 @@
 	AbandonGrace:    time.Second,
 }
 
+// TestScripts runs each script with many sets of ids: what an owner does may not depend
+// on which ids the jobs got.
 func TestScripts(t *testing.T) {
-	scripter.Run(t, "testdata/*.txtar", func(t *testing.T, lines []scripter.Line) string {
-		return runScript(t, lines, 0)
-	})
-}
-
-// TestScriptsOfAnyIDs runs each script with many sets of ids. What an owner does
-// may not depend on which ids the jobs got.
-func TestScriptsOfAnyIDs(t *testing.T) {
-	scripter.Run(t, "testdata/*.txtar", func(t *testing.T, lines []scripter.Line) string {
-		want := runScript(t, lines, 0)
-		for seed := range uint16(2000) {
-			if diff := cmp.Diff(want, runScript(t, lines, seed)); diff != "" {
-				t.Fatalf("seed %d (-seed 0 +got):\n%s", seed, diff)
-			}
-		}
-		return want
-	})
+	const seeds = 2000
+	scripter.RunSeeds(t, "testdata/*.txtar", seeds, runScript)
 }
 
 // bench drives owners with the lines of a script. The lines concern the owner
@@ -60,13 +45,12 @@
 	out    strings.Builder
 }
 
-// runScript runs a script with the ids that the seed stands for.
-func runScript(t *testing.T, lines []scripter.Line, seed uint16) string {
+func runScript(t *testing.T, lines []scripter.Line, random io.Reader) string {
 	b := &bench{
 		t:      t,
 		owners: make(map[string]*Owner),
 		now:    time.Unix(1_700_000_000, 0),
-		ids:    identifier.Maker{Random: rand.NewChaCha8([32]byte{byte(seed), byte(seed >> 8)})},
+		ids:    identifier.Maker{Random: random},
 		names:  make(map[identifier.Submission]string),
 		jobs:   make(map[string]Job),
 		held:   true,
--- a/internal/scripter/scripter.go
+++ b/internal/scripter/scripter.go
@@ -7,6 +7,8 @@
 
 import (
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"strings"
@@ -40,6 +42,25 @@
 	}
 }
 
+// RunSeeds is like [Run] for scripts whose subjects draw random bits, such as for
+// ids. The output is that of the first seed, and must be the same with every other.
+func RunSeeds(t *testing.T, pattern string, seeds uint16, f func(t *testing.T, lines []Line, random io.Reader) string) {
+	t.Helper()
+	Run(t, pattern, func(t *testing.T, lines []Line) string {
+		want := f(t, lines, randomOf(0))
+		for seed := uint16(1); seed < seeds; seed++ {
+			if diff := cmp.Diff(want, f(t, lines, randomOf(seed))); diff != "" {
+				t.Fatalf("seed %d (-seed 0 +got):\n%s", seed, diff)
+			}
+		}
+		return want
+	})
+}
+
+func randomOf(seed uint16) io.Reader {
+	return rand.NewChaCha8([32]byte{byte(seed), byte(seed >> 8)})
+}
+
 func runArchive(t *testing.T, name string, f func(t *testing.T, lines []Line) string) {
 	t.Helper()
 	archive, err := txtar.ParseFile(name)
