--- a/pkg/submitter/client.go
+++ b/pkg/submitter/client.go
@@ -123,17 +123,27 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(HeaderSubmissionID, id)
+	resp, text, err := c.exchange(op, req)
+	if err != nil {
+		return Answer{}, err
+	}
+	return decodeAnswer(op, resp, text)
+}
+
+// exchange sends a request and returns the response with its whole body. An error
+// is of kind [KindUnreachable]: the request may have had its effect.
+func (c *Client) exchange(op string, req *http.Request) (*http.Response, []byte, error) {
 	c.identify(req)
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return Answer{}, &Error{Op: op, Kind: KindUnreachable, Err: err}
+		return nil, nil, &Error{Op: op, Kind: KindUnreachable, Err: err}
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return Answer{}, &Error{Op: op, Kind: KindUnreachable, Err: err}
+		return nil, nil, &Error{Op: op, Kind: KindUnreachable, Err: err}
 	}
-	return decodeAnswer(op, resp, text)
+	return resp, text, nil
 }
 
 // identify says who the caller is.
--- a/pkg/submitter/state.go
+++ b/pkg/submitter/state.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/netip"
 	"time"
@@ -68,15 +67,9 @@
 	if err != nil {
 		return JobState{}, &Error{Op: op, Kind: KindInvalid, Err: err}
 	}
-	c.identify(req)
-	resp, err := c.http.Do(req)
+	resp, text, err := c.exchange(op, req)
 	if err != nil {
-		return JobState{}, &Error{Op: op, Kind: KindUnreachable, Err: err}
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return JobState{}, &Error{Op: op, Kind: KindUnreachable, Err: err}
+		return JobState{}, err
 	}
 	if resp.StatusCode != http.StatusOK {
 		_, err := decodeAnswer(op, resp, text)
