Read an entry's wall clock once, so that a step of it changes no decision

Cause: each event of the control thread had its own reading of the wall clock, and the age of an id was judged by it. The owner keeps its latest time "which never goes back", but compares by the monotonic readings that both times carry, so that it follows the wall clock back. After a step back by more than the window an id is taken for young again whose records the owner and the agents have dropped, and its tasks start a second time. The same reading goes into takeovers (ids made before) and into the roster (departed agents).

Ruled out: a mark of the latest id whose record was dropped. It guards one owner, not its successor, and not the times in the roster.

Change: timer.Clock reads the wall clock at its start and counts on by the monotonic clock. The control thread and the ids that an entry makes use it. An entry whose wall clock is more than the permitted difference away from it logs "clock-stepped" once a minute.

Not measured: a real step of a machine's clock. Bounds: none changed.

--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -10,6 +10,8 @@
 	"context"
 	"sync/atomic"
 	"time"
+
+	"sardinelock.dev/sardinelock/internal/timer"
 )
 
 const (
@@ -24,6 +26,7 @@
 
 // Loop is the control thread.
 type Loop struct {
+	clock  timer.Clock
 	events chan Event
 	// flush is called on the control thread after each batch of events.
 	flush func(now time.Time)
@@ -35,12 +38,19 @@
 // New returns a loop that calls flush after each batch. Run starts it.
 func New(flush func(now time.Time)) *Loop {
 	return &Loop{
+		clock:  timer.NewClock(),
 		events: make(chan Event, queueEvents),
 		flush:  flush,
 		done:   make(chan struct{}),
 	}
 }
 
+// Now returns the time on the clock of the loop, which every event is given.
+func (l *Loop) Now() time.Time { return l.clock.Now() }
+
+// WallAhead returns how far the wall clock is ahead of the clock of the loop.
+func (l *Loop) WallAhead() time.Duration { return l.clock.Ahead(time.Now()) }
+
 // Busy returns the time that the control thread has spent on its events, and how
 // many it has applied.
 func (l *Loop) Busy() (time.Duration, uint64) {
@@ -93,20 +103,20 @@
 func (l *Loop) applyBatch(first Event) {
 	// The time is read for each event and for the flush: a process may be paused
 	// between any two of them, and what holds a lease must see that.
-	begun := time.Now()
+	begun := l.Now()
 	first(begun)
 	applied := uint64(1)
 	for range batchEvents - 1 {
 		select {
 		case e := <-l.events:
-			e(time.Now())
+			e(l.Now())
 			applied++
 			continue
 		default:
 		}
 		break
 	}
-	l.flush(time.Now())
-	l.busy.Add(int64(time.Since(begun)))
+	l.flush(l.Now())
+	l.busy.Add(int64(l.Now().Sub(begun)))
 	l.count.Add(applied)
 }
--- a/internal/dispatcher/caller.go
+++ b/internal/dispatcher/caller.go
@@ -141,7 +141,7 @@
 		id, problem := parseSubmissionID(text, key)
 		return id, false, problem
 	}
-	now := time.Now()
+	now := e.loop.Now()
 	if key != "" {
 		if id, ok := identifier.NewForKey(now, key); ok {
 			return id, true, nil
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -56,6 +56,8 @@
 const (
 	tickEvery = 10 * time.Millisecond
 	dialEvery = 250 * time.Millisecond
+	// clockEvery is how often a wall clock that was stepped is reported; chosen.
+	clockEvery = time.Minute
 )
 
 // Entry is a running entry.
@@ -184,10 +186,22 @@
 		e.loop.Post(func(now time.Time) { e.coordinator.Tick(now) })
 	})
 	e.timers.Subscribe(dialEvery, func(time.Time) { e.dialEntries() })
+	e.timers.Subscribe(clockEvery, func(time.Time) { e.reportClock() })
 	e.subscribeConfig()
 	e.subscribeAdministration()
 }
 
+// reportClock logs that the wall clock is not what it was at the start. The entry
+// goes on by its own clock and refuses ids that are too far from that.
+func (e *Entry) reportClock() {
+	if ahead := e.loop.WallAhead(); ahead.Abs() > e.settings.Limits.Owner.ClockDifference {
+		e.settings.Logger.Warn().
+			Str("event", "clock-stepped").
+			Dur("wall-clock-ahead", ahead).
+			Msg("the wall clock was stepped since the start; the entry goes on by the clock of its start until it is restarted")
+	}
+}
+
 // waitAndDrain waits for the end of the context, hands the partitions over and
 // waits for the requests in flight. Peers are served until the end, since answers
 // come over their connections.
