Model regions, clock steps, small record memory and the encoding in the fuzz world

Cause: the world of internal/coordinator had one region, clocks without steps, memory for all records, and passed frames as pointers, so that faults of these were not looked for.

Change: frames are encoded when they are sent and decoded at each delivery; in some histories each is encoded again at its delivery and must not have changed, since a connection encodes later than the sender sends. Half of the histories draw extras: two regions that are cut from each other with or without notice and perhaps from the platform, steps of wall clocks by up to 20 s with a window of 10 s, and 1 to 6 KiB for records. A task may start in the region of its partition only. The draws of the extras have a source of their own. TestEachGuardIsNeeded has two more: admission (Rules.Enrolled, a seam in the coordinator that admits members of the roster only) and one reading of the wall clock. The agent's own admission check cannot be shown to be needed: an entry sends Admit on a connection before its first start there, by the same rows.

--- a/internal/coordinator/agents.go
+++ b/internal/coordinator/agents.go
@@ -93,7 +93,7 @@
 // admit tells an agent that it is in the roster, and lets the placer use it.
 func (c *Coordinator) admit(now time.Time, a *agentLink) {
 	roster := c.registrar.Roster(c.self.Region)
-	if a.admitted || !roster.HasMember(a.peer) {
+	if a.admitted || !c.rules.Enrolled(roster.HasMember(a.peer)) {
 		return
 	}
 	a.admitted = true
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -57,6 +57,8 @@
 	Registrar registrar.Rules
 	Leaser    leaser.Rules
 	Recoverer recoverer.Rules
+	// Enrolled reports whether an agent may be admitted and given tasks.
+	Enrolled func(member bool) bool
 }
 
 // DefaultRules returns the rules of production.
@@ -65,6 +67,7 @@
 		Registrar: registrar.DefaultRules(),
 		Leaser:    leaser.DefaultRules(),
 		Recoverer: recoverer.DefaultRules(),
+		Enrolled:  func(member bool) bool { return member },
 	}
 }
 
@@ -96,6 +99,7 @@
 type Coordinator struct {
 	self    registrar.Entry // self is what the entry's row should say.
 	limits  Limits
+	rules   Rules
 	started time.Time // started is the time of the first tick.
 	now     time.Time // now is the time of the event that is being applied.
 
@@ -136,6 +140,7 @@
 	c := &Coordinator{
 		self:      self,
 		limits:    limits,
+		rules:     rules,
 		registrar: registrar.New(self, limits.Registrar, rules.Registrar),
 		leaser:    leaser.New(limits.Leaser, rules.Leaser),
 		recoverer: recoverer.New(limits.Recoverer, rules.Recoverer),
--- a/internal/coordinator/directed_test.go
+++ b/internal/coordinator/directed_test.go
@@ -15,7 +15,7 @@
 	w := newWorld(func(n int) int { return n - 1 }, o)
 	w.trace = new(strings.Builder)
 	for _, p := range w.processes() {
-		p.offset = 0
+		p.setOffset(w, 0)
 	}
 	w.settle(time.Second)
 	directed(w)
@@ -235,3 +235,41 @@
 	}
 	return out
 }
+
+// strangeAgent lets an agent that no roster has reach one owner alone, which has
+// no other agent that takes tasks. The owner dies, and the job is submitted again.
+func strangeAgent(w *world) {
+	old := w.entries[1] // The first entry looks after the roster.
+	var p identifier.Partition
+	for !old.entry.Owns(p) {
+		p++
+	}
+	stranger := w.birthAgent(len(w.agents))
+	w.blocked = func(a, b *process) bool { return (a == stranger || b == stranger) && a != old && b != old }
+	w.leave(true)
+	w.agents = append(w.agents, stranger)
+	w.settle(300 * time.Millisecond)
+	s := w.newSubmission(p, "", 2, time.Second)
+	w.submitTo(old, s, coordinator.RequestSubmit)
+	w.settle(300 * time.Millisecond)
+	w.kill(old)
+	if !w.until(3*time.Second, func() bool { return w.ownerOf(p, w.entries) != nil }) {
+		return
+	}
+	w.submitTo(w.ownerOf(p, w.entries), s, coordinator.RequestSubmit)
+	w.settle(2 * time.Second)
+}
+
+// steppedBack runs a job, lets its records expire, steps the wall clocks of the
+// entries back to the time of the job and submits it again.
+func steppedBack(w *world) {
+	const pause = worldWindow + 2*time.Second
+	s := w.newSubmission(0, "", 2, time.Second)
+	w.submitTo(w.ownerOf(0, w.entries), s, coordinator.RequestSubmit)
+	w.settle(pause)
+	for _, p := range w.entries {
+		p.step = -pause
+	}
+	w.submitTo(w.ownerOf(0, w.entries), s, coordinator.RequestSubmit)
+	w.settle(time.Second)
+}
--- a/internal/coordinator/fuzz_test.go
+++ b/internal/coordinator/fuzz_test.go
@@ -67,7 +67,9 @@
 // history runs the history of a seed.
 func history(seed uint64, steps int, traced bool) *world {
 	random := rand.New(rand.NewPCG(seed, 7))
-	w := newWorld(random.IntN, drawOptions(random.IntN))
+	o := drawOptions(random.IntN)
+	o.drawExtras(rand.New(rand.NewPCG(seed, 13)).IntN)
+	w := newWorld(random.IntN, o)
 	if traced {
 		w.trace = new(strings.Builder)
 	}
@@ -104,7 +106,9 @@
 			}
 			return rapid.IntRange(0, n-1).Draw(t, "")
 		}
-		w := newWorld(pick, drawOptions(pick))
+		o := drawOptions(pick)
+		o.drawExtras(pick)
+		w := newWorld(pick, o)
 		w.trace = new(strings.Builder)
 		w.run(40)
 		if w.oracle.violation != "" {
--- a/internal/coordinator/needed_test.go
+++ b/internal/coordinator/needed_test.go
@@ -18,6 +18,7 @@
 	rules      func(*coordinator.Rules)
 	ownerRules func(*owner.Rules)
 	guardRules func(*guard.Rules)
+	extras     worldExtras
 	// directed is a history that is known to need the rule; nil means that one is
 	// searched for among random ones.
 	directed func(*world)
@@ -67,6 +68,20 @@
 		rules:    func(r *coordinator.Rules) { r.Registrar.TrustUnknownWrite = func() bool { return true } },
 		directed: lostClaim,
 	},
+	{
+		// The agent's own check of its admission cannot be shown to be needed: an
+		// entry admits an agent on a connection before its first start there, by the
+		// same rows, so that a start is refused as not admitted only if the entry has
+		// broken this rule.
+		name:     "admission",
+		rules:    func(r *coordinator.Rules) { r.Enrolled = func(bool) bool { return true } },
+		directed: strangeAgent,
+	},
+	{
+		name:     "one reading of the wall clock",
+		extras:   worldExtras{wallClock: true},
+		directed: steppedBack,
+	},
 	{
 		name:       "kept not-run answers",
 		ownerRules: func(r *owner.Rules) { r.KeepsNotRun = func() bool { return false } },
@@ -93,7 +108,7 @@
 	for _, n := range neededRules {
 		t.Run(n.name, func(t *testing.T) {
 			t.Parallel()
-			off := worldOptions{rules: n.rules, ownerRules: n.ownerRules, guardRules: n.guardRules}
+			off := worldOptions{rules: n.rules, ownerRules: n.ownerRules, guardRules: n.guardRules, worldExtras: n.extras}
 			if n.directed == nil {
 				searchViolation(t, off)
 				return
@@ -131,6 +146,7 @@
 	}
 	on := off
 	on.rules, on.ownerRules, on.guardRules = nil, nil, nil
+	on.worldExtras = worldExtras{}
 	w := runDirected(on, directed)
 	if w.oracle.violation != "" {
 		t.Fatalf("with the rule: %s\n%s", w.oracle.violation, tail(w.trace.String()))
--- a/internal/coordinator/world_actions_test.go
+++ b/internal/coordinator/world_actions_test.go
@@ -27,7 +27,7 @@
 // serving reports whether every entry can start tasks at every agent.
 func (w *world) serving() bool {
 	for _, p := range w.entries {
-		if !p.entry.Serving(p.now(w), len(w.agents)) {
+		if !p.entry.Serving(p.now(w), w.agentsIn(p.region)) {
 			return false
 		}
 	}
@@ -65,6 +65,9 @@
 
 // fault lets something go wrong, or mends something.
 func (w *world) fault() {
+	if w.extraFault() {
+		return
+	}
 	switch n := w.pick(100); {
 	case n < 25:
 		w.cutSome()
@@ -300,7 +303,7 @@
 
 // joinable reports whether two processes are not connected and can be.
 func (w *world) joinable(a, b *process) bool {
-	if !a.alive || !b.alive || a.split != b.split || w.linked(a, b) {
+	if !a.alive || !b.alive || a.split != b.split || w.linked(a, b) || !w.reaches(a, b) {
 		return false
 	}
 	return w.blocked == nil || !w.blocked(a, b)
@@ -396,6 +399,7 @@
 func (w *world) heal() {
 	w.logf("the world heals")
 	w.down = false
+	w.joinRegions()
 	for _, p := range w.processes() {
 		if p.paused {
 			w.wake(p)
--- a/internal/coordinator/world_net_test.go
+++ b/internal/coordinator/world_net_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"bytes"
 	"fmt"
 
 	"sardinelock.dev/sardinelock/internal/messenger"
@@ -18,9 +19,12 @@
 
 // item is an event of a connection at one end.
 type item struct {
-	kind  string // kind is up, frame or down.
-	hello messenger.Hello
-	frame *messenger.Frame
+	kind    string // kind is up, frame or down.
+	hello   messenger.Hello
+	message []byte // message is the encoded frame.
+	// sent is the frame as its sender has it, where the history checks that the
+	// sender does not change it any more; nil elsewhere.
+	sent *messenger.Frame
 }
 
 // connect opens a connection between two living processes.
@@ -37,7 +41,7 @@
 		Version:    messenger.ProtocolVersion,
 		Peer:       p.peer,
 		Role:       p.role,
-		Region:     "default",
+		Region:     p.region,
 		DataCentre: "dc-0",
 		Rack:       fmt.Sprintf("r%d", p.seat),
 	}
@@ -70,7 +74,33 @@
 	if c.ends[1] == from {
 		other = 0
 	}
-	c.queue[other] = append(c.queue[other], item{kind: "frame", frame: f})
+	it := item{kind: "frame", message: w.encode(f)}
+	if w.options.watchFrames {
+		it.sent = f
+	}
+	c.queue[other] = append(c.queue[other], it)
+}
+
+// encode returns the encoding of a frame.
+func (w *world) encode(f *messenger.Frame) []byte {
+	w.buf.Reset()
+	if err := messenger.Append(&w.buf, f); err != nil {
+		w.oracle.fail("a frame cannot be encoded: %v", err)
+	}
+	return bytes.Clone(w.buf.Bytes())
+}
+
+// decode returns the frame of a message. In production a connection encodes a
+// frame some time after it was sent, so that the sender must leave it as it is.
+func (w *world) decode(it item) *messenger.Frame {
+	if it.sent != nil && !bytes.Equal(w.encode(it.sent), it.message) {
+		w.oracle.fail("a frame was changed after it was sent")
+	}
+	var out *messenger.Frame
+	if err := messenger.Decode(it.message, func(f *messenger.Frame) { out = f }); err != nil {
+		w.oracle.fail("a frame cannot be decoded: %v", err)
+	}
+	return out
 }
 
 // cutConn breaks a connection. Of what is under way in each direction some first
@@ -140,13 +170,17 @@
 		w.logf("%s loses %s", p.peer, peer)
 		w.peerDown(p, peer)
 	default:
+		f := w.decode(it)
+		if f == nil {
+			return
+		}
 		if w.trace != nil {
-			w.logf("%s <- %s: %s", p.peer, peer, w.describe(it.frame))
+			w.logf("%s <- %s: %s", p.peer, peer, w.describe(f))
 		}
 		if p.guard != nil {
-			p.guard.Receive(p.now(w), peer, it.frame)
+			p.guard.Receive(p.now(w), peer, f)
 		} else {
-			p.entry.Receive(p.now(w), peer, it.frame)
+			p.entry.Receive(p.now(w), peer, f)
 		}
 	}
 	w.flush(p)
--- a/internal/coordinator/world_oracle_test.go
+++ b/internal/coordinator/world_oracle_test.go
@@ -32,6 +32,7 @@
 	entry      *process
 	deadline   time.Time // deadline is on the entry's clock.
 	answer     string
+	reason     string
 	abandoned  bool // abandoned means that the caller went away.
 }
 
@@ -115,7 +116,7 @@
 	if r.answer != "" {
 		o.fail("rule 2: ticket %d of %s was answered twice", a.Ticket, s.name)
 	}
-	r.answer = a.Answer.Outcome
+	r.answer, r.reason = a.Answer.Outcome, a.Answer.Reason
 	o.outcomes[a.Answer.Outcome+" "+a.Answer.Reason]++
 	switch submitter.Outcome(a.Answer.Outcome) {
 	case submitter.OutcomeComplete:
--- a/internal/coordinator/world_test.go
+++ b/internal/coordinator/world_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"net/netip"
@@ -20,6 +21,7 @@
 	"sardinelock.dev/sardinelock/internal/recoverer"
 	"sardinelock.dev/sardinelock/internal/registrar"
 	"sardinelock.dev/sardinelock/internal/storer"
+	"sardinelock.dev/sardinelock/internal/timer"
 	"sardinelock.dev/sardinelock/pkg/submitter"
 )
 
@@ -48,7 +50,9 @@
 	births int
 	ids    uint64
 	steps  int
+	buf    bytes.Buffer     // buf is where frames are encoded.
 	trace  *strings.Builder // trace is nil if no trace is wanted.
+	regionsApart
 }
 
 // worldOptions describe a history.
@@ -63,6 +67,7 @@
 	guardRules func(*guard.Rules)
 	// limits changes the limits of entries; nil leaves them.
 	limits func(*coordinator.Limits)
+	worldExtras
 }
 
 // process is one run of an entry or agent.
@@ -70,7 +75,10 @@
 	peer    messenger.Peer
 	seat    int
 	role    messenger.Role
+	region  string
 	offset  time.Duration // offset is what its clock is ahead of the world's.
+	step    time.Duration // step is by how much its wall clock was stepped since its birth.
+	clock   timer.Clock
 	alive   bool
 	paused  bool
 	leaving bool // leaving means that it drains.
@@ -169,9 +177,13 @@
 	if w.options.limits != nil {
 		w.options.limits(&limits)
 	}
+	if w.options.recordBytes > 0 {
+		limits.Owner.MaxRecordBytes = w.options.recordBytes
+	}
+	limits.Regions = w.options.regionNames()
 	p.entry = coordinator.New(registrar.Entry{
 		Peer:       p.peer,
-		Region:     "default",
+		Region:     p.region,
 		DataCentre: "dc-0",
 		PeerAddr:   netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(1 + seat)}), uint16(1024+w.births)),
 	}, limits, rules)
@@ -184,7 +196,11 @@
 
 func (w *world) birthAgent(seat int) *process {
 	p := w.birth(messenger.RoleAgent, seat)
-	p.guard = guard.New(p.now(w), worldGuardLimits)
+	limits := worldGuardLimits
+	if w.options.recordBytes > 0 {
+		limits.MaxRecordBytes = w.options.recordBytes
+	}
+	p.guard = guard.New(p.now(w), limits)
 	if w.options.guardRules != nil {
 		w.options.guardRules(&p.guard.Rules)
 	}
@@ -194,19 +210,19 @@
 
 func (w *world) birth(role messenger.Role, seat int) *process {
 	w.births++
-	return &process{
+	regions := w.options.regionNames()
+	p := &process{
 		peer:   messenger.Peer(fmt.Sprintf("%s-%d.%d", role, seat, w.births)),
 		seat:   seat,
 		role:   role,
-		offset: time.Duration(w.births*37%11) * 10 * time.Millisecond,
+		region: regions[seat%len(regions)],
 		alive:  true,
 		conns:  make(map[messenger.Peer]*conn),
 	}
+	p.setOffset(w, time.Duration(w.births*37%11)*10*time.Millisecond)
+	return p
 }
 
-// now returns the time on the process's clock.
-func (p *process) now(w *world) time.Time { return w.now.Add(p.offset) }
-
 // acts reports whether the process handles events.
 func (p *process) acts() bool { return p.alive && !p.paused }
 
@@ -240,6 +256,7 @@
 	for _, call := range out.Invocations {
 		w.logf("%s starts %s/%d", p.peer, w.oracle.name(call.Ref.Submission), call.Ref.Index)
 		w.oracle.started(call.Ref)
+		w.checkRegion(p, call.Ref)
 		p.running = append(p.running, call)
 	}
 	for _, s := range out.Sends {
@@ -337,7 +354,7 @@
 
 // loses reports whether the platform cannot be reached for a call.
 func (w *world) loses(c *storeCall) bool {
-	return w.down || c.from != nil && c.from.split != 0 || w.lose != nil && w.lose(c)
+	return w.down || c.from != nil && (c.from.split != 0 || w.cutFromPlatform(c.from)) || w.lose != nil && w.lose(c)
 }
 
 // newID returns an id made at the given time.
