--- a/cmd/sardinelock/cmd/entry.go
+++ b/cmd/sardinelock/cmd/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"github.com/spf13/cobra"
 
@@ -11,8 +12,9 @@
 
 func newEntryCommand() *cobra.Command {
 	var (
-		site   siteFlags
-		secure serverTLSFlags
+		site    siteFlags
+		secure  serverTLSFlags
+		regions []string
 	)
 	s := dispatcher.Settings{
 		CallerListen: netip.MustParseAddrPort("127.0.0.1:7400"),
@@ -28,6 +30,7 @@
 It prints one JSON line with the event "ready" and the bound addresses once it
 serves. SIGTERM lets it finish what is in flight and exit with code 0.`,
 		Example: `  sardinelock entry --platform 127.0.0.1:7500 --data-centre ub-1
+  sardinelock entry --platform 127.0.0.1:7500 --region ub --regions ub,kw
   SARDINELOCK_PLATFORM=127.0.0.1:7500 sardinelock entry --caller-listen 127.0.0.1:0`,
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
@@ -38,6 +41,7 @@
 			if s.DrainTimeout <= 0 {
 				faults = append(faults, "--drain-timeout must be positive")
 			}
+			faults = append(faults, regionFaults(site.region, regions)...)
 			faults = append(faults, secure.faults(s.CallerListen, s.PeerListen, s.AdminListen)...)
 			if err := usageFaults(faults); err != nil {
 				return err
@@ -50,6 +54,7 @@
 			s.Region = site.region
 			s.DataCentre = site.dataCentre
 			s.Limits = entryLimits()
+			s.Limits.Regions = regions
 			s.Logger = newLogger(site.logLevel)
 			e, err := dispatcher.New(s)
 			if err != nil {
@@ -62,6 +67,7 @@
 	site.register(f)
 	secure.register(f)
 	f.StringVar(&s.Instance, "instance", "", "name of the place of this entry, which its successor has as well (default: data centre and peer address)")
+	f.StringSliceVar(&regions, "regions", nil, "all regions, in the same order at every entry; it never changes (default: that of this process alone)")
 	f.Var(addrFlag{&s.CallerListen}, "caller-listen", "address for callers")
 	f.Var(addrFlag{&s.PeerListen}, "peer-listen", "address for agents and other entries")
 	f.Var(addrFlag{&s.AdminListen}, "admin-listen", "address for administration and metrics")
@@ -70,3 +76,21 @@
 	f.DurationVar(&s.DrainTimeout, "drain-timeout", s.DrainTimeout, "how long a shutdown waits for requests in flight")
 	return c
 }
+
+// regionFaults reports what is wrong with the list of all regions.
+func regionFaults(own string, all []string) []string {
+	if len(all) == 0 {
+		return nil
+	}
+	var faults []string
+	if !slices.Contains(all, own) {
+		faults = append(faults, "--regions must have the region of this process, "+own)
+	}
+	for i, name := range all {
+		if name == "" || slices.Contains(all[:i], name) {
+			faults = append(faults, "--regions must have names that differ and are not empty")
+			break
+		}
+	}
+	return faults
+}
--- a/cmd/sardinelock/cmd/process_test.go
+++ b/cmd/sardinelock/cmd/process_test.go
@@ -138,27 +138,31 @@
 
 // fleet is a system of separate processes.
 type fleet struct {
-	t         *testing.T
-	platform  netip.AddrPort
-	entries   []*process
-	callers   []netip.AddrPort
-	agents    []*process
-	upstreams []*process
+	t          *testing.T
+	platform   netip.AddrPort
+	entries    []*process
+	callers    []netip.AddrPort
+	agents     []*process
+	agentAddrs []string // agentAddrs is where the agents accept announcements.
+	upstreams  []*process
 }
 
-func startFleet(t *testing.T, entries, agents int) *fleet {
+// newFleet starts a fleet that has only the platform, with a configuration.
+func newFleet(t *testing.T) *fleet {
 	t.Helper()
 	f := &fleet{t: t}
 	_, line := startProcess(t, "dev", "platform", "--listen", "127.0.0.1:0")
 	f.platform = netip.MustParseAddrPort(line["address"])
 	f.applyConfig()
+	return f
+}
+
+func startFleet(t *testing.T, entries, agents int) *fleet {
+	t.Helper()
+	f := newFleet(t)
 	var peers string
 	for range entries {
-		p, line := startProcess(t, "entry", "--platform", f.platform.String(),
-			"--caller-listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0")
-		f.entries = append(f.entries, p)
-		f.callers = append(f.callers, netip.MustParseAddrPort(line["caller-address"]))
-		peers = line["peer-address"]
+		peers = f.startEntry()
 	}
 	for range agents {
 		f.startAgent(peers)
@@ -169,11 +173,28 @@
 	return f
 }
 
-func (f *fleet) startAgent(peers string) {
+// startEntry starts one more entry and returns its address for peers.
+func (f *fleet) startEntry(flags ...string) string {
 	f.t.Helper()
-	a, line := startProcess(f.t, "agent", "--entry", peers, "--listen", "127.0.0.1:0")
+	p, line := startProcess(f.t, append([]string{"entry", "--platform", f.platform.String(),
+		"--caller-listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0"}, flags...)...)
+	f.entries = append(f.entries, p)
+	f.callers = append(f.callers, netip.MustParseAddrPort(line["caller-address"]))
+	return line["peer-address"]
+}
+
+// startAgent starts one more agent with its upstream.
+func (f *fleet) startAgent(peers string, flags ...string) {
+	f.t.Helper()
+	a, line := startProcess(f.t, append([]string{"agent", "--entry", peers, "--listen", "127.0.0.1:0"}, flags...)...)
 	f.agents = append(f.agents, a)
-	u, _ := startProcess(f.t, "dev", "upstream", "--agent", line["address"], "--slots", "8")
+	f.agentAddrs = append(f.agentAddrs, line["address"])
+	f.startUpstream(line["address"])
+}
+
+func (f *fleet) startUpstream(agent string, flags ...string) {
+	f.t.Helper()
+	u, _ := startProcess(f.t, append([]string{"dev", "upstream", "--agent", agent, "--slots", "8"}, flags...)...)
 	f.upstreams = append(f.upstreams, u)
 }
 
