Answer a caller that closes its sending side before its job has ended

Cause: net/http cancels a request's context when the caller's side is closed. The handler returned without an answer, which net/http turns into status 200 with an empty body: a caller that closes only its own side and reads on was told 200.

Weighed: wait for the answer as if nothing had been. The entry cannot tell half a close from a whole one, so the jobs of callers that are gone would run on. Cut the connection: safe, but no clear refusal. HTTP clients (net/http, curl, browsers) keep both sides open until the answer is there.

TestHalfClosedCaller checks the answer and that a resubmission is true to the starts of the upstream.

Seen: without the change the test fails with "status 200: EOF".

--- a/cmd/sardinelock/cmd/hostile_test.go
+++ b/cmd/sardinelock/cmd/hostile_test.go
@@ -1,11 +1,13 @@
 package cmd
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -19,6 +21,7 @@
 	"github.com/phuslu/log"
 
 	"sardinelock.dev/sardinelock/internal/connector"
+	"sardinelock.dev/sardinelock/internal/identifier"
 	"sardinelock.dev/sardinelock/internal/launcher"
 	"sardinelock.dev/sardinelock/internal/messenger"
 	"sardinelock.dev/sardinelock/pkg/submitter"
@@ -116,6 +119,54 @@
 	}
 }
 
+// TestHalfClosedCaller sends a request and closes the sending side before the
+// answer is known. The caller gets an answer that claims nothing, and no empty one
+// with a good status. Submitting the id again is safe.
+func TestHalfClosedCaller(t *testing.T) {
+	system := newSystem(t, launcher.Options{Entries: 1, Agents: 1})
+	maker := identifier.Maker{Random: rand.NewChaCha8([32]byte{5})}
+	id := maker.New(time.Now()).String()
+	const body = `{"deadline":"50s","tasks":[{"payload":{"run-time":"100ms"}}]}`
+	conn, err := dial(system.Entries[0].CallerAddr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := fmt.Fprintf(conn, "POST /v1/services/quote/jobs HTTP/1.1\r\nHost: x\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+		submitter.HeaderSubmissionID, id, len(body), body); err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var answer submitter.Answer
+	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+		t.Fatalf("status %d: %v", resp.StatusCode, err)
+	}
+	got := []any{resp.StatusCode, answer.SubmissionID, answer.Outcome, answer.Reason}
+	want := []any{http.StatusGatewayTimeout, id, submitter.OutcomeUnknown, submitter.ReasonConnectionLost}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+
+	again, err := submitter.New(submitter.Options{Entries: system.CallerAddrs()}).Submit(t.Context(), "quote", id, submitter.Job{
+		Deadline: submitter.Duration(50 * time.Second),
+		Tasks:    []submitter.Task{{Payload: json.RawMessage(`{"run-time":"100ms"}`)}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	total, repeated := system.Upstreams[0].Starts()
+	if repeated != 0 || again.Outcome == submitter.OutcomeComplete && total != 1 || again.Outcome == submitter.OutcomeNotRun && total != 0 {
+		t.Errorf("the job is %s and %d tasks started, %d of them again", again.Outcome, total, repeated)
+	}
+}
+
 func dial(addr netip.AddrPort) (net.Conn, error) {
 	conn, err := net.DialTimeout("tcp", addr.String(), patience)
 	if err != nil {
--- a/internal/dispatcher/caller.go
+++ b/internal/dispatcher/caller.go
@@ -56,6 +56,14 @@
 			delete(e.tickets, ticket)
 			e.coordinator.Abandon(now, ticket)
 		})
+		// A caller that closed only its own side of the connection still reads.
+		// Without an answer it would get an empty one with status 200.
+		writeAnswer(w, &messenger.Answer{
+			Submission: request.Job.Submission,
+			Outcome:    string(submitter.OutcomeUnknown),
+			Reason:     string(submitter.ReasonConnectionLost),
+			Detail:     "the caller closed its side of the connection before the answer was known",
+		})
 	case <-e.background.Done():
 		e.abortIfKilled()
 		writeAnswer(w, &messenger.Answer{
--- a/pkg/submitter/job.go
+++ b/pkg/submitter/job.go
@@ -79,7 +79,7 @@
 	ReasonDuplicateRequest   Reason = "duplicate-request"   // The request key was used by another submission.
 	ReasonConflictingRequest Reason = "conflicting-request" // The id was used with another body, service or team.
 	ReasonNoSuchSubmission   Reason = "no-such-submission"  // No submission of the caller's team has the id.
-	ReasonConnectionLost     Reason = "connection-lost"     // The client lost its connection and may not resubmit.
+	ReasonConnectionLost     Reason = "connection-lost"     // The connection of the caller ended before the answer was known.
 	ReasonMemoryLimit        Reason = "record-memory-limit" // The memory for records is full.
 )
 
