--- a/internal/emulator/upstream.go
+++ b/internal/emulator/upstream.go
@@ -21,6 +21,9 @@
 	Slots int
 	// FailRatio is the share of tasks that fail, from 0 to 1.
 	FailRatio float64
+	// TearRatio is the share of tasks whose connection is closed when they have run,
+	// half of them before the answer and half in the middle of it, from 0 to 1.
+	TearRatio float64
 	// DelayFactor multiplies each task's run time; 1 runs tasks as they say.
 	DelayFactor float64
 	Seed        uint64
@@ -119,10 +122,14 @@
 	index, _ := strconv.Atoi(r.Header.Get(invoker.HeaderTask))
 	ref := TaskRef{Submission: r.Header.Get(invoker.HeaderSubmission), Task: index}
 
-	fail := u.start(ref) || todo.Fail
+	fate := u.start(ref)
 	defer u.end(ref)
 	u.run(r.Context(), todo)
-	if fail {
+	if fate.torn {
+		tear(w, fate.half)
+		return
+	}
+	if fate.fails || todo.Fail {
 		http.Error(w, "the task failed", http.StatusInternalServerError)
 		return
 	}
@@ -130,14 +137,39 @@
 	_, _ = w.Write(body)
 }
 
-// start records a start and draws whether the task fails.
-func (u *Upstream) start(ref TaskRef) (fail bool) {
+// fate is what becomes of a task.
+type fate struct {
+	fails bool
+	torn  bool
+	half  bool // half means that the connection is torn in the middle of the answer.
+}
+
+// start records a start and draws what becomes of the task.
+func (u *Upstream) start(ref TaskRef) fate {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.running++
 	u.starts[ref]++
 	u.write("start", ref)
-	return u.random.Float64() < u.options.FailRatio
+	out := fate{fails: u.random.Float64() < u.options.FailRatio}
+	if u.options.TearRatio > 0 {
+		out.torn = u.random.Float64() < u.options.TearRatio
+		out.half = u.random.IntN(2) == 0
+	}
+	return out
+}
+
+// tear closes the connection of a request, perhaps after half an answer.
+func tear(w http.ResponseWriter, half bool) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	if half {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf")
+	}
+	_ = conn.Close()
 }
 
 func (u *Upstream) end(ref TaskRef) {
