Let a drained entry hand over its partitions until it is undrained

Cause: `entries drain` only changed /readyz. The entry kept its partitions until SIGTERM, so that an operator could not take it out without stopping it, and a drained entry that died cost its partitions a takeover.

Ruled out: a drain by the name of the place (--instance), which would last over a restart but leave a replacement out of use; giving up a handover under way at undrain; a drained entry that takes over when no other is left (docs/design/at-most-once.md).

Change: Coordinator.Undrain is the reverse of Drain; both propose the entry's row at once. The dispatcher applies the operator's row on the control thread; an entry that shuts down takes no partitions back.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -223,10 +223,23 @@
 	c.applyRows(now)
 }
 
-// Drain makes the entry hand over its partitions. Drained reports when it is done.
-func (c *Coordinator) Drain(time.Time) {
-	c.draining = true
-	c.self.Draining = true
+// Drain makes the entry hand over its partitions and take none, until Undrain.
+// Drained reports when it is done. What no other entry may take stays and is
+// served. Requests that reach the entry are passed on to the owners.
+func (c *Coordinator) Drain(now time.Time) { c.setDraining(now, true) }
+
+// Undrain lets the entry own partitions again. The others hand over those that it
+// should own; a handover that it has begun itself is completed first.
+func (c *Coordinator) Undrain(now time.Time) { c.setDraining(now, false) }
+
+func (c *Coordinator) setDraining(now time.Time, draining bool) {
+	if c.draining == draining {
+		return
+	}
+	c.begin(now)
+	c.draining = draining
+	c.self.Draining = draining
+	c.propose(now)
 }
 
 // Drained reports whether the entry has no requests and, as far as another entry
--- a/internal/dispatcher/holds.go
+++ b/internal/dispatcher/holds.go
@@ -32,7 +32,22 @@
 	}
 	e.holds.revision = rows.Revision
 	h := administrator.ReadHolds(rows)
-	e.drained.Store(h.Entries[e.settings.Peer])
-	e.loop.Post(func(time.Time) { e.coordinator.SetHolds(h.Upstreams) })
+	drained := h.Entries[e.settings.Peer]
+	e.drained.Store(drained)
+	e.loop.Post(func(now time.Time) {
+		e.coordinator.SetHolds(h.Upstreams)
+		e.applyDrained(now, drained)
+	})
 	return nil
 }
+
+// applyDrained hands the partitions over while an operator drains the entry. An
+// entry that shuts down takes none back. It runs on the control thread.
+func (e *Entry) applyDrained(now time.Time, drained bool) {
+	switch {
+	case drained:
+		e.coordinator.Drain(now)
+	case !e.stopping.Load():
+		e.coordinator.Undrain(now)
+	}
+}
