Raise no burn level for fewer bad jobs than an objective's minimum

Cause: one bad job of a service with six jobs an hour burned at 166 times the rate of 99.9% in both windows of the page's pair, and paged.

Ruled out: a minimum in the long window, a minimum of jobs, made-up good jobs, longer windows (docs/design/burn-report.md).

Change: `objective.min-bad-jobs` (base only, at least 1, default 3): a pair raises its level only with as many bad jobs in its short window. The report's JSON has the minimum and the bad jobs of each window; rates, budget and order are as they were. Elements of lists in the configuration may have defaults now.

--- a/internal/configurer/config.go
+++ b/internal/configurer/config.go
@@ -54,6 +54,10 @@
 	LatencyRatio float64
 	// SuccessRatio is the share of jobs that must be complete, from 0 to 1.
 	SuccessRatio float64
+	// MinBadJobs is how many jobs must be bad within the short window of a pair
+	// before the burn report raises the level, so that one bad job of a quiet
+	// service wakes nobody. It is positive.
+	MinBadJobs int
 }
 
 // Team is a group of callers.
@@ -166,6 +170,21 @@
 	}
 }
 
+// DefaultMinBadJobs is the number of bad jobs that raises a level where no file
+// sets one. It is chosen: two can be one job and its resubmission.
+const DefaultMinBadJobs = 3
+
+// defaultService returns the values of a service that its file does not set.
+func defaultService() Service {
+	return Service{Objective: Objective{MinBadJobs: DefaultMinBadJobs}}
+}
+
+// zero returns an element of a list that has no defaults.
+func zero[T any]() T {
+	var v T
+	return v
+}
+
 // Service returns the service of the given name.
 func (c *Config) Service(name string) (*Service, bool) { return find(c.Services, name, serviceName) }
 
--- a/internal/configurer/field.go
+++ b/internal/configurer/field.go
@@ -84,11 +84,12 @@
 }
 
 // named returns a field whose value is a list of mappings with unique names. An
-// overlay may set parts of elements of the base but add none.
-func named[T, U any](key string, must bool, fields []field[U], nameOf func(*U) *string, get func(*T) *[]U) field[T] {
+// element begins as what fresh returns. An overlay may set parts of elements of the
+// base but add none.
+func named[T, U any](key string, must bool, fields []field[U], nameOf func(*U) *string, fresh func() U, get func(*T) *[]U) field[T] {
 	f := field[T]{key: key, required: must, tunable: anyTunable(fields[1:])}
 	f.read = func(r *reader, n ast.Node, path string, into *T) {
-		readNamed(r, n, path, fields, nameOf, get(into))
+		readNamed(r, n, path, fields, nameOf, fresh, get(into))
 	}
 	f.values = func(of *T, path string, emit func(path, text string)) {
 		list := *get(of)
@@ -99,8 +100,9 @@
 		}
 	}
 	f.keys = func(_ *T, path string, emit func(Key)) {
+		element := fresh()
 		for _, sub := range fields {
-			sub.keys(new(U), path+".NAME."+sub.key, func(k Key) {
+			sub.keys(&element, path+".NAME."+sub.key, func(k Key) {
 				k.Overlay = k.Overlay && f.tunable
 				emit(k)
 			})
--- a/internal/configurer/reader.go
+++ b/internal/configurer/reader.go
@@ -217,7 +217,7 @@
 }
 
 // readNamed reads a list of mappings with names.
-func readNamed[T any](r *reader, n ast.Node, path string, fields []field[T], nameOf func(*T) *string, list *[]T) {
+func readNamed[T any](r *reader, n ast.Node, path string, fields []field[T], nameOf func(*T) *string, fresh func() T, list *[]T) {
 	items, ok := r.sequence(n)
 	if !ok {
 		return
@@ -234,7 +234,7 @@
 			tuneNamed(r, item, path, name, fields, nameOf, *list)
 			continue
 		}
-		var element T
+		element := fresh()
 		readMapping(r, item, joinPath(path, name), fields, &element)
 		*list = append(*list, element)
 	}
--- a/internal/configurer/schema.go
+++ b/internal/configurer/schema.go
@@ -23,9 +23,9 @@
 )
 
 var configFields = []field[Config]{
-	named("services", required, serviceFields, serviceName, func(c *Config) *[]Service { return &c.Services }),
-	named("teams", optional, teamFields, teamName, func(c *Config) *[]Team { return &c.Teams }),
-	named("operators", optional, operatorFields, operatorName, func(c *Config) *[]Operator { return &c.Operators }),
+	named("services", required, serviceFields, serviceName, defaultService, func(c *Config) *[]Service { return &c.Services }),
+	named("teams", optional, teamFields, teamName, zero[Team], func(c *Config) *[]Team { return &c.Teams }),
+	named("operators", optional, operatorFields, operatorName, zero[Operator], func(c *Config) *[]Operator { return &c.Operators }),
 	section("limits", limitsFields, func(c *Config) *Limits { return &c.Limits }),
 	section("queue", queueFields, func(c *Config) *Queue { return &c.Queue }),
 	section("ejection", ejectionFields, func(c *Config) *Ejection { return &c.Ejection }),
@@ -52,6 +52,8 @@
 		func(o *Objective) *float64 { return &o.LatencyRatio }),
 	ratio("success-ratio", baseOnly, required, "share of jobs that must be complete",
 		func(o *Objective) *float64 { return &o.SuccessRatio }),
+	count("min-bad-jobs", baseOnly, 1, "bad jobs in the short window below which the burn report raises no level",
+		func(o *Objective) *int { return &o.MinBadJobs }),
 }
 
 var teamFields = []field[Team]{
--- a/internal/reporter/report.go
+++ b/internal/reporter/report.go
@@ -34,7 +34,8 @@
 const ReasonSlow submitter.Reason = "slow"
 
 // pair is two windows of which both must burn fast: the long one says that it
-// matters, the short one that it still goes on.
+// matters, the short one that it still goes on, with as many bad jobs as the
+// objective's minimum.
 type pair struct {
 	short, long time.Duration
 	threshold   float64
@@ -74,6 +75,9 @@
 	// BudgetLeft is the share of the error budget that is left, from 1 downwards;
 	// negative once it is overdrawn.
 	BudgetLeft float64 `json:"budget-left"`
+	// MinBadJobs is how many bad jobs the short window of a pair must have before
+	// the pair raises the level.
+	MinBadJobs int `json:"min-bad-jobs"`
 	// Rates has the burn rate of each window, the shortest first. At a rate of 1
 	// the budget lasts just as long as its window.
 	Rates []Rate `json:"rates"`
@@ -87,6 +91,7 @@
 // Rate is the burn rate of one window.
 type Rate struct {
 	Window submitter.Duration `json:"window"`
+	Bad    uint64             `json:"bad"` // Bad counts the bad jobs within the window.
 	Burn   float64            `json:"burn"`
 }
 
@@ -143,6 +148,7 @@
 		Bad:        bad,
 		Excluded:   sum.Excluded,
 		BudgetLeft: 1 - rate(s, o, &sum),
+		MinBadJobs: s.Objective.MinBadJobs,
 		Level:      LevelOK,
 		Causes:     causes(o, &sum),
 	}
@@ -157,19 +163,22 @@
 }
 
 func (b *Burn) addPair(now time.Time, p pair, s *configurer.Service, c *ServiceCounts) {
-	short, long := c.window(now, p.short), c.window(now, p.long)
-	shortRate, longRate := rate(s, b.Objective, &short), rate(s, b.Objective, &long)
-	b.Rates = append(b.Rates,
-		Rate{submitter.Duration(p.short), shortRate},
-		Rate{submitter.Duration(p.long), longRate},
-	)
-	both := min(shortRate, longRate)
+	short, long := windowRate(now, p.short, s, b.Objective, c), windowRate(now, p.long, s, b.Objective, c)
+	b.Rates = append(b.Rates, short, long)
+	both := min(short.Burn, long.Burn)
 	b.Fastest = max(b.Fastest, both)
-	if both >= p.threshold && b.Level == LevelOK {
+	enough := short.Bad >= uint64(b.MinBadJobs)
+	if both >= p.threshold && enough && b.Level == LevelOK {
 		b.Level = p.level
 	}
 }
 
+func windowRate(now time.Time, window time.Duration, s *configurer.Service, o Objective, c *ServiceCounts) Rate {
+	sum := c.window(now, window)
+	_, bad := outcome(o, &sum)
+	return Rate{Window: submitter.Duration(window), Bad: bad, Burn: rate(s, o, &sum)}
+}
+
 // target returns the share that must be good; 0 means that there is no objective.
 func target(s *configurer.Service, o Objective) float64 {
 	if o == ObjectiveLatency {
