Take requests for a notice after SIGTERM, so that a balancer can learn of it

Cause: TestDrainOfEntryUnderLoad failed once (1 of 427 jobs connection-lost). An entry closed all its listeners at once on SIGTERM: a request that the balancer had just sent found a closed port, and /readyz, which says 503 while the entry drains, could not be reached any more. In the test a caller had chosen the entry just before it was taken out. Ruled out: a fault of the handover (no job that was accepted was lost in any run).

In that time the entry hands over its partitions, takes requests, answers 503 on /readyz, and ends each connection with its answer. The listeners of peers and administration close last.

Conclusion: a shutdown costs 2 s more and refuses nothing that is under way.

--- a/cmd/sardinelock/cmd/entry.go
+++ b/cmd/sardinelock/cmd/entry.go
@@ -20,6 +20,7 @@
 		CallerListen: netip.MustParseAddrPort("127.0.0.1:7400"),
 		PeerListen:   netip.MustParseAddrPort("127.0.0.1:7401"),
 		AdminListen:  netip.MustParseAddrPort("127.0.0.1:7402"),
+		DrainNotice:  drainNotice,
 		DrainTimeout: drainTimeout,
 	}
 	c := &cobra.Command{
@@ -40,6 +41,8 @@
 			}
 			if s.DrainTimeout <= 0 {
 				faults = append(faults, "--drain-timeout must be positive")
+			} else if s.DrainNotice < 0 || s.DrainNotice >= s.DrainTimeout {
+				faults = append(faults, "--drain-notice must be from 0s to less than --drain-timeout")
 			}
 			faults = append(faults, regionFaults(site.region, regions)...)
 			faults = append(faults, secure.faults(s.CallerListen, s.PeerListen, s.AdminListen)...)
@@ -73,6 +76,7 @@
 	f.Var(addrFlag{&s.AdminListen}, "admin-listen", "address for administration and metrics")
 	f.Var(addrFlag{&s.Platform}, "platform", "address of the platform's services")
 	f.Var(addrsFlag{&s.Entries}, "entry", "peer addresses of some entries, for the configuration if the platform is down at the start")
+	f.DurationVar(&s.DrainNotice, "drain-notice", s.DrainNotice, "how long a shutdown still takes requests, so that the balancer sees /readyz and sends them elsewhere")
 	f.DurationVar(&s.DrainTimeout, "drain-timeout", s.DrainTimeout, "how long a shutdown waits for requests in flight")
 	return c
 }
--- a/cmd/sardinelock/cmd/process_test.go
+++ b/cmd/sardinelock/cmd/process_test.go
@@ -142,6 +142,7 @@
 	platform   netip.AddrPort
 	entries    []*process
 	callers    []netip.AddrPort
+	admins     []netip.AddrPort
 	agents     []*process
 	agentAddrs []string // agentAddrs is where the agents accept announcements.
 	upstreams  []*process
@@ -180,6 +181,7 @@
 		"--caller-listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0"}, flags...)...)
 	f.entries = append(f.entries, p)
 	f.callers = append(f.callers, netip.MustParseAddrPort(line["caller-address"]))
+	f.admins = append(f.admins, netip.MustParseAddrPort(line["admin-address"]))
 	return line["peer-address"]
 }
 
--- a/cmd/sardinelock/cmd/settings.go
+++ b/cmd/sardinelock/cmd/settings.go
@@ -50,6 +50,8 @@
 	steadyAfter     = time.Second
 	answerSlack     = 50 * time.Millisecond
 	drainTimeout    = 30 * time.Second
+	// drainNotice lets a balancer that probes each second see two refusals; chosen.
+	drainNotice = 2 * time.Second
 )
 
 // environmentName returns the environment variable of a flag.
--- a/internal/dispatcher/caller.go
+++ b/internal/dispatcher/caller.go
@@ -24,7 +24,19 @@
 	mux.HandleFunc("POST /v1/services/{service}/jobs", e.serveSubmit)
 	mux.HandleFunc("GET /v1/jobs/{submission}", e.serveJob)
 	mux.HandleFunc("DELETE /v1/jobs/{submission}", e.serveCancelJob)
-	return mux
+	return e.closingWhileStopping(mux)
+}
+
+// closingWhileStopping ends each connection with its answer while the entry shuts
+// down, so that a caller's next request goes to another entry and does not meet a
+// connection that is just being closed.
+func (e *Entry) closingWhileStopping(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
 }
 
 // serveSubmit takes a job and answers with its outcome.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -43,6 +43,9 @@
 	// the configuration if it starts while the platform is down.
 	Entries []netip.AddrPort
 	Limits  coordinator.Limits
+	// DrainNotice is how long a shutdown goes on taking requests, so that the
+	// balancer learns from /readyz to send them elsewhere; less than DrainTimeout.
+	DrainNotice time.Duration
 	// DrainTimeout bounds how long a shutdown waits for requests in flight.
 	DrainTimeout time.Duration
 	// Instance names the place of the entry, which a successor takes over; empty
@@ -90,7 +93,8 @@
 	versions    configState
 
 	caller, peer, admin net.Listener
-	servers             []*http.Server
+	callerServer        *http.Server
+	otherServers        []*http.Server  // otherServers are those of peers and of administration.
 	background          context.Context // background ends after the drain.
 	stop                context.CancelFunc
 	ready               chan struct{}
@@ -152,9 +156,11 @@
 	var g run.Group
 	loopCtx, stopLoop := context.WithCancel(context.Background())
 	g.Add(func() error { return e.loop.Run(loopCtx) }, func(error) { stopLoop() })
-	e.addServer(&g, e.secure(e.caller, false), e.measured(e.callerHandler()))
-	e.addServer(&g, e.secure(e.peer, true), e.peerHandler())
-	e.addServer(&g, e.secure(e.admin, false), e.adminHandler())
+	e.callerServer = e.addServer(&g, e.secure(e.caller, false), e.measured(e.callerHandler()))
+	e.otherServers = []*http.Server{
+		e.addServer(&g, e.secure(e.peer, true), e.peerHandler()),
+		e.addServer(&g, e.secure(e.admin, false), e.adminHandler()),
+	}
 	drainCtx, cancelDrain := context.WithCancel(ctx)
 	g.Add(func() error { return e.waitAndDrain(drainCtx) }, func(error) { cancelDrain() })
 	ended := make(chan struct{})
@@ -203,8 +209,10 @@
 }
 
 // waitAndDrain waits for the end of the context, hands the partitions over and
-// waits for the requests in flight. Peers are served until the end, since answers
-// come over their connections.
+// waits for the requests in flight. Requests are taken for the time of the notice:
+// the balancer does not know yet, and what it sent must not find a closed port.
+// Peers and administration are served until the end, since answers come over the
+// connections of peers, and /readyz says that the entry drains.
 func (e *Entry) waitAndDrain(ctx context.Context) error {
 	select {
 	case <-ctx.Done():
@@ -216,17 +224,32 @@
 	drain, cancel := context.WithTimeout(context.Background(), e.settings.DrainTimeout)
 	defer cancel()
 	e.loop.Post(func(now time.Time) { e.coordinator.Drain(now) })
-	for _, s := range e.servers {
-		if err := s.Shutdown(drain); err != nil {
-			e.settings.Logger.Warn().Err(err).Msg("requests were cut off at the end of the drain timeout")
-		}
-	}
+	e.awaitNotice()
+	e.shutDown(drain, e.callerServer)
 	e.awaitDrained(drain)
 	e.keepBurn(drain)
+	e.shutDown(drain, e.otherServers...)
 	e.stop()
 	return nil
 }
 
+// awaitNotice waits until the balancer knows that the entry drains.
+func (e *Entry) awaitNotice() {
+	select {
+	case <-e.killed:
+	case <-time.After(e.settings.DrainNotice):
+	}
+}
+
+// shutDown closes listeners and waits for the requests in flight.
+func (e *Entry) shutDown(ctx context.Context, servers ...*http.Server) {
+	for _, s := range servers {
+		if err := s.Shutdown(ctx); err != nil {
+			e.settings.Logger.Warn().Err(err).Msg("requests were cut off at the end of the drain timeout")
+		}
+	}
+}
+
 // awaitDrained waits until nothing is left to hand over or to answer.
 func (e *Entry) awaitDrained(ctx context.Context) {
 	for {
--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -43,14 +43,14 @@
 	}
 }
 
-func (e *Entry) addServer(g *run.Group, l net.Listener, h http.Handler) {
+// addServer serves a listener until the server is shut down and the entry ends.
+func (e *Entry) addServer(g *run.Group, l net.Listener, h http.Handler) *http.Server {
 	s := &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
-	e.servers = append(e.servers, s)
 	g.Add(func() error {
 		err := s.Serve(l)
 		if errors.Is(err, http.ErrServerClosed) {
@@ -59,6 +59,7 @@
 		}
 		return &Error{Op: "serve", Kind: KindServe, Err: err}
 	}, func(error) { _ = s.Close() })
+	return s
 }
 
 func boundAddr(l net.Listener) netip.AddrPort {
