Read all that an upstream wrote before its starts are counted

Cause: TestTornUpstreamConnections failed once on a busy machine: a job was complete and 0 of its 2 tasks had started, since the line of a start is read from a pipe and may come after the answer. TestTwoRegions counted in the same way. Change: the first ends the upstream and waits for its output before it counts, which also finds a start that comes late; the second waits for the starts that it wants. Conclusion: the verdict does not rest on which pipe is read first.

--- a/cmd/sardinelock/cmd/region_test.go
+++ b/cmd/sardinelock/cmd/region_test.go
@@ -63,6 +63,8 @@
 // tasks, each once and all in one region.
 func (f *regionFleet) checkStarts(submission string, region, tasks int) {
 	f.t.Helper()
+	// What an upstream wrote may be read later than the answer.
+	f.awaitStarts(submission, tasks)
 	f.checkOnce(submission)
 	if n := len(f.starts(submission)); n != tasks {
 		f.t.Errorf("%d tasks of %s started, want %d", n, submission, tasks)
--- a/cmd/sardinelock/cmd/torn_test.go
+++ b/cmd/sardinelock/cmd/torn_test.go
@@ -26,10 +26,16 @@
 	}
 
 	counts := make(map[submitter.Outcome]int)
+	answers := make(map[string]submitter.Answer)
 	for range jobs {
 		id := maker.New(time.Now()).String()
 		answer := <-f.submitAsync(0, id, job(tasks, time.Millisecond, 50*time.Second))
 		counts[answer.Outcome]++
+		answers[id] = answer
+	}
+	// Only then has all that the upstream wrote been read.
+	f.upstreams[1].kill()
+	for id, answer := range answers {
 		f.checkOnce(id)
 		started := len(f.starts(id))
 		switch {
