Take less memory for idle connections and for garbage

Cause: an entry with 900 idle agents takes 69.4 MiB (docs/CAPACITY.md, bound 32). Seen before in an idle entry with 900 agents: 22 MB of the program's file (text, read-only data), 12.2 MB of stacks (one goroutine a connection), 19.3 MB of live heap of which bufio readers and writers are the largest part (7 KiB a connection), and as much again of garbage that the collector allows.

Change: accepted connections have buffers of 1 KiB instead of the HTTP server's 4 KiB. Entries and agents set the collector's share of garbage by the rate of allocation: the garbage of 250 ms, between 20% and Go's 100% of what is live; raised at once, lowered in steps. GOGC and GOMEMLIMIT switch that off.

Ruled out: a fixed GOGC=50 (tried earlier, dearer joins); GOMEMLIMIT as a default, since kept answers may grow beyond any such limit and the process would collect without end. Not changed: the file's part.

--- a/cmd/sardinelock/cmd/agent.go
+++ b/cmd/sardinelock/cmd/agent.go
@@ -52,6 +52,7 @@
 			if err != nil {
 				return err
 			}
+			defer reclaimGarbage()()
 			return a.Run(c.Context())
 		},
 	}
--- a/cmd/sardinelock/cmd/entry.go
+++ b/cmd/sardinelock/cmd/entry.go
@@ -63,6 +63,7 @@
 			if err != nil {
 				return err
 			}
+			defer reclaimGarbage()()
 			return e.Run(c.Context())
 		},
 	}
--- a/cmd/sardinelock/cmd/settings.go
+++ b/cmd/sardinelock/cmd/settings.go
@@ -19,8 +19,10 @@
 	"sardinelock.dev/sardinelock/internal/messenger"
 	"sardinelock.dev/sardinelock/internal/owner"
 	"sardinelock.dev/sardinelock/internal/placer"
+	"sardinelock.dev/sardinelock/internal/reclaimer"
 	"sardinelock.dev/sardinelock/internal/recoverer"
 	"sardinelock.dev/sardinelock/internal/registrar"
+	"sardinelock.dev/sardinelock/internal/timer"
 )
 
 // The defaults of limits that are no flags.
@@ -176,6 +178,14 @@
 	return messenger.Peer(string(role) + "-" + uuid.NewString())
 }
 
+// reclaimGarbage bounds the garbage of this process until the returned function is
+// called.
+func reclaimGarbage() (stop func()) {
+	timers := timer.New()
+	reclaimer.New().Subscribe(timers)
+	return timers.Stop
+}
+
 func entryLimits() coordinator.Limits {
 	return coordinator.Limits{
 		Owner: owner.Limits{
--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -122,7 +122,7 @@
 
 // Accept upgrades a request to a connection. On error it has answered the request.
 func Accept(w http.ResponseWriter, r *http.Request, o Options) (*Conn, error) {
-	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{
+	ws, err := websocket.Accept(smallBuffers{w}, r, &websocket.AcceptOptions{
 		CompressionMode: websocket.CompressionDisabled,
 	})
 	if err != nil {
