Make and read versions of the configuration through the administration API

Cause: `config apply` wrote to the platform and checked no role: a viewer, or anybody who reached the platform's services, could change everything in any name, and every operator needed access to them.

Ruled out: the API alone (no first version, no change without entries), the platform alone, a token for the platform's rows (it has no rights by key); docs/design/configuration.md.

POST /v1/admin/config/versions needs the role operator, names the operator by the token and writes the audit record in the version's transaction; whole versions are for operators (they have the hashes of tokens), the history for viewers. The report of a conflict is in internal/versioner now, for both ways. `config history` prints "-" where a version has no time.

--- a/cmd/sardinelock/cmd/config_apply.go
+++ b/cmd/sardinelock/cmd/config_apply.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/netip"
 	"os"
 	"time"
 
@@ -12,7 +11,6 @@
 	"github.com/spf13/pflag"
 
 	"sardinelock.dev/sardinelock/internal/configurer"
-	"sardinelock.dev/sardinelock/internal/storer"
 	"sardinelock.dev/sardinelock/internal/versioner"
 )
 
@@ -34,9 +32,12 @@
 0 for the first. If another version is current by now, nothing is changed and
 what has changed since then is printed.
 
+` + sourceHelp + `
+
 ` + verdictHelp,
-		Example: `  sardinelock config apply --platform 127.0.0.1:7500 --expect-version 7 \
-      --comment 'more slots for the order desk' base.yaml ub-1.yaml`,
+		Example: `  sardinelock config apply --admin 127.0.0.1:7402 --token-file token --expect-version 7 \
+      --comment 'more slots for the order desk' base.yaml ub-1.yaml
+  sardinelock config apply --platform 127.0.0.1:7500 --expect-version 0 base.yaml`,
 		Args: cobra.MinimumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			if err := usageFaults(change.faults(c)); err != nil {
@@ -46,11 +47,15 @@
 			if err != nil {
 				return err
 			}
-			v, err := configurer.NewVersion(base, overlays)
+			content, err := configurer.NewVersion(base, overlays)
+			if err != nil {
+				return err
+			}
+			v, err := change.source.versions()
 			if err != nil {
 				return err
 			}
-			return change.apply(c, output, *v, 0)
+			return change.apply(c, v, output, *content, 0)
 		},
 	}
 	change.register(c.Flags())
@@ -58,31 +63,22 @@
 	return c
 }
 
+// sourceHelp explains the two sources of versions.
+const sourceHelp = `With --admin an entry makes the change in the operator's name, if the role allows
+it, and leaves an audit record. With --platform the command works without any
+entry, as for the first version; whoever reaches the platform's services can then
+change the configuration, and the version names the operator by --operator. If the
+environment sets both, the administration API is used.`
+
 // verdictHelp explains the outcomes of a change.
 const verdictHelp = `The command says truly what became of the change. Exit code 0: accepted. Exit
 code 4: refused, it is no version and will not become one. Exit code 5: unknown,
 the platform did not say; run the command again with the printed change id, which
 finds out and makes the change at most once.`
 
-// platformFlag is the flag for the address of the platform.
-type platformFlag struct{ addr netip.AddrPort }
-
-func (p *platformFlag) register(f *pflag.FlagSet) {
-	f.Var(addrFlag{&p.addr}, "platform", "address of the platform's services")
-}
-
-func (p *platformFlag) faults() []string {
-	if !p.addr.IsValid() {
-		return []string{"--platform must be set"}
-	}
-	return nil
-}
-
-func (p *platformFlag) versioner() *versioner.Versioner { return versioner.New(storer.New(p.addr)) }
-
 // versionFlags are the flags of commands that make a version.
 type versionFlags struct {
-	platform platformFlag
+	source   versionSource
 	expect   uint64
 	id       string
 	operator string
@@ -91,10 +87,10 @@
 }
 
 func (f *versionFlags) register(set *pflag.FlagSet) {
-	f.platform.register(set)
+	f.source.register(set)
 	set.Uint64Var(&f.expect, "expect-version", 0, "current version as you have seen it")
 	set.StringVar(&f.id, "change-id", "", "id of the change, to ask for it again (default: a new one)")
-	set.StringVar(&f.operator, "operator", os.Getenv("USER"), "who makes the change")
+	set.StringVar(&f.operator, "operator", os.Getenv("USER"), "who makes the change; with --admin the token says so")
 	set.StringVar(&f.comment, "comment", "", "why")
 	set.DurationVar(&f.timeout, "timeout", versionTimeout, "how long to try to learn what became of the change")
 }
@@ -102,7 +98,7 @@
 // faults reports what is wrong with the flags. The expected version has no
 // default: a change that was made from an unknown version could undo another.
 func (f *versionFlags) faults(c *cobra.Command) []string {
-	faults := f.platform.faults()
+	faults := f.source.choose(c)
 	if !c.Flags().Changed("expect-version") {
 		faults = append(faults, "--expect-version must be set")
 	}
@@ -113,7 +109,7 @@
 }
 
 // apply makes the change, prints what became of it and returns its exit code.
-func (f *versionFlags) apply(c *cobra.Command, output outputFlag, content configurer.Version, rollbackTo uint64) error {
+func (f *versionFlags) apply(c *cobra.Command, v *versions, output outputFlag, content configurer.Version, rollbackTo uint64) error {
 	change := versioner.Change{
 		ID:         f.id,
 		Expect:     f.expect,
@@ -124,19 +120,15 @@
 		Repeated:   f.id != "",
 	}
 	if change.ID == "" {
-		change.ID = versioner.NewChangeID()
+		change.ID = v.newID()
 	}
-	r := f.platform.versioner()
 	ctx, cancel := context.WithTimeout(c.Context(), f.timeout)
 	defer cancel()
-	result, err := r.Apply(ctx, change)
+	made, err := v.apply(ctx, change)
 	if err != nil {
 		return err
 	}
-	report := versionReport{Result: result}
-	if result.Reason == versioner.ReasonConflict {
-		report.Differences, report.Fault = differencesSince(c.Context(), r, result)
-	}
+	report := versionReport{made}
 	if err := report.print(c, output); err != nil {
 		return err
 	}
@@ -144,44 +136,7 @@
 }
 
 // versionReport is what a command prints about a change.
-type versionReport struct {
-	versioner.Result
-	// Differences are what has changed since the expected version.
-	Differences []configurer.Difference `json:"differences,omitempty"`
-	// Fault says why there are no differences.
-	Fault string `json:"fault,omitempty"`
-}
-
-func differencesSince(ctx context.Context, r *versioner.Versioner, result versioner.Result) ([]configurer.Difference, string) {
-	if result.Current < result.Expected {
-		return nil, "the expected version does not exist"
-	}
-	differences, err := versionDifferences(ctx, r, result.Expected, result.Current)
-	if err != nil {
-		return nil, err.Error()
-	}
-	return differences, ""
-}
-
-// versionDifferences compares two accepted versions; 0 is before the first.
-func versionDifferences(ctx context.Context, r *versioner.Versioner, from, to uint64) ([]configurer.Difference, error) {
-	before, err := versionOrNone(ctx, r, from)
-	if err != nil {
-		return nil, err
-	}
-	after, err := versionOrNone(ctx, r, to)
-	if err != nil {
-		return nil, err
-	}
-	return configurer.Differences(before, after)
-}
-
-func versionOrNone(ctx context.Context, r *versioner.Versioner, number uint64) (*configurer.Version, error) {
-	if number == 0 {
-		return nil, nil
-	}
-	return r.Version(ctx, number)
-}
+type versionReport struct{ versioner.Report }
 
 func (p *versionReport) print(c *cobra.Command, output outputFlag) error {
 	w := c.OutOrStdout()
--- a/cmd/sardinelock/cmd/config_diff.go
+++ b/cmd/sardinelock/cmd/config_diff.go
@@ -7,12 +7,11 @@
 	"github.com/spf13/cobra"
 
 	"sardinelock.dev/sardinelock/internal/configurer"
-	"sardinelock.dev/sardinelock/internal/versioner"
 )
 
 func newConfigDiffCommand() *cobra.Command {
 	var (
-		platform platformFlag
+		source   versionSource
 		from, to uint64
 		output   outputFlag
 	)
@@ -23,10 +22,10 @@
 
 With files it compares an accepted version with them, without files two accepted
 versions. A site is named where it differs in another way than the others.`,
-		Example: `  sardinelock config diff --platform 127.0.0.1:7500 base.yaml ub-1.yaml
-  sardinelock config diff --platform 127.0.0.1:7500 --from 5 --to 7`,
+		Example: `  sardinelock config diff --admin 127.0.0.1:7402 --token-file token base.yaml ub-1.yaml
+  sardinelock config diff --admin 127.0.0.1:7402 --token-file token --from 5 --to 7`,
 		RunE: func(c *cobra.Command, args []string) error {
-			faults := platform.faults()
+			faults := source.choose(c)
 			if len(args) > 0 && to > 0 {
 				faults = append(faults, "--to and files exclude each other")
 			}
@@ -36,12 +35,15 @@
 			if err := usageFaults(faults); err != nil {
 				return err
 			}
-			r := platform.versioner()
-			before, err := versionOrCurrent(c, r, from)
+			v, err := source.versions()
 			if err != nil {
 				return err
 			}
-			after, err := filesOrVersion(c, r, args, to)
+			before, err := v.version(c.Context(), from)
+			if err != nil {
+				return err
+			}
+			after, err := filesOrVersion(c, v, args, to)
 			if err != nil {
 				return err
 			}
@@ -53,28 +55,16 @@
 		},
 	}
 	f := c.Flags()
-	platform.register(f)
+	source.register(f)
 	f.Uint64Var(&from, "from", 0, "version to compare from (default with files: the current one)")
 	f.Uint64Var(&to, "to", 0, "version to compare to (default without files: the current one)")
 	output.register(f)
 	return c
 }
 
-// versionOrCurrent returns the version of the number, or the current one for 0.
-func versionOrCurrent(c *cobra.Command, r *versioner.Versioner, number uint64) (*configurer.Version, error) {
-	if number == 0 {
-		head, err := r.Current(c.Context())
-		if err != nil {
-			return nil, err
-		}
-		number = head.Number
-	}
-	return r.Version(c.Context(), number)
-}
-
-func filesOrVersion(c *cobra.Command, r *versioner.Versioner, files []string, number uint64) (*configurer.Version, error) {
+func filesOrVersion(c *cobra.Command, v *versions, files []string, number uint64) (*configurer.Version, error) {
 	if len(files) == 0 {
-		return versionOrCurrent(c, r, number)
+		return v.version(c.Context(), number)
 	}
 	base, overlays, err := readFiles(files)
 	if err != nil {
--- a/cmd/sardinelock/cmd/config_history.go
+++ b/cmd/sardinelock/cmd/config_history.go
@@ -11,9 +11,9 @@
 
 func newConfigHistoryCommand() *cobra.Command {
 	var (
-		platform platformFlag
-		limit    int
-		output   outputFlag
+		source versionSource
+		limit  int
+		output outputFlag
 	)
 	c := &cobra.Command{
 		Use:   "history",
@@ -22,17 +22,21 @@
 
 The latest 64 versions are in the platform's table, older ones in its object
 store; all can be compared and rolled back to.`,
-		Example: `  sardinelock config history --platform 127.0.0.1:7500 --limit 5`,
+		Example: `  sardinelock config history --admin 127.0.0.1:7402 --limit 5`,
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			faults := platform.faults()
+			faults := source.choose(c)
 			if limit < 1 {
 				faults = append(faults, "--limit must be at least 1")
 			}
 			if err := usageFaults(faults); err != nil {
 				return err
 			}
-			heads, err := platform.versioner().History(c.Context(), limit)
+			v, err := source.versions()
+			if err != nil {
+				return err
+			}
+			heads, err := v.history(c.Context(), limit)
 			if err != nil {
 				return err
 			}
@@ -40,7 +44,7 @@
 		},
 	}
 	f := c.Flags()
-	platform.register(f)
+	source.register(f)
 	f.IntVar(&limit, "limit", 20, "number of versions to list")
 	output.register(f)
 	return c
@@ -53,7 +57,11 @@
 		if h.RollbackTo > 0 {
 			rollback = strconv.FormatUint(h.RollbackTo, 10)
 		}
-		rows[i] = strconv.FormatUint(h.Number, 10) + "\t" + h.At.Format(time.RFC3339) + "\t" +
+		at := "-"
+		if !h.At.IsZero() {
+			at = h.At.Format(time.RFC3339)
+		}
+		rows[i] = strconv.FormatUint(h.Number, 10) + "\t" + at + "\t" +
 			orNone(h.Operator, "-") + "\t" + h.ChangeID + "\t" + rollback + "\t" + orNone(h.Comment, "-")
 	}
 	return rows
--- a/cmd/sardinelock/cmd/config_rollback.go
+++ b/cmd/sardinelock/cmd/config_rollback.go
@@ -20,8 +20,10 @@
 Versions only grow: a rollback is a change like any other and can be rolled back
 itself. The old content is checked as the files of "config apply" are.
 
+` + sourceHelp + `
+
 ` + verdictHelp,
-		Example: `  sardinelock config rollback --platform 127.0.0.1:7500 --expect-version 8 --to 6`,
+		Example: `  sardinelock config rollback --admin 127.0.0.1:7402 --token-file token --expect-version 8 --to 6`,
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			faults := change.faults(c)
@@ -31,15 +33,19 @@
 			if err := usageFaults(faults); err != nil {
 				return err
 			}
-			old, err := change.platform.versioner().Version(c.Context(), to)
+			v, err := change.source.versions()
+			if err != nil {
+				return err
+			}
+			old, err := v.version(c.Context(), to)
 			if err != nil {
 				return err
 			}
-			v, err := configurer.NewVersion(old.Files())
+			content, err := configurer.NewVersion(old.Files())
 			if err != nil {
 				return err
 			}
-			return change.apply(c, output, *v, to)
+			return change.apply(c, v, output, *content, to)
 		},
 	}
 	change.register(c.Flags())
--- a/cmd/sardinelock/cmd/settings.go
+++ b/cmd/sardinelock/cmd/settings.go
@@ -61,6 +61,9 @@
 	return "SARDINELOCK_" + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
 }
 
+// environmentAnnotation marks a flag that the environment has set.
+const environmentAnnotation = "environment"
+
 // applyEnvironment sets the flags that were not given from their environment
 // variables. It reports every fault.
 func applyEnvironment(c *cobra.Command) error {
@@ -73,6 +76,7 @@
 		if err := c.Flags().Set(f.Name, value); err != nil {
 			faults = append(faults, environmentName(f.Name)+": "+err.Error())
 		}
+		_ = c.Flags().SetAnnotation(f.Name, environmentAnnotation, []string{"true"})
 	})
 	return usageFaults(faults)
 }
--- a/internal/administrator/administrator_test.go
+++ b/internal/administrator/administrator_test.go
@@ -95,7 +95,9 @@
 			}
 			return b.store.PutObject(ctx, key, body)
 		},
-		Now: func() time.Time { return b.now },
+		Now:            func() time.Time { return b.now },
+		Pause:          func(context.Context, time.Duration) {},
+		ConfigPatience: 50 * time.Millisecond,
 	}
 }
 
@@ -269,7 +271,7 @@
 }
 
 func (b *bench) request(l scripter.Line) {
-	r := httptest.NewRequest(l.Verb, l.Args[0], nil)
+	r := httptest.NewRequest(l.Verb, l.Args[0], strings.NewReader(l.Arg("body")))
 	r.Header.Set("Role", "operator")
 	if role := l.Arg("role"); role != "" {
 		r.Header.Set("Role", role)
--- a/internal/administrator/change.go
+++ b/internal/administrator/change.go
@@ -29,6 +29,8 @@
 	ActionCancelService   Action = "cancel-service"
 	ActionCancelTeam      Action = "cancel-team"
 	ActionDeclareDead     Action = "declare-dead"
+	ActionApplyConfig     Action = "apply-config"
+	ActionRollbackConfig  Action = "rollback-config"
 )
 
 // Record is what the object store keeps of a change.
@@ -66,13 +68,11 @@
 	do func(ctx context.Context, record *Record) ([]Silent, *submitter.Problem),
 ) (any, *submitter.Problem) {
 	ctx := r.Context()
-	record := Record{ChangeID: r.Header.Get(HeaderChangeID), Action: action, Target: target, By: who.Name}
-	if record.ChangeID == "" {
-		record.ChangeID = uuid.Must(uuid.NewV7()).String()
-	}
-	if err := uuid.Validate(record.ChangeID); err != nil {
-		return nil, &submitter.Problem{Status: http.StatusBadRequest, Title: "the change id is not a UUID"}
+	id, problem := changeID(r)
+	if problem != nil {
+		return nil, problem
 	}
+	record := Record{ChangeID: id, Action: action, Target: target, By: who.Name}
 	known, problem := s.known(ctx, &record)
 	if problem != nil || known != nil {
 		return known, problem
@@ -89,6 +89,18 @@
 	return &Changed{Record: record, Silent: silent}, nil
 }
 
+// changeID returns the id that names the change of a request, or a new one.
+func changeID(r *http.Request) (string, *submitter.Problem) {
+	id := r.Header.Get(HeaderChangeID)
+	if id == "" {
+		return uuid.Must(uuid.NewV7()).String(), nil
+	}
+	if err := uuid.Validate(id); err != nil {
+		return "", &submitter.Problem{Status: http.StatusBadRequest, Title: "the change id is not a UUID"}
+	}
+	return id, nil
+}
+
 // known returns the change if it was made before under the same id. If only its
 // row is there, its record is stored now.
 func (s *Service) known(ctx context.Context, want *Record) (any, *submitter.Problem) {
@@ -104,15 +116,11 @@
 		return nil, nil
 	}
 	var record Record
-	if err := json.Unmarshal(text, &record); err != nil {
-		return nil, &submitter.Problem{Status: http.StatusInternalServerError, Title: "the record of the change cannot be read"}
+	if problem := decodeRecord(text, &record); problem != nil {
+		return nil, problem
 	}
 	if record.Action != want.Action || record.Target != want.Target {
-		return nil, &submitter.Problem{
-			Status: http.StatusConflict,
-			Title:  "the change id was used for another change",
-			Detail: "it was used to " + string(record.Action) + " " + record.Target,
-		}
+		return nil, record.used()
 	}
 	if !stored {
 		if problem := s.keep(ctx, &record); problem != nil {
@@ -122,6 +130,22 @@
 	return &Changed{Record: record, Repeated: true}, nil
 }
 
+func decodeRecord(text []byte, into *Record) *submitter.Problem {
+	if err := json.Unmarshal(text, into); err != nil {
+		return &submitter.Problem{Status: http.StatusInternalServerError, Title: "the record of the change cannot be read"}
+	}
+	return nil
+}
+
+// used is the answer to another change under the id of this one.
+func (r *Record) used() *submitter.Problem {
+	return &submitter.Problem{
+		Status: http.StatusConflict,
+		Title:  "the change id was used for another change",
+		Detail: "it was used to " + string(r.Action) + " " + r.Target,
+	}
+}
+
 // findRecord returns the record of a change and whether it is in the object
 // store; nil if there is no such change.
 func (s *Service) findRecord(ctx context.Context, id string) ([]byte, bool, error) {
--- a/internal/administrator/client.go
+++ b/internal/administrator/client.go
@@ -1,6 +1,7 @@
 package administrator
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -37,7 +38,7 @@
 
 // Get reads a path into out, as JSON.
 func (c *Client) Get(ctx context.Context, path string, out any) error {
-	text, err := c.call(ctx, http.MethodGet, path, "")
+	text, err := c.call(ctx, request{method: http.MethodGet, path: path})
 	if err != nil {
 		return err
 	}
@@ -49,14 +50,14 @@
 
 // Text reads a path as it is.
 func (c *Client) Text(ctx context.Context, path string) ([]byte, error) {
-	return c.call(ctx, http.MethodGet, path, "")
+	return c.call(ctx, request{method: http.MethodGet, path: path})
 }
 
 // Change makes a change under a change id. A lost answer is resolved by trying
 // the next address with the same id.
 func (c *Client) Change(ctx context.Context, path, changeID string) (Changed, error) {
 	var out Changed
-	text, err := c.call(ctx, http.MethodPost, path, changeID)
+	text, err := c.call(ctx, request{method: http.MethodPost, path: path, changeID: changeID})
 	if err != nil {
 		return out, err
 	}
@@ -66,11 +67,17 @@
 	return out, nil
 }
 
-func (c *Client) call(ctx context.Context, method, path, changeID string) ([]byte, error) {
+// request is a call of the API.
+type request struct {
+	method, path, changeID string
+	body                   []byte // body is JSON; nil sends none.
+}
+
+func (c *Client) call(ctx context.Context, r request) ([]byte, error) {
 	var err error
 	for _, addr := range c.o.Addrs {
 		var text []byte
-		text, err = c.callOne(ctx, addr, method, path, changeID)
+		text, err = c.callOne(ctx, addr, r)
 		if KindOf(err) != KindUnreachable {
 			return text, err
 		}
@@ -78,21 +85,21 @@
 	return nil, err
 }
 
-func (c *Client) callOne(ctx context.Context, addr netip.AddrPort, method, path, changeID string) ([]byte, error) {
+func (c *Client) callOne(ctx context.Context, addr netip.AddrPort, r request) ([]byte, error) {
 	const op = "call"
 	scheme := "http://"
 	if c.o.TLS {
 		scheme = "https://"
 	}
-	req, err := http.NewRequestWithContext(ctx, method, scheme+addr.String()+path, nil)
+	req, err := http.NewRequestWithContext(ctx, r.method, scheme+addr.String()+r.path, bytes.NewReader(r.body))
 	if err != nil {
 		return nil, &Error{Op: op, Kind: KindAnswer, Err: err}
 	}
 	if c.o.Token != "" {
 		req.Header.Set("Authorization", "Bearer "+c.o.Token)
 	}
-	if changeID != "" {
-		req.Header.Set(HeaderChangeID, changeID)
+	if r.changeID != "" {
+		req.Header.Set(HeaderChangeID, r.changeID)
 	}
 	resp, err := c.o.HTTP.Do(req)
 	if err != nil {
@@ -103,7 +110,8 @@
 	if err != nil {
 		return nil, &Error{Op: op, Kind: KindUnreachable, Err: err}
 	}
-	if resp.StatusCode != http.StatusOK {
+	// A problem has a content type of its own; other answers may have any status.
+	if resp.StatusCode != http.StatusOK && resp.Header.Get("Content-Type") != "application/json" {
 		return nil, rejected(op, resp.StatusCode, text)
 	}
 	return text, nil
--- /dev/null
+++ b/internal/administrator/client_config.go
@@ -0,0 +1,103 @@
+package administrator
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"sardinelock.dev/sardinelock/internal/configurer"
+	"sardinelock.dev/sardinelock/internal/versioner"
+)
+
+const configVersions = "/v1/admin/config/versions"
+
+// configRetryPause is the pause after all addresses failed; chosen.
+const configRetryPause = 250 * time.Millisecond
+
+// ConfigHistory returns the heads of the latest versions, the newest first.
+func (c *Client) ConfigHistory(ctx context.Context, limit int) ([]configurer.Head, error) {
+	var l Listing[configurer.Head]
+	err := c.Get(ctx, configVersions+"?limit="+strconv.Itoa(limit), &l)
+	return l.Items, err
+}
+
+// ConfigVersion returns a version; 0 stands for the current one.
+func (c *Client) ConfigVersion(ctx context.Context, number uint64) (*configurer.Version, error) {
+	name := "current"
+	if number > 0 {
+		name = strconv.FormatUint(number, 10)
+	}
+	v := new(configurer.Version)
+	return v, c.Get(ctx, configVersions+"/"+name, v)
+}
+
+// ApplyConfig makes a change of the configuration and asks again until it knows
+// what became of it or the context ends. The error is not nil only if the change
+// cannot be asked for.
+func (c *Client) ApplyConfig(ctx context.Context, id string, change ConfigChange) (versioner.Report, error) {
+	last := notReached(id, &change)
+	for {
+		for _, addr := range c.o.Addrs {
+			report, err := c.applyConfigOnce(ctx, request{method: http.MethodPost, path: configVersions, changeID: id}, addr, &change)
+			switch {
+			case err == nil && report.Reason != versioner.ReasonUnavailable:
+				return report, nil
+			case err == nil:
+				last = report
+				change.Repeated = change.Repeated || report.Verdict == versioner.VerdictUnknown
+			case KindOf(err) != KindUnreachable:
+				return versioner.Report{}, err
+			default:
+				change.Repeated = change.Repeated || !neverSent(err)
+				last = notReached(id, &change)
+				last.Detail += ": " + err.Error()
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return last, nil
+		case <-time.After(configRetryPause):
+		}
+	}
+}
+
+func (c *Client) applyConfigOnce(ctx context.Context, r request, addr netip.AddrPort, change *ConfigChange) (versioner.Report, error) {
+	var report versioner.Report
+	r.body = encode(change)
+	text, err := c.callOne(ctx, addr, r)
+	if err != nil {
+		return report, err
+	}
+	if err := json.Unmarshal(text, &report); err != nil {
+		return report, &Error{Op: "apply-config", Kind: KindAnswer, Err: err}
+	}
+	return report, nil
+}
+
+// neverSent reports whether a call failed before anything of it was sent.
+func neverSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// notReached is the result of a change that no entry has answered.
+func notReached(id string, change *ConfigChange) versioner.Report {
+	out := versioner.Result{
+		Verdict:  versioner.VerdictRefused,
+		Reason:   versioner.ReasonUnavailable,
+		ChangeID: id,
+		Expected: *change.Expect,
+		Detail:   "no entry was reached; nothing was written",
+	}
+	if change.Repeated {
+		out.Verdict = versioner.VerdictUnknown
+		out.Detail = "no entry said what became of the change"
+	}
+	return versioner.Report{Result: out}
+}
--- a/internal/administrator/hold.go
+++ b/internal/administrator/hold.go
@@ -187,10 +187,15 @@
 		record.Detail = "no longer " + string(before)
 		t.Deletes = []string{key}
 	}
-	t.Puts = append(t.Puts, storer.Put{Key: recordPrefix + record.ChangeID, Value: encode(record)})
+	t.Puts = append(t.Puts, recordPut(record))
 	return s.writeTransaction(ctx, t)
 }
 
+// recordPut returns the row that holds a record until it is in the object store.
+func recordPut(record *Record) storer.Put {
+	return storer.Put{Key: recordPrefix + record.ChangeID, Value: encode(record)}
+}
+
 // encode marshals a type of this package, which cannot fail.
 func encode(v any) json.RawMessage {
 	b, err := json.Marshal(v)
--- a/internal/administrator/service.go
+++ b/internal/administrator/service.go
@@ -11,6 +11,7 @@
 	"sardinelock.dev/sardinelock/internal/identifier"
 	"sardinelock.dev/sardinelock/internal/messenger"
 	"sardinelock.dev/sardinelock/internal/storer"
+	"sardinelock.dev/sardinelock/internal/versioner"
 	"sardinelock.dev/sardinelock/pkg/submitter"
 )
 
@@ -34,17 +35,31 @@
 	Object    func(ctx context.Context, key string) ([]byte, error)
 	Objects   func(ctx context.Context, prefix string) ([]string, error)
 	PutObject func(ctx context.Context, key string, body []byte) error
-	// Now returns the time.
-	Now func() time.Time
+	// Now returns the time and Pause waits.
+	Now   func() time.Time
+	Pause func(ctx context.Context, d time.Duration)
+	// ConfigPatience is how long a call tries to learn what became of a change of
+	// the configuration.
+	ConfigPatience time.Duration
 }
 
 // Service serves the administration API.
 type Service struct {
-	o Options
+	o        Options
+	versions *versioner.Versioner
 }
 
 // New returns a service.
-func New(o Options) *Service { return &Service{o: o} }
+func New(o Options) *Service {
+	return &Service{o: o, versions: &versioner.Versioner{
+		Read:      o.Read,
+		Write:     o.Write,
+		Object:    o.Object,
+		PutObject: o.PutObject,
+		Now:       o.Now,
+		Pause:     o.Pause,
+	}}
+}
 
 // Register adds the routes of the API.
 func (s *Service) Register(mux *http.ServeMux) {
@@ -61,11 +76,14 @@
 		"GET /v1/admin/changes/{change}":  s.record,
 		"GET /v1/admin/burn":              s.burn,
 		"GET /v1/admin/config":            s.config,
+		"GET /v1/admin/config/versions":   s.configHistory,
 	} {
 		mux.HandleFunc(pattern, s.serve(f, reads...))
 	}
 	mux.HandleFunc("GET /burn", s.serveBurnPage)
 	for pattern, f := range map[string]handler{
+		"GET /v1/admin/config/versions/{number}":   s.configVersion,
+		"POST /v1/admin/config/versions":           s.applyConfig,
 		"POST /v1/admin/upstreams/{peer}/{action}": s.changeUpstream,
 		"POST /v1/admin/entries/{peer}/{action}":   s.changeEntry,
 		"POST /v1/admin/jobs/{submission}/cancel":  s.cancelJob,
@@ -80,6 +98,9 @@
 // handler answers one call with a value to be written as JSON, or a problem.
 type handler func(r *http.Request, who authenticator.Principal) (any, *submitter.Problem)
 
+// statusAnswer is a value that has a status of its own.
+type statusAnswer interface{ status() int }
+
 func (s *Service) serve(f handler, roles ...authenticator.Role) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		who, problem := s.o.Authenticate(r, roles...)
@@ -93,6 +114,9 @@
 			return
 		}
 		w.Header().Set("Content-Type", "application/json")
+		if a, ok := v.(statusAnswer); ok {
+			w.WriteHeader(a.status())
+		}
 		// An error here means that the client has gone.
 		_ = json.NewEncoder(w).Encode(v)
 	}
--- a/internal/dispatcher/admin.go
+++ b/internal/dispatcher/admin.go
@@ -41,6 +41,9 @@
 		Objects:   e.platform.Objects,
 		PutObject: e.platform.PutObject,
 		Now:       time.Now,
+		Pause:     e.platform.Sleep,
+
+		ConfigPatience: administrator.DefaultConfigPatience,
 	})
 }
 
--- a/internal/versioner/change.go
+++ b/internal/versioner/change.go
@@ -30,6 +30,8 @@
 	RollbackTo uint64
 	// Content has the texts of the new version; its head is ignored.
 	Content configurer.Version
+	// Puts are written in the transaction that makes the version.
+	Puts []storer.Put
 	// Repeated is set if an earlier run may have asked for the same change.
 	Repeated bool
 }
@@ -173,7 +175,7 @@
 			Key:      configurer.CurrentKey,
 			Revision: revision,
 		}},
-		Puts:    puts,
+		Puts:    append(puts, a.change.Puts...),
 		Deletes: r.archive(ctx, v.Number),
 	}
 	return nil
