--- a/internal/administrator/listing.go
+++ b/internal/administrator/listing.go
@@ -135,10 +135,7 @@
 				out = append(out, u)
 				continue
 			}
-			out[i].OpenJobs += u.OpenJobs
-			out[i].AnsweredJobs += u.AnsweredJobs
-			out[i].WaitingTasks += u.WaitingTasks
-			out[i].SentTasks += u.SentTasks
+			out[i].add(&u)
 		}
 	}
 	slices.SortFunc(out, func(a, b Usage) int {
@@ -147,6 +144,25 @@
 	return out, silent
 }
 
+// add adds the counts of another service or team.
+func (u *Usage) add(o *Usage) {
+	u.OpenJobs += o.OpenJobs
+	u.AnsweredJobs += o.AnsweredJobs
+	u.WaitingTasks += o.WaitingTasks
+	u.SentTasks += o.SentTasks
+}
+
+// total sums the usage that is of the kind asked for.
+func total(usage []Usage, of func(*Usage) bool) Usage {
+	var out Usage
+	for i := range usage {
+		if of(&usage[i]) {
+			out.add(&usage[i])
+		}
+	}
+	return out
+}
+
 func (s *Service) jobs(r *http.Request, _ authenticator.Principal) (any, *submitter.Problem) {
 	usage, silent := s.usage(r)
 	return Listing[Usage]{Items: usage, Silent: silent}, nil
@@ -160,22 +176,18 @@
 	usage, silent := s.usage(r)
 	out := Listing[ServiceRow]{Items: []ServiceRow{}, Silent: silent}
 	for _, c := range config.Services {
-		row := ServiceRow{
+		now := total(usage, func(u *Usage) bool { return u.Service == c.Name })
+		out.Items = append(out.Items, ServiceRow{
 			Name:         c.Name,
 			Path:         c.Path,
 			Timeout:      submitter.Duration(c.Timeout),
 			Latency:      submitter.Duration(c.Objective.Latency),
 			LatencyRatio: c.Objective.LatencyRatio,
 			SuccessRatio: c.Objective.SuccessRatio,
-		}
-		for _, u := range usage {
-			if u.Service == c.Name {
-				row.OpenJobs += u.OpenJobs
-				row.WaitingTasks += u.WaitingTasks
-				row.SentTasks += u.SentTasks
-			}
-		}
-		out.Items = append(out.Items, row)
+			OpenJobs:     now.OpenJobs,
+			WaitingTasks: now.WaitingTasks,
+			SentTasks:    now.SentTasks,
+		})
 	}
 	return out, nil
 }
@@ -188,15 +200,16 @@
 	usage, silent := s.usage(r)
 	out := Listing[TeamRow]{Items: []TeamRow{}, Silent: silent}
 	for _, c := range config.Teams {
-		row := TeamRow{Name: c.Name, Slots: c.Slots, StartsPerSecond: c.StartsPerSecond, Tokens: len(c.TokenHashes)}
-		for _, u := range usage {
-			if u.Team == c.Name {
-				row.OpenJobs += u.OpenJobs
-				row.WaitingTasks += u.WaitingTasks
-				row.SentTasks += u.SentTasks
-			}
-		}
-		out.Items = append(out.Items, row)
+		now := total(usage, func(u *Usage) bool { return u.Team == c.Name })
+		out.Items = append(out.Items, TeamRow{
+			Name:            c.Name,
+			Slots:           c.Slots,
+			StartsPerSecond: c.StartsPerSecond,
+			Tokens:          len(c.TokenHashes),
+			OpenJobs:        now.OpenJobs,
+			WaitingTasks:    now.WaitingTasks,
+			SentTasks:       now.SentTasks,
+		})
 	}
 	return out, nil
 }
--- a/internal/administrator/service.go
+++ b/internal/administrator/service.go
@@ -63,8 +63,18 @@
 
 // Register adds the routes of the API.
 func (s *Service) Register(mux *http.ServeMux) {
-	reads := []authenticator.Role{authenticator.RoleViewer, authenticator.RoleOperator}
-	for pattern, f := range map[string]handler{
+	for pattern, f := range s.reads() {
+		mux.HandleFunc(pattern, s.serve(f, authenticator.RoleViewer, authenticator.RoleOperator))
+	}
+	for pattern, f := range s.changes() {
+		mux.HandleFunc(pattern, s.serve(f, authenticator.RoleOperator))
+	}
+	mux.HandleFunc("GET /burn", s.serveBurnPage)
+}
+
+// reads are the routes that viewers and operators may use.
+func (s *Service) reads() map[string]handler {
+	return map[string]handler{
 		"GET /v1/admin/entries":           s.entries,
 		"GET /v1/admin/upstreams":         s.upstreams,
 		"GET /v1/admin/partitions":        s.partitions,
@@ -77,11 +87,13 @@
 		"GET /v1/admin/burn":              s.burn,
 		"GET /v1/admin/config":            s.config,
 		"GET /v1/admin/config/versions":   s.configHistory,
-	} {
-		mux.HandleFunc(pattern, s.serve(f, reads...))
 	}
-	mux.HandleFunc("GET /burn", s.serveBurnPage)
-	for pattern, f := range map[string]handler{
+}
+
+// changes are the routes that only operators may use: those that change something,
+// and that of a whole version of the configuration.
+func (s *Service) changes() map[string]handler {
+	return map[string]handler{
 		"GET /v1/admin/config/versions/{number}":   s.configVersion,
 		"POST /v1/admin/config/versions":           s.applyConfig,
 		"POST /v1/admin/upstreams/{peer}/{action}": s.changeUpstream,
@@ -90,8 +102,6 @@
 		"POST /v1/admin/services/{service}/cancel": s.cancelService,
 		"POST /v1/admin/teams/{team}/cancel":       s.cancelTeam,
 		"POST /v1/admin/roster/declare-dead":       s.declareDead,
-	} {
-		mux.HandleFunc(pattern, s.serve(f, authenticator.RoleOperator))
 	}
 }
 
--- a/internal/authenticator/authenticator.go
+++ b/internal/authenticator/authenticator.go
@@ -48,6 +48,9 @@
 // Set has the tokens of one version of the configuration.
 type Set struct {
 	tokens []token
+	// equal compares two hashes and returns 1 if they are the same; tests count its
+	// calls.
+	equal func(a, b []byte) int
 }
 
 type token struct {
@@ -59,7 +62,7 @@
 // [KindHash], which names the principal but not the hash, if a hash cannot be
 // read.
 func New(credentials []Credential) (*Set, error) {
-	s := new(Set)
+	s := &Set{equal: subtle.ConstantTimeCompare}
 	for _, c := range credentials {
 		for _, text := range c.Hashes {
 			hash, err := hex.DecodeString(text)
@@ -89,7 +92,7 @@
 	var found *token
 	for i := range s.tokens {
 		t := &s.tokens[i]
-		same := subtle.ConstantTimeCompare(hash[:], t.hash[:])
+		same := s.equal(hash[:], t.hash[:])
 		if same == 1 && hasRole(roles, t.principal.Role) {
 			found = t
 		}
--- a/internal/authenticator/authenticator_test.go
+++ b/internal/authenticator/authenticator_test.go
@@ -92,3 +92,30 @@
 		}
 	}
 }
+
+// TestEveryHashIsCompared checks that a token is compared with every hash, wherever
+// its own stands, so that the time of an answer does not tell.
+func TestEveryHashIsCompared(t *testing.T) {
+	set, err := New([]Credential{
+		{Principal: Principal{"order-desk", RoleCaller}, Hashes: []string{Hash("first"), Hash("second")}},
+		{Principal: Principal{"ann", RoleViewer}, Hashes: []string{Hash("last")}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	compared := 0
+	equal := set.equal
+	set.equal = func(a, b []byte) int {
+		compared++
+		return equal(a, b)
+	}
+	for _, presented := range []string{"first", "second", "last", "none", ""} {
+		for _, role := range []Role{RoleCaller, RoleViewer} {
+			compared = 0
+			_, _ = set.Authenticate(presented, role)
+			if compared != 3 {
+				t.Errorf("%q as %s: compared with %d of 3 hashes", presented, role, compared)
+			}
+		}
+	}
+}
