--- a/cmd/sardinelock/cmd/admin.go
+++ b/cmd/sardinelock/cmd/admin.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"net/netip"
-	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -16,37 +15,21 @@
 // adminFlags are the settings of a command that calls the administration API.
 type adminFlags struct {
 	clientFlags
-	addrs   []netip.AddrPort
-	output  string
-	formats []outputFormat
+	addrs  []netip.AddrPort
+	output outputFlag
 }
 
 func (a *adminFlags) register(f *pflag.FlagSet, formats ...outputFormat) {
-	a.formats = append([]outputFormat{outputTable, outputJSON}, formats...)
 	f.Var(addrsFlag{&a.addrs}, "admin", "administration addresses of entries; they are tried in order")
-	f.StringVar(&a.output, "output", string(outputTable), "form of the output: "+a.choices())
+	a.output.register(f, formats...)
 	a.clientFlags.register(f)
 }
 
-func (a *adminFlags) choices() string {
-	var names []string
-	for _, f := range a.formats {
-		names = append(names, string(f))
-	}
-	return strings.Join(names, ", ")
-}
-
 func (a *adminFlags) faults() []string {
-	var faults []string
 	if len(a.addrs) == 0 {
-		faults = append(faults, "--admin must be set")
-	}
-	for _, f := range a.formats {
-		if a.output == string(f) {
-			return faults
-		}
+		return []string{"--admin must be set"}
 	}
-	return append(faults, "--output must be one of "+a.choices()+", not "+a.output)
+	return nil
 }
 
 // client checks the settings and returns a client.
@@ -81,15 +64,14 @@
 	if err := client.Get(c.Context(), path, &l); err != nil {
 		return err
 	}
-	if a.output == string(outputJSON) {
-		return printJSON(c.OutOrStdout(), l)
-	}
 	rows := make([][]string, len(l.Items))
 	for i, item := range l.Items {
 		rows[i] = row(item)
 	}
-	printSilent(c.ErrOrStderr(), l.Silent)
-	return printTable(c.OutOrStdout(), header, rows)
+	if a.output.format != outputJSON {
+		printSilent(c.ErrOrStderr(), l.Silent)
+	}
+	return a.output.print(c.OutOrStdout(), l, header, rows)
 }
 
 func printSilent(w io.Writer, silent []administrator.Silent) {
@@ -114,9 +96,6 @@
 	for i := range changes {
 		printSilent(c.ErrOrStderr(), changes[i].Silent)
 	}
-	if f.output == string(outputJSON) {
-		return printJSON(c.OutOrStdout(), changes)
-	}
 	rows := make([][]string, len(changes))
 	for i, ch := range changes {
 		detail := ch.Detail
@@ -125,5 +104,5 @@
 		}
 		rows[i] = []string{ch.ChangeID, string(ch.Action), ch.Target, ch.By, detail}
 	}
-	return printTable(c.OutOrStdout(), []string{"CHANGE", "ACTION", "TARGET", "BY", "RESULT"}, rows)
+	return f.output.print(c.OutOrStdout(), changes, []string{"CHANGE", "ACTION", "TARGET", "BY", "RESULT"}, rows)
 }
--- a/cmd/sardinelock/cmd/config_diff.go
+++ b/cmd/sardinelock/cmd/config_diff.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"cmp"
 	"io"
 
 	"github.com/juju/errors"
@@ -85,16 +86,9 @@
 		_, err := io.WriteString(w, "no value differs\n")
 		return errors.Trace(err)
 	}
-	rows := make([]string, len(list))
+	rows := make([][]string, len(list))
 	for i, d := range list {
-		rows[i] = orNone(d.Site, "all") + "\t" + d.Path + "\t" + orNone(d.Before, "-") + "\t" + orNone(d.After, "-")
+		rows[i] = []string{cmp.Or(d.Site, "all"), d.Path, d.Before, d.After}
 	}
-	return output.print(w, list, "SITE\tKEY\tBEFORE\tAFTER", rows)
-}
-
-func orNone(text, none string) string {
-	if text == "" {
-		return none
-	}
-	return text
+	return output.print(w, list, []string{"SITE", "KEY", "BEFORE", "AFTER"}, rows)
 }
--- a/cmd/sardinelock/cmd/config_history.go
+++ b/cmd/sardinelock/cmd/config_history.go
@@ -40,7 +40,7 @@
 			if err != nil {
 				return err
 			}
-			return output.print(c.OutOrStdout(), heads, "VERSION\tAT\tOPERATOR\tCHANGE\tROLLBACK-TO\tCOMMENT", headRows(heads))
+			return output.print(c.OutOrStdout(), heads, []string{"VERSION", "AT", "OPERATOR", "CHANGE", "ROLLBACK-TO", "COMMENT"}, headRows(heads))
 		},
 	}
 	f := c.Flags()
@@ -50,19 +50,17 @@
 	return c
 }
 
-func headRows(heads []configurer.Head) []string {
-	rows := make([]string, len(heads))
+func headRows(heads []configurer.Head) [][]string {
+	rows := make([][]string, len(heads))
 	for i, h := range heads {
-		rollback := "-"
-		if h.RollbackTo > 0 {
-			rollback = strconv.FormatUint(h.RollbackTo, 10)
-		}
-		at := "-"
+		var at, rollback string
 		if !h.At.IsZero() {
 			at = h.At.Format(time.RFC3339)
 		}
-		rows[i] = strconv.FormatUint(h.Number, 10) + "\t" + at + "\t" +
-			orNone(h.Operator, "-") + "\t" + h.ChangeID + "\t" + rollback + "\t" + orNone(h.Comment, "-")
+		if h.RollbackTo > 0 {
+			rollback = strconv.FormatUint(h.RollbackTo, 10)
+		}
+		rows[i] = []string{strconv.FormatUint(h.Number, 10), at, h.Operator, h.ChangeID, rollback, h.Comment}
 	}
 	return rows
 }
--- a/cmd/sardinelock/cmd/config_show.go
+++ b/cmd/sardinelock/cmd/config_show.go
@@ -33,7 +33,7 @@
 				return err
 			}
 			values := effective.Values()
-			return output.print(c.OutOrStdout(), values, "KEY\tVALUE\tFROM", valueRows(values))
+			return output.print(c.OutOrStdout(), values, []string{"KEY", "VALUE", "FROM"}, valueRows(values))
 		},
 	}
 	f := c.Flags()
@@ -59,14 +59,14 @@
 	return nil, &usageError{errors.Errorf("no overlay is for the site %q", site)}
 }
 
-func valueRows(values []configurer.Value) []string {
-	rows := make([]string, len(values))
+func valueRows(values []configurer.Value) [][]string {
+	rows := make([][]string, len(values))
 	for i, v := range values {
 		from := v.Origin.File
 		if v.Origin.Line > 0 {
 			from += ":" + strconv.Itoa(v.Origin.Line)
 		}
-		rows[i] = v.Path + "\t" + v.Text + "\t" + from
+		rows[i] = []string{v.Path, v.Text, from}
 	}
 	return rows
 }
--- a/cmd/sardinelock/cmd/config_summary.go
+++ b/cmd/sardinelock/cmd/config_summary.go
@@ -34,16 +34,13 @@
 	}
 	printSilent(c.ErrOrStderr(), l.Silent)
 	counts := countStatus(l.Items)
-	if admin.output == string(outputJSON) {
-		return printJSON(c.OutOrStdout(), counts)
-	}
 	rows := make([][]string, len(counts))
 	for i, n := range counts {
 		rows[i] = []string{
 			string(n.Role), n.DataCentre, strconv.FormatUint(n.Version, 10), string(n.State), strconv.Itoa(n.Processes),
 		}
 	}
-	return printTable(c.OutOrStdout(), []string{"ROLE", "DATA-CENTRE", "VERSION", "STATE", "PROCESSES"}, rows)
+	return admin.output.print(c.OutOrStdout(), counts, []string{"ROLE", "DATA-CENTRE", "VERSION", "STATE", "PROCESSES"}, rows)
 }
 
 func countStatus(items []administrator.ConfigStatus) []statusCount {
--- a/cmd/sardinelock/cmd/job_cancel.go
+++ b/cmd/sardinelock/cmd/job_cancel.go
@@ -56,12 +56,11 @@
 	f := c.Flags()
 	caller.register(f)
 	f.Var(addrsFlag{&change.addrs}, "admin", "administration addresses of entries; they are tried in order")
-	f.StringVar(&change.output, "output", string(outputTable), "form of the output with --admin: table, json")
+	change.output.register(f)
 	f.StringVar(&change.changeID, "change-id", "", "UUID that names the change with --admin (default: a new one)")
 	f.BoolVar(&operator, "operator", false, "cancel as an operator, through --admin")
 	f.StringVar(&service, "all-of-service", "", "cancel all open jobs of a service")
 	f.StringVar(&team, "all-of-team", "", "cancel all open jobs of a team")
-	change.formats = []outputFormat{outputTable, outputJSON}
 	return c
 }
 
--- a/cmd/sardinelock/cmd/output.go
+++ b/cmd/sardinelock/cmd/output.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"text/tabwriter"
 
@@ -22,11 +23,24 @@
 )
 
 // outputFlag is the flag --output.
-type outputFlag struct{ format outputFormat }
+type outputFlag struct {
+	format  outputFormat
+	formats []outputFormat // formats are those that the command can print.
+}
 
-func (o *outputFlag) register(f *pflag.FlagSet) {
+// register adds the flag; more are formats besides a table and JSON.
+func (o *outputFlag) register(f *pflag.FlagSet, more ...outputFormat) {
 	o.format = outputTable
-	f.Var(o, "output", "how to print: table or json")
+	o.formats = append([]outputFormat{outputTable, outputJSON}, more...)
+	f.Var(o, "output", "form of the output: "+o.choices())
+}
+
+func (o *outputFlag) choices() string {
+	var names []string
+	for _, f := range o.formats {
+		names = append(names, string(f))
+	}
+	return strings.Join(names, ", ")
 }
 
 // String implements pflag.Value.
@@ -37,25 +51,19 @@
 
 // Set implements pflag.Value.
 func (o *outputFlag) Set(text string) error {
-	switch f := outputFormat(text); f {
-	case outputTable, outputJSON:
-		o.format = f
-		return nil
+	if !slices.Contains(o.formats, outputFormat(text)) {
+		return errors.Errorf("must be one of %s, not %s", o.choices(), text)
 	}
-	return errors.Errorf("%q is not table or json", text)
+	o.format = outputFormat(text)
+	return nil
 }
 
-// print prints rows as a table under the heading, or the value as JSON.
-func (o *outputFlag) print(w io.Writer, value any, heading string, rows []string) error {
+// print prints rows as a table under the header, or the value as JSON.
+func (o *outputFlag) print(w io.Writer, value any, header []string, rows [][]string) error {
 	if o.format == outputJSON {
 		return printJSON(w, value)
 	}
-	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, heading)
-	for _, row := range rows {
-		fmt.Fprintln(t, row)
-	}
-	return errors.Trace(t.Flush())
+	return printTable(w, header, rows)
 }
 
 func printJSON(w io.Writer, value any) error {
--- a/cmd/sardinelock/cmd/report_burn.go
+++ b/cmd/sardinelock/cmd/report_burn.go
@@ -25,7 +25,8 @@
 
 A burn rate of 1 uses up the budget in just its window. The level is "page" if
 the rate is over 14.4 in both 5 minutes and 1 hour, and "ticket" if it is over 6
-in both 30 minutes and 6 hours. BUDGET-LEFT and CAUSES are counted over --window.
+in both 30 minutes and 6 hours; either needs as many bad jobs in the shorter window
+as the objective's min-bad-jobs. BUDGET-LEFT and CAUSES are counted over --window.
 What the report lacks is printed on standard error.`,
 		Example: `  sardinelock report burn --admin 127.0.0.1:7402
   sardinelock report burn --admin 127.0.0.1:7402 --service quote --window 6h
@@ -37,7 +38,7 @@
 				return err
 			}
 			query := "?" + url.Values{"service": {service}, "window": {window.String()}}.Encode()
-			if admin.output == string(outputHTML) {
+			if admin.output.format == outputHTML {
 				page, err := client.Text(c.Context(), "/burn"+query)
 				if err != nil {
 					return err
@@ -49,7 +50,7 @@
 			if err := client.Get(c.Context(), "/v1/admin/burn"+query, &report); err != nil {
 				return err
 			}
-			if admin.output == string(outputJSON) {
+			if admin.output.format == outputJSON {
 				return printJSON(c.OutOrStdout(), report)
 			}
 			return printBurn(c, &report)
