Keep the weighed settings of placement when a configuration comes in force

Cause: an entry that takes a version of the configuration calls SetLimits with limits made from the configuration's tables alone. Those have no MaxDebt, LargeWork, Reserve, DebtReserve and Batch, so the five became zero, and real entries placed by other rules than those that the scenarios measure.

Ruled out: defaults for what is zero in SetLimits, since a zero ageing in a configuration means first come, first served.

Change: the five are Tuning, a part of Limits that SetLimits leaves alone.

The scenarios' files do not change.

Conclusion: what is measured is now what runs. TestSetLimitsKeepsTuning is new.

--- a/internal/placer/configure.go
+++ b/internal/placer/configure.go
@@ -6,10 +6,11 @@
 )
 
 // SetLimits puts new limits in force and orders what waits by them. They are
-// taken as they are, also where they are zero; the budget of tasks that are
-// placed again stays as it was made.
+// taken as they are, also where they are zero. The tuning and the budget of tasks
+// that are placed again stay as they were made: no configuration has them.
 func (p *Placer) SetLimits(l Limits) {
 	l.Replacements = p.limits.Replacements
+	l.Tuning = p.limits.Tuning
 	p.limits = l
 	for _, s := range p.serviceOrder {
 		s.learned.minSamples = l.MinSamples
--- a/internal/placer/configure_test.go
+++ b/internal/placer/configure_test.go
@@ -54,3 +54,16 @@
 		}
 	}
 }
+
+// TestSetLimitsKeepsTuning holds that a configuration, which has no tuning, does
+// not put it out of force.
+func TestSetLimitsKeepsTuning(t *testing.T) {
+	p := New(DefaultLimits())
+	p.SetLimits(Limits{MaxQueued: 10})
+	if diff := cmp.Diff(DefaultLimits().Tuning, p.limits.Tuning); diff != "" {
+		t.Errorf("tuning (-want +got):\n%s", diff)
+	}
+	if p.limits.MaxQueued != 10 {
+		t.Errorf("MaxQueued is %d, want 10", p.limits.MaxQueued)
+	}
+}
--- a/internal/placer/limits.go
+++ b/internal/placer/limits.go
@@ -18,18 +18,6 @@
 	// Quantum is the slot time by which one team may be ahead of another before
 	// its jobs yield.
 	Quantum time.Duration
-	// MaxDebt bounds the slot time by which one team is held to be ahead of another.
-	MaxDebt time.Duration
-	// LargeWork is the expected run time on all slots from which a job is large. It
-	// leaves Reserve credits at each agent to other jobs.
-	LargeWork time.Duration
-	Reserve   int
-	// DebtReserve is the credit at each agent that a team leaves to others while it
-	// is ahead of them by a quantum.
-	DebtReserve int
-	// Batch is how many tasks of a large job an agent must be able to take before a
-	// message is sent for them alone.
-	Batch int
 	// DeadlineRatio is the share, from 0 to 1, of what the longest task leaves of a
 	// job's deadline that the expected wait may take when the job is admitted.
 	DeadlineRatio float64
@@ -54,6 +42,24 @@
 	SlowStart int
 	// Replacements bounds the tasks that are placed again.
 	Replacements budgeter.Limits
+	Tuning
+}
+
+// Tuning has the settings that were weighed by measurement and that no
+// configuration changes.
+type Tuning struct {
+	// MaxDebt bounds the slot time by which one team is held to be ahead of another.
+	MaxDebt time.Duration
+	// LargeWork is the expected run time on all slots from which a job is large. It
+	// leaves Reserve credits at each agent to other jobs.
+	LargeWork time.Duration
+	Reserve   int
+	// DebtReserve is the credit at each agent that a team leaves to others while it
+	// is ahead of them by a quantum.
+	DebtReserve int
+	// Batch is how many tasks of a large job an agent must be able to take before a
+	// message is sent for them alone.
+	Batch int
 }
 
 // DefaultLimits returns the settings that suit most deployments.
@@ -62,11 +68,6 @@
 		MaxQueued:       50_000,
 		Ageing:          0.25,
 		Quantum:         4 * time.Second,
-		MaxDebt:         32 * time.Second,
-		LargeWork:       time.Second,
-		Reserve:         2,
-		DebtReserve:     3,
-		Batch:           4,
 		DeadlineRatio:   0.6,
 		MinSamples:      20,
 		FailureStreak:   3,
@@ -77,6 +78,13 @@
 		MaxEjectedRatio: 0.34,
 		SlowStart:       4,
 		Replacements:    budgeter.Limits{Ratio: 0.1, Burst: 100, Backoff: 20 * time.Millisecond, MaxBackoff: time.Second},
+		Tuning: Tuning{
+			MaxDebt:     32 * time.Second,
+			LargeWork:   time.Second,
+			Reserve:     2,
+			DebtReserve: 3,
+			Batch:       4,
+		},
 	}
 }
 
