Let starts of the scenarios expire after the budget of the command

Cause: the scenarios gave a start an hour to wait at an agent; the command's settings give it 5 s.

Change: a start of the scenarios has 5 s, then the agent refuses it and the entry places the task again.

The files of the other scenarios do not change. No bound changes.

--- a/internal/experimenter/entrynode.go
+++ b/internal/experimenter/entrynode.go
@@ -163,7 +163,7 @@
 		if agentPeer(n) != a.Agent {
 			continue
 		}
-		start := messenger.Start{Submission: a.Submission, Epoch: 1, StartBy: time.Hour, EndBy: time.Hour, Work: a.Work}
+		start := messenger.Start{Submission: a.Submission, Epoch: 1, StartBy: s.clock.now + startBudget, EndBy: time.Hour, Work: a.Work}
 		for _, index := range a.Tasks {
 			start.Tasks = append(start.Tasks, messenger.TaskStart{Index: index})
 		}
--- a/internal/experimenter/scenario.go
+++ b/internal/experimenter/scenario.go
@@ -73,6 +73,7 @@
 	retransmit       = 30 * time.Millisecond
 	dataCentres      = 3
 	failAfter        = 5 * time.Millisecond
+	startBudget      = 5 * time.Second        // startBudget is that of the command's settings.
 	noticeAfter      = 500 * time.Millisecond // noticeAfter is how long a broken connection stays unnoticed.
 )
 
