Let held results go with an echo that is due

Cause: an echo that had waited as long as it may went out alone, although results were held back for the same entry; they then took a message of their own.

Change: held results go when an echo goes.

TestWaiting has the case; it fails without the change.

--- a/internal/guard/credit.go
+++ b/internal/guard/credit.go
@@ -155,10 +155,10 @@
 	}
 }
 
-// wanted reports whether held results should go in a message of their own: they
-// are old, or the entry waits for credit and the agent runs out of work.
+// wanted reports whether held results should go now: they are old, an echo goes
+// now anyway, or the entry waits for credit and the agent runs out of work.
 func (g *Guard) wanted(now time.Time, l *link) bool {
-	if now.Sub(l.heldSince) >= g.limits.HoldFor {
+	if now.Sub(l.heldSince) >= g.limits.HoldFor || g.mustEcho(now, l) {
 		return true
 	}
 	if l.backlog == 0 {
--- a/internal/guard/hold.go
+++ b/internal/guard/hold.go
@@ -44,3 +44,12 @@
 	l.prompt = false
 	l.owed = time.Time{}
 }
+
+// mustEcho reports whether an echo goes to the entry now in any case.
+func (g *Guard) mustEcho(now time.Time, l *link) bool {
+	if l.ping == l.echoed {
+		return false
+	}
+	_, waits := g.waits(now, l)
+	return !waits
+}
--- a/internal/guard/hold_test.go
+++ b/internal/guard/hold_test.go
@@ -107,6 +107,12 @@
 	see("slow task: " + h.take(249*time.Millisecond))
 	see("slow task: " + h.take(time.Millisecond))
 
+	h = newHolder()
+	h.start(0, 1)
+	see("echo due: " + h.take(249*time.Millisecond))
+	h.end(0, messenger.ResultDone)
+	see("echo due: " + h.take(time.Millisecond))
+
 	want := []string{
 		"wake in 250ms",
 		"wake in 240ms",
@@ -118,6 +124,8 @@
 		"failed: echo 1 0:failed",
 		"slow task: wake in 1ms",
 		"slow task: echo 1",
+		"echo due: wake in 1ms",
+		"echo due: echo 1 0:done",
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("what goes out (-want +got):\n%s", diff)
