Give an agent back the credit that its refusals took

Cause: a refusal for a full queue or record memory lowers the credit that the entry keeps for the agent, down to nothing. The agent tells its limit only when it changes, so an entry that is alone with the agent never sent it a task again.

Ruled out: that the agent repeats its limit with the refusal. The entry applies the limit of a message before its results, so that it would have no effect.

Change: refusals leave at least one credit, and each task that ends at the agent gives one back, up to the agent's limit.

--- a/internal/placer/agent.go
+++ b/internal/placer/agent.go
@@ -12,8 +12,9 @@
 	peer     messenger.Peer
 	place    Place
 	capacity messenger.Capacity
-	credit   int
-	credited bool // credited means that the agent itself has set the credit.
+	credit   int  // credit is how many tasks may be outstanding: limit, or less after refusals.
+	limit    int  // limit is the number of slots or, once there is one, the agent's limit.
+	credited bool // credited means that the agent itself has set the limit.
 	held     Hold // held is what an operator has set; empty lets the agent work.
 	// sent has the tasks that are outstanding at the agent.
 	sent map[taskRef]outstanding
@@ -156,6 +157,10 @@
 	case messenger.RefusalLapsed:
 		a.capacity.State = messenger.UpstreamAbsent
 	case messenger.RefusalFull, messenger.RefusalMemory:
-		a.credit = max(0, min(a.credit-1, len(a.sent)))
+		a.credit = max(min(1, a.limit), min(a.credit-1, len(a.sent)))
 	}
 }
+
+// recovered takes back some of what refusals took off the credit. The agent does
+// not repeat a limit that has not changed.
+func (a *agent) recovered() { a.credit = min(a.limit, a.credit+1) }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -177,6 +177,7 @@
 	same := slices.Equal(a.capacity.Services, c.Services)
 	a.capacity = c
 	if !a.credited {
+		a.limit = c.Slots
 		a.credit = c.Slots
 	}
 	if !same {
@@ -191,6 +192,7 @@
 	if a == nil {
 		return
 	}
+	a.limit = limit
 	a.credit = limit
 	a.credited = true
 	p.rerank(a)
@@ -256,8 +258,10 @@
 	case e.Kind == messenger.ResultRefused:
 		a.refused(e.Refusal)
 	case dropped:
+		a.recovered()
 		p.charge(o.queue, e.RunTime-o.queue.service.learned.runTime(o.need.RunTime))
 	default:
+		a.recovered()
 		p.learn(now, a, o, &e)
 	}
 	p.rerank(a)
--- a/internal/placer/script_test.go
+++ b/internal/placer/script_test.go
@@ -40,6 +40,8 @@
 			State: messenger.UpstreamServing, Services: []string{"print"},
 			Slots: b.number(l, "slots"), MemoryBytes: int64(b.number(l, "memory")), Accelerators: b.number(l, "accelerators"),
 		})
+	case "credit":
+		b.p.SetCredit(b.now, messenger.Peer(l.Arg("at")), b.number(l, "limit"))
 	case "quota":
 		b.p.SetTeams([]Quota{{Team: l.Arg("team"), Slots: b.number(l, "slots"), StartsPerSecond: float64(b.number(l, "starts"))}})
 	case "entries":
