Keep a task's result in memory of its own size, and read messages into pooled buffers

Change: the invoker reads a reply of known length into memory of that length, and copies one of unknown length. The connector reads messages into the pooled buffers that writers use; the decoder copies what it keeps (it has a buffer of its own).

--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -21,10 +21,8 @@
 )
 
 const (
-	queueFrames   = 4096
-	maxBatchBytes = 1 << 20
-	// keepBytes is the largest write buffer that is kept between messages.
-	keepBytes       = 64 << 10
+	queueFrames     = 4096
+	maxBatchBytes   = 1 << 20
 	writeTimeout    = 5 * time.Second
 	handshakeWindow = 5 * time.Second
 )
@@ -216,20 +214,34 @@
 }
 
 func (c *Conn) readLoop(handle func(*messenger.Frame)) error {
-	const op = "read"
 	for {
-		_, message, err := c.ws.Read(c.ctx)
-		if err != nil {
-			return &Error{Op: op, Kind: KindClosed, Peer: string(c.hello.Peer), Err: err}
-		}
-		c.counts.MessagesRead.Add(1)
-		c.counts.BytesRead.Add(uint64(len(message)))
-		if err := messenger.Decode(message, handle); err != nil {
-			return &Error{Op: op, Kind: KindProtocol, Peer: string(c.hello.Peer), Err: err}
+		if err := c.readMessage(handle); err != nil {
+			return err
 		}
 	}
 }
 
+// readMessage reads one message into a pooled buffer, of which decoded frames keep
+// nothing.
+func (c *Conn) readMessage(handle func(*messenger.Frame)) error {
+	const op = "read"
+	_, r, err := c.ws.Reader(c.ctx)
+	if err != nil {
+		return &Error{Op: op, Kind: KindClosed, Peer: string(c.hello.Peer), Err: err}
+	}
+	buf := takeBuffer()
+	defer returnBuffer(buf)
+	if _, err := buf.ReadFrom(r); err != nil {
+		return &Error{Op: op, Kind: KindClosed, Peer: string(c.hello.Peer), Err: err}
+	}
+	c.counts.MessagesRead.Add(1)
+	c.counts.BytesRead.Add(uint64(buf.Len()))
+	if err := messenger.Decode(buf.Bytes(), handle); err != nil {
+		return &Error{Op: op, Kind: KindProtocol, Peer: string(c.hello.Peer), Err: err}
+	}
+	return nil
+}
+
 // write writes what is queued and ends when nothing is left. There is at most one
 // writer a connection, and none while it is idle, so that the many connections of
 // an entry cost little memory.
@@ -245,18 +257,10 @@
 	}
 }
 
-// buffers has write buffers; connections do not keep one each.
-var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
-
 // writeBatch writes what is queued as one message, up to a size.
 func (c *Conn) writeBatch() error {
-	buf := buffers.Get().(*bytes.Buffer)
-	defer func() {
-		if buf.Cap() <= keepBytes {
-			buffers.Put(buf)
-		}
-	}()
-	buf.Reset()
+	buf := takeBuffer()
+	defer returnBuffer(buf)
 	for buf.Len() < maxBatchBytes {
 		f := c.queue.pop()
 		if f == nil {
--- a/internal/invoker/invoker.go
+++ b/internal/invoker/invoker.go
@@ -108,7 +108,7 @@
 		return Reply{}, callError(ctx, op, err)
 	}
 	defer resp.Body.Close()
-	payload, err := io.ReadAll(io.LimitReader(resp.Body, MaxReplyBytes+1))
+	payload, err := readPayload(resp.Body, resp.ContentLength)
 	if err != nil {
 		return Reply{}, callError(ctx, op, err)
 	}
@@ -121,6 +121,20 @@
 	return Reply{Payload: payload, PeakMemoryBytes: peakMemory(resp.Header)}, nil
 }
 
+// readPayload reads at most one byte more than a reply may have. Results are kept
+// for a while, so that the memory of one is no larger than it has to be: io.ReadAll
+// alone would take 512 bytes for the smallest. A negative length is not known.
+func readPayload(body io.Reader, length int64) ([]byte, error) {
+	limited := io.LimitReader(body, MaxReplyBytes+1)
+	if length < 0 || length > MaxReplyBytes {
+		payload, err := io.ReadAll(limited)
+		return bytes.Clone(payload), err
+	}
+	payload := make([]byte, length)
+	_, err := io.ReadFull(limited, payload)
+	return payload, err
+}
+
 // callError says whether a call ended because of its deadline.
 func callError(ctx context.Context, op string, err error) error {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
