Give the messages of a handover, and the side that is offered one, files of their own

Change: messenger/handover.go and coordinator/offer.go; nothing is renamed or changed. Conclusion: one concept a file.

--- a/internal/coordinator/handover.go
+++ b/internal/coordinator/handover.go
@@ -80,27 +80,6 @@
 	return h
 }
 
-// offer is a handover at the peer that it is made to.
-type offer struct {
-	from       messenger.Peer
-	at         time.Time
-	partitions []messenger.HandoverPartition
-	jobs       []messenger.HandoverJob // jobs are those of the pieces so far.
-	pieces     int                     // pieces counts the pieces that came.
-	complete   bool                    // complete means that the last piece came.
-}
-
-// add takes a piece of the records. It returns false if it is not the next one.
-func (o *offer) add(h *messenger.Handover) bool {
-	if o.complete || h.Piece != o.pieces {
-		return false
-	}
-	o.jobs = append(o.jobs, h.Jobs...)
-	o.pieces++
-	o.complete = h.Last
-	return true
-}
-
 func newHandovers() handovers { return handovers{offered: make(map[string]*offer)} }
 
 // beginHandover begins to pass partitions to an entry that should own them.
@@ -284,22 +263,6 @@
 	return true
 }
 
-// gainHandover makes a partition active that its owner has passed to this entry.
-func (c *Coordinator) gainHandover(now time.Time, gained messenger.PartitionEpoch, id string) bool {
-	o := c.handover.offered[id]
-	if id == "" || o == nil || !o.complete {
-		return false
-	}
-	for _, hp := range o.partitions {
-		if hp.Partition == gained.Partition && hp.Epoch+1 == gained.Epoch {
-			c.recoverer.BeginHandover(now, gained, recoverer.Inheritance{Before: hp.PastBefore, Incomplete: hp.Incomplete})
-			c.importJobs(now, jobsOf(o.jobs, gained.Partition))
-			return true
-		}
-	}
-	return false
-}
-
 // receiveHandover applies a step of a handover.
 func (c *Coordinator) receiveHandover(now time.Time, e *entryLink, h *messenger.Handover) {
 	switch h.Step {
@@ -322,21 +285,6 @@
 	}
 }
 
-// receivePiece takes a piece of what is offered and asks for the next one, or
-// accepts when the last is in. A piece out of order says that its handover has
-// ended or that the connection was another then; the owner cancels it.
-func (c *Coordinator) receivePiece(e *entryLink, h *messenger.Handover) {
-	o := c.handover.offered[h.ID]
-	if o == nil || o.from != e.peer || !o.add(h) {
-		return
-	}
-	reply := &messenger.Handover{ID: h.ID, Step: messenger.HandoverNext, Piece: o.pieces}
-	if o.complete {
-		reply = &messenger.Handover{ID: h.ID, Step: messenger.HandoverAccept}
-	}
-	e.gather().Handover = reply
-}
-
 // handoverPeerDown goes on with partitions whose write was not asked for yet, and
 // forgets what the peer has offered in part.
 func (c *Coordinator) handoverPeerDown(now time.Time, peer messenger.Peer) {
@@ -371,18 +319,6 @@
 	}
 }
 
-// offerEnded reports whether the rows of an offer can change to this entry no
-// more. An owner that makes a late write finds a new owner without its records,
-// which then takes the partitions over.
-func (c *Coordinator) offerEnded(now time.Time, o *offer) bool {
-	if now.Sub(o.at) > c.limits.Recoverer.Window {
-		return true
-	}
-	return !slices.ContainsFunc(o.partitions, func(hp messenger.HandoverPartition) bool {
-		return c.highest[hp.Partition] <= hp.Epoch
-	})
-}
-
 // importJobs takes over jobs with all that is known of them. The requests that
 // wait bring their tasks again.
 func (c *Coordinator) importJobs(now time.Time, jobs []messenger.HandoverJob) {
