Give every package with random tests a fixed seed

Cause: rapid takes its seed from the time unless a flag says otherwise.

Change: internal/seeder fixes the seed in TestMain, for all nine. The flag -rapid.seed still sets another. The fuzz of the coordinator has -world.first, so that longer runs go on where others ended.

Tests changed: where the seed is set, nothing else.

--- a/internal/applier/world_test.go
+++ b/internal/applier/world_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"container/heap"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"strconv"
 	"testing"
@@ -14,17 +12,11 @@
 	"github.com/juju/errors"
 
 	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/seeder"
 )
 
-// TestMain fixes the seed, so that the verdict is the same every time. The flag
-// -rapid.seed sets another.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		_ = f.Value.Set("1")
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the random tests.
+func TestMain(m *testing.M) { seeder.Main(m) }
 
 const (
 	tickEvery   = 100 * time.Millisecond
--- a/internal/budgeter/budgeter_test.go
+++ b/internal/budgeter/budgeter_test.go
@@ -5,8 +5,13 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"sardinelock.dev/sardinelock/internal/seeder"
 )
 
+// TestMain fixes the seed of the random tests.
+func TestMain(m *testing.M) { seeder.Main(m) }
+
 // TestRetriesStayBounded holds that retries never exceed the burst and the ratio
 // of the work, and that a pause stays within its jitter.
 func TestRetriesStayBounded(t *testing.T) {
--- a/internal/connector/queue_test.go
+++ b/internal/connector/queue_test.go
@@ -7,8 +7,12 @@
 	"pgregory.net/rapid"
 
 	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/seeder"
 )
 
+// TestMain fixes the seed of the random tests.
+func TestMain(m *testing.M) { seeder.Main(m) }
+
 const testLimit = 5
 
 // queueModel is what a queue must do: a slice of what is queued, and whether a
--- a/internal/coordinator/fuzz_test.go
+++ b/internal/coordinator/fuzz_test.go
@@ -10,17 +10,20 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"sardinelock.dev/sardinelock/internal/seeder"
 )
 
+// TestMain fixes the seed of the random tests.
+func TestMain(m *testing.M) { seeder.Main(m) }
+
 var (
 	worldSeed      = flag.Uint64("world.seed", 0, "run the history of this seed alone and print its trace")
+	worldFirst     = flag.Uint64("world.first", 1, "seed of the first history; the others count on from it")
 	worldHistories = flag.Int("world.histories", 1500, "number of seeded histories")
 	worldSteps     = flag.Int("world.steps", 60, "steps of a seeded history")
 )
 
-// firstSeed is the seed of the first history; the others count on from it.
-const firstSeed = 1
-
 // TestHistories lets seeded histories happen and checks rules 1 to 5 after each
 // step. With -world.seed=N it repeats one and prints its trace.
 func TestHistories(t *testing.T) {
@@ -41,7 +44,7 @@
 			t.Run(fmt.Sprint(lane), func(t *testing.T) {
 				t.Parallel()
 				for i := lane; i < *worldHistories; i += lanes {
-					w := checkHistory(t, firstSeed+uint64(i))
+					w := checkHistory(t, *worldFirst+uint64(i))
 					mu.Lock()
 					steps += w.steps
 					for k, n := range w.oracle.outcomes {
@@ -96,7 +99,6 @@
 	if testing.Short() {
 		t.Skip("the seeded histories cover the same")
 	}
-	mustSet(t, "rapid.seed", "1")
 	mustSet(t, "rapid.checks", "30")
 	mustSet(t, "rapid.nofailfile", "true")
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/creditor/creditor_test.go
+++ b/internal/creditor/creditor_test.go
@@ -7,8 +7,12 @@
 	"pgregory.net/rapid"
 
 	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/seeder"
 )
 
+// TestMain fixes the seed of the random tests.
+func TestMain(m *testing.M) { seeder.Main(m) }
+
 // TestDeadEntryReturnsCredits holds that the others' limits rise at once by what a
 // dead entry had waiting, and by the rest as its tasks end.
 func TestDeadEntryReturnsCredits(t *testing.T) {
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -12,9 +12,13 @@
 	"pgregory.net/rapid"
 
 	"sardinelock.dev/sardinelock/internal/scripter"
+	"sardinelock.dev/sardinelock/internal/seeder"
 	"sardinelock.dev/sardinelock/pkg/submitter"
 )
 
+// TestMain fixes the seed of the random tests.
+func TestMain(m *testing.M) { seeder.Main(m) }
+
 // TestIdeal reads "job at=T tasks=T,T,..." and "ideal slots=N".
 func TestIdeal(t *testing.T) {
 	scripter.Run(t, "testdata/ideal*.txtar", func(t *testing.T, lines []scripter.Line) string {
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -12,8 +12,12 @@
 
 	"sardinelock.dev/sardinelock/internal/identifier"
 	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/seeder"
 )
 
+// TestMain fixes the seed of the random tests.
+func TestMain(m *testing.M) { seeder.Main(m) }
+
 var epoch = time.Unix(1_700_000_000, 0)
 
 func submission(n int) identifier.Submission {
--- a/internal/reporter/reporter_test.go
+++ b/internal/reporter/reporter_test.go
@@ -14,9 +14,13 @@
 
 	"sardinelock.dev/sardinelock/internal/configurer"
 	"sardinelock.dev/sardinelock/internal/scripter"
+	"sardinelock.dev/sardinelock/internal/seeder"
 	"sardinelock.dev/sardinelock/pkg/submitter"
 )
 
+// TestMain fixes the seed of the random tests.
+func TestMain(m *testing.M) { seeder.Main(m) }
+
 var (
 	testStart    = time.Unix(1_700_000_000, 0).Truncate(6 * time.Hour)
 	testServices = []configurer.Service{
--- a/internal/versioner/versioner_test.go
+++ b/internal/versioner/versioner_test.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -18,18 +16,12 @@
 
 	"sardinelock.dev/sardinelock/internal/configurer"
 	"sardinelock.dev/sardinelock/internal/emulator"
+	"sardinelock.dev/sardinelock/internal/seeder"
 	"sardinelock.dev/sardinelock/internal/storer"
 )
 
-// TestMain fixes the seed, so that the verdict is the same every time. The flag
-// -rapid.seed sets another.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		_ = f.Value.Set("1")
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the random tests.
+func TestMain(m *testing.M) { seeder.Main(m) }
 
 var errLost = &storer.Error{Op: "test", Kind: storer.KindUnavailable, Err: errors.New("lost")}
 
