Check in the fuzz world that an agent at its memory limit starts nothing

Change: agents have a quarter of the entries' limit, and when a task starts the agent's records may be beyond it by at most the key and results of calls aborted in the same event (160 bytes).

--- a/internal/coordinator/world_extras_test.go
+++ b/internal/coordinator/world_extras_test.go
@@ -18,7 +18,8 @@
 	clockSteps bool
 	// wallClock switches off that a process reads its wall clock at its start only.
 	wallClock bool
-	// recordBytes bounds the records of each entry and agent; 0 means plenty.
+	// recordBytes bounds the records of each entry, and a part of it those of each
+	// agent; 0 means plenty.
 	recordBytes int
 	// watchFrames checks that nobody changes a frame after it was sent.
 	watchFrames bool
@@ -124,6 +125,24 @@
 	}
 }
 
+// agentShare is by how much less memory an agent has than an entry, so that each is
+// the first to reach its limit in some histories.
+const agentShare = 4
+
+// memorySlack is how far the records of an agent may be beyond their limit when a
+// task has started: by the request key, which is counted after the check, and by the
+// results of calls that are aborted at the same time.
+const memorySlack = 160
+
+// checkMemory checks that an agent whose records are beyond their limit starts
+// nothing more.
+func (w *world) checkMemory(p *process) {
+	_, bytes := p.guard.Records()
+	if limit := w.options.recordBytes / agentShare; limit > 0 && bytes > limit+memorySlack {
+		w.oracle.fail("memory: %s starts a task with %d bytes of records, the limit is %d", p.peer, bytes, limit)
+	}
+}
+
 func (w *world) agentsIn(region string) int {
 	n := 0
 	for _, a := range w.agents {
--- a/internal/coordinator/world_test.go
+++ b/internal/coordinator/world_test.go
@@ -198,7 +198,7 @@
 	p := w.birth(messenger.RoleAgent, seat)
 	limits := worldGuardLimits
 	if w.options.recordBytes > 0 {
-		limits.MaxRecordBytes = w.options.recordBytes
+		limits.MaxRecordBytes = w.options.recordBytes / agentShare
 	}
 	p.guard = guard.New(p.now(w), limits)
 	if w.options.guardRules != nil {
@@ -257,6 +257,7 @@
 		w.logf("%s starts %s/%d", p.peer, w.oracle.name(call.Ref.Submission), call.Ref.Index)
 		w.oracle.started(call.Ref)
 		w.checkRegion(p, call.Ref)
+		w.checkMemory(p)
 		p.running = append(p.running, call)
 	}
 	for _, s := range out.Sends {
