Count the starts in process tests after the upstreams have ended

Cause: the tests read the starts from the upstreams' standard output right after an answer. What an upstream writes is read by another goroutine: a start may not be read yet. Seen once in six runs with GOMAXPROCS=1 on a busy machine, in TestTornUpstreamConnections ("complete and 0 of 2 tasks started"); and a second start could have been missed by every test that counts.

Change: the tests end the upstreams and wait until their output is read to its end, then count. This is stricter in TestOwnerKilledMidJob, TestOwnerPausedPastItsLease, TestAgentKilledWithStartedTasks and both drains; nothing else in them is changed. TestTwoRegions lets its job run for 10 s and asks again at once, so that the job is neither over before the entries are killed nor cancelled as asked for by nobody.

--- a/cmd/sardinelock/cmd/failure_test.go
+++ b/cmd/sardinelock/cmd/failure_test.go
@@ -36,9 +36,12 @@
 				t.Errorf("%s: %s %s (%s), want complete", id, answer.Outcome, answer.Reason, answer.Detail)
 			}
 		}
-		f.checkOnce(id)
 	}
 	t.Logf("all answers %s after the kill", time.Since(killed).Round(time.Millisecond))
+	f.stopUpstreams()
+	for _, id := range ids {
+		f.checkOnce(id)
+	}
 }
 
 // An owner that is paused past its lease and woken after another has taken over
@@ -63,16 +66,19 @@
 	}
 	f.entries[0].signal(syscall.SIGCONT)
 	counts := make(map[submitter.Outcome]int)
+	notRun := make(map[string]bool)
 	for i := range ids {
-		first, second := <-answers[i], <-again[i]
-		counts[first.Outcome]++
-		counts[second.Outcome]++
-		for _, answer := range []submitter.Answer{first, second} {
-			if answer.Outcome == submitter.OutcomeNotRun && len(f.starts(ids[i])) > 0 {
-				t.Errorf("%s is not-run but has started", ids[i])
-			}
+		for _, answer := range []submitter.Answer{<-answers[i], <-again[i]} {
+			counts[answer.Outcome]++
+			notRun[ids[i]] = notRun[ids[i]] || answer.Outcome == submitter.OutcomeNotRun
 		}
-		f.checkOnce(ids[i])
+	}
+	f.stopUpstreams()
+	for _, id := range ids {
+		if notRun[id] && len(f.starts(id)) > 0 {
+			t.Errorf("%s is not-run but has started", id)
+		}
+		f.checkOnce(id)
 	}
 	t.Logf("answers: %v", counts)
 	if counts[submitter.OutcomeComplete] == 0 {
@@ -98,6 +104,7 @@
 	if second.Outcome != answer.Outcome || second.Reason != answer.Reason {
 		t.Errorf("the job is %s %s, and %s %s when it is submitted again", answer.Outcome, answer.Reason, second.Outcome, second.Reason)
 	}
+	f.stopUpstreams()
 	f.checkOnce(id)
 }
 
@@ -210,6 +217,7 @@
 			t.Error(fault)
 		}
 	}
+	l.fleet.stopUpstreams()
 	for _, id := range l.ids {
 		l.fleet.checkOnce(id)
 	}
--- a/cmd/sardinelock/cmd/process_test.go
+++ b/cmd/sardinelock/cmd/process_test.go
@@ -304,7 +304,24 @@
 	}
 }
 
-// checkOnce fails the test if a task of a submission started twice.
+// stopUpstreams ends the upstreams, so that every start that they logged has been
+// read: what they write arrives later than the answers of their tasks.
+func (f *fleet) stopUpstreams() {
+	f.t.Helper()
+	for _, u := range f.upstreams {
+		u.signal(syscall.SIGTERM)
+	}
+	for _, u := range f.upstreams {
+		select {
+		case <-u.exited:
+		case <-time.After(conditionTimeout):
+			f.t.Fatalf("an upstream does not exit: %s", u.stderr.String())
+		}
+	}
+}
+
+// checkOnce fails the test if a task of a submission started twice. The upstreams
+// must be stopped.
 func (f *fleet) checkOnce(submission string) {
 	f.t.Helper()
 	for task, n := range f.starts(submission) {
--- a/cmd/sardinelock/cmd/region_test.go
+++ b/cmd/sardinelock/cmd/region_test.go
@@ -60,7 +60,7 @@
 }
 
 // checkStarts fails the test unless a submission started the given number of
-// tasks, each once and all in one region.
+// tasks, each once and all in one region. The upstreams must be stopped.
 func (f *regionFleet) checkStarts(submission string, region, tasks int) {
 	f.t.Helper()
 	// What an upstream wrote may be read later than the answer.
@@ -85,6 +85,19 @@
 	}
 }
 
+// askUntilReached submits a job until its region is reached, and returns the answer.
+func (f *regionFleet) askUntilReached(entry int, id string, j submitter.Job) submitter.Answer {
+	f.t.Helper()
+	deadline := time.Now().Add(conditionTimeout)
+	for {
+		answer := <-f.submitAsync(entry, id, j)
+		if answer.Reason != submitter.ReasonRegionUnreachable || time.Now().After(deadline) {
+			return answer
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 // A job that is submitted in one region and belongs to the other runs there. When
 // the entries of the other region die, what belongs to it is answered unknown and
 // starts nothing, while the own region goes on.
@@ -92,16 +105,14 @@
 	t.Parallel()
 	const tasks = 6
 	f := startRegions(t)
-	short := job(tasks, time.Millisecond, 50*time.Second)
+	short, long := job(tasks, time.Millisecond, 50*time.Second), job(tasks, 10*time.Second, 50*time.Second)
 
 	near, far := f.newID(east), f.newID(west)
 	f.checkAnswer("own region", <-f.submitAsync(0, near, short), submitter.OutcomeComplete, "")
 	f.checkAnswer("other region", <-f.submitAsync(0, far, short), submitter.OutcomeComplete, "")
-	f.checkStarts(near, east, tasks)
-	f.checkStarts(far, west, tasks)
 
 	running := f.newID(west)
-	answer := f.submitAsync(0, running, job(tasks, 5*time.Second, 50*time.Second))
+	answer := f.submitAsync(0, running, long)
 	f.awaitStarts(running, tasks)
 	f.entries[2].kill()
 	f.entries[3].kill()
@@ -111,14 +122,17 @@
 	f.checkAnswer("other region, away", <-f.submitAsync(1, late, short), submitter.OutcomeUnknown, submitter.ReasonRegionUnreachable)
 	again := f.newID(east)
 	f.checkAnswer("own region, alone", <-f.submitAsync(1, again, short), submitter.OutcomeComplete, "")
-	f.checkStarts(again, east, tasks)
-	f.checkStarts(late, west, 0)
 
 	// The agents look for their entries where these were.
 	f.startEntryIn(west, "--peer-listen", f.peers[west])
+	f.checkAnswer("job that ran on", f.askUntilReached(1, running, long), submitter.OutcomeComplete, "")
 	f.awaitService(4)
-	f.checkAnswer("job that ran", <-f.submitAsync(1, running, job(tasks, 5*time.Second, 50*time.Second)), submitter.OutcomeComplete, "")
 	f.checkAnswer("id from before the takeover", <-f.submitAsync(1, late, short), submitter.OutcomeNotRun, submitter.ReasonOwnerChanged)
+
+	f.stopUpstreams()
+	f.checkStarts(near, east, tasks)
+	f.checkStarts(far, west, tasks)
 	f.checkStarts(running, west, tasks)
+	f.checkStarts(again, east, tasks)
 	f.checkStarts(late, west, 0)
 }
--- a/cmd/sardinelock/cmd/torn_test.go
+++ b/cmd/sardinelock/cmd/torn_test.go
@@ -29,7 +29,10 @@
 	answers := make(map[string]submitter.Answer)
 	for range jobs {
 		id := maker.New(time.Now()).String()
-		answer := <-f.submitAsync(0, id, job(tasks, time.Millisecond, 50*time.Second))
+		answers[id] = <-f.submitAsync(0, id, job(tasks, time.Millisecond, 50*time.Second))
+	}
+	f.stopUpstreams()
+	for id, answer := range answers {
 		counts[answer.Outcome]++
 		answers[id] = answer
 	}
