--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -8,8 +8,12 @@
 
 	"sardinelock.dev/sardinelock/internal/identifier"
 	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/seeder"
 )
 
+// TestMain fixes the seed of the random tests.
+func TestMain(m *testing.M) { seeder.Main(m) }
+
 // TestWantedFollowsLive checks that what is remembered is what Want says, through
 // changes of the live entries.
 func TestWantedFollowsLive(t *testing.T) {
