Drop the owners in routes and an accessor that nothing uses

Cause: read-through. RouteOwner and Routes.Owners were never sent, since who owns a partition is in the rows alone; Coordinator.Placer had no caller. Owner() stays for now: the fuzz world replaces the owner's rules through it. No behaviour changes; no test changed.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -174,9 +174,6 @@
 // SetPath sets the HTTP path of a service at its upstreams.
 func (c *Coordinator) SetPath(service, path string) { c.paths[service] = path }
 
-// Placer returns the placer, for settings that come from the configuration.
-func (c *Coordinator) Placer() *placer.Placer { return c.placer }
-
 // Owner returns the owner, for listings.
 func (c *Coordinator) Owner() *owner.Owner { return c.owner }
 
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -323,10 +323,10 @@
 	Results    [][]byte              `cbor:"7,keyasint,omitempty"`
 }
 
-// Routes tells a peer who owns which partitions and which entries there are.
+// Routes tells a peer which entries there are, and which rows the sender has seen.
+// Who owns a partition is in the rows alone.
 type Routes struct {
-	Entries []EntryAddr  `cbor:"1,keyasint,omitempty"`
-	Owners  []RouteOwner `cbor:"2,keyasint,omitempty"`
+	Entries []EntryAddr `cbor:"1,keyasint,omitempty"`
 	// Revision is the table revision that the sender has seen.
 	Revision uint64 `cbor:"3,keyasint,omitempty"`
 }
@@ -337,13 +337,6 @@
 	Addr netip.AddrPort `cbor:"2,keyasint"`
 }
 
-// RouteOwner is the owner of a partition at an epoch.
-type RouteOwner struct {
-	Partition identifier.Partition `cbor:"1,keyasint"`
-	Epoch     uint64               `cbor:"2,keyasint"`
-	Owner     Peer                 `cbor:"3,keyasint"`
-}
-
 // Config passes on a version of the operators' configuration and says which one
 // is in force at the sender.
 type Config struct {
