Pass the records of an agent that leaves in good order to another

Cause: an agent that was drained took its start records along. After a takeover within the window every id that nobody reported was unknown, though nothing had failed; a graceful replacement of all agents made it so for all partitions.

Ruled out: the entries (the owner has the records already, it is the next one that needs them: up to 13 GB at each entry); the object service (a takeover would read an object for each agent, and cannot while the service is down); an agent that stays for the window (longer than the platforms' grace times). Failed try: adopted records joined with the heir's own, given up in the design because a record that is settled for one agent alone would hide what ran at the other.

Change: an agent that leaves refuses every later start, passes its records in pieces through an entry to an heir that does not leave, and the entry writes the heir into the roster's row once it has all. A takeover then asks the heir instead. Witnesses are counted apart from missing records, so that an agent with an heir does not count as having acknowledged an epoch. The agent logs "bequeathed".

--- a/cmd/sardinelock/cmd/failure_test.go
+++ b/cmd/sardinelock/cmd/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -129,6 +130,9 @@
 	time.Sleep(time.Second)
 	f.agents[0].signal(syscall.SIGTERM)
 	f.awaitExit(f.agents[0])
+	if text := f.agents[0].stderr.String(); !strings.Contains(text, `"event":"bequeathed"`) {
+		t.Errorf("the agent found no heir for its records: %s", text)
+	}
 	time.Sleep(time.Second)
 	load.check(t)
 }
--- a/cmd/sardinelock/cmd/roster_list.go
+++ b/cmd/sardinelock/cmd/roster_list.go
@@ -20,11 +20,12 @@
 may still rely on it. FENCING is the number of partitions without an active owner
 that wait, among others, for the agent: it must answer or be declared dead.
 RECORDS is the number of partitions whose owner lacks the agent's records, so
-that older submissions are answered "unknown".`,
+that older submissions are answered "unknown". HEIR has the records of an agent
+that left in good order.`,
 		Example: `  sardinelock roster list --admin 127.0.0.1:7402`,
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			header := []string{"AGENT", "REGION", "VERSION", "DATA-CENTRE", "RACK", "STATE", "WITNESS", "CONNECTED-TO", "FENCING", "RECORDS", "DECLARED"}
+			header := []string{"AGENT", "REGION", "VERSION", "DATA-CENTRE", "RACK", "STATE", "WITNESS", "CONNECTED-TO", "FENCING", "RECORDS", "HEIR", "DECLARED"}
 			return list(c, &admin, "/v1/admin/roster", header, rosterRow)
 		},
 	}
@@ -40,6 +41,6 @@
 	return []string{
 		string(a.Peer), a.Region, strconv.FormatUint(a.Version, 10), a.DataCentre, a.Rack,
 		string(a.State), string(a.Witness), strconv.Itoa(a.ConnectedTo),
-		strconv.Itoa(a.Fencing), strconv.Itoa(a.Missing), declared,
+		strconv.Itoa(a.Fencing), strconv.Itoa(a.Missing), string(a.Heir), declared,
 	}
 }
--- a/internal/administrator/roster.go
+++ b/internal/administrator/roster.go
@@ -36,6 +36,8 @@
 	Fencing int `json:"partitions-fencing"`
 	// Missing counts the partitions whose owner lacks the agent's records.
 	Missing int `json:"partitions-missing"`
+	// Heir is the agent that has the records of one that left in good order.
+	Heir messenger.Peer `json:"heir,omitempty"`
 	// DeclaredAt is when an operator declared the agent dead.
 	DeclaredAt *time.Time `json:"declared-at,omitempty"`
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -179,12 +179,45 @@
 	for time.Now().Before(deadline) && !a.idle() {
 		time.Sleep(tickEvery)
 	}
+	a.bequeath(deadline)
 	// The last results may still be on their way to the entries.
 	time.Sleep(flushPause)
 	a.stop()
 	return nil
 }
 
+// bequeathFor bounds how long an agent that leaves waits until another has its
+// records. It is chosen: pieces and the write of the roster take well under a second.
+const bequeathFor = 5 * time.Second
+
+// reconnectFor bounds how long it waits for an entry while none is connected.
+const reconnectFor = time.Second
+
+// bequeath passes the records on to another agent, at most until the given time.
+func (a *Agent) bequeath(deadline time.Time) {
+	if latest := time.Now().Add(bequeathFor); latest.Before(deadline) {
+		deadline = latest
+	}
+	alone := time.Now().Add(reconnectFor)
+	for time.Now().Before(deadline) {
+		over, kept := true, false
+		a.loop.Call(func(now time.Time) {
+			a.guard.Bequeath(now)
+			over, kept = a.guard.Bequeathed()
+			over = over || len(a.conns) == 0 && now.After(alone)
+		})
+		if kept {
+			a.settings.Logger.Info().Str("event", "bequeathed").Msg("another agent has the records of this one")
+			return
+		}
+		if over {
+			break
+		}
+		time.Sleep(tickEvery)
+	}
+	a.settings.Logger.Warn().Msg("no other agent has the records of this one; after a takeover older submissions are unknown")
+}
+
 // idle reports whether no task runs or waits and no result is held back. It must
 // not be called on the control thread.
 func (a *Agent) idle() bool {
--- a/internal/coordinator/agents.go
+++ b/internal/coordinator/agents.go
@@ -105,6 +105,7 @@
 func (c *Coordinator) agentDown(now time.Time, peer messenger.Peer) {
 	c.rosterPace.changed()
 	delete(c.agents, peer)
+	c.bequestsAgentDown(peer)
 	c.agentOrder = removePeer(c.agentOrder, peer)
 	c.away[peer] = now
 	c.leaser.Forget(peer)
@@ -194,6 +195,12 @@
 	if len(f.Fenced) > 0 {
 		c.receiveFenced(now, a, f.Fenced)
 	}
+	for i := range f.Bequests {
+		c.receiveBequest(a, f.Bequests[i])
+	}
+	for i := range f.Bequeathed {
+		c.receiveBequeathed(now, a, &f.Bequeathed[i])
+	}
 	for i := range f.Results {
 		c.receiveResult(now, a, &f.Results[i])
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -124,6 +124,7 @@
 	superseded [identifier.Partitions]time.Time
 
 	requests   requests
+	bequests   map[messenger.Peer]*bequest // bequests has those of agents that leave through this entry.
 	handover   handovers
 	draining   bool
 	disowned   bool // disowned means that a partition was lost or stopped since the last Take.
@@ -153,6 +154,7 @@
 		away:      make(map[messenger.Peer]time.Time),
 		sighted:   make(map[messenger.Peer]time.Time),
 		requests:  newRequests(limits.AnswerSlack),
+		bequests:  make(map[messenger.Peer]*bequest),
 		handover:  newHandovers(),
 		paths:     make(map[string]string),
 	}
--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -41,6 +41,8 @@
 	// Missing is the number of this entry's partitions whose records at the agent
 	// are not known.
 	Missing int
+	// Heir is the agent that has the records of one that left in good order.
+	Heir messenger.Peer
 	// DeclaredAt is when an operator declared the agent dead; zero if none did.
 	DeclaredAt time.Time
 }
@@ -63,7 +65,7 @@
 		if !d.DeclaredAt.IsZero() {
 			state = AgentDeclared
 		}
-		out.Agents = append(out.Agents, AgentStatus{Peer: d.Peer, State: state, DeclaredAt: d.DeclaredAt})
+		out.Agents = append(out.Agents, AgentStatus{Peer: d.Peer, State: state, Heir: d.Heir, DeclaredAt: d.DeclaredAt})
 	}
 	fencing, missing := c.waitedFor(now)
 	for i := range out.Agents {
--- a/internal/coordinator/ownership.go
+++ b/internal/coordinator/ownership.go
@@ -149,6 +149,10 @@
 			return
 		}
 	}
+	if t, ok := c.bequestWrite(); ok {
+		c.registrar.Propose(t)
+		return
+	}
 	if c.rosterPace.due(now, rosterCheckEvery) {
 		if t, ok := c.rosterWrite(now); ok {
 			c.registrar.Propose(t)
--- a/internal/coordinator/roster.go
+++ b/internal/coordinator/roster.go
@@ -16,6 +16,7 @@
 	roster := c.registrar.Roster(c.self.Region)
 	c.leaser.SetWitnesses(roster.Witnesses)
 	c.self.Roster = roster.Version
+	c.checkBequests()
 	declared := roster.Declared()
 	c.recoverer.SetDeclared(declared)
 	for _, peer := range declared {
--- a/internal/dispatcher/parts.go
+++ b/internal/dispatcher/parts.go
@@ -191,6 +191,7 @@
 			Witness:    a.Witness,
 			Fencing:    a.Fencing,
 			Missing:    a.Missing,
+			Heir:       a.Heir,
 		}
 		if a.Connected {
 			out[i].ConnectedTo = 1
--- a/internal/enroller/declare.go
+++ b/internal/enroller/declare.go
@@ -47,9 +47,3 @@
 	r.Departed = append(r.Departed, registrar.Departed{Peer: peer, Version: r.Version, DeclaredAt: now})
 	return true
 }
-
-func isDeclared(r *registrar.Roster, peer messenger.Peer) bool {
-	return slices.ContainsFunc(r.Departed, func(d registrar.Departed) bool {
-		return d.Peer == peer && !d.DeclaredAt.IsZero()
-	})
-}
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -66,7 +66,7 @@
 	changed := false
 	for _, m := range connected {
 		i, ok := slices.BinarySearchFunc(r.Members, m.Peer, compareMember)
-		if ok || isDeclared(r, m.Peer) {
+		if ok || r.IsGone(m.Peer) {
 			continue
 		}
 		r.Members = slices.Insert(r.Members, i, m)
@@ -134,13 +134,13 @@
 func chooseWitnesses(r *registrar.Roster, limits *Limits, in *Input) []messenger.Peer {
 	var out []messenger.Peer
 	for _, w := range r.Witnesses {
-		if !isDeclared(r, w) && (isConnected(in, w) || in.GoneFor(w) < limits.WitnessGoneAfter) {
+		if !r.IsGone(w) && (isConnected(in, w) || in.GoneFor(w) < limits.WitnessGoneAfter) {
 			out = append(out, w)
 		}
 	}
 	var candidates []registrar.Member
 	for _, m := range in.Connected {
-		if !slices.Contains(out, m.Peer) && !isDeclared(r, m.Peer) {
+		if !slices.Contains(out, m.Peer) && !r.IsGone(m.Peer) {
 			candidates = append(candidates, m)
 		}
 	}
--- a/internal/guard/epochs.go
+++ b/internal/guard/epochs.go
@@ -10,7 +10,7 @@
 // admit applies that the agent is part of the roster. Holders stay as they are:
 // an admission says nothing about who the owners are.
 func (g *Guard) admit(now time.Time, a *messenger.Admit) {
-	g.admitted = !g.expelled
+	g.admitted = !g.expelled && !g.will.made
 	for p, epoch := range a.Epochs[:min(len(a.Epochs), identifier.Partitions)] {
 		g.raise(identifier.Partition(p), epoch)
 	}
@@ -41,7 +41,8 @@
 			g.raise(p.Partition, p.Epoch)
 			g.holders[p.Partition] = from
 			if g.Rules.Recorded() {
-				answer.Records = g.records.of(p.Partition, f.UnsettledOnly)
+				answer.Records = append(g.records.of(p.Partition, f.UnsettledOnly),
+					g.adopted.of(p.Partition, f.UnsettledOnly)...)
 			}
 		}
 		answer.Epoch = g.epochs[p.Partition]
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -95,6 +95,8 @@
 	epochs   [identifier.Partitions]uint64
 	holders  [identifier.Partitions]messenger.Peer // holders has who gets the results of a partition.
 	records  *recordTable
+	adopted  *recordTable // adopted has the records of agents that left, of which this one is the heir.
+	will     will
 	entries  map[messenger.Peer]*link
 	order    []messenger.Peer // order lists the connected entries in order of arrival.
 
@@ -127,6 +129,7 @@
 		started: now,
 		state:   messenger.UpstreamAbsent,
 		records: newRecordTable(limits.MaxRecordBytes),
+		adopted: newRecordTable(limits.MaxRecordBytes),
 		entries: make(map[messenger.Peer]*link),
 		Rules:   DefaultRules(),
 
@@ -159,7 +162,9 @@
 func (g *Guard) Expelled() bool { return g.expelled }
 
 // Records returns the number of records and the bytes that they take.
-func (g *Guard) Records() (count, bytes int) { return g.records.count, g.records.bytes }
+func (g *Guard) Records() (count, bytes int) {
+	return g.records.count + g.adopted.count, g.records.bytes + g.adopted.bytes
+}
 
 // Upstream returns the announcement and its state.
 func (g *Guard) Upstream() (invoker.Announcement, messenger.UpstreamState) {
@@ -197,6 +202,7 @@
 	}
 	g.dropWaiting(entry)
 	g.entryGone(entry)
+	g.will.entryDown(entry)
 }
 
 // dropWaiting drops the waiting starts of an entry and frees their credits.
@@ -223,6 +229,12 @@
 	if f.Expel != nil {
 		g.expel(now)
 	}
+	for i := range f.Bequests {
+		g.adopt(now, from, &f.Bequests[i])
+	}
+	for i := range f.Bequeathed {
+		g.bequeathed(from, &f.Bequeathed[i])
+	}
 	if f.Fence != nil {
 		g.fence(now, from, f.Fence)
 	}
@@ -264,6 +276,7 @@
 	g.startWaiting(now)
 	g.records.release(g.Clock(now), g.limits.RetainBytes)
 	g.records.forget(g.Clock(now), g.limits.Window)
+	g.adopted.forget(g.Clock(now), g.limits.Window)
 }
 
 // Ended applies the end of a call of the upstream.
--- a/internal/guard/records.go
+++ b/internal/guard/records.go
@@ -53,12 +53,13 @@
 	return t.partitions[p][id]
 }
 
-// full reports whether the limit leaves no room for more work.
-func (t *recordTable) full(isNew bool) bool {
+// full reports whether the limit leaves no room for more work, with the bytes that
+// other records take.
+func (t *recordTable) full(isNew bool, others int) bool {
 	if isNew {
-		return t.bytes+recordBytes > t.limitBytes
+		others += recordBytes
 	}
-	return t.bytes > t.limitBytes
+	return t.bytes+others > t.limitBytes
 }
 
 // add returns the record of a submission and makes it if there is none.
--- a/internal/guard/rules.go
+++ b/internal/guard/rules.go
@@ -63,7 +63,7 @@
 		return messenger.RefusalLeaving
 	case g.state == messenger.UpstreamAbsent || now.After(g.expires):
 		return messenger.RefusalLapsed
-	case g.records.full(r == nil):
+	case g.records.full(r == nil, g.adopted.bytes):
 		return messenger.RefusalMemory
 	}
 	return ""
--- a/internal/messenger/fuzz_test.go
+++ b/internal/messenger/fuzz_test.go
@@ -38,6 +38,8 @@
 		Admit:      &Admit{Roster: 1},
 		Moved:      []Moved{{Ticket: 1}},
 		Expel:      &Expel{Roster: 2},
+		Bequests:   []Bequest{{Agent: "agent-0", Piece: 1, Last: true, Records: []Record{{Submission: s}}}},
+		Bequeathed: []Bequeathed{{Agent: "agent-0", Pieces: 2}},
 	}
 }
 
--- a/internal/messenger/kind.go
+++ b/internal/messenger/kind.go
@@ -8,7 +8,7 @@
 var MessageKinds = [...]MessageKind{
 	"start", "result", "forward", "answer", "handover",
 	"hello", "cancel", "cancel-ack", "capacity", "credit", "fence", "fenced",
-	"routes", "config", "settled", "query", "report", "admit", "moved", "expel", "contact", "other",
+	"routes", "config", "settled", "query", "report", "admit", "moved", "expel", "bequest", "bequeathed", "contact", "other",
 }
 
 // workKinds is the number of kinds, from the first, that carry work. All others
@@ -28,7 +28,7 @@
 		len(f.Starts), len(f.Results), len(f.Forwards), len(f.Answers), one(f.Handover != nil),
 		one(f.Hello != nil), len(f.Cancels), len(f.CancelAcks), one(f.Capacity != nil), one(f.Credit != nil),
 		one(f.Fence != nil), len(f.Fenced), one(f.Routes != nil), one(f.Config != nil), len(f.Settled),
-		len(f.Query), len(f.Reports), one(f.Admit != nil), len(f.Moved), one(f.Expel != nil), one(f.Contact != nil),
+		len(f.Query), len(f.Reports), one(f.Admit != nil), len(f.Moved), one(f.Expel != nil), len(f.Bequests), len(f.Bequeathed), one(f.Contact != nil),
 	}
 	if n.Leading() == len(n)-1 {
 		n[len(n)-1] = 1
--- a/internal/recoverer/recoverer.go
+++ b/internal/recoverer/recoverer.go
@@ -117,7 +117,8 @@
 // takeover is a set of partitions that were gained together.
 type takeover struct {
 	witnesses [][]messenger.Peer // witnesses has one or two sets; a majority of each is needed.
-	missing   []messenger.Peer   // missing is sorted.
+	missing   []messenger.Peer   // missing has the agents whose records are not known, sorted.
+	unfenced  []messenger.Peer   // unfenced has the witnesses that have not answered, sorted.
 	fencedAt  time.Time          // fencedAt is when the majorities were complete; zero until then.
 	active    bool
 	// pastBefore is set when the takeover becomes active.
@@ -186,10 +187,12 @@
 		t.missing = append(t.missing, m.Peer)
 	}
 	for _, d := range roster.Departed {
-		t.missing = append(t.missing, d.Peer)
+		if d.Heir == "" { // The heir of another is a member or departed itself.
+			t.missing = append(t.missing, d.Peer)
+		}
 	}
-	slices.Sort(t.missing)
-	t.missing = slices.Compact(t.missing)
+	t.missing = sorted(t.missing)
+	t.unfenced = sorted(slices.Concat(t.witnesses...))
 	for _, p := range partitions {
 		r.tenures[p.Partition] = tenure{phase: PhaseFencing, epoch: p.Epoch, takeover: t}
 	}
@@ -262,7 +265,8 @@
 func (r *Recoverer) Missing(agent messenger.Peer) bool {
 	return slices.ContainsFunc(r.open, func(t *takeover) bool {
 		_, missing := slices.BinarySearch(t.missing, agent)
-		return missing
+		_, unfenced := slices.BinarySearch(t.unfenced, agent)
+		return missing || unfenced
 	})
 }
 
@@ -277,11 +281,11 @@
 		answered[answer[i].Partition] = true
 	}
 	for _, t := range r.open {
-		i, missing := slices.BinarySearch(t.missing, agent)
-		if !missing || !r.covers(t, &answered) {
+		if !r.covers(t, &answered) {
 			continue
 		}
-		t.missing = slices.Delete(t.missing, i, i+1)
+		t.missing = without(t.missing, agent)
+		t.unfenced = without(t.unfenced, agent)
 		r.advance(now, t)
 	}
 }
@@ -372,7 +376,7 @@
 func (r *Recoverer) answered(t *takeover, set []messenger.Peer) int {
 	n := 0
 	for _, w := range set {
-		if _, missing := slices.BinarySearch(t.missing, w); !missing {
+		if _, unfenced := slices.BinarySearch(t.unfenced, w); !unfenced {
 			n++
 		}
 	}
@@ -384,8 +388,8 @@
 func (r *Recoverer) awaited(t *takeover, set []messenger.Peer) []messenger.Peer {
 	var out []messenger.Peer
 	for _, w := range set {
-		_, missing := slices.BinarySearch(t.missing, w)
-		if _, dead := slices.BinarySearch(r.declared, w); missing && !dead {
+		_, unfenced := slices.BinarySearch(t.unfenced, w)
+		if _, dead := slices.BinarySearch(r.declared, w); unfenced && !dead {
 			out = append(out, w)
 		}
 	}
@@ -400,6 +404,21 @@
 	return t.active && (len(t.missing) == 0 || now.Sub(t.pastBefore) > r.limits.Window)
 }
 
+// sorted returns the peers in order, each once.
+func sorted(peers []messenger.Peer) []messenger.Peer {
+	slices.Sort(peers)
+	return slices.Compact(peers)
+}
+
+// without removes a peer from a sorted slice.
+func without(peers []messenger.Peer, peer messenger.Peer) []messenger.Peer {
+	i, ok := slices.BinarySearch(peers, peer)
+	if !ok {
+		return peers
+	}
+	return slices.Delete(peers, i, i+1)
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/registrar/row.go
+++ b/internal/registrar/row.go
@@ -96,8 +96,14 @@
 	// DeclaredAt is the wall-clock time at which an operator declared the agent
 	// dead; zero for one that left by itself. Such an agent is never a member again.
 	DeclaredAt time.Time `json:"declared-at,omitzero"`
+	// Heir is the agent that has the records, if the agent left in good order. Such
+	// an agent is never a member again.
+	Heir messenger.Peer `json:"heir,omitempty"`
 }
 
+// gone reports whether the agent can be no member any more.
+func (d *Departed) gone() bool { return !d.DeclaredAt.IsZero() || d.Heir != "" }
+
 // RegionRoster is a region's roster with the revision of its row.
 type RegionRoster struct {
 	Region   string
@@ -127,6 +133,21 @@
 	return out
 }
 
+// IsGone reports whether the agent has departed for good.
+func (r *Roster) IsGone(peer messenger.Peer) bool {
+	return slices.ContainsFunc(r.Departed, func(d Departed) bool { return d.Peer == peer && d.gone() })
+}
+
+// Heir returns the agent that has the records of a departed one; empty if none has.
+func (r *Roster) Heir(peer messenger.Peer) messenger.Peer {
+	for i := range r.Departed {
+		if r.Departed[i].Peer == peer {
+			return r.Departed[i].Heir
+		}
+	}
+	return ""
+}
+
 // IsWitness reports whether a lease may rest on the agent.
 func (r *Roster) IsWitness(peer messenger.Peer) bool {
 	return slices.Contains(r.Witnesses, peer) || slices.Contains(r.Previous, peer)
