--- a/internal/coordinator/bequest_test.go
+++ b/internal/coordinator/bequest_test.go
@@ -80,6 +80,7 @@
 // TestHistoriesWithReplacedAgents lets agents leave in good order in the midst of
 // seeded histories: some end when another has their records, some before.
 func TestHistoriesWithReplacedAgents(t *testing.T) {
+	t.Parallel()
 	const histories = 300
 	kept := 0
 	for seed := range uint64(histories) {
--- a/internal/coordinator/declared_test.go
+++ b/internal/coordinator/declared_test.go
@@ -181,6 +181,7 @@
 // of seeded histories: any that are, and at times one that lives, so long as no
 // majority of witnesses is declared that does.
 func TestHistoriesWithDeclarations(t *testing.T) {
+	t.Parallel()
 	declarations := 0
 	for seed := range uint64(declaredHistories) {
 		random := rand.New(rand.NewPCG(seed, 11))
