Split grown files of the guard, the coordinator, the recoverer and the messages

Change: moves alone. The guard's connections, its upstream and its starts, the coordinator's limits and its dispatch, the recoverer's takeovers, and the messages of fences, bequests and handovers have files of their own. The sorted lines of each old file and of its parts are the same but for imports and package clauses. No test changed.

--- /dev/null
+++ b/internal/coordinator/dispatch.go
@@ -0,0 +1,127 @@
+package coordinator
+
+import (
+	"slices"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/identifier"
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/owner"
+	"sardinelock.dev/sardinelock/internal/placer"
+)
+
+// applyOwner carries out what the owner of the jobs wants done.
+func (c *Coordinator) applyOwner(now time.Time) {
+	out := c.owner.Take()
+	for _, a := range out.Answers {
+		c.deliver(now, a.Waiter, a.Answer)
+	}
+	for _, r := range out.Requeues {
+		if j, ok := c.owner.Job(r.Submission); ok {
+			c.placer.Requeue(now, placerJob(&j, nil), r.Index)
+		}
+	}
+	for _, s := range out.Drops {
+		c.placer.Drop(s)
+	}
+	for _, x := range out.Cancels {
+		if a := c.agents[x.Agent]; a != nil {
+			epoch := c.recoverer.Epoch(x.Submission.Partition())
+			f := a.gather()
+			f.Cancels = append(f.Cancels, messenger.Cancel{Submission: x.Submission, Epoch: epoch})
+		}
+	}
+	for _, x := range out.Settles {
+		if a := c.agents[x.Agent]; a != nil {
+			a.settle(x.Submission)
+		}
+	}
+}
+
+func (c *Coordinator) dispatch(now time.Time) {
+	for _, a := range c.placer.Dispatch(now) {
+		j, ok := c.owner.Job(a.Submission)
+		link := c.agents[a.Agent]
+		if !ok || link == nil {
+			continue
+		}
+		placed := a.Tasks
+		a.Tasks = c.owner.Sent(now, a.Submission, a.Agent, placed)
+		c.returnPlaces(now, a, placed)
+		if len(a.Tasks) == 0 {
+			continue
+		}
+		c.noteFirstSend(now, &j)
+		f := link.gather()
+		f.Starts = append(f.Starts, c.start(now, link, &j, a))
+	}
+}
+
+// returnPlaces frees the places of tasks that the owner did not let go, because
+// they are known to be at an agent.
+func (c *Coordinator) returnPlaces(now time.Time, a placer.Assignment, placed []uint16) {
+	if len(a.Tasks) == len(placed) {
+		return
+	}
+	for _, index := range placed {
+		if !slices.Contains(a.Tasks, index) {
+			c.placer.Ended(now, placer.End{
+				Agent:      a.Agent,
+				Submission: a.Submission,
+				Index:      index,
+				Kind:       messenger.ResultRefused,
+			})
+		}
+	}
+}
+
+// disown frees the places of tasks of partitions that this entry does not run any
+// more: their results go to the new owner.
+func (c *Coordinator) disown(now time.Time) {
+	if !c.disowned {
+		return
+	}
+	c.disowned = false
+	c.placer.Disown(now, func(s identifier.Submission) bool { return !c.Owns(s.Partition()) })
+}
+
+func (c *Coordinator) start(now time.Time, link *agentLink, j *owner.Job, a placer.Assignment) messenger.Start {
+	clock := link.clock + now.Sub(link.clockAt)
+	s := messenger.Start{
+		Submission: j.Submission,
+		Epoch:      c.recoverer.Epoch(j.Submission.Partition()),
+		Service:    j.Service,
+		Path:       c.paths[j.Service],
+		StartBy:    clock + c.limits.StartBudget,
+		EndBy:      clock + j.Deadline.Sub(now),
+		Work:       a.Work,
+		Tasks:      make([]messenger.TaskStart, len(a.Tasks)),
+		RequestKey: j.RequestKey,
+		Digest:     owner.Digest(j),
+	}
+	for i, index := range a.Tasks {
+		spec := &j.Tasks[index]
+		s.Tasks[i] = messenger.TaskStart{
+			Index:        index,
+			Payload:      spec.Payload,
+			MemoryBytes:  spec.MemoryBytes,
+			Accelerators: spec.Accelerators,
+		}
+	}
+	return s
+}
+
+func placerJob(j *owner.Job, tasks []uint16) placer.Job {
+	out := placer.Job{
+		Submission: j.Submission,
+		Service:    j.Service,
+		Team:       j.Team,
+		Deadline:   j.Deadline,
+		Needs:      make([]placer.Need, len(j.Tasks)),
+		Tasks:      tasks,
+	}
+	for i, t := range j.Tasks {
+		out.Needs[i] = placer.Need{RunTime: t.RunTime, MemoryBytes: t.MemoryBytes, Accelerators: t.Accelerators}
+	}
+	return out
+}
