Name, split and share what stood twice in the operators' packages

Cause: read-through of administrator, reporter, configurer, versioner, authenticator and cmd. Ruled out: joining the two ways of `config` commands further (they differ in who is asked), and splitting field.go and reader.go (one table of kinds, one walk).

--- a/cmd/sardinelock/cmd/admin.go
+++ b/cmd/sardinelock/cmd/admin.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/pflag"
 
 	"sardinelock.dev/sardinelock/internal/administrator"
+	"sardinelock.dev/sardinelock/internal/versioner"
 )
 
 // adminFlags are the settings of a command that calls the administration API.
@@ -91,6 +92,14 @@
 	flags.StringVar(&f.changeID, "change-id", "", "UUID that names the change, so that repeating it does nothing twice (default: a new one)")
 }
 
+// id returns the id of the change, and makes one if none was given.
+func (f *changeFlags) id() string {
+	if f.changeID == "" {
+		f.changeID = versioner.NewChangeID()
+	}
+	return f.changeID
+}
+
 // print prints changes that were made.
 func (f *changeFlags) print(c *cobra.Command, changes []administrator.Changed) error {
 	for i := range changes {
--- a/cmd/sardinelock/cmd/config_apply.go
+++ b/cmd/sardinelock/cmd/config_apply.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"os"
@@ -111,7 +112,7 @@
 // apply makes the change, prints what became of it and returns its exit code.
 func (f *versionFlags) apply(c *cobra.Command, v *versions, output outputFlag, content configurer.Version, rollbackTo uint64) error {
 	change := versioner.Change{
-		ID:         f.id,
+		ID:         cmp.Or(f.id, versioner.NewChangeID()),
 		Expect:     f.expect,
 		Operator:   f.operator,
 		Comment:    f.comment,
@@ -119,9 +120,6 @@
 		Content:    content,
 		Repeated:   f.id != "",
 	}
-	if change.ID == "" {
-		change.ID = v.newID()
-	}
 	ctx, cancel := context.WithTimeout(c.Context(), f.timeout)
 	defer cancel()
 	made, err := v.apply(ctx, change)
--- a/cmd/sardinelock/cmd/entries.go
+++ b/cmd/sardinelock/cmd/entries.go
@@ -3,7 +3,6 @@
 import (
 	"net/url"
 
-	"github.com/google/uuid"
 	"github.com/spf13/cobra"
 
 	"sardinelock.dev/sardinelock/internal/administrator"
@@ -29,10 +28,7 @@
 		if err != nil {
 			return err
 		}
-		if change.changeID == "" {
-			change.changeID = uuid.Must(uuid.NewV7()).String()
-		}
-		made, err := client.Change(c.Context(), "/v1/admin/entries/"+url.PathEscape(args[0])+"/"+action, change.changeID)
+		made, err := client.Change(c.Context(), "/v1/admin/entries/"+url.PathEscape(args[0])+"/"+action, change.id())
 		if err != nil {
 			return err
 		}
--- a/cmd/sardinelock/cmd/job_cancel.go
+++ b/cmd/sardinelock/cmd/job_cancel.go
@@ -3,7 +3,6 @@
 import (
 	"net/url"
 
-	"github.com/google/uuid"
 	"github.com/spf13/cobra"
 
 	"sardinelock.dev/sardinelock/internal/administrator"
@@ -43,10 +42,7 @@
 			if err != nil {
 				return err
 			}
-			if change.changeID == "" {
-				change.changeID = uuid.Must(uuid.NewV7()).String()
-			}
-			made, err := client.Change(c.Context(), path, change.changeID)
+			made, err := client.Change(c.Context(), path, change.id())
 			if err != nil {
 				return err
 			}
--- a/cmd/sardinelock/cmd/roster_declare_dead.go
+++ b/cmd/sardinelock/cmd/roster_declare_dead.go
@@ -4,7 +4,6 @@
 	"net/url"
 	"strconv"
 
-	"github.com/google/uuid"
 	"github.com/spf13/cobra"
 
 	"sardinelock.dev/sardinelock/internal/administrator"
@@ -54,11 +53,8 @@
 	if err != nil {
 		return err
 	}
-	if change.changeID == "" {
-		change.changeID = uuid.Must(uuid.NewV7()).String()
-	}
 	query := url.Values{"agent": agents, "expect-version": {strconv.FormatUint(expect, 10)}}
-	made, err := client.Change(c.Context(), "/v1/admin/roster/declare-dead?"+query.Encode(), change.changeID)
+	made, err := client.Change(c.Context(), "/v1/admin/roster/declare-dead?"+query.Encode(), change.id())
 	if err != nil {
 		return err
 	}
--- a/cmd/sardinelock/cmd/upstream.go
+++ b/cmd/sardinelock/cmd/upstream.go
@@ -62,10 +62,7 @@
 // changeAll changes one upstream after the other and prints what was made, also
 // if one fails.
 func (u *upstreamChange) changeAll(c *cobra.Command, client *administrator.Client, peers []string) error {
-	if u.change.changeID == "" {
-		u.change.changeID = uuid.Must(uuid.NewV7()).String()
-	}
-	base, err := uuid.Parse(u.change.changeID)
+	base, err := uuid.Parse(u.change.id())
 	if err != nil {
 		return usageFaults([]string{"--change-id must be a UUID"})
 	}
--- a/cmd/sardinelock/cmd/upstream_list.go
+++ b/cmd/sardinelock/cmd/upstream_list.go
@@ -32,8 +32,8 @@
 
 func upstreamRow(u administrator.Upstream) []string {
 	ejected := ""
-	if u.EjectedAt > 0 {
-		ejected = fmt.Sprintf("%d of %d: %s", u.EjectedAt, u.SeenBy, u.Ejected)
+	if u.EjectedBy > 0 {
+		ejected = fmt.Sprintf("%d of %d: %s", u.EjectedBy, u.SeenBy, u.Ejected)
 	}
 	return []string{
 		string(u.Peer), u.DataCentre, u.Rack, string(u.State), string(u.Hold), ejected,
--- a/cmd/sardinelock/cmd/versions.go
+++ b/cmd/sardinelock/cmd/versions.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/netip"
 
-	"github.com/google/uuid"
 	"github.com/spf13/cobra"
 	"github.com/spf13/pflag"
 
@@ -22,8 +21,6 @@
 	history func(ctx context.Context, limit int) ([]configurer.Head, error)
 	// apply makes a change and says what became of it.
 	apply func(ctx context.Context, c versioner.Change) (versioner.Report, error)
-	// newID names a change.
-	newID func() string
 }
 
 // versionSource is the settings that say where versions are: the administration
@@ -81,7 +78,6 @@
 		apply: func(ctx context.Context, c versioner.Change) (versioner.Report, error) {
 			return client.ApplyConfig(ctx, c.ID, adminChange(&c))
 		},
-		newID: func() string { return uuid.Must(uuid.NewV7()).String() },
 	}, nil
 }
 
@@ -119,6 +115,5 @@
 			}
 			return r.Report(context.WithoutCancel(ctx), result), nil
 		},
-		newID: versioner.NewChangeID,
 	}
 }
--- a/internal/administrator/administrator_test.go
+++ b/internal/administrator/administrator_test.go
@@ -184,7 +184,7 @@
 		Credit:      b.number(l, "credit"),
 		Outstanding: b.number(l, "outstanding"),
 		Ejected:     l.Arg("ejected"),
-		EjectedAt:   len(l.Arg("ejected")) / max(1, len(l.Arg("ejected"))),
+		EjectedBy:   len(l.Arg("ejected")) / max(1, len(l.Arg("ejected"))),
 		Hold:        placer.Hold(l.Arg("hold")),
 		SeenBy:      1,
 	}
--- a/internal/administrator/burn.go
+++ b/internal/administrator/burn.go
@@ -17,35 +17,35 @@
 const SnapshotPrefix = "burn/"
 
 func (s *Service) burn(r *http.Request, _ authenticator.Principal) (any, *submitter.Problem) {
-	report, _, _, problem := s.makeReport(r)
+	made, problem := s.makeReport(r)
 	if problem != nil {
 		return nil, problem
 	}
-	return report, nil
+	return made.report, nil
+}
+
+// madeReport is a report with what it was made from.
+type madeReport struct {
+	report   *reporter.Report
+	services []configurer.Service
+	counts   *reporter.Snapshot
 }
 
 // makeReport reports on the window and the service that the query names.
-func (s *Service) makeReport(r *http.Request) (*reporter.Report, []configurer.Service, *reporter.Snapshot, *submitter.Problem) {
+func (s *Service) makeReport(r *http.Request) (*madeReport, *submitter.Problem) {
 	config, _ := s.o.Config()
 	if config == nil {
-		return nil, nil, nil, noConfiguration()
-	}
-	window := reporter.MaxWindow
-	if text := r.URL.Query().Get("window"); text != "" {
-		var err error
-		if window, err = time.ParseDuration(text); err != nil || window <= 0 || window > reporter.MaxWindow {
-			return nil, nil, nil, &submitter.Problem{
-				Status: http.StatusBadRequest,
-				Title:  "the window is not valid",
-				Detail: "it must be a duration of at most " + reporter.MaxWindow.String(),
-			}
-		}
+		return nil, noConfiguration()
+	}
+	window, problem := queryWindow(r)
+	if problem != nil {
+		return nil, problem
 	}
 	services := config.Services
 	if name := r.URL.Query().Get("service"); name != "" {
 		one, ok := config.Service(name)
 		if !ok {
-			return nil, nil, nil, &submitter.Problem{Status: http.StatusNotFound, Title: "unknown service"}
+			return nil, &submitter.Problem{Status: http.StatusNotFound, Title: "unknown service"}
 		}
 		services = []configurer.Service{*one}
 	}
@@ -53,48 +53,71 @@
 	counts, missing := s.gatherCounts(r.Context(), now)
 	report := reporter.Make(now, window, services, counts)
 	report.Missing = missing
-	return report, services, counts, nil
+	return &madeReport{report: report, services: services, counts: counts}, nil
+}
+
+// queryWindow returns the window that a query names, or the longest.
+func queryWindow(r *http.Request) (time.Duration, *submitter.Problem) {
+	text := r.URL.Query().Get("window")
+	if text == "" {
+		return reporter.MaxWindow, nil
+	}
+	window, err := time.ParseDuration(text)
+	if err != nil || window <= 0 || window > reporter.MaxWindow {
+		return 0, &submitter.Problem{
+			Status: http.StatusBadRequest,
+			Title:  "the window is not valid",
+			Detail: "it must be a duration of at most " + reporter.MaxWindow.String(),
+		}
+	}
+	return window, nil
+}
+
+// liveCounts is what the entries have answered.
+type liveCounts struct {
+	snapshots []*reporter.Snapshot
+	instances map[string]bool // instances are those of the snapshots.
+	silent    []Part
+	missing   []reporter.Missing
+}
+
+func (l *liveCounts) add(p Part) {
+	snapshot, err := reporter.Decode(p.Body)
+	if p.Detail != "" || err != nil {
+		l.silent = append(l.silent, p)
+		return
+	}
+	if l.instances[snapshot.Instance] {
+		l.missing = append(l.missing, reporter.Missing{
+			Entry:  snapshot.Peer,
+			Detail: "another entry has the instance " + snapshot.Instance + " as well; some jobs may be counted twice",
+		})
+	}
+	if snapshot.Incomplete != "" {
+		l.missing = append(l.missing, reporter.Missing{Entry: snapshot.Peer, Detail: snapshot.Incomplete})
+	}
+	l.instances[snapshot.Instance] = true
+	l.snapshots = append(l.snapshots, snapshot)
 }
 
 // gatherCounts sums what the entries have counted. For an entry that does not
 // answer and for one that has gone, its last snapshot in the object store counts.
 func (s *Service) gatherCounts(ctx context.Context, now time.Time) (*reporter.Snapshot, []reporter.Missing) {
-	var (
-		all     []*reporter.Snapshot
-		missing []reporter.Missing
-		silent  []Part
-	)
-	live := make(map[string]bool)
+	live := liveCounts{instances: make(map[string]bool)}
 	for _, p := range s.o.AskAll(ctx, CallBurn, nil) {
-		snapshot, err := reporter.Decode(p.Body)
-		if p.Detail != "" || err != nil {
-			silent = append(silent, p)
-			continue
-		}
-		if live[snapshot.Instance] {
-			missing = append(missing, reporter.Missing{
-				Entry:  snapshot.Peer,
-				Detail: "another entry has the instance " + snapshot.Instance + " as well; some jobs may be counted twice",
-			})
-		}
-		live[snapshot.Instance] = true
-		all = append(all, snapshot)
-		if snapshot.Incomplete != "" {
-			missing = append(missing, reporter.Missing{Entry: snapshot.Peer, Detail: snapshot.Incomplete})
-		}
+		live.add(p)
 	}
-	kept, err := s.keptSnapshots(ctx, live)
+	kept, err := s.keptSnapshots(ctx, live.instances)
 	if err != nil {
-		missing = append(missing, reporter.Missing{
+		live.missing = append(live.missing, reporter.Missing{
 			Entry:  "all entries that have gone or are silent",
 			Detail: "the object store cannot be read; their counts are left out",
 		})
 	}
-	for _, p := range silent {
-		missing = append(missing, missingPart(now, p, kept, err != nil))
+	for _, p := range live.silent {
+		live.missing = append(live.missing, missingPart(now, p, kept, err != nil))
 	}
-	sum := reporter.Sum(append(all, kept...))
-	return sum, missing
+	return reporter.Sum(append(live.snapshots, kept...)), live.missing
 }
 
 // keptSnapshots reads the snapshots of the instances that are not live.
@@ -145,12 +168,12 @@
 		writeProblem(w, problem)
 		return
 	}
-	report, services, counts, problem := s.makeReport(r)
+	made, problem := s.makeReport(r)
 	if problem != nil {
 		writeProblem(w, problem)
 		return
 	}
-	page, err := reporter.Page(report, services, counts)
+	page, err := reporter.Page(made.report, made.services, made.counts)
 	if err != nil {
 		writeProblem(w, &submitter.Problem{Status: http.StatusInternalServerError, Title: "the page cannot be made", Detail: err.Error()})
 		return
--- a/internal/administrator/call.go
+++ b/internal/administrator/call.go
@@ -96,8 +96,8 @@
 	FailureRatio float64 `json:"failure-ratio"`
 	// Ejected says why an entry has ejected the upstream by itself; empty if none has.
 	Ejected string `json:"ejected,omitempty"`
-	// EjectedAt counts the entries that have ejected it by themselves.
-	EjectedAt int `json:"ejected-at,omitempty"`
+	// EjectedBy counts the entries that have ejected it by themselves.
+	EjectedBy int `json:"ejected-by,omitempty"`
 	// Hold is what an operator has ordered.
 	Hold placer.Hold `json:"hold,omitempty"`
 	// SeenBy counts the entries that are connected to it.
--- a/internal/administrator/change.go
+++ b/internal/administrator/change.go
@@ -11,6 +11,7 @@
 
 	"sardinelock.dev/sardinelock/internal/authenticator"
 	"sardinelock.dev/sardinelock/internal/storer"
+	"sardinelock.dev/sardinelock/internal/versioner"
 	"sardinelock.dev/sardinelock/pkg/submitter"
 )
 
@@ -93,7 +94,7 @@
 func changeID(r *http.Request) (string, *submitter.Problem) {
 	id := r.Header.Get(HeaderChangeID)
 	if id == "" {
-		return uuid.Must(uuid.NewV7()).String(), nil
+		return versioner.NewChangeID(), nil
 	}
 	if err := uuid.Validate(id); err != nil {
 		return "", &submitter.Problem{Status: http.StatusBadRequest, Title: "the change id is not a UUID"}
--- a/internal/administrator/hold.go
+++ b/internal/administrator/hold.go
@@ -5,11 +5,9 @@
 	"encoding/json"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
-	"sardinelock.dev/sardinelock/internal/authenticator"
 	"sardinelock.dev/sardinelock/internal/messenger"
 	"sardinelock.dev/sardinelock/internal/placer"
 	"sardinelock.dev/sardinelock/internal/storer"
@@ -63,53 +61,6 @@
 	return h
 }
 
-// changeUpstream drains, undrains, ejects or restores an upstream.
-func (s *Service) changeUpstream(r *http.Request, who authenticator.Principal) (any, *submitter.Problem) {
-	peer := r.PathValue("peer")
-	action := Action(r.PathValue("action") + "-upstream")
-	var hold placer.Hold
-	switch action {
-	case ActionDrainUpstream:
-		hold = placer.HoldDrained
-	case ActionEjectUpstream:
-		hold = placer.HoldEjected
-	case ActionUndrainUpstream, ActionRestoreUpstream:
-	default:
-		return nil, noSuchAction()
-	}
-	return s.change(r, who, action, peer, func(ctx context.Context, record *Record) ([]Silent, *submitter.Problem) {
-		if hold != "" {
-			known, problem := s.findUpstream(ctx, peer)
-			if problem != nil {
-				return nil, problem
-			}
-			s.forgetHolds(ctx, upstreamHolds, known)
-		}
-		if problem := s.writeHold(ctx, upstreamHolds+peer, hold, record); problem != nil {
-			return nil, problem
-		}
-		if action == ActionRestoreUpstream {
-			s.endEjections(ctx, peer, record)
-		}
-		return s.tellHolds(ctx), nil
-	})
-}
-
-// endEjections ends the ejections of an upstream by the entries themselves. The
-// entries that do not answer find out by probes.
-func (s *Service) endEjections(ctx context.Context, peer string, record *Record) {
-	parts, _ := gather[Restored](ctx, s, CallRestore, encode(Restore{Peer: messenger.Peer(peer)}))
-	ended := 0
-	for _, p := range parts {
-		if p.part.Ended {
-			ended++
-		}
-	}
-	if ended > 0 {
-		record.Detail += "; entries that had ejected it by themselves: " + strconv.Itoa(ended)
-	}
-}
-
 // released returns the hold that an action takes away; empty if it sets one.
 func released(a Action) placer.Hold {
 	switch a {
@@ -121,33 +72,6 @@
 	return ""
 }
 
-// changeEntry drains or undrains an entry.
-func (s *Service) changeEntry(r *http.Request, who authenticator.Principal) (any, *submitter.Problem) {
-	peer := r.PathValue("peer")
-	action := Action(r.PathValue("action") + "-entry")
-	var hold placer.Hold
-	switch action {
-	case ActionDrainEntry:
-		hold = placer.HoldDrained
-	case ActionUndrainEntry:
-	default:
-		return nil, noSuchAction()
-	}
-	return s.change(r, who, action, peer, func(ctx context.Context, record *Record) ([]Silent, *submitter.Problem) {
-		if hold != "" {
-			known, problem := s.findEntry(ctx, peer)
-			if problem != nil {
-				return nil, problem
-			}
-			s.forgetHolds(ctx, entryHolds, known)
-		}
-		if problem := s.writeHold(ctx, entryHolds+peer, hold, record); problem != nil {
-			return nil, problem
-		}
-		return s.tellHolds(ctx), nil
-	})
-}
-
 // writeHold sets a hold, or takes one away if it is empty. The change id is the
 // request id of the transaction, so that a repeated change is recognised by the
 // table, and the record of the change is written in the same transaction.
@@ -230,25 +154,6 @@
 	return silent
 }
 
-// findUpstream returns the names of all upstreams if the given one is among them.
-// The names are nil if some entry did not answer.
-func (s *Service) findUpstream(ctx context.Context, peer string) ([]messenger.Peer, *submitter.Problem) {
-	parts, silent := gather[[]Upstream](ctx, s, CallUpstreams, nil)
-	var known []messenger.Peer
-	for _, p := range parts {
-		for _, u := range p.part {
-			known = append(known, u.Peer)
-		}
-	}
-	if slices.Contains(known, messenger.Peer(peer)) {
-		if len(silent) > 0 {
-			known = nil
-		}
-		return known, nil
-	}
-	return nil, &submitter.Problem{Status: http.StatusNotFound, Title: "no such upstream", Detail: "no entry that answered is connected to it"}
-}
-
 // forgetHolds removes the old holds below a prefix whose holders are not known any
 // more. It does nothing without the names of all. What fails is done at the next
 // hold.
@@ -275,18 +180,6 @@
 	}
 }
 
-// findEntry returns the names of all entries if the given one is among them.
-func (s *Service) findEntry(ctx context.Context, peer string) ([]messenger.Peer, *submitter.Problem) {
-	var known []messenger.Peer
-	for _, p := range s.o.AskAll(ctx, CallEntry, nil) {
-		known = append(known, p.Peer)
-	}
-	if slices.Contains(known, messenger.Peer(peer)) {
-		return known, nil
-	}
-	return nil, &submitter.Problem{Status: http.StatusNotFound, Title: "no such entry"}
-}
-
 // rowOf returns the hold and the revision of the row with exactly the key.
 func rowOf(rows storer.Range, key string) (placer.Hold, uint64) {
 	for _, row := range rows.Rows {
@@ -301,7 +194,3 @@
 	}
 	return "", 0
 }
-
-func noSuchAction() *submitter.Problem {
-	return &submitter.Problem{Status: http.StatusNotFound, Title: "no such action"}
-}
--- a/internal/administrator/listing.go
+++ b/internal/administrator/listing.go
@@ -78,7 +78,7 @@
 		into.Credit += u.Credit
 		into.Outstanding += u.Outstanding
 		into.SeenBy += u.SeenBy
-		into.EjectedAt += u.EjectedAt
+		into.EjectedBy += u.EjectedBy
 		into.FailureRatio = max(into.FailureRatio, u.FailureRatio)
 		into.Ejected = cmp.Or(into.Ejected, u.Ejected)
 		into.Hold = cmp.Or(into.Hold, u.Hold)
--- a/internal/authenticator/authenticator.go
+++ b/internal/authenticator/authenticator.go
@@ -15,6 +15,7 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"net/http"
+	"slices"
 	"strings"
 )
 
@@ -78,7 +79,7 @@
 // Empty reports whether there is no valid token for the roles.
 func (s *Set) Empty(roles ...Role) bool {
 	for i := range s.tokens {
-		if hasRole(roles, s.tokens[i].principal.Role) {
+		if slices.Contains(roles, s.tokens[i].principal.Role) {
 			return false
 		}
 	}
@@ -93,7 +94,7 @@
 	for i := range s.tokens {
 		t := &s.tokens[i]
 		same := s.equal(hash[:], t.hash[:])
-		if same == 1 && hasRole(roles, t.principal.Role) {
+		if same == 1 && slices.Contains(roles, t.principal.Role) {
 			found = t
 		}
 	}
@@ -118,12 +119,3 @@
 	hash := sha256.Sum256([]byte(presented))
 	return hex.EncodeToString(hash[:])
 }
-
-func hasRole(roles []Role, r Role) bool {
-	for _, allowed := range roles {
-		if r == allowed {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/configurer/compose.go
+++ b/internal/configurer/compose.go
@@ -220,8 +220,6 @@
 	})
 }
 
-func compareNames(a, b string) int { return cmp.Compare(a, b) }
-
 // The bounds of nesting. A configuration needs four levels; the parser's use of
 // stack grows with the depth.
 const (
--- a/internal/configurer/reader.go
+++ b/internal/configurer/reader.go
@@ -1,6 +1,7 @@
 package configurer
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -238,7 +239,7 @@
 		readMapping(r, item, joinPath(path, name), fields, &element)
 		*list = append(*list, element)
 	}
-	slices.SortFunc(*list, func(a, b T) int { return compareNames(*nameOf(&a), *nameOf(&b)) })
+	slices.SortFunc(*list, func(a, b T) int { return cmp.Compare(*nameOf(&a), *nameOf(&b)) })
 }
 
 // tuneNamed applies an element of an overlay to that of the same name.
--- a/internal/configurer/version.go
+++ b/internal/configurer/version.go
@@ -1,6 +1,7 @@
 package configurer
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -167,6 +168,6 @@
 	for i, o := range overlays {
 		v.Overlays = append(v.Overlays, Overlay{Site: sites[i], Text: string(o.Text)})
 	}
-	slices.SortFunc(v.Overlays, func(a, b Overlay) int { return compareNames(a.Site, b.Site) })
+	slices.SortFunc(v.Overlays, func(a, b Overlay) int { return cmp.Compare(a.Site, b.Site) })
 	return v, nil
 }
--- a/internal/dispatcher/parts.go
+++ b/internal/dispatcher/parts.go
@@ -119,9 +119,9 @@
 	out := []administrator.Upstream{}
 	e.loop.Call(func(time.Time) {
 		for _, u := range e.coordinator.Upstreams() {
-			ejectedAt := 0
+			ejectedBy := 0
 			if u.Ejected != "" {
-				ejectedAt = 1
+				ejectedBy = 1
 			}
 			out = append(out, administrator.Upstream{
 				Peer:         u.Peer,
@@ -135,7 +135,7 @@
 				Outstanding:  u.Outstanding,
 				FailureRatio: u.FailureRatio,
 				Ejected:      string(u.Ejected),
-				EjectedAt:    ejectedAt,
+				EjectedBy:    ejectedBy,
 				Hold:         u.Hold,
 				SeenBy:       1,
 			})
--- a/internal/reporter/recorder.go
+++ b/internal/reporter/recorder.go
@@ -11,6 +11,7 @@
 package reporter
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -204,7 +205,7 @@
 		}
 	}
 	b.Bad = append(b.Bad, ReasonCount{Reason: reason, Count: n})
-	slices.SortFunc(b.Bad, func(x, y ReasonCount) int { return compareText(string(x.Reason), string(y.Reason)) })
+	slices.SortFunc(b.Bad, func(x, y ReasonCount) int { return cmp.Compare(x.Reason, y.Reason) })
 }
 
 // merge adds the counts of another bucket.
--- a/internal/reporter/snapshot.go
+++ b/internal/reporter/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"compress/gzip"
 	"encoding/json"
 	"io"
@@ -123,15 +124,5 @@
 }
 
 func sortServices(list []ServiceCounts) {
-	slices.SortFunc(list, func(a, b ServiceCounts) int { return compareText(a.Service, b.Service) })
-}
-
-func compareText(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
+	slices.SortFunc(list, func(a, b ServiceCounts) int { return cmp.Compare(a.Service, b.Service) })
 }
--- a/internal/versioner/change.go
+++ b/internal/versioner/change.go
@@ -69,8 +69,9 @@
 	Detail string `json:"detail,omitempty"`
 }
 
-// NewChangeID returns an id for a change.
-func NewChangeID() string { return uuid.NewString() }
+// NewChangeID returns an id for a change, of the configuration or any other. Later
+// ones sort after earlier ones.
+func NewChangeID() string { return uuid.Must(uuid.NewV7()).String() }
 
 // attempt is one change under way.
 type attempt struct {
