Let the alarms on error budgets follow the configuration

Cause: the two rules had a success ratio of 0.999 and the minimum of 3 written into them, for all services, and none for latency, while the report has each objective's own.

Ruled out: a pair of rules for each service and objective, with numbers that somebody keeps equal to the configuration.

--- a/internal/dispatcher/burn.go
+++ b/internal/dispatcher/burn.go
@@ -39,7 +39,7 @@
 			event.Slow = took > s.Objective.Latency
 		}
 	}
-	for _, o := range []reporter.Objective{reporter.ObjectiveLatency, reporter.ObjectiveSuccess} {
+	for _, o := range reporter.Objectives() {
 		e.meter.Judged(service, string(o), string(event.Verdict(o)))
 	}
 	e.burn.mu.Lock()
--- a/internal/dispatcher/metrics.go
+++ b/internal/dispatcher/metrics.go
@@ -5,9 +5,11 @@
 	"strings"
 	"time"
 
+	"sardinelock.dev/sardinelock/internal/configurer"
 	"sardinelock.dev/sardinelock/internal/coordinator"
 	"sardinelock.dev/sardinelock/internal/messenger"
 	"sardinelock.dev/sardinelock/internal/meter"
+	"sardinelock.dev/sardinelock/internal/reporter"
 	"sardinelock.dev/sardinelock/internal/storer"
 )
 
@@ -42,6 +44,7 @@
 		Draining:      e.Draining(),
 	}
 	e.meterConfig(&s)
+	s.Objectives = objectiveStates(e.config.Read())
 	e.loop.Call(func(time.Time) {
 		s.Ejections = e.coordinator.Ejections()
 		s.KeptJobs, s.OpenJobs = e.coordinator.JobCounts()
@@ -52,6 +55,25 @@
 	return s
 }
 
+func objectiveStates(c *configurer.Config) []meter.ObjectiveState {
+	if c == nil {
+		return nil
+	}
+	var out []meter.ObjectiveState
+	for i := range c.Services {
+		s := &c.Services[i]
+		for _, o := range reporter.Objectives() {
+			out = append(out, meter.ObjectiveState{
+				Service:    s.Name,
+				Objective:  string(o),
+				Budget:     1 - reporter.Target(s, o),
+				MinBadJobs: s.Objective.MinBadJobs,
+			})
+		}
+	}
+	return out
+}
+
 func addUpstreams(s *meter.EntryState, c *coordinator.Coordinator) {
 	states := []messenger.UpstreamState{
 		messenger.UpstreamAbsent, messenger.UpstreamServing, messenger.UpstreamLeaving,
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -45,6 +45,7 @@
 				Partitions:    []messenger.PartitionEpoch{{Partition: 3, Epoch: 4}},
 				ConfigVersion: 9, ConfigAge: -1, Draining: true,
 				ConfigStates: []StateCount{{State: "behind", Count: 3}},
+				Objectives:   []ObjectiveState{{Service: "quote", Objective: "latency", Budget: 0.25, MinBadJobs: 3}},
 			}
 		},
 		CertificateExpiry: func() time.Time { return time.Unix(1_800_000_000, 0) },
@@ -76,7 +77,9 @@
 		`sardinelock_job_queue_time_seconds_sum{service="quote"} 0.02`,
 		`sardinelock_jobs{state="answered"} 3`,
 		`sardinelock_jobs{state="open"} 2`,
+		`sardinelock_objective_budget_ratio{objective="latency",service="quote"} 0.25`,
 		`sardinelock_objective_events_total{objective="success",service="quote",verdict="bad"} 1`,
+		`sardinelock_objective_min_bad_jobs{objective="latency",service="quote"} 3`,
 		`sardinelock_partition_epoch{partition="3"} 4`,
 		`sardinelock_partitions_owned 1`,
 		`sardinelock_peer_bytes_total{type="start"} 900`,
--- a/internal/meter/roles.go
+++ b/internal/meter/roles.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 
+	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
 	"sardinelock.dev/sardinelock/internal/messenger"
@@ -22,8 +23,15 @@
 	age := r.gauge("sardinelock.config.age", "s", "Time since a source last confirmed the version in force; -1 if none did.")
 	configs := r.gauge("sardinelock.config.processes", "{process}", "This entry and its agents by how they stand to the current version of the configuration.")
 	draining := r.gauge("sardinelock.draining", "", "1 while the entry takes no new work.")
+	budget := r.gauge("sardinelock.objective.budget", "1", "Share of a service's jobs that an objective lets be bad.")
+	minBad := r.gauge("sardinelock.objective.min-bad-jobs", "{job}", "Bad jobs in the short window below which a burn rate raises nothing.")
 	r.callback(func(_ context.Context, o metric.Observer) error {
 		s := state()
+		for _, v := range s.Objectives {
+			which := metric.WithAttributes(attribute.String("service", v.Service), attribute.String("objective", v.Objective))
+			o.ObserveFloat64(budget, v.Budget, which)
+			o.ObserveFloat64(minBad, float64(v.MinBadJobs), which)
+		}
 		o.ObserveFloat64(jobs, float64(s.OpenJobs), label("state", "open"))
 		o.ObserveFloat64(jobs, float64(s.KeptJobs-s.OpenJobs), label("state", "answered"))
 		o.ObserveFloat64(queued, float64(s.QueuedTasks))
@@ -45,7 +53,7 @@
 		observeStates(o, configs, "state", s.ConfigStates)
 		o.ObserveFloat64(draining, float64(oneIf(s.Draining)))
 		return nil
-	}, jobs, queued, upstreams, credits, ejections, owned, epochs, peers, version, age, configs, draining)
+	}, jobs, queued, upstreams, credits, ejections, owned, epochs, peers, version, age, configs, draining, budget, minBad)
 }
 
 func (r *registrar) observeAgent(state func() AgentState) {
--- a/internal/meter/sources.go
+++ b/internal/meter/sources.go
@@ -53,6 +53,18 @@
 	// current version of the configuration.
 	ConfigStates []StateCount
 	Draining     bool
+	// Objectives are those of the services of the configuration in force.
+	Objectives []ObjectiveState
+}
+
+// ObjectiveState is what alarms need to know of one objective of a service.
+type ObjectiveState struct {
+	Service, Objective string
+	// Budget is the share of jobs that may be bad.
+	Budget float64
+	// MinBadJobs is how many jobs must be bad in the short window before the burn
+	// rate counts.
+	MinBadJobs int
 }
 
 // StateCount is how many things are in a state.
--- a/internal/reporter/report.go
+++ b/internal/reporter/report.go
@@ -112,8 +112,8 @@
 	for i := range services {
 		s := &services[i]
 		c := counts.service(s.Name)
-		for _, o := range []Objective{ObjectiveLatency, ObjectiveSuccess} {
-			if target(s, o) > 0 {
+		for _, o := range Objectives() {
+			if Target(s, o) > 0 {
 				r.Objectives = append(r.Objectives, burn(now, window, s, o, c))
 			}
 		}
@@ -143,7 +143,7 @@
 	out := Burn{
 		Service:    s.Name,
 		Objective:  o,
-		Target:     target(s, o),
+		Target:     Target(s, o),
 		Jobs:       jobs,
 		Bad:        bad,
 		Excluded:   sum.Excluded,
@@ -179,8 +179,11 @@
 	return Rate{Window: submitter.Duration(window), Bad: bad, Burn: rate(s, o, &sum)}
 }
 
-// target returns the share that must be good; 0 means that there is no objective.
-func target(s *configurer.Service, o Objective) float64 {
+// Objectives returns the objectives that each service may have.
+func Objectives() []Objective { return []Objective{ObjectiveLatency, ObjectiveSuccess} }
+
+// Target returns the share that must be good; 0 means that there is no objective.
+func Target(s *configurer.Service, o Objective) float64 {
 	if o == ObjectiveLatency {
 		return s.Objective.LatencyRatio
 	}
@@ -201,7 +204,7 @@
 	if jobs == 0 || bad == 0 {
 		return 0
 	}
-	allowed := max(1-target(s, o), smallestBudget)
+	allowed := max(1-Target(s, o), smallestBudget)
 	return float64(bad) / float64(jobs) / allowed
 }
 
