--- a/internal/coordinator/world_extras_test.go
+++ b/internal/coordinator/world_extras_test.go
@@ -31,7 +31,7 @@
 	if pick(2) == 0 {
 		return
 	}
-	o.watchFrames = pick(4) == 0
+	o.watchFrames = pick(2) == 0
 	o.clockSteps = pick(2) == 0
 	// A few jobs fill it; the records of a job of four tasks take about 1 KiB.
 	if pick(3) == 0 {
