--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -128,9 +128,6 @@
 // SetPath sets the HTTP path of a service at its upstreams.
 func (c *Coordinator) SetPath(service, path string) { c.paths[service] = path }
 
-// Owner returns the owner, for listings.
-func (c *Coordinator) Owner() *owner.Owner { return c.owner }
-
 // PeerUp adds a connection.
 func (c *Coordinator) PeerUp(now time.Time, h messenger.Hello) {
 	if h.Role == messenger.RoleEntry {
