--- a/internal/coordinator/bequest_test.go
+++ b/internal/coordinator/bequest_test.go
@@ -82,30 +82,13 @@
 func TestHistoriesWithReplacedAgents(t *testing.T) {
 	t.Parallel()
 	const histories = 300
-	kept := 0
-	for seed := range uint64(histories) {
-		random := rand.New(rand.NewPCG(seed, 13))
-		o := drawOptions(random.IntN)
-		o.entries, o.agents = 2+random.IntN(2), 2+random.IntN(3)
-		w := newWorld(random.IntN, o)
-		w.settleUntil(time.Second, w.serving)
-		for range 80 {
-			w.step()
-			left := w.leaveForGood(random)
-			kept += left
-			if left > 0 && random.IntN(2) == 0 {
-				w.takeOverAndAsk(random)
-			}
-			if w.oracle.violation != "" {
-				break
-			}
+	kept := sideHistories(t, histories, 13, 2, func(w *world, random *rand.Rand) int {
+		left := w.leaveForGood(random)
+		if left > 0 && random.IntN(2) == 0 {
+			w.takeOverAndAsk(random)
 		}
-		w.heal()
-		w.oracle.checkEnd()
-		if w.oracle.violation != "" {
-			t.Fatalf("seed %d: %s", seed, w.oracle.violation)
-		}
-	}
+		return left
+	})
 	t.Logf("%d agents left with an heir in %d histories", kept, histories)
 	if kept < histories/4 {
 		t.Errorf("only %d agents left with an heir", kept)
--- a/internal/coordinator/declared_test.go
+++ b/internal/coordinator/declared_test.go
@@ -182,28 +182,12 @@
 // majority of witnesses is declared that does.
 func TestHistoriesWithDeclarations(t *testing.T) {
 	t.Parallel()
-	declarations := 0
-	for seed := range uint64(declaredHistories) {
-		random := rand.New(rand.NewPCG(seed, 11))
-		o := drawOptions(random.IntN)
-		o.entries, o.agents = 2+random.IntN(2), 3+random.IntN(3)
-		w := newWorld(random.IntN, o)
-		w.settleUntil(time.Second, w.serving)
-		for range 80 {
-			w.step()
-			if random.IntN(12) == 0 && w.declareSome(random) {
-				declarations++
-			}
-			if w.oracle.violation != "" {
-				break
-			}
+	declarations := sideHistories(t, declaredHistories, 11, 3, func(w *world, random *rand.Rand) int {
+		if random.IntN(12) == 0 && w.declareSome(random) {
+			return 1
 		}
-		w.heal()
-		w.oracle.checkEnd()
-		if w.oracle.violation != "" {
-			t.Fatalf("seed %d: %s", seed, w.oracle.violation)
-		}
-	}
+		return 0
+	})
 	t.Logf("%d declarations in %d histories", declarations, declaredHistories)
 	if declarations < declaredHistories/4 {
 		t.Errorf("only %d declarations in %d histories", declarations, declaredHistories)
--- a/internal/coordinator/fuzz_test.go
+++ b/internal/coordinator/fuzz_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
@@ -59,6 +60,35 @@
 	t.Logf("%d histories, %d steps\n%s", *worldHistories, steps, table(outcomes))
 }
 
+// sideHistories lets seeded histories happen among few entries and agents, with an
+// event of the test's own after each step, and checks the rules after each. It
+// returns the sum of what the events return.
+func sideHistories(t *testing.T, histories, stream uint64, minAgents int, event func(*world, *rand.Rand) int) int {
+	t.Helper()
+	const steps = 80
+	sum := 0
+	for seed := range histories {
+		random := rand.New(rand.NewPCG(seed, stream))
+		o := drawOptions(random.IntN)
+		o.entries, o.agents = 2+random.IntN(2), minAgents+random.IntN(3)
+		w := newWorld(random.IntN, o)
+		w.settleUntil(time.Second, w.serving)
+		for range steps {
+			w.step()
+			sum += event(w, random)
+			if w.oracle.violation != "" {
+				break
+			}
+		}
+		w.heal()
+		w.oracle.checkEnd()
+		if w.oracle.violation != "" {
+			t.Fatalf("seed %d: %s", seed, w.oracle.violation)
+		}
+	}
+	return sum
+}
+
 func checkHistory(t *testing.T, seed uint64) *world {
 	w := history(seed, *worldSteps, false)
 	if w.oracle.violation != "" {
