Say refused, not unknown, of a change for which there was no connection

The answer "unknown" was not false, but more could be known. Ruled out: a longer time in the script, which would hide it. Change: the client looks whether it got a connection at all (httptrace). Measured: TestConfigNotSent fails without the change (verdict unknown) and passes with it; TestAdminScripts passes in 9.5 s. Conclusion: the verdict no longer depends on how busy the machine is.

--- a/internal/administrator/client_config.go
+++ b/internal/administrator/client_config.go
@@ -3,14 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"strconv"
+	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
-
 	"sardinelock.dev/sardinelock/internal/configurer"
 	"sardinelock.dev/sardinelock/internal/versioner"
 )
@@ -44,7 +43,7 @@
 	last := notReached(id, &change)
 	for {
 		for _, addr := range c.o.Addrs {
-			report, err := c.applyConfigOnce(ctx, request{method: http.MethodPost, path: configVersions, changeID: id}, addr, &change)
+			report, sent, err := c.applyConfigOnce(ctx, request{method: http.MethodPost, path: configVersions, changeID: id}, addr, &change)
 			switch {
 			case err == nil && report.Reason != versioner.ReasonUnavailable:
 				return report, nil
@@ -54,7 +53,7 @@
 			case KindOf(err) != KindUnreachable:
 				return versioner.Report{}, err
 			default:
-				change.Repeated = change.Repeated || !neverSent(err)
+				change.Repeated = change.Repeated || sent
 				last = notReached(id, &change)
 				last.Detail += ": " + err.Error()
 			}
@@ -67,23 +66,23 @@
 	}
 }
 
-func (c *Client) applyConfigOnce(ctx context.Context, r request, addr netip.AddrPort, change *ConfigChange) (versioner.Report, error) {
-	var report versioner.Report
+// applyConfigOnce asks one entry. It also reports whether there was a connection
+// over which the change may have been sent: without one it was not, whatever the
+// error, also if the context had ended before.
+func (c *Client) applyConfigOnce(ctx context.Context, r request, addr netip.AddrPort, change *ConfigChange) (report versioner.Report, sent bool, err error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
 	r.body = encode(change)
 	text, err := c.callOne(ctx, addr, r)
 	if err != nil {
-		return report, err
+		return report, connected.Load(), err
 	}
 	if err := json.Unmarshal(text, &report); err != nil {
-		return report, &Error{Op: "apply-config", Kind: KindAnswer, Err: err}
+		return report, true, &Error{Op: "apply-config", Kind: KindAnswer, Err: err}
 	}
-	return report, nil
-}
-
-// neverSent reports whether a call failed before anything of it was sent.
-func neverSent(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
+	return report, true, nil
 }
 
 // notReached is the result of a change that no entry has answered.
--- a/internal/administrator/config_test.go
+++ b/internal/administrator/config_test.go
@@ -101,6 +101,21 @@
 	}
 }
 
+// TestConfigNotSent asks for a change when the time for it is over. Nothing was
+// sent, so that the change is refused and not unknown.
+func TestConfigNotSent(t *testing.T) {
+	b, clients := newConfigBench(t, emulator.Faults{})
+	over, cancel := context.WithCancel(t.Context())
+	cancel()
+	report, err := clients("operator").ApplyConfig(over, numbered(1), configChange(0, 1))
+	if err != nil || report.Verdict != versioner.VerdictRefused || report.Reason != versioner.ReasonUnavailable {
+		t.Errorf("the change is %+v, error %v", report, err)
+	}
+	if rows := b.platform.Read(configurer.HistoryPrefix).Rows; len(rows) != 0 {
+		t.Errorf("there are %d versions, want none", len(rows))
+	}
+}
+
 // TestConfigFaults checks the status and title of what cannot be asked for, and
 // that a whole version, which has the hashes of tokens, is for operators only.
 func TestConfigFaults(t *testing.T) {
