Let the starts of a flooding team yield to others at the agents

Turns by used slot time do not help: while nobody else waits, the flooding team has no debt.

Change: while the waiting work of a team takes 2 s or more on all credits, agents order its starts as if their jobs had 500 ms more work.

--- a/internal/placer/deep.go
+++ b/internal/placer/deep.go
@@ -51,17 +51,6 @@
 	return most-len(a.sent) >= max(1, min(batch, most/2))
 }
 
-// rank returns the work by which an agent orders the starts of a job. A deep job
-// comes nearer to the front as it goes on, so that of several that wait at the
-// same agents the first is ended first. It does not overtake what is small.
-func (q *queued) rank() time.Duration {
-	work := q.total
-	if q.deep {
-		work = q.total/4 + q.work*3/4
-	}
-	return work / q.queue.service.divisor
-}
-
 // mayTakeDeep reports whether an agent could take a deep task if enough waited.
 func (p *Placer) mayTakeDeep(a *agent) bool {
 	return a.mayWait() && len(a.sent) < a.credit+maxExtra
--- a/internal/placer/dispatch.go
+++ b/internal/placer/dispatch.go
@@ -148,7 +148,7 @@
 	t.service.virtual = max(t.service.virtual, time.Duration(t.class)*p.limits.Quantum)
 	p.use(t, expected)
 	t.team.take()
-	p.output.add(q, a, index)
+	p.output.add(q, a, index, p.rank(q))
 	p.open[q.job.Submission]++
 	p.sequence++
 	a.used = p.sequence
@@ -253,7 +253,7 @@
 }
 
 // add adds a task to the agent's batch of the job, or begins one.
-func (o *output) add(q *queued, a *agent, index uint16) {
+func (o *output) add(q *queued, a *agent, index uint16, work time.Duration) {
 	i := -1
 	if a.dispatch == o.dispatch {
 		i = a.batch
@@ -265,7 +265,7 @@
 	if i < 0 {
 		i = len(o.meta)
 		o.meta = append(o.meta, assignmentMeta{job: q, previous: previous})
-		o.assignments = append(o.assignments, Assignment{Agent: a.peer, Submission: q.job.Submission, Work: q.rank()})
+		o.assignments = append(o.assignments, Assignment{Agent: a.peer, Submission: q.job.Submission, Work: work})
 		a.batch = i
 		a.dispatch = o.dispatch
 	}
--- a/internal/placer/limits.go
+++ b/internal/placer/limits.go
@@ -57,6 +57,11 @@
 	// DebtReserve is the credit at each agent that a team leaves to others while it
 	// is ahead of them by a quantum.
 	DebtReserve int
+	// FloodWork is the time that a team's waiting work takes on all credits from which
+	// the team floods. An agent then orders its starts as if their jobs had FloodDelay
+	// more work on all slots.
+	FloodWork  time.Duration
+	FloodDelay time.Duration
 	// Batch is how many tasks of a large job an agent must be able to take before a
 	// message is sent for them alone.
 	Batch int
@@ -95,6 +100,8 @@
 			Reserve:     2,
 			DebtReserve: 3,
 			Batch:       4,
+			FloodWork:   2 * time.Second,
+			FloodDelay:  500 * time.Millisecond,
 			Deep:        1,
 			DeepBatch:   8,
 			DeepFor:     5 * time.Millisecond,
@@ -114,6 +121,8 @@
 	setDefault(&l.Reserve, d.Reserve)
 	setDefault(&l.DebtReserve, d.DebtReserve)
 	setDefault(&l.Batch, d.Batch)
+	setDefault(&l.FloodWork, d.FloodWork)
+	setDefault(&l.FloodDelay, d.FloodDelay)
 	setDefault(&l.Deep, d.Deep)
 	setDefault(&l.DeepBatch, d.DeepBatch)
 	setDefault(&l.DeepFor, d.DeepFor)
