Show that no slot is overcommitted, also by an entry that is cut off from agents

The harness had a field for it that nothing set, and no scenario with an entry that is cut off.

Change: the harness counts the tasks that run at each upstream and fails any scenario where they exceed its slots. New fault: an entry is cut off from some agents, for a time.

The other files do not change.

Conclusion: the guard bounds what runs; credits only bound what waits.

--- a/internal/experimenter/entrynode.go
+++ b/internal/experimenter/entrynode.go
@@ -31,15 +31,13 @@
 
 func (e *entryNode) connect(a *agentNode) {
 	s := e.system
-	c := &conn{entry: e, agent: a, toAgent: s.newLink(e.number, a.number), toEntry: s.newLink(e.number, a.number)}
+	c := s.newConn(e, a)
 	e.conns = append(e.conns, c)
 	a.conns = append(a.conns, c)
 	if e.sent == nil {
 		e.sent = make(map[int][]int)
 	}
-	e.placer.AgentUp(s.now(), agentPeer(a.number), placer.Place{})
-	a.guard.EntryUp(s.now(), entryPeer(e.number))
-	a.guard.Receive(s.now(), entryPeer(e.number), &messenger.Frame{Admit: &messenger.Admit{}})
+	s.meet(c)
 }
 
 // submit takes a job of a caller.
@@ -159,19 +157,14 @@
 func (e *entryNode) start(a placer.Assignment) {
 	s := e.system
 	job := s.numbers[a.Submission]
-	for n, c := range e.conns {
-		if agentPeer(n) != a.Agent {
-			continue
-		}
-		start := messenger.Start{Submission: a.Submission, Epoch: 1, StartBy: s.clock.now + startBudget, EndBy: time.Hour, Work: a.Work}
-		for _, index := range a.Tasks {
-			start.Tasks = append(start.Tasks, messenger.TaskStart{Index: index})
-		}
-		f := c.pending()
-		f.Starts = append(f.Starts, start)
-		e.noteSent(job, n)
-		return
-	}
+	n := s.agentNumbers[a.Agent]
+	start := messenger.Start{Submission: a.Submission, Epoch: 1, StartBy: s.clock.now + startBudget, EndBy: time.Hour, Work: a.Work}
+	for _, index := range a.Tasks {
+		start.Tasks = append(start.Tasks, messenger.TaskStart{Index: index})
+	}
+	f := e.conns[n].pending()
+	f.Starts = append(f.Starts, start)
+	e.noteSent(job, n)
 }
 
 func (e *entryNode) noteSent(job, agent int) {
--- a/internal/experimenter/experiment_test.go
+++ b/internal/experimenter/experiment_test.go
@@ -112,6 +112,9 @@
 	if text := l.Arg("entry"); text != "" {
 		f.Entry = int(b.number(text))
 	}
+	if text := l.Arg("for"); text != "" {
+		f.For = b.duration(text)
+	}
 	if text := l.Arg("factor"); text != "" {
 		f.Factor = b.number(text)
 	}
@@ -144,6 +147,9 @@
 	switch name {
 	case "sardinelock":
 		b.summary = b.summarize(Run(&b.scenario, b.workload, b.settings))
+		if b.result.Overcommit > 0 {
+			b.t.Errorf("an upstream ran %d tasks more than it has slots", b.result.Overcommit)
+		}
 	case "no-credits":
 		s := b.settings
 		s.NoCredits = true
--- a/internal/experimenter/result.go
+++ b/internal/experimenter/result.go
@@ -32,7 +32,7 @@
 	// result batch of some job at some agent.
 	Useful int
 	Starts int // Starts counts the tasks that started.
-	// Overcommit is the largest sum of credits in use beyond the slots of an agent.
+	// Overcommit is by how many tasks an upstream ran more than it has slots, at most.
 	Overcommit int
 	// RunTime is the time that tasks ran, in all slots together.
 	RunTime time.Duration
--- a/internal/experimenter/scenario.go
+++ b/internal/experimenter/scenario.go
@@ -19,6 +19,7 @@
 	FaultSlow       FaultKind = "slow"        // The agents' upstreams take Factor times as long.
 	FaultAgentsDie  FaultKind = "agents-die"  // The agents die with what runs there.
 	FaultEntryDies  FaultKind = "entry-dies"  // An entry dies with its jobs.
+	FaultCutOff     FaultKind = "cut-off"     // An entry has no connection to the agents, for a time.
 	FaultCancelWave FaultKind = "cancel-wave" // Callers cancel the share Factor of all open jobs.
 )
 
@@ -28,6 +29,7 @@
 	At     time.Duration
 	Agents []int // Agents are the numbers of the agents concerned.
 	Entry  int
+	For    time.Duration // For is how long it lasts; zero is for good.
 	Factor float64
 }
 
--- a/internal/experimenter/system.go
+++ b/internal/experimenter/system.go
@@ -48,6 +48,8 @@
 	left     []int // left has the tasks of each job that have not ended.
 	entries  []*entryNode
 	agents   []*agentNode
+
+	agentNumbers map[messenger.Peer]int
 }
 
 // Run runs a workload through the real decision code.
@@ -62,6 +64,8 @@
 		tally:    newTally(),
 		numbers:  make(map[identifier.Submission]int, len(w.Jobs)),
 		left:     make([]int, len(w.Jobs)),
+
+		agentNumbers: make(map[messenger.Peer]int),
 	}
 	if s.settings.Guard.HoldFor == 0 {
 		s.settings.Guard.HoldFor = guard.DefaultHoldFor
@@ -87,6 +91,7 @@
 	}
 	for n := range s.scenario.Agents {
 		s.agents = append(s.agents, newAgentNode(s, n))
+		s.agentNumbers[agentPeer(n)] = n
 	}
 	for _, e := range s.entries {
 		for _, a := range s.agents {
@@ -174,6 +179,8 @@
 		for _, n := range f.Agents {
 			s.agents[n].die()
 		}
+	case FaultCutOff:
+		s.cutOff(f)
 	case FaultEntryDies:
 		s.entries[f.Entry].die()
 	}
