Send agents the memory that results have taught, and refuse nothing for its margin

Cause: starts carried the memory that the caller had declared, so that the guard bounded a sum that is off by as much as the declarations. Nothing tested learned memory; the first test of peaks near the whole memory of an upstream found that the margin on top of the mean made the entry refuse the service for good as never fitting. A service that an upstream announced before the first job took results as enough from the first on.

Change: a start carries what the placer sets aside. Admission looks at the mean of the peaks without the margin, and an upstream whose memory is all free takes a task that may need more, as the guard does already. A service has the number of results that count from the start.

Tests: TestLearnedMemory, TestLearnedMemoryAdmits, TestMemoryBytes, and TestStartsSayLearnedMemory over coordinator and guard, which fails with the declared value in the start.

Conclusion: memory is a limit by what tasks take, not by what callers say.

--- a/internal/coordinator/dispatch.go
+++ b/internal/coordinator/dispatch.go
@@ -104,7 +104,7 @@
 		s.Tasks[i] = messenger.TaskStart{
 			Index:        index,
 			Payload:      spec.Payload,
-			MemoryBytes:  spec.MemoryBytes,
+			MemoryBytes:  c.placer.MemoryBytes(j.Service, spec.MemoryBytes),
 			Accelerators: spec.Accelerators,
 		}
 	}
--- a/internal/placer/agent.go
+++ b/internal/placer/agent.go
@@ -67,8 +67,12 @@
 	return min(credit, a.health.allowed) - len(a.sent)
 }
 
+// holds reports whether an agent has what a task needs now. An upstream whose memory
+// is all free takes a task that may need more, as the guard does; no job is admitted
+// whose tasks are known to need more than any upstream has.
 func (a *agent) holds(need Need) bool {
-	return need.MemoryBytes <= a.freeMemory && need.Accelerators <= a.freeAccelerators
+	fits := need.MemoryBytes <= a.freeMemory || a.freeMemory > 0 && a.freeMemory == a.capacity.MemoryBytes
+	return fits && need.Accelerators <= a.freeAccelerators
 }
 
 func (a *agent) serving() bool { return a.capacity.State == messenger.UpstreamServing }
--- a/internal/placer/estimate.go
+++ b/internal/placer/estimate.go
@@ -57,6 +57,15 @@
 	return int64(e.memory + memoryMargin*e.memoryDev)
 }
 
+// usualMemory returns the memory that a task usually takes at its peak, without the
+// margin that is set aside.
+func (e *estimate) usualMemory(declared int64) int64 {
+	if e.peaks < e.minSamples {
+		return declared
+	}
+	return int64(e.memory)
+}
+
 // learn applies the true values of a task.
 func (e *estimate) learn(declared, actual time.Duration, peak int64) {
 	if actual > 0 {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -198,11 +198,19 @@
 	p.rerank(a)
 }
 
+// MemoryBytes returns the memory to set aside for a task of a service: what results
+// have taught, or else what is declared.
+func (p *Placer) MemoryBytes(service string, declared int64) int64 {
+	if s := p.services[service]; s != nil {
+		return s.learned.memoryBytes(declared)
+	}
+	return declared
+}
+
 // Enqueue takes the tasks of a job into the queue or says why not.
 func (p *Placer) Enqueue(now time.Time, j Job) Refusal {
 	p.touch(now)
 	s := p.service(j.Service)
-	s.learned.minSamples = p.limits.MinSamples
 	if refusal := p.admit(now, s, &j); refusal.Reason != "" {
 		return refusal
 	}
--- a/internal/placer/queue.go
+++ b/internal/placer/queue.go
@@ -65,6 +65,7 @@
 		return s
 	}
 	s := &service{name: name, queues: make(map[string]*teamQueue)}
+	s.learned.minSamples = p.limits.MinSamples
 	s.seats.before = seatBefore
 	s.seats.moved = func(s *seat, position int) { s.position = position }
 	s.teams.before = turnBefore
--- a/internal/placer/refusal.go
+++ b/internal/placer/refusal.go
@@ -136,8 +136,10 @@
 	return -1
 }
 
+// corrected returns a need with the memory that the service's tasks usually take.
+// The margin of what is learned is left out: it must not refuse what has run.
 func (s *service) corrected(n Need) Need {
-	n.MemoryBytes = s.learned.memoryBytes(n.MemoryBytes)
+	n.MemoryBytes = s.learned.usualMemory(n.MemoryBytes)
 	return n
 }
 
