Read each upstream's log once when the drains under load are checked

Cause: for each of some hundred jobs every line of every log was decoded again. A repetition of the drains and other tests with GOMAXPROCS=1 and the race detector ran into its bound of 390 s while TestDrainOfEntryUnderLoad, 32 s old, was counting; the tests that had ended by then had not failed.

Change: one pass over the logs, which checks every task of every submission, also those that the test awaited the service with.

--- a/cmd/sardinelock/cmd/failure_test.go
+++ b/cmd/sardinelock/cmd/failure_test.go
@@ -159,7 +159,6 @@
 	entries []int
 	answers int
 	faults  []string
-	ids     []string
 }
 
 const loadWorkers = 8
@@ -199,7 +198,6 @@
 		answer := <-l.fleet.submitAsync(entry, id, job(1+n%4, 50*time.Millisecond, 30*time.Second))
 		l.mu.Lock()
 		l.answers++
-		l.ids = append(l.ids, id)
 		if answer.Outcome != submitter.OutcomeComplete {
 			l.faults = append(l.faults, fmt.Sprintf("entry %d: %s %s %s", entry, answer.Outcome, answer.Reason, answer.Detail))
 		}
@@ -222,9 +220,7 @@
 		}
 	}
 	l.fleet.stopUpstreams()
-	for _, id := range l.ids {
-		l.fleet.checkOnce(id)
-	}
+	l.fleet.checkAllOnce()
 	if os.Getenv("SARDINELOCK_VERBOSE") != "" {
 		for _, p := range l.fleet.entries {
 			t.Log(p.stderr.String())
--- a/cmd/sardinelock/cmd/process_test.go
+++ b/cmd/sardinelock/cmd/process_test.go
@@ -279,6 +279,15 @@
 
 // countStarts adds the starts that an upstream has logged, by task.
 func (p *process) countStarts(submission string, out map[string]int) {
+	p.eachStart(func(id string, task int) {
+		if id == submission {
+			out[strconv.Itoa(task)]++
+		}
+	})
+}
+
+// eachStart passes on every start that an upstream has logged.
+func (p *process) eachStart(f func(submission string, task int)) {
 	lines := bufio.NewScanner(bytes.NewReader([]byte(p.stdout.String())))
 	for lines.Scan() {
 		var line struct {
@@ -286,8 +295,8 @@
 			SubmissionID string `json:"submission-id"`
 			Task         int    `json:"task"`
 		}
-		if json.Unmarshal(lines.Bytes(), &line) == nil && line.Event == "start" && line.SubmissionID == submission {
-			out[strconv.Itoa(line.Task)]++
+		if json.Unmarshal(lines.Bytes(), &line) == nil && line.Event == "start" {
+			f(line.SubmissionID, line.Task)
 		}
 	}
 }
@@ -331,6 +340,21 @@
 	}
 }
 
+// checkAllOnce fails the test if any task started twice, and reads each log once.
+// The upstreams must be stopped.
+func (f *fleet) checkAllOnce() {
+	f.t.Helper()
+	counts := make(map[string]int)
+	for _, u := range f.upstreams {
+		u.eachStart(func(submission string, task int) { counts[submission+" "+strconv.Itoa(task)]++ })
+	}
+	for task, n := range counts {
+		if n != 1 {
+			f.t.Errorf("task %s started %d times, want once", task, n)
+		}
+	}
+}
+
 // submitAsync submits a job through one entry and returns the answer's channel.
 // An error counts as an unknown outcome.
 func (f *fleet) submitAsync(entry int, id string, j submitter.Job) <-chan submitter.Answer {
