--- a/internal/surveyor/capacity.go
+++ b/internal/surveyor/capacity.go
@@ -40,6 +40,8 @@
 	boundRate   = 18_000
 	boundReads  = 2_000
 	boundWrites = 300
+	// boundTaskTime stands for 10,000 starts a second of one core, in microseconds.
+	boundTaskTime = 100
 )
 
 const secondsPerDay = 24 * 60 * 60
@@ -70,6 +72,19 @@
 	return Fit{}
 }
 
+// sample returns the value that a slope has at a size that was measured.
+func (t *table) sample(name string, size float64) float64 {
+	for _, s := range t.slopes {
+		for _, p := range s.Samples {
+			if s.Name == name && p.Size == size {
+				return p.Value
+			}
+		}
+	}
+	t.absent = append(t.absent, fmt.Sprintf("%s at %g", name, size))
+	return 0
+}
+
 // Capacity works out the figures of each role at a size. It returns an error of
 // kind [KindAbsent] that names the slopes that are missing.
 func Capacity(slopes []Slope, z Size) ([]Line, error) {
@@ -102,6 +117,8 @@
 		{"entry", "processor time of jobs", "core", "entry-job-time × tasks × jobs/s", t.fit("entry-job-time").At(z.TasksPerJob) * jobs / 1e6, 0},
 		{"entry", "messages of jobs", "1/s", "job-messages × tasks × jobs/s", t.fit("job-messages").At(z.TasksPerJob) * jobs, 0},
 		{"entry", "bytes of jobs", "B/s", "job-bytes × tasks × jobs/s", t.fit("job-bytes").At(z.TasksPerJob) * jobs, 0},
+		{"entry", "processor time of a job of one task", "us", "entry-job-time at 1", t.sample("entry-job-time", 1), boundTaskTime},
+		{"entry", "processor time a task of jobs of the mean size", "us", "entry-job-time / tasks", t.fit("entry-job-time").At(z.TasksPerJob) / z.TasksPerJob, boundTaskTime},
 		{"entry", "starts a second of one core", "1/s", "tasks / entry-job-time", z.TasksPerJob / t.fit("entry-job-time").At(z.TasksPerJob) * 1e6, 0},
 		{"entry", "entries by processor time alone, at half a core each", "1", "starts/s / starts of a core × 2",
 			math.Ceil(2 * z.StartsPerSecond / (z.TasksPerJob / t.fit("entry-job-time").At(z.TasksPerJob) * 1e6)), 0},
