Build the result of a change that was not heard of in one place

Change: ConfigChange.unavailable, which both call with their words. Conclusion: what decides between refused and unknown stands once.

--- a/internal/administrator/client_config.go
+++ b/internal/administrator/client_config.go
@@ -87,16 +87,5 @@
 
 // notReached is the result of a change that no entry has answered.
 func notReached(id string, change *ConfigChange) versioner.Report {
-	out := versioner.Result{
-		Verdict:  versioner.VerdictRefused,
-		Reason:   versioner.ReasonUnavailable,
-		ChangeID: id,
-		Expected: *change.Expect,
-		Detail:   "no entry was reached; nothing was written",
-	}
-	if change.Repeated {
-		out.Verdict = versioner.VerdictUnknown
-		out.Detail = "no entry said what became of the change"
-	}
-	return versioner.Report{Result: out}
+	return change.unavailable(id, "no entry was reached; nothing was written", "no entry said what became of the change")
 }
--- a/internal/administrator/config.go
+++ b/internal/administrator/config.go
@@ -127,18 +127,25 @@
 
 // unreachable is the result of a change before which the platform did not answer.
 func unreachable(id string, asked *ConfigChange) *ConfigApplied {
+	return &ConfigApplied{asked.unavailable(id, "the platform did not answer; nothing was written",
+		"the platform did not say what became of the change")}
+}
+
+// unavailable is the result of a change of which nothing was heard: refused if it
+// cannot have been made, unknown if it was asked for before.
+func (c *ConfigChange) unavailable(id, refused, unknown string) versioner.Report {
 	out := versioner.Result{
 		Verdict:  versioner.VerdictRefused,
 		Reason:   versioner.ReasonUnavailable,
 		ChangeID: id,
-		Expected: *asked.Expect,
-		Detail:   "the platform did not answer; nothing was written",
+		Expected: *c.Expect,
+		Detail:   refused,
 	}
-	if asked.Repeated {
+	if c.Repeated {
 		out.Verdict = versioner.VerdictUnknown
-		out.Detail = "the platform did not say what became of the change"
+		out.Detail = unknown
 	}
-	return &ConfigApplied{versioner.Report{Result: out}}
+	return versioner.Report{Result: out}
 }
 
 func (s *Service) configRecord(id string, who authenticator.Principal, asked *ConfigChange) *Record {
