--- /dev/null
+++ b/cmd/sardinelock/cmd/platform.go
@@ -0,0 +1,45 @@
+package cmd
+
+import (
+	"context"
+
+	"github.com/spf13/cobra"
+
+	"sardinelock.dev/sardinelock/platform"
+)
+
+func newPlatformCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "platform",
+		Short: "Run a process on the users' platform",
+	}
+	c.AddCommand(
+		newPlatformRoleCommand("entry", "Run an entry on the users' platform", platform.RunEntry),
+		newPlatformRoleCommand("agent", "Run an agent on the users' platform", platform.RunAgent),
+	)
+	return c
+}
+
+func newPlatformRoleCommand(role, short string, run func(context.Context, platform.Settings, string) error) *cobra.Command {
+	var logLevel string
+	c := &cobra.Command{
+		Use:   role,
+		Short: short,
+		Long: short + `.
+
+The settings come from the file that the platform names in the environment.`,
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if err := usageFaults(levelFaults(logLevel)); err != nil {
+				return err
+			}
+			s, err := platform.ReadSettings()
+			if err != nil {
+				return err
+			}
+			return run(c.Context(), s, logLevel)
+		},
+	}
+	c.Flags().StringVar(&logLevel, "log-level", "info", "lowest level that is logged: debug, info, warn or error")
+	return c
+}
--- a/cmd/sardinelock/cmd/root.go
+++ b/cmd/sardinelock/cmd/root.go
@@ -83,6 +83,7 @@
 		newPartitionCommand(),
 		newRosterCommand(),
 		newReportCommand(),
+		newPlatformCommand(),
 	)
 	refuseUnknown(root)
 	return root
--- a/cmd/sardinelock/cmd/settings.go
+++ b/cmd/sardinelock/cmd/settings.go
@@ -161,12 +161,16 @@
 	if s.dataCentre == "" {
 		faults = append(faults, "--data-centre must not be empty")
 	}
-	switch s.logLevel {
+	return append(faults, levelFaults(s.logLevel)...)
+}
+
+// levelFaults reports what is wrong with a log level.
+func levelFaults(level string) []string {
+	switch level {
 	case "debug", "info", "warn", "error":
-	default:
-		faults = append(faults, "--log-level must be debug, info, warn or error, not "+s.logLevel)
+		return nil
 	}
-	return faults
+	return []string{"--log-level must be debug, info, warn or error, not " + level}
 }
 
 func newLogger(level string) *log.Logger {
--- /dev/null
+++ b/internal/assigner/agent.go
@@ -0,0 +1,215 @@
+package assigner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/messenger"
+)
+
+// agent is a connected agent.
+type agent struct {
+	peer       messenger.Peer
+	instance   string
+	dataCentre string
+	load       messenger.Load
+	known      bool          // known means that the agent has told its load.
+	heardAt    time.Duration // heardAt is when the latest frame came.
+	clock      time.Duration // clock is the latest stamp of the agent.
+	sentAt     time.Duration // sentAt is when the latest frame was sent.
+	sent       uint64        // sent counts the launches on the connection.
+	ahead      []ahead       // ahead has the launches that the load does not cover yet.
+	tasks      map[messenger.TaskRef]*task
+	launches   []messenger.Launch
+	withdraws  []messenger.Withdraw
+}
+
+// ahead is the room of one launch.
+type ahead struct {
+	sequence uint64
+	room     messenger.Room
+}
+
+// AgentUp takes the connection of an agent. Nothing that it ran for this entry before
+// is left.
+func (a *Assigner) AgentUp(now time.Duration, peer messenger.Peer, instance, dataCentre string) {
+	if old := a.agents[peer]; old != nil {
+		a.AgentDown(now, peer)
+	}
+	for _, g := range slices.Clone(a.order) {
+		if g.instance == instance {
+			a.AgentDown(now, g.peer)
+			a.out.Closes = append(a.out.Closes, g.peer)
+		}
+	}
+	for i := range a.departed {
+		if a.departed[i].instance == instance {
+			a.departed[i].until = now
+		}
+	}
+	a.resolveDeparted(now)
+	g := &agent{
+		peer: peer, instance: instance, dataCentre: dataCentre, heardAt: now, sentAt: now,
+		tasks: make(map[messenger.TaskRef]*task),
+	}
+	a.agents[peer] = g
+	a.order = append(a.order, g)
+	slices.SortFunc(a.order, func(x, y *agent) int { return cmp.Compare(x.instance, y.instance) })
+	a.decide(Decision{Event: "agent-connected", Instance: instance})
+}
+
+// AgentDown takes the end of an agent's connection. What ran there may still be at
+// work for a while.
+func (a *Assigner) AgentDown(now time.Duration, peer messenger.Peer) {
+	g := a.agents[peer]
+	if g == nil {
+		return
+	}
+	delete(a.agents, peer)
+	a.order = slices.DeleteFunc(a.order, func(o *agent) bool { return o == g })
+	a.decide(Decision{Event: "agent-disconnected", Instance: g.instance, Age: now - g.heardAt})
+	if len(g.tasks) == 0 {
+		return
+	}
+	d := departure{instance: g.instance, until: g.heardAt + a.limits.Gone}
+	for _, t := range g.tasks {
+		t.state = stateDeparted
+		t.agent = nil
+		d.tasks = append(d.tasks, t)
+	}
+	slices.SortFunc(d.tasks, func(x, y *task) int { return x.ref.Compare(y.ref) })
+	a.departed = append(a.departed, d)
+}
+
+// resolveDeparted places anew what has certainly ended.
+func (a *Assigner) resolveDeparted(now time.Duration) {
+	var due []departure
+	a.departed = slices.DeleteFunc(a.departed, func(d departure) bool {
+		if now < d.until {
+			return false
+		}
+		due = append(due, d)
+		return true
+	})
+	for _, d := range due {
+		for _, t := range d.tasks {
+			a.decide(Decision{Event: "task-lost", Task: t.ref, Run: t.run, Instance: d.instance})
+			t.avoid = append(t.avoid, d.instance)
+			a.resolve(now, t, true)
+		}
+	}
+}
+
+// resolve takes the end of a run that was not completed.
+func (a *Assigner) resolve(now time.Duration, t *task, ran bool) {
+	j := t.job
+	j.out--
+	j.ran = j.ran || ran
+	if j.answered {
+		t.state = stateDropped
+		a.forget(now, j)
+		return
+	}
+	a.suspend(t)
+}
+
+// checkAgents closes the connections of agents that are silent.
+func (a *Assigner) checkAgents(now time.Duration) {
+	for _, g := range slices.Clone(a.order) {
+		if now-g.heardAt > a.limits.Silence {
+			a.decide(Decision{Event: "agent-silent", Instance: g.instance, Age: now - g.heardAt})
+			a.out.Closes = append(a.out.Closes, g.peer)
+			a.AgentDown(now, g.peer)
+		}
+	}
+}
+
+// Receive takes a frame of an agent.
+func (a *Assigner) Receive(now time.Duration, peer messenger.Peer, f *messenger.Frame) {
+	g := a.agents[peer]
+	if g == nil {
+		return
+	}
+	g.heardAt = now
+	if f.Stamp != nil {
+		g.clock = max(g.clock, f.Stamp.Clock)
+	}
+	for i := range f.Ends {
+		a.ended(now, g, &f.Ends[i])
+	}
+	if f.Load != nil {
+		a.loaded(g, f.Load)
+	}
+}
+
+func (a *Assigner) loaded(g *agent, l *messenger.Load) {
+	if !g.known || g.load.State != l.State || g.load.Life != l.Life {
+		a.decide(Decision{Event: "upstream-state", Instance: g.instance, Reason: string(l.State)})
+	}
+	if l.Capacity == (messenger.Room{}) {
+		l.Capacity = g.load.Capacity
+	}
+	g.load, g.known = *l, true
+	g.ahead = slices.DeleteFunc(g.ahead, func(h ahead) bool { return h.sequence <= l.Seen })
+}
+
+// ended takes the end of a run.
+func (a *Assigner) ended(now time.Duration, g *agent, e *messenger.End) {
+	t := g.tasks[e.Task]
+	if t == nil || t.run != e.Run {
+		return
+	}
+	delete(g.tasks, e.Task)
+	j := t.job
+	t.agent = nil
+	switch e.Kind {
+	case messenger.EndDone:
+		a.queue(j.Queue).learn(t.step.Declared, e.Took)
+		a.done(now, t)
+		return
+	case messenger.EndFailed:
+		if a.failed(now, t) {
+			return
+		}
+	case messenger.EndStaleRun:
+		j.base += runStep
+	}
+	if e.Kind != messenger.EndReturned && e.Kind != messenger.EndWithdrawn {
+		t.avoid = append(t.avoid, g.instance)
+		a.decide(Decision{Event: "task-ended", Task: t.ref, Run: t.run, Instance: g.instance, Reason: string(e.Kind), Age: e.Took})
+	}
+	ran := e.Kind.Ran() && (e.Kind != messenger.EndWithdrawn || e.Started)
+	a.resolve(now, t, ran)
+}
+
+// failed counts a failure and reports whether it was the task's last.
+func (a *Assigner) failed(now time.Duration, t *task) bool {
+	t.failures++
+	j := t.job
+	if j.answered || t.failures < j.MaxAttempts {
+		return false
+	}
+	t.state = stateDone
+	j.out--
+	j.ran = true
+	a.finish(now, j, OutcomeFailed, "attempts-used-up", 0)
+	return true
+}
+
+// done completes a task, and its job with the last one.
+func (a *Assigner) done(now time.Duration, t *task) {
+	j := t.job
+	j.out--
+	j.ran = true
+	t.state = stateDone
+	j.left[t.ref.Step]--
+	switch {
+	case j.answered:
+		a.forget(now, j)
+	case !slices.ContainsFunc(j.left, func(n int) bool { return n > 0 }):
+		a.finish(now, j, OutcomeCompleted, "", 0)
+	case j.left[t.ref.Step] == 0:
+		a.unblock(j)
+	}
+}
--- /dev/null
+++ b/internal/assigner/place.go
@@ -0,0 +1,283 @@
+package assigner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/messenger"
+)
+
+const (
+	// returnAfter is how long a task may wait at an agent until it goes back, so that
+	// it can be placed where room has become free.
+	returnAfter = 80 * time.Millisecond
+	// lookAhead is the longest expected wait with which a task is sent to an agent: it
+	// covers the way there, so that room that becomes free is used at once.
+	lookAhead = 25 * time.Millisecond
+	// evenness is what a wholly used upstream counts more than an idle one: among those
+	// with room, load is spread.
+	evenness = 4 * time.Millisecond
+	// scatter is the random part of each choice, so that entries with the same view do
+	// not choose the same upstream.
+	scatter = 2 * time.Millisecond
+	// avoidCost is what an upstream counts more where the task has ended badly.
+	avoidCost = 300 * time.Millisecond
+	// defaultRun is the run time of tasks until one is known.
+	defaultRun = 250 * time.Millisecond
+	// nominalPace is the pace of an upstream that takes the expected time, in percent.
+	nominalPace = 100
+)
+
+// urgency returns the latest start with which the job meets its objective.
+func (t *task) urgency() time.Duration { return t.job.objective - t.expected }
+
+// place launches the waiting tasks, the most urgent first. What cannot be in time
+// any more comes after what still can.
+func (a *Assigner) place(now time.Duration) {
+	if len(a.pending) == 0 {
+		return
+	}
+	if a.unsorted {
+		slices.SortStableFunc(a.pending, func(x, y *task) int {
+			return cmp.Or(cmp.Compare(x.urgency(), y.urgency()), x.ref.Compare(y.ref))
+		})
+		a.unsorted = false
+	}
+	late := a.placeAll(now, func(t *task) bool { return t.urgency() >= now })
+	if !late {
+		return
+	}
+	a.placeAll(now, func(t *task) bool { return t.urgency() < now })
+}
+
+// placeAll launches the tasks that are selected, and reports whether any was not.
+func (a *Assigner) placeAll(now time.Duration, selected func(*task) bool) (skipped bool) {
+	misses := 0
+	a.pending = slices.DeleteFunc(a.pending, func(t *task) bool {
+		if !selected(t) {
+			skipped = true
+			return false
+		}
+		if misses >= maxMisses {
+			return false
+		}
+		g, wait := a.choose(now, t)
+		if g == nil || wait > lookAhead {
+			misses++
+			return false
+		}
+		a.launch(now, t, g, wait)
+		return true
+	})
+	return skipped
+}
+
+// maxMisses bounds the tasks that are tried in vain in one pass: with that many
+// nothing is free, and smaller ones behind them hardly fit either.
+const maxMisses = 16
+
+// choose returns the agent whose upstream is expected to end the task first, and
+// how long the task is expected to wait there; nil if none may run it.
+func (a *Assigner) choose(now time.Duration, t *task) (*agent, time.Duration) {
+	var best *agent
+	var bestCost, bestWait time.Duration
+	for _, g := range a.order {
+		if !a.eligible(now, t, g) {
+			continue
+		}
+		wait := g.wait(t.step.Room, a.meanRun())
+		cost := wait + a.cost(t, g)
+		if best == nil || cost < bestCost {
+			best, bestCost, bestWait = g, cost, wait
+		}
+	}
+	return best, bestWait
+}
+
+// eligible reports whether the task may be launched at an agent now.
+func (a *Assigner) eligible(now time.Duration, t *task, g *agent) bool {
+	l := &g.load
+	switch {
+	case !g.known || now-g.heardAt > a.limits.Doubt || l.Service != t.job.Service:
+		return false
+	case l.State == messenger.RunnerProbing:
+		if len(g.tasks) > 0 || l.Used.MilliCPU > 0 || l.Queued.MilliCPU > 0 {
+			return false
+		}
+	case l.State != messenger.RunnerReady:
+		return false
+	}
+	return t.step.suits(l) && t.belowMost(g)
+}
+
+// suits reports whether an upstream has the label and the size for a step.
+func (s *Step) suits(l *messenger.Load) bool {
+	return s.Room.Fits(l.Capacity) && (s.Label == "" || slices.Contains(l.Labels, s.Label))
+}
+
+func (t *task) belowMost(g *agent) bool {
+	most := t.step.MaxPerUpstream
+	if most == 0 {
+		return true
+	}
+	n := 0
+	for _, other := range t.job.tasks {
+		if other.ref.Step == t.ref.Step && other.agent == g {
+			n++
+		}
+	}
+	return n < most
+}
+
+// cost returns what speaks against an upstream, as a time.
+func (a *Assigner) cost(t *task, g *agent) time.Duration {
+	l := &g.load
+	cost := time.Duration(a.random.Int64N(int64(scatter)))
+	if l.Pace > 0 {
+		cost += t.expected * time.Duration(l.Pace-nominalPace) / nominalPace
+	}
+	if l.Capacity.MilliCPU > 0 {
+		used := l.Used.Add(l.Queued).Add(g.uncovered())
+		cost += evenness * time.Duration(used.MilliCPU) / time.Duration(l.Capacity.MilliCPU)
+	}
+	if g.dataCentre != a.dataCentre {
+		cost += a.limits.Remote
+	}
+	if t.step.Rack != "" && !slices.Contains(l.Labels, t.step.Rack) {
+		cost += t.expected / 2
+	}
+	if slices.Contains(t.avoid, g.instance) {
+		cost += avoidCost
+	}
+	return cost
+}
+
+// uncovered returns the room of the launches that the agent's load does not cover.
+func (g *agent) uncovered() messenger.Room {
+	var r messenger.Room
+	for _, h := range g.ahead {
+		r = r.Add(h.room)
+	}
+	return r
+}
+
+// wait returns how long a task of a size is expected to wait at the agent, if the
+// room in use becomes free evenly over the run time of a task.
+func (g *agent) wait(room messenger.Room, run time.Duration) time.Duration {
+	l := &g.load
+	used := l.Used.Add(l.Queued).Add(g.uncovered()).Add(room)
+	if used.Fits(l.Capacity) {
+		return 0
+	}
+	excess := used.Sub(l.Capacity)
+	return max(
+		share(excess.MilliCPU, l.Capacity.MilliCPU, run),
+		share(excess.MemoryBytes, l.Capacity.MemoryBytes, run),
+		share(excess.Accelerators, l.Capacity.Accelerators, run),
+	)
+}
+
+func share(part, whole int64, of time.Duration) time.Duration {
+	if part <= 0 || whole <= 0 {
+		return 0
+	}
+	return time.Duration(float64(of) * float64(part) / float64(whole))
+}
+
+// meanRun returns the mean run time of a task over the queues.
+func (a *Assigner) meanRun() time.Duration {
+	var sum float64
+	n := 0
+	for _, q := range a.queues {
+		if q.mean > 0 {
+			sum += q.mean
+			n++
+		}
+	}
+	if n == 0 {
+		return defaultRun
+	}
+	return time.Duration(sum / float64(n) * float64(time.Second))
+}
+
+// outlook reports whether any known upstream has the size and the labels for the
+// job, and how long the job is expected to wait, from what is ahead of it.
+func (a *Assigner) outlook(now time.Duration, j *job) (fits bool, wait time.Duration) {
+	var capacity, used messenger.Room
+	for _, g := range a.order {
+		l := &g.load
+		if !g.known || l.Service != j.Service || l.State != messenger.RunnerReady {
+			continue
+		}
+		capacity = capacity.Add(l.Capacity)
+		used = used.Add(l.Used).Add(l.Queued).Add(g.uncovered())
+	}
+	if !a.everySuits(j) {
+		return false, 0
+	}
+	for _, t := range a.pending {
+		if t.job == j || t.urgency() < j.objective-j.expected && t.urgency() >= now {
+			used = used.Add(t.step.Room)
+		}
+	}
+	if capacity == (messenger.Room{}) {
+		return true, 0
+	}
+	excess := used.Sub(capacity)
+	return true, share(excess.MilliCPU, capacity.MilliCPU, a.meanRun())
+}
+
+// everySuits reports whether each step has an upstream of the service that could
+// run it. With none known that is open, and assumed.
+func (a *Assigner) everySuits(j *job) bool {
+	known := false
+	suits := make([]bool, len(j.Steps))
+	for _, g := range a.order {
+		if !g.known || g.load.Service != j.Service || g.load.Capacity == (messenger.Room{}) {
+			continue
+		}
+		known = true
+		for i := range j.Steps {
+			suits[i] = suits[i] || j.Steps[i].suits(&g.load)
+		}
+	}
+	return !known || !slices.Contains(suits, false)
+}
+
+func (a *Assigner) launch(now time.Duration, t *task, g *agent, wait time.Duration) {
+	j := t.job
+	if !j.launched {
+		j.launched, j.launchAt = true, now
+	}
+	t.run++
+	t.run = max(t.run, j.base+1)
+	g.sent++
+	t.state, t.agent, t.sequence, t.launchAt = stateLaunched, g, g.sent, now
+	j.out++
+	g.tasks[t.ref] = t
+	g.ahead = append(g.ahead, ahead{sequence: g.sent, room: t.step.Room})
+	agentNow := g.clock + now - g.heardAt
+	g.launches = append(g.launches, messenger.Launch{
+		Task: t.ref, Run: t.run, Payload: j.Payload, Room: t.step.Room, Service: j.Service,
+		Urgency:  agentNow + t.urgency() - now,
+		StartBy:  agentNow + min(returnAfter, j.deadline-now),
+		Expected: t.expected, Life: g.load.Life,
+	})
+	a.decide(Decision{Event: "task-launched", Task: t.ref, Run: t.run, Instance: g.instance, Wait: wait, Age: now - g.heardAt})
+}
+
+// send makes the frames for the agents.
+func (a *Assigner) send(now time.Duration) {
+	for _, g := range a.order {
+		if len(g.launches)+len(g.withdraws) == 0 && now-g.sentAt < a.limits.BeatEvery {
+			continue
+		}
+		f := &messenger.Frame{
+			Launches: g.launches, Withdraws: g.withdraws,
+			Stamp: &messenger.Stamp{Clock: now, Echo: g.clock},
+		}
+		g.launches, g.withdraws, g.sentAt = nil, nil, now
+		a.out.Sends = append(a.out.Sends, Send{To: g.peer, Frame: f})
+	}
+}
--- /dev/null
+++ b/internal/broker/broker.go
@@ -0,0 +1,268 @@
+// Package broker runs the entry of a system whose jobs need not be kept: it accepts
+// the connections of agents, passes jobs to the assigner on the control thread, and
+// keeps the catalogue of queues up to date among the entries.
+//
+// Nothing is decided here. Callers come through the functions of a [Broker]; how
+// they are served is the business of the caller of this package.
+package broker
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/oklog/run"
+
+	"sardinelock.dev/sardinelock/internal/assigner"
+	"sardinelock.dev/sardinelock/internal/cataloguer"
+	"sardinelock.dev/sardinelock/internal/connector"
+	"sardinelock.dev/sardinelock/internal/controller"
+	"sardinelock.dev/sardinelock/internal/journaler"
+	"sardinelock.dev/sardinelock/internal/linker"
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/timer"
+)
+
+const (
+	// tickEvery is the period at which waiting jobs and silent agents are looked at:
+	// a fraction of the shortest objective.
+	tickEvery = 20 * time.Millisecond
+	dialEvery = 100 * time.Millisecond
+	// routesEvery is the period at which agents and entries hear of all entries.
+	routesEvery = 2 * time.Second
+)
+
+// Settings are the settings of a broker.
+type Settings struct {
+	Instance   string // Instance names the machine; a restart does not change it.
+	Region     string
+	DataCentre string
+	// PeerListen is where agents and other entries connect.
+	PeerListen netip.AddrPort
+	// Entries are the peer addresses of some entries.
+	Entries []netip.AddrPort
+	Limits  assigner.Limits
+	Journal *journaler.Journaler
+}
+
+// Broker is a running entry.
+type Broker struct {
+	settings Settings
+	peer     messenger.Peer
+	loop     *controller.Loop
+	timers   *timer.Service
+	listener net.Listener
+	server   *http.Server
+	links    *linker.Linker
+	counts   connector.Counts
+	shelf    cataloguer.Shelf
+	tickets  atomic.Uint64
+	serving  atomic.Bool
+	meter    *gauge
+
+	// The fields below belong to the control thread.
+	assigner *assigner.Assigner
+	agents   map[messenger.Peer]*connector.Conn
+	entries  map[messenger.Peer]*connector.Conn
+	waiters  map[uint64]chan<- assigner.Answer
+	document []byte // document is the catalogue in force, as peers read it.
+	routedAt time.Time
+
+	background context.Context
+	stop       context.CancelFunc
+}
+
+// New returns a broker that is bound to its address but does not serve yet. It
+// returns an error of kind [KindListen] if the address cannot be bound.
+func New(s Settings) (*Broker, error) {
+	l, err := net.Listen("tcp", s.PeerListen.String())
+	if err != nil {
+		return nil, &Error{Op: "start", Kind: KindListen, Err: err}
+	}
+	b := &Broker{
+		settings: s,
+		peer:     messenger.Peer("entry-" + s.Instance + "-" + uuid.NewString()),
+		timers:   timer.New(),
+		listener: l,
+		meter:    newGauge(),
+		assigner: assigner.New(s.Limits, s.DataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		agents:   make(map[messenger.Peer]*connector.Conn),
+		entries:  make(map[messenger.Peer]*connector.Conn),
+		waiters:  make(map[uint64]chan<- assigner.Answer),
+	}
+	b.background, b.stop = context.WithCancel(context.Background())
+	b.loop = controller.NewOnClock(timer.NewSteadyClock(), b.flush)
+	options := connector.Options{Hello: b.hello, Counts: &b.counts}
+	b.links = linker.New(b.background, b.loop, options, linker.Hooks{Up: b.up, Receive: b.receive, Down: b.down})
+	b.links.Add(true, b.others(s.Entries)...)
+	mux := http.NewServeMux()
+	mux.HandleFunc(connector.Path, func(w http.ResponseWriter, r *http.Request) {
+		conn, err := connector.Accept(w, r, options)
+		if err != nil {
+			return
+		}
+		b.links.Serve(conn)
+	})
+	b.server = &http.Server{Handler: mux, ReadHeaderTimeout: handshakeTimeout}
+	return b, nil
+}
+
+// handshakeTimeout bounds how long a peer may take to ask for a connection.
+const handshakeTimeout = 5 * time.Second
+
+// others returns the addresses that this entry dials: of two entries, the one with
+// the lower address dials.
+func (b *Broker) others(addrs []netip.AddrPort) []netip.AddrPort {
+	var others []netip.AddrPort
+	for _, a := range addrs {
+		if b.settings.PeerListen.Compare(a) < 0 {
+			others = append(others, a)
+		}
+	}
+	return others
+}
+
+// Run serves until the context ends.
+func (b *Broker) Run(ctx context.Context) error {
+	var g run.Group
+	loopCtx, stopLoop := context.WithCancel(context.Background())
+	g.Add(func() error { return b.loop.Run(loopCtx) }, func(error) { stopLoop() })
+	g.Add(b.serve, func(error) { _ = b.server.Close() })
+	end, cancel := context.WithCancel(ctx)
+	g.Add(func() error { <-end.Done(); return nil }, func(error) { cancel() })
+	b.timers.Subscribe(tickEvery, func(time.Time) { b.loop.Post(func(time.Time) {}) })
+	b.timers.Subscribe(dialEvery, func(time.Time) { b.loop.Post(b.links.DialDue) })
+	err := g.Run()
+	b.stop()
+	b.timers.Stop()
+	return err
+}
+
+func (b *Broker) serve() error {
+	if err := b.server.Serve(b.listener); err != nil && err != http.ErrServerClosed {
+		return &Error{Op: "serve", Kind: KindServe, Err: err}
+	}
+	return nil
+}
+
+// Addr returns the bound address for peers.
+func (b *Broker) Addr() netip.AddrPort { return b.listener.Addr().(*net.TCPAddr).AddrPort() }
+
+// Ready reports whether jobs can be served: the queues are known, and an upstream.
+func (b *Broker) Ready() bool { return b.serving.Load() && b.shelf.InForce() != nil }
+
+// Catalogue returns the queues in force, or nil if none are known yet.
+func (b *Broker) Catalogue() *cataloguer.Catalogue { return b.shelf.InForce() }
+
+// Run a job and wait for its answer, at most until the caller's context ends.
+func (b *Broker) Submit(ctx context.Context, j assigner.Job) (assigner.Answer, error) {
+	j.Ticket = b.tickets.Add(1)
+	answers := make(chan assigner.Answer, 1)
+	posted := b.loop.Post(func(now time.Time) {
+		b.waiters[j.Ticket] = answers
+		b.assigner.Submit(b.loop.Elapsed(now), j)
+	})
+	if !posted {
+		return assigner.Answer{}, &Error{Op: "submit", Kind: KindClosed, Err: context.Canceled}
+	}
+	select {
+	case a := <-answers:
+		return a, nil
+	case <-ctx.Done():
+		b.loop.Post(func(now time.Time) {
+			delete(b.waiters, j.Ticket)
+			b.assigner.Leave(b.loop.Elapsed(now), j.ID, j.Ticket)
+		})
+		return assigner.Answer{}, &Error{Op: "submit", Kind: KindCallerLeft, Err: ctx.Err()}
+	}
+}
+
+// Cancel ends a job and reports whether it is known.
+func (b *Broker) Cancel(id string) (known bool) {
+	b.loop.Call(func(now time.Time) { known = b.assigner.Cancel(b.loop.Elapsed(now), id) })
+	return known
+}
+
+// Status reports whether a job has no answer yet, and whether any of it was started.
+func (b *Broker) Status(id string) (known, launched bool) {
+	b.loop.Call(func(time.Time) { known, launched = b.assigner.Known(id) })
+	return known, launched
+}
+
+// Waiting returns the number of a queue's jobs of which nothing was started.
+func (b *Broker) Waiting(queue string) (n int) {
+	b.loop.Call(func(time.Time) { n = b.assigner.Waiting(queue) })
+	return n
+}
+
+// Outstanding returns the number of jobs without an answer.
+func (b *Broker) Outstanding() (jobs int) {
+	b.loop.Call(func(time.Time) { jobs, _ = b.assigner.Counts() })
+	return jobs
+}
+
+// Close makes the broker reject new jobs.
+func (b *Broker) Close() { b.loop.Post(func(time.Time) { b.assigner.Close() }) }
+
+// GiveUp answers every job that has no answer yet.
+func (b *Broker) GiveUp() {
+	b.loop.Call(func(now time.Time) { b.assigner.GiveUp(b.loop.Elapsed(now)) })
+}
+
+// Learn takes peer addresses of entries, from wherever they are known.
+func (b *Broker) Learn(entries []netip.AddrPort) {
+	b.loop.Post(func(time.Time) { b.links.Add(false, b.others(entries)...) })
+}
+
+// Offer takes a catalogue that the platform has shown.
+func (b *Broker) Offer(c *cataloguer.Catalogue) {
+	b.loop.Post(func(time.Time) { b.offer(c, "platform") })
+}
+
+// flush carries out what was decided. It runs on the control thread.
+func (b *Broker) flush(now time.Time) {
+	out := b.assigner.Take(b.loop.Elapsed(now))
+	b.serving.Store(b.assigner.Serving())
+	for _, d := range out.Decisions {
+		b.log(d)
+	}
+	for _, a := range out.Answers {
+		b.answer(a)
+	}
+	for _, s := range out.Sends {
+		if conn := b.agents[s.To]; conn != nil {
+			conn.Send(s.Frame)
+		}
+	}
+	for _, peer := range out.Closes {
+		if conn := b.agents[peer]; conn != nil {
+			delete(b.agents, peer)
+			conn.Close()
+		}
+	}
+	b.route(now)
+}
+
+func (b *Broker) answer(a assigner.Answer) {
+	b.meter.answered(a)
+	b.settings.Journal.Line("job-"+string(a.Outcome)).Str("job", a.Job).Str("queue", a.Queue).
+		Str("reason", a.Reason).Dur("took", a.Took).Dur("waited", a.Waited).
+		Dur("retry-after", a.RetryAfter).Uint64("config-version", b.version()).Msg("")
+	if w := b.waiters[a.Ticket]; w != nil {
+		delete(b.waiters, a.Ticket)
+		w <- a
+	}
+}
+
+func (b *Broker) log(d assigner.Decision) {
+	e := b.settings.Journal.Line(d.Event)
+	if d.Task.Job != "" {
+		e = e.Str("job", d.Task.Job).Int("step", d.Task.Step).Int("task", d.Task.Index).Uint64("run", d.Run)
+	}
+	e.Str("instance", d.Instance).Str("reason", d.Reason).Dur("wait", d.Wait).Dur("age", d.Age).Msg("")
+}
--- /dev/null
+++ b/internal/broker/peers.go
@@ -0,0 +1,145 @@
+package broker
+
+import (
+	"net/netip"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/cataloguer"
+	"sardinelock.dev/sardinelock/internal/connector"
+	"sardinelock.dev/sardinelock/internal/messenger"
+)
+
+func (b *Broker) hello() messenger.Hello {
+	return messenger.Hello{
+		Version:       messenger.ProtocolVersion,
+		Peer:          b.peer,
+		Role:          messenger.RoleEntry,
+		Region:        b.settings.Region,
+		DataCentre:    b.settings.DataCentre,
+		Instance:      b.settings.Instance,
+		PeerAddr:      b.settings.PeerListen,
+		ConfigVersion: b.version(),
+	}
+}
+
+func (b *Broker) version() uint64 {
+	if c := b.shelf.InForce(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// up takes a connection on the control thread.
+func (b *Broker) up(now time.Time, c *connector.Conn) bool {
+	h := c.Hello()
+	switch h.Role {
+	case messenger.RoleAgent:
+		if old := b.agents[h.Peer]; old != nil {
+			old.Close()
+		}
+		b.agents[h.Peer] = c
+		b.assigner.AgentUp(b.loop.Elapsed(now), h.Peer, h.Instance, h.DataCentre)
+		b.routedAt = time.Time{}
+	case messenger.RoleEntry:
+		if h.Peer == b.peer {
+			return false
+		}
+		if old := b.entries[h.Peer]; old != nil {
+			old.Close()
+		}
+		b.entries[h.Peer] = c
+		b.settings.Journal.Line("entry-connected").Str("peer", string(h.Peer)).Msg("")
+		b.links.Add(false, b.others([]netip.AddrPort{h.PeerAddr})...)
+		if h.ConfigVersion < b.version() {
+			c.Send(b.configFrame())
+		}
+		b.routedAt = time.Time{}
+	default:
+		return false
+	}
+	return true
+}
+
+func (b *Broker) receive(now time.Time, c *connector.Conn, f *messenger.Frame) {
+	h := c.Hello()
+	if h.Role == messenger.RoleAgent {
+		if b.agents[h.Peer] == c {
+			b.assigner.Receive(b.loop.Elapsed(now), h.Peer, f)
+		}
+		return
+	}
+	if f.Routes != nil {
+		b.links.Add(false, b.others(addresses(f.Routes))...)
+	}
+	if f.Config != nil && f.Config.Document != nil {
+		catalogue, err := cataloguer.Decode(f.Config.Document)
+		if err != nil {
+			b.settings.Journal.Line("catalogue-unreadable").Str("peer", string(h.Peer)).Err(err).Msg("")
+			return
+		}
+		b.offer(catalogue, string(h.Peer))
+	}
+}
+
+func (b *Broker) down(now time.Time, c *connector.Conn, cause error) {
+	h := c.Hello()
+	switch {
+	case b.agents[h.Peer] == c:
+		delete(b.agents, h.Peer)
+		b.assigner.AgentDown(b.loop.Elapsed(now), h.Peer)
+	case b.entries[h.Peer] == c:
+		delete(b.entries, h.Peer)
+		b.settings.Journal.Line("entry-disconnected").Str("peer", string(h.Peer)).Err(cause).Msg("")
+	}
+}
+
+// offer puts a catalogue in force if it is newer, and tells the other entries: the
+// platform may turn some of them away.
+func (b *Broker) offer(c *cataloguer.Catalogue, source string) {
+	if !b.shelf.Offer(c) {
+		return
+	}
+	b.settings.Journal.Line("config-in-force").Uint64("config-version", c.Version).Str("source", source).Msg("")
+	document, err := c.Encode()
+	if err != nil {
+		b.settings.Journal.Line("catalogue-not-encoded").Err(err).Msg("")
+		return
+	}
+	b.document = document
+	for _, conn := range b.entries {
+		conn.Send(b.configFrame())
+	}
+}
+
+func (b *Broker) configFrame() *messenger.Frame {
+	return &messenger.Frame{Config: &messenger.Config{Version: b.version(), Document: b.document}}
+}
+
+// route tells agents and entries of all connected entries now and then.
+func (b *Broker) route(now time.Time) {
+	if now.Sub(b.routedAt) < routesEvery {
+		return
+	}
+	b.routedAt = now
+	r := &messenger.Routes{Entries: []messenger.EntryAddr{{Peer: b.peer, Addr: b.settings.PeerListen}}}
+	for peer, c := range b.entries {
+		r.Entries = append(r.Entries, messenger.EntryAddr{Peer: peer, Addr: c.Hello().PeerAddr})
+	}
+	for _, addr := range b.links.Addresses() {
+		r.Entries = append(r.Entries, messenger.EntryAddr{Addr: addr})
+	}
+	for _, c := range b.agents {
+		c.Send(&messenger.Frame{Routes: r})
+	}
+	for _, c := range b.entries {
+		c.Send(&messenger.Frame{Routes: r})
+	}
+}
+
+func addresses(r *messenger.Routes) []netip.AddrPort {
+	addrs := make([]netip.AddrPort, 0, len(r.Entries))
+	for _, e := range r.Entries {
+		addrs = append(addrs, e.Addr)
+	}
+	return addrs
+}
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -36,9 +36,12 @@
 }
 
 // New returns a loop that calls flush after each batch. Run starts it.
-func New(flush func(now time.Time)) *Loop {
+func New(flush func(now time.Time)) *Loop { return NewOnClock(timer.NewClock(), flush) }
+
+// NewOnClock is like [New] for a loop on the given clock.
+func NewOnClock(clock timer.Clock, flush func(now time.Time)) *Loop {
 	return &Loop{
-		clock:  timer.NewClock(),
+		clock:  clock,
 		events: make(chan Event, queueEvents),
 		flush:  flush,
 		done:   make(chan struct{}),
@@ -48,6 +51,9 @@
 // Now returns the time on the clock of the loop, which every event is given.
 func (l *Loop) Now() time.Time { return l.clock.Now() }
 
+// Elapsed returns the time since a loop's clock began, for an event's time.
+func (l *Loop) Elapsed(now time.Time) time.Duration { return now.Sub(l.clock.Start) }
+
 // WallAhead returns how far the wall clock is ahead of the clock of the loop.
 func (l *Loop) WallAhead() time.Duration { return l.clock.Ahead(time.Now()) }
 
--- /dev/null
+++ b/internal/keeper/keeper.go
@@ -0,0 +1,320 @@
+// Package keeper runs the agent beside an upstream that is driven by starts, stops
+// and a lease: it dials every entry, asks the upstream what it runs, and drives the
+// runner on the control thread.
+//
+// Nothing is decided here. How the upstream is called is given as functions, each
+// of whose calls runs on a goroutine of its own and posts its end to the control
+// thread.
+package keeper
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/oklog/run"
+
+	"sardinelock.dev/sardinelock/internal/connector"
+	"sardinelock.dev/sardinelock/internal/controller"
+	"sardinelock.dev/sardinelock/internal/journaler"
+	"sardinelock.dev/sardinelock/internal/linker"
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/runner"
+	"sardinelock.dev/sardinelock/internal/timer"
+)
+
+const (
+	// tickEvery is the period at which sessions and leases are looked at: a fraction of
+	// the time until a silent entry's tasks are stopped.
+	tickEvery = 20 * time.Millisecond
+	dialEvery = 100 * time.Millisecond
+	// askFor is how long the upstream may wait for an end before it lists its runs:
+	// progress is known at that period.
+	askFor = 60 * time.Millisecond
+	// askTimeout bounds a question. The upstream is local, so that an answer takes
+	// milliseconds beyond the wait.
+	askTimeout = 300 * time.Millisecond
+	// askPause follows a question without an answer.
+	askPause = 50 * time.Millisecond
+	// callTimeout bounds a start or a stop.
+	callTimeout = 250 * time.Millisecond
+	// discoverAfter is how long no entry may be connected until the addresses of entries
+	// are looked up, and the least time between two look-ups.
+	discoverAfter = time.Second
+	// drainPoll is the period at which a draining agent looks at what is left.
+	drainPoll = 20 * time.Millisecond
+	// flushPause is how long a drained agent keeps its connections for the last frames.
+	flushPause = 50 * time.Millisecond
+)
+
+// Driver is how the upstream is called. Its functions may be called on any
+// goroutine.
+type Driver struct {
+	// Start sends a start, whose lease lasts for the given time.
+	Start func(ctx context.Context, c runner.StartCall, lease time.Duration) runner.Answer
+	// Stop sends a stop and reports whether it was acknowledged.
+	Stop func(ctx context.Context, c runner.StopCall) bool
+	// Ask takes note of ends, renews the lease for the given time unless it is 0, and
+	// returns what the upstream runs, after the wait or with the first end.
+	Ask func(ctx context.Context, q runner.Question, renew, wait time.Duration) (runner.Listing, Silence)
+}
+
+// Silence says why a question has no answer.
+type Silence string
+
+// The reasons.
+const (
+	SilenceNone   Silence = ""       // The question has an answer.
+	SilenceLost   Silence = "lost"   // What became of the question is not known.
+	SilenceClosed Silence = "closed" // Nothing listens at the upstream's address.
+)
+
+// Settings are the settings of a keeper.
+type Settings struct {
+	Instance   string // Instance names the machine; a restart does not change it.
+	Region     string
+	DataCentre string
+	Entries    []netip.AddrPort // Entries are the peer addresses of some entries.
+	Limits     runner.Limits
+	Driver     Driver
+	// Discover looks up the addresses of entries; it is used while none is connected.
+	Discover     func(ctx context.Context) []netip.AddrPort
+	DrainTimeout time.Duration
+	Journal      *journaler.Journaler
+}
+
+// Keeper is a running agent.
+type Keeper struct {
+	settings Settings
+	peer     messenger.Peer
+	loop     *controller.Loop
+	timers   *timer.Service
+	links    *linker.Linker
+	counts   connector.Counts
+
+	// The fields below belong to the control thread.
+	runner       *runner.Runner
+	conns        map[messenger.Peer]*connector.Conn
+	lonelySince  time.Time // lonelySince is when the last entry was connected, or a look-up began.
+	discovering  bool
+	discoverNext time.Time
+
+	background context.Context
+	stop       context.CancelFunc
+}
+
+// New returns a keeper that does not serve yet.
+func New(s Settings) *Keeper {
+	k := &Keeper{
+		settings: s,
+		peer:     messenger.Peer("agent-" + s.Instance + "-" + uuid.NewString()),
+		timers:   timer.New(),
+		runner:   runner.New(s.Limits),
+		conns:    make(map[messenger.Peer]*connector.Conn),
+	}
+	k.background, k.stop = context.WithCancel(context.Background())
+	k.loop = controller.NewOnClock(timer.NewSteadyClock(), k.flush)
+	options := connector.Options{Hello: k.hello, Counts: &k.counts}
+	k.links = linker.New(k.background, k.loop, options, linker.Hooks{Up: k.up, Receive: k.receive, Down: k.down})
+	k.links.Add(true, s.Entries...)
+	return k
+}
+
+func (k *Keeper) hello() messenger.Hello {
+	return messenger.Hello{
+		Version:    messenger.ProtocolVersion,
+		Peer:       k.peer,
+		Role:       messenger.RoleAgent,
+		Region:     k.settings.Region,
+		DataCentre: k.settings.DataCentre,
+		Instance:   k.settings.Instance,
+	}
+}
+
+// Run serves until the context ends, then finishes what runs and returns.
+func (k *Keeper) Run(ctx context.Context) error {
+	var g run.Group
+	loopCtx, stopLoop := context.WithCancel(context.Background())
+	g.Add(func() error { return k.loop.Run(loopCtx) }, func(error) { stopLoop() })
+	asking, stopAsking := context.WithCancel(context.Background())
+	g.Add(func() error { k.ask(asking); return nil }, func(error) { stopAsking() })
+	end, cancel := context.WithCancel(ctx)
+	g.Add(func() error { <-end.Done(); k.drain(); return nil }, func(error) { cancel() })
+	k.timers.Subscribe(tickEvery, func(time.Time) { k.loop.Post(func(time.Time) {}) })
+	k.timers.Subscribe(dialEvery, func(time.Time) { k.loop.Post(k.dial) })
+	err := g.Run()
+	k.stop()
+	k.timers.Stop()
+	return err
+}
+
+// dial connects to entries, once nothing is left of earlier connections.
+func (k *Keeper) dial(now time.Time) {
+	if k.runner.Orphaned() {
+		return
+	}
+	k.links.DialDue(now)
+	if len(k.conns) > 0 {
+		k.lonelySince = now
+	}
+	if k.settings.Discover == nil || k.discovering || now.Sub(k.lonelySince) < discoverAfter {
+		return
+	}
+	k.discovering, k.lonelySince = true, now
+	go func() {
+		addrs := k.settings.Discover(k.background)
+		k.loop.Post(func(time.Time) {
+			k.discovering = false
+			k.links.Add(false, addrs...)
+		})
+	}()
+}
+
+// ask asks the upstream again and again.
+func (k *Keeper) ask(ctx context.Context) {
+	for ctx.Err() == nil {
+		var q runner.Question
+		var asked time.Duration
+		k.loop.Call(func(now time.Time) {
+			asked = k.loop.Elapsed(now)
+			q = k.runner.Ask(asked)
+		})
+		renew := time.Duration(0)
+		if q.Renew > 0 {
+			renew = q.Renew - asked
+		}
+		askCtx, cancel := context.WithTimeout(ctx, askTimeout)
+		l, silence := k.settings.Driver.Ask(askCtx, q, renew, askFor)
+		cancel()
+		l.AskedAt = asked
+		k.loop.Call(func(now time.Time) {
+			if silence == SilenceNone {
+				k.runner.Listed(k.loop.Elapsed(now), l)
+				return
+			}
+			k.runner.Unanswered(k.loop.Elapsed(now), silence == SilenceClosed)
+		})
+		if silence != SilenceNone {
+			pause(ctx, askPause)
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// Announce takes an announcement of the upstream and reports whether it was taken.
+func (k *Keeper) Announce(u runner.Upstream) (taken bool) {
+	k.loop.Call(func(now time.Time) { taken = k.runner.Announce(k.loop.Elapsed(now), u) })
+	return taken
+}
+
+// Leave takes the end of the upstream.
+func (k *Keeper) Leave(id string) {
+	k.loop.Call(func(now time.Time) { k.runner.Leave(k.loop.Elapsed(now), id) })
+}
+
+// drain returns what waits and waits for what runs.
+func (k *Keeper) drain() {
+	k.settings.Journal.Line("draining").Msg("")
+	k.loop.Call(func(now time.Time) { k.runner.Close(k.loop.Elapsed(now)) })
+	deadline := time.Now().Add(k.settings.DrainTimeout)
+	idle := false
+	for !idle && time.Now().Before(deadline) {
+		time.Sleep(drainPoll)
+		k.loop.Call(func(time.Time) { idle = k.runner.Idle() })
+	}
+	time.Sleep(flushPause)
+}
+
+// flush carries out what was decided. It runs on the control thread.
+func (k *Keeper) flush(now time.Time) {
+	out := k.runner.Take(k.loop.Elapsed(now))
+	for _, c := range out.Starts {
+		go k.start(c)
+	}
+	for _, c := range out.Stops {
+		go k.halt(c)
+	}
+	for _, s := range out.Sends {
+		if conn := k.conns[s.To]; conn != nil {
+			conn.Send(s.Frame)
+		}
+	}
+	for _, peer := range out.Closes {
+		if conn := k.conns[peer]; conn != nil {
+			delete(k.conns, peer)
+			conn.Close()
+		}
+	}
+	for _, d := range out.Decisions {
+		k.log(d)
+	}
+}
+
+func (k *Keeper) start(c runner.StartCall) {
+	ctx, cancel := context.WithTimeout(k.background, callTimeout)
+	defer cancel()
+	a := k.settings.Driver.Start(ctx, c, k.settings.Limits.Lease)
+	k.loop.Post(func(now time.Time) { k.runner.Started(k.loop.Elapsed(now), c, a) })
+}
+
+func (k *Keeper) halt(c runner.StopCall) {
+	ctx, cancel := context.WithTimeout(k.background, callTimeout)
+	defer cancel()
+	acknowledged := k.settings.Driver.Stop(ctx, c)
+	k.loop.Post(func(now time.Time) { k.runner.Stopped(k.loop.Elapsed(now), c, acknowledged) })
+}
+
+func (k *Keeper) log(d runner.Decision) {
+	e := k.settings.Journal.Line(d.Event)
+	if d.Task.Job != "" {
+		e = e.Str("job", d.Task.Job).Int("step", d.Task.Step).Int("task", d.Task.Index).Uint64("run", d.Run)
+	}
+	e.Str("reason", d.Reason).Dur("age", d.Age).Msg("")
+}
+
+// up takes a connection on the control thread.
+func (k *Keeper) up(now time.Time, c *connector.Conn) bool {
+	h := c.Hello()
+	if h.Role != messenger.RoleEntry || k.runner.Orphaned() {
+		return false
+	}
+	if old := k.conns[h.Peer]; old != nil {
+		return false
+	}
+	k.conns[h.Peer] = c
+	k.runner.EntryUp(k.loop.Elapsed(now), h.Peer)
+	k.settings.Journal.Line("entry-connected").Str("peer", string(h.Peer)).Msg("")
+	return true
+}
+
+func (k *Keeper) receive(now time.Time, c *connector.Conn, f *messenger.Frame) {
+	peer := c.Hello().Peer
+	if k.conns[peer] != c {
+		return
+	}
+	if f.Routes != nil {
+		for _, e := range f.Routes.Entries {
+			k.links.Add(false, e.Addr)
+		}
+	}
+	k.runner.Receive(k.loop.Elapsed(now), peer, f)
+}
+
+func (k *Keeper) down(now time.Time, c *connector.Conn, cause error) {
+	peer := c.Hello().Peer
+	if k.conns[peer] != c {
+		return
+	}
+	delete(k.conns, peer)
+	k.runner.EntryDown(k.loop.Elapsed(now), peer)
+	k.settings.Journal.Line("entry-disconnected").Str("peer", string(peer)).Err(cause).Msg("")
+}
--- /dev/null
+++ b/internal/linker/linker.go
@@ -0,0 +1,165 @@
+// Package linker keeps connections to a changing set of addresses.
+//
+// A [Linker] belongs to the control thread of a process. It dials what is known
+// and not connected, with pauses that grow and are jittered, and passes on what
+// the connections bring.
+package linker
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"sardinelock.dev/sardinelock/internal/connector"
+	"sardinelock.dev/sardinelock/internal/controller"
+	"sardinelock.dev/sardinelock/internal/messenger"
+)
+
+const (
+	minRedial = 100 * time.Millisecond
+	maxRedial = time.Second
+	// forgetAfter is how many dials of a learned address fail in a row until it is
+	// forgotten: some two minutes at the longest pause.
+	forgetAfter = 120
+	// dialTimeout bounds a dial, which an address without a machine does not answer.
+	dialTimeout = time.Second
+	// unackedFor is how long sent bytes may be without an acknowledgement.
+	unackedFor = 2 * time.Second
+)
+
+// Hooks are called on the control thread.
+type Hooks struct {
+	// Up is told of a connection. If it reports false, the connection is closed.
+	Up func(now time.Time, c *connector.Conn) bool
+	// Receive is given each frame.
+	Receive func(now time.Time, c *connector.Conn, f *messenger.Frame)
+	// Down is told of the end of a connection that was up.
+	Down func(now time.Time, c *connector.Conn, cause error)
+}
+
+// Linker keeps the connections of one process.
+type Linker struct {
+	loop    *controller.Loop
+	hooks   Hooks
+	options connector.Options
+	ctx     context.Context
+	targets map[netip.AddrPort]*target
+}
+
+type target struct {
+	fixed    bool // fixed means that the address is in the settings.
+	busy     bool // busy means that the address is connected or dialled.
+	failures int  // failures counts the dials that failed since the last connection.
+	next     time.Time
+}
+
+// New returns a linker whose connections end with the context.
+func New(ctx context.Context, loop *controller.Loop, o connector.Options, h Hooks) *Linker {
+	o.Client = &http.Client{Transport: &http.Transport{DialContext: Dial}}
+	return &Linker{loop: loop, hooks: h, options: o, ctx: ctx, targets: make(map[netip.AddrPort]*target)}
+}
+
+// Dial opens a connection that breaks when what it sends is not acknowledged, so that
+// a peer that has lost its power or the network is noticed.
+func Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{
+		Timeout:   dialTimeout,
+		KeepAlive: unackedFor / 2,
+		Control:   func(_, _ string, c syscall.RawConn) error { return breakSilent(c) },
+	}
+	return d.DialContext(ctx, network, address)
+}
+
+func breakSilent(c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedFor.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// Add makes addresses known. Fixed ones are never forgotten.
+func (l *Linker) Add(fixed bool, addrs ...netip.AddrPort) {
+	for _, addr := range addrs {
+		t := l.targets[addr]
+		if t == nil {
+			t = &target{}
+			l.targets[addr] = t
+		}
+		t.fixed = t.fixed || fixed
+	}
+}
+
+// Addresses returns the known addresses.
+func (l *Linker) Addresses() []netip.AddrPort {
+	addrs := make([]netip.AddrPort, 0, len(l.targets))
+	for addr := range l.targets {
+		addrs = append(addrs, addr)
+	}
+	return addrs
+}
+
+// DialDue dials what is not connected and due.
+func (l *Linker) DialDue(now time.Time) {
+	for addr, t := range l.targets {
+		if t.busy || now.Before(t.next) {
+			continue
+		}
+		t.busy = true
+		go l.link(addr)
+	}
+}
+
+func (l *Linker) link(addr netip.AddrPort) {
+	connected := false
+	defer func() {
+		l.loop.Post(func(now time.Time) { l.unlinked(now, addr, connected) })
+	}()
+	conn, err := connector.Dial(l.ctx, "ws://"+addr.String()+connector.Path, l.options)
+	if err != nil {
+		return
+	}
+	connected = l.Serve(conn)
+}
+
+// Serve passes on what a connection brings until it ends. It reports whether the
+// connection was taken. It must not be called on the control thread.
+func (l *Linker) Serve(conn *connector.Conn) bool {
+	taken := false
+	l.loop.Call(func(now time.Time) { taken = l.hooks.Up(now, conn) })
+	if !taken {
+		conn.Close()
+		return false
+	}
+	stop := context.AfterFunc(l.ctx, conn.Close)
+	defer stop()
+	err := conn.Run(func(f *messenger.Frame) {
+		l.loop.Post(func(now time.Time) { l.hooks.Receive(now, conn, f) })
+	})
+	l.loop.Post(func(now time.Time) { l.hooks.Down(now, conn, err) })
+	return true
+}
+
+func (l *Linker) unlinked(now time.Time, addr netip.AddrPort, connected bool) {
+	t := l.targets[addr]
+	t.busy = false
+	if connected {
+		t.failures = 0
+	}
+	pause := min(minRedial<<min(t.failures, 8), maxRedial)
+	t.failures++
+	if !t.fixed && t.failures > forgetAfter {
+		delete(l.targets, addr)
+		return
+	}
+	t.next = now.Add(pause/2 + rand.N(pause))
+}
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -57,6 +57,11 @@
 	Expel      *Expel       `cbor:"21,keyasint,omitempty"`
 	Bequests   []Bequest    `cbor:"22,keyasint,omitempty"`
 	Bequeathed []Bequeathed `cbor:"23,keyasint,omitempty"`
+	Launches   []Launch     `cbor:"24,keyasint,omitempty"`
+	Withdraws  []Withdraw   `cbor:"25,keyasint,omitempty"`
+	Ends       []End        `cbor:"26,keyasint,omitempty"`
+	Load       *Load        `cbor:"27,keyasint,omitempty"`
+	Stamp      *Stamp       `cbor:"28,keyasint,omitempty"`
 }
 
 // Hello is the first message in both directions of a connection.
@@ -72,6 +77,8 @@
 	Epochs []uint64 `cbor:"8,keyasint,omitempty"`
 	// ConfigVersion is the version of the configuration in force at the sender, or 0.
 	ConfigVersion uint64 `cbor:"20,keyasint,omitempty"`
+	// Instance names the machine of an agent, which a restart does not change.
+	Instance string `cbor:"21,keyasint,omitempty"`
 }
 
 // Contact carries the proof of recent contact that leases rest on. It rides on
--- a/internal/messenger/fuzz_test.go
+++ b/internal/messenger/fuzz_test.go
@@ -40,6 +40,11 @@
 		Expel:      &Expel{Roster: 2},
 		Bequests:   []Bequest{{Agent: "agent-0", Piece: 1, Last: true, Records: []Record{{Submission: s}}}},
 		Bequeathed: []Bequeathed{{Agent: "agent-0", Pieces: 2}},
+		Launches:   []Launch{{Task: TaskRef{Job: "a", Step: 1, Index: 2}, Run: 1, Room: Room{MilliCPU: 1600}, Service: "quote", Life: "u"}},
+		Withdraws:  []Withdraw{{Task: TaskRef{Job: "a"}, Run: 1}},
+		Ends:       []End{{Task: TaskRef{Job: "a"}, Run: 1, Kind: EndDone, Took: time.Second}},
+		Load:       &Load{Life: "u", Service: "quote", State: RunnerReady, Labels: []string{"r1"}, Seen: 3},
+		Stamp:      &Stamp{Clock: time.Second, Echo: 2},
 	}
 }
 
--- /dev/null
+++ b/internal/runner/health.go
@@ -0,0 +1,87 @@
+package runner
+
+import (
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/messenger"
+)
+
+const (
+	// probeTasks is how many tasks run at a time at an upstream that is probed.
+	probeTasks = 1
+	// failLimit is the weighted share of failed tasks that makes an upstream suspect.
+	// Jobs that can never be done are a twentieth of the load at most.
+	failLimit = 0.35
+	// failWeight is the weight of one end in that share.
+	failWeight = 0.15
+	// paceWeight is the weight of one task in the learned pace.
+	paceWeight = 0.1
+	// minBackOff and maxBackOff bound the time until a suspect upstream is probed. The
+	// lower bound is in the order of a job's objective.
+	minBackOff = 400 * time.Millisecond
+	maxBackOff = 4 * time.Second
+	// trustAfter is how long an upstream must behave until its earlier faults are forgotten.
+	trustAfter = 10 * time.Second
+)
+
+// health is what the ends of tasks tell about the upstream.
+type health struct {
+	failShare float64
+	paceShare float64
+	backOff   time.Duration
+	until     time.Duration // until is when the upstream may be probed; 0 if it is not suspect.
+	faultAt   time.Duration // faultAt is the time of the latest fault.
+}
+
+func newHealth() health { return health{paceShare: 1, backOff: minBackOff} }
+
+func (h *health) state(now time.Duration) messenger.RunnerState {
+	switch {
+	case h.until == 0:
+		return messenger.RunnerReady
+	case now < h.until:
+		return messenger.RunnerSuspect
+	}
+	return messenger.RunnerProbing
+}
+
+// done notes a task that ended with success.
+func (h *health) done(now, took, expected time.Duration) {
+	h.failShare *= 1 - failWeight
+	if expected > 0 {
+		h.paceShare += paceWeight * (float64(took)/float64(expected) - h.paceShare)
+	}
+	if h.until != 0 && now >= h.until {
+		h.until = 0
+		h.failShare = 0
+	}
+	if now-h.faultAt > trustAfter {
+		h.backOff = minBackOff
+	}
+}
+
+// failed notes a task that failed, and reports whether that makes the upstream
+// suspect.
+func (h *health) failed(now time.Duration) bool {
+	h.failShare += failWeight * (1 - h.failShare)
+	probing := h.until != 0 && now >= h.until
+	if h.failShare < failLimit && !probing {
+		return false
+	}
+	was := h.until
+	h.stalled(now)
+	return was == 0 || probing
+}
+
+// stalled makes the upstream suspect.
+func (h *health) stalled(now time.Duration) {
+	if h.until != 0 && now < h.until {
+		return
+	}
+	h.faultAt = now
+	h.until = now + h.backOff
+	h.backOff = min(2*h.backOff, maxBackOff)
+}
+
+// pace returns the run time of recent tasks by the expected one, in percent.
+func (h *health) pace() int64 { return int64(h.paceShare * 100) }
--- /dev/null
+++ b/internal/runner/session.go
@@ -0,0 +1,148 @@
+package runner
+
+import (
+	"slices"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/messenger"
+)
+
+// session is one connection to an entry.
+type session struct {
+	peer   messenger.Peer
+	heard  time.Duration // heard is the latest stamp of this runner that the entry has had.
+	entry  time.Duration // entry is the latest stamp of the entry.
+	seen   uint64        // seen counts the launches that came on the connection.
+	ends   []messenger.End
+	tasks  int           // tasks counts the tasks that the session owns.
+	dirty  bool          // dirty means that the load has changed since it was last sent.
+	sentAt time.Duration // sentAt is when the latest frame was sent.
+	closed bool          // closed means that the connection has ended.
+}
+
+// EntryUp begins the session of an entry.
+func (r *Runner) EntryUp(now time.Duration, peer messenger.Peer) {
+	r.sessions[peer] = &session{peer: peer, heard: now, dirty: true}
+}
+
+// EntryDown ends the session of an entry and stops its tasks.
+func (r *Runner) EntryDown(now time.Duration, peer messenger.Peer) {
+	if s := r.sessions[peer]; s != nil {
+		r.closeSession(now, s, "connection-ended")
+	}
+}
+
+// Busy reports whether tasks of an ended session of the entry are left, so that it
+// must not be connected again yet.
+func (r *Runner) Busy(peer messenger.Peer) bool {
+	for _, t := range r.tasks {
+		if t.session.peer == peer && t.session.closed {
+			return true
+		}
+	}
+	return false
+}
+
+// Orphaned reports whether tasks of any ended session are left.
+func (r *Runner) Orphaned() bool {
+	for _, t := range r.tasks {
+		if t.session.closed {
+			return true
+		}
+	}
+	return len(r.strays) > 0
+}
+
+func (r *Runner) closeSession(now time.Duration, s *session, reason string) {
+	if s.closed {
+		return
+	}
+	s.closed = true
+	delete(r.sessions, s.peer)
+	if s.tasks > 0 {
+		r.decide(Decision{Event: "session-tasks-stopped", Reason: reason, Age: now - s.heard})
+	}
+	for _, t := range r.sorted() {
+		if t.session == s {
+			r.stop(now, t, messenger.EndWithdrawn, reason)
+		}
+	}
+}
+
+// Receive takes a frame of an entry.
+func (r *Runner) Receive(now time.Duration, peer messenger.Peer, f *messenger.Frame) {
+	s := r.sessions[peer]
+	if s == nil {
+		return
+	}
+	if f.Stamp != nil {
+		s.entry = max(s.entry, f.Stamp.Clock)
+		s.heard = max(s.heard, f.Stamp.Echo)
+	}
+	if now-s.heard > r.limits.Silence {
+		// A frame that was held up on its way must not start anything.
+		r.silence(now, s)
+		return
+	}
+	for i := range f.Withdraws {
+		r.withdraw(now, s, &f.Withdraws[i])
+	}
+	for i := range f.Launches {
+		s.seen++
+		r.launch(now, s, &f.Launches[i])
+	}
+	s.dirty = s.dirty || len(f.Launches) > 0
+}
+
+func (r *Runner) silence(now time.Duration, s *session) {
+	r.decide(Decision{Event: "entry-silent", Reason: string(s.peer), Age: now - s.heard})
+	r.closeSession(now, s, "entry-silent")
+	r.out.Closes = append(r.out.Closes, s.peer)
+}
+
+func (r *Runner) launch(now time.Duration, s *session, l *messenger.Launch) {
+	t := &task{Launch: *l, session: s, state: stateWaiting}
+	refuse := func(reason string) {
+		r.decide(Decision{Event: "task-returned", Task: l.Task, Run: l.Run, Reason: reason, Age: now - s.heard})
+		s.ends = append(s.ends, messenger.End{Task: l.Task, Run: l.Run, Kind: messenger.EndReturned})
+	}
+	st := r.State(now)
+	switch {
+	case r.tasks[l.Task] != nil:
+		refuse("runs-already")
+	case l.Life != r.life.String() || r.upstream == nil || r.upstream.Service != l.Service:
+		refuse("other-upstream")
+	case st != messenger.RunnerReady && st != messenger.RunnerProbing:
+		refuse(string(st))
+	case !l.Room.Fits(r.upstream.Capacity):
+		refuse("too-large")
+	default:
+		r.tasks[l.Task] = t
+		s.tasks++
+		at, _ := slices.BinarySearchFunc(r.waiting, t, compareUrgency)
+		r.waiting = slices.Insert(r.waiting, at, t)
+	}
+}
+
+func compareUrgency(a, b *task) int {
+	if a.Urgency != b.Urgency {
+		return int(a.Urgency - b.Urgency)
+	}
+	return a.Task.Compare(b.Task)
+}
+
+func (r *Runner) withdraw(now time.Duration, s *session, w *messenger.Withdraw) {
+	t := r.tasks[w.Task]
+	if t == nil || t.Run != w.Run || t.session != s {
+		// The end is on its way, or the launch was refused.
+		return
+	}
+	r.stop(now, t, messenger.EndWithdrawn, "withdrawn")
+}
+
+// dirty notes that every entry must hear of the load.
+func (r *Runner) dirty() {
+	for _, s := range r.sessions {
+		s.dirty = true
+	}
+}
--- /dev/null
+++ b/internal/runner/take.go
@@ -0,0 +1,191 @@
+package runner
+
+import (
+	"slices"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/messenger"
+)
+
+// Question is what the upstream must be asked next.
+type Question struct {
+	Life Life
+	Seen int64 // Seen is the number of the latest end that was taken note of.
+	// Renew is the time to which the lease is to be extended; 0 leaves it as it is.
+	Renew time.Duration
+}
+
+// Ask returns what the upstream must be asked now. The lease is not renewed while a
+// stop is without an answer for long: then everything ends with it.
+func (r *Runner) Ask(now time.Duration) Question {
+	q := Question{Life: r.life, Seen: r.seen}
+	if len(r.strays) > 0 {
+		return q
+	}
+	for _, t := range r.tasks {
+		if t.state == stateStopping && now-t.stopAt > r.limits.StopsPending {
+			return q
+		}
+	}
+	q.Renew = now + r.limits.Lease
+	r.renewed(q.Renew)
+	return q
+}
+
+func (r *Runner) renewed(to time.Duration) { r.leaseEnds = max(r.leaseEnds, to) }
+
+// Unanswered takes the failure of a question. If the upstream is closed, nothing
+// listens at its address.
+func (r *Runner) Unanswered(now time.Duration, closed bool) {
+	if closed {
+		if len(r.tasks) > 0 {
+			r.decide(Decision{Event: "upstream-closed"})
+		}
+		r.loseAll(now)
+		clear(r.strays)
+		r.leaseEnds = 0
+	}
+	if !r.silent {
+		r.decide(Decision{Event: "upstream-silent"})
+		r.silent = true
+		r.dirty()
+	}
+}
+
+// Take returns what must be done since the last call.
+func (r *Runner) Take(now time.Duration) Output {
+	r.dropSilent(now)
+	r.checkLease(now)
+	r.retryStops(now)
+	r.startWaiting(now)
+	r.report(now)
+	out := r.out
+	r.out = Output{}
+	return out
+}
+
+func (r *Runner) dropSilent(now time.Duration) {
+	for _, peer := range sortedPeers(r.sessions) {
+		if s := r.sessions[peer]; now-s.heard > r.limits.Silence {
+			r.silence(now, s)
+		}
+	}
+}
+
+// checkLease ends what must have ended because the lease was not renewed.
+func (r *Runner) checkLease(now time.Duration) {
+	if r.leaseEnds == 0 || now < r.leaseEnds+r.limits.Lease/clockSkew+leaseMargin {
+		return
+	}
+	r.leaseEnds = 0
+	lost := false
+	for _, t := range r.sorted() {
+		if t.state == stateWaiting {
+			continue
+		}
+		lost = true
+		kind := messenger.EndLost
+		if t.kind != "" {
+			kind = t.kind
+		}
+		// A start that was held up on its way may still be carried out. Its room
+		// stays charged until a stop is acknowledged.
+		if t.state == stateStarting || t.state == stateStopping && t.kind == messenger.EndNotKnown {
+			continue
+		}
+		r.end(now, t, kind)
+	}
+	if lost {
+		r.decide(Decision{Event: "lease-lapsed"})
+	}
+}
+
+// leaseMargin is added to the end of a lease for the way of the last renewal.
+const leaseMargin = 50 * time.Millisecond
+
+func (r *Runner) retryStops(now time.Duration) {
+	for _, t := range r.sorted() {
+		if t.state == stateStopping && now >= t.retryAt {
+			r.sendStop(now, t)
+		}
+	}
+	for ref, run := range r.strays {
+		r.out.Stops = append(r.out.Stops, StopCall{Life: r.life, Task: ref, Run: run})
+	}
+}
+
+// startWaiting starts what fits, the most urgent first.
+func (r *Runner) startWaiting(now time.Duration) {
+	if len(r.waiting) == 0 {
+		return
+	}
+	st := r.State(now)
+	if st == messenger.RunnerAbsent || st == messenger.RunnerLeaving || st == messenger.RunnerSuspect {
+		r.returnWaiting(now)
+		return
+	}
+	for _, t := range slices.Clone(r.waiting) {
+		switch {
+		case now > t.StartBy:
+			r.end(now, t, messenger.EndReturned)
+		case r.mayStart(t, st):
+			r.start(now, t)
+		}
+	}
+}
+
+func (r *Runner) mayStart(t *task, st messenger.RunnerState) bool {
+	if st == messenger.RunnerProbing && len(r.tasks)-len(r.waiting) >= probeTasks {
+		return false
+	}
+	return r.used.Add(t.Room).Fits(r.upstream.Capacity)
+}
+
+func (r *Runner) start(now time.Duration, t *task) {
+	i := slices.Index(r.waiting, t)
+	r.waiting = slices.Delete(r.waiting, i, i+1)
+	t.state = stateStarting
+	t.since = now
+	r.used = r.used.Add(t.Room)
+	r.renewed(now + r.limits.Lease)
+	r.out.Starts = append(r.out.Starts, StartCall{Life: r.life, Task: t.Task, Run: t.Run, Payload: t.Payload})
+	r.dirty()
+}
+
+// report makes the frames for the entries that must hear something.
+func (r *Runner) report(now time.Duration) {
+	reportEvery := r.limits.ReportEvery * time.Duration(max(1, len(r.sessions)))
+	for _, peer := range sortedPeers(r.sessions) {
+		s := r.sessions[peer]
+		since := now - s.sentAt
+		if len(s.ends) == 0 && since < r.limits.BeatEvery && (!s.dirty || since < reportEvery) {
+			continue
+		}
+		f := &messenger.Frame{Ends: s.ends, Stamp: &messenger.Stamp{Clock: now, Echo: s.entry}}
+		if s.dirty {
+			f.Load = r.load(now, s)
+		}
+		s.ends, s.dirty, s.sentAt = nil, false, now
+		r.out.Sends = append(r.out.Sends, Send{To: peer, Frame: f})
+	}
+}
+
+func (r *Runner) load(now time.Duration, s *session) *messenger.Load {
+	l := &messenger.Load{Life: r.life.String(), State: r.State(now), Used: r.used, Seen: s.seen, Pace: r.health.pace()}
+	for _, t := range r.waiting {
+		l.Queued = l.Queued.Add(t.Room)
+	}
+	if r.upstream != nil {
+		l.Service, l.Capacity, l.Labels = r.upstream.Service, r.upstream.Capacity, r.upstream.Labels
+	}
+	return l
+}
+
+func sortedPeers(sessions map[messenger.Peer]*session) []messenger.Peer {
+	peers := make([]messenger.Peer, 0, len(sessions))
+	for p := range sessions {
+		peers = append(peers, p)
+	}
+	slices.Sort(peers)
+	return peers
+}
--- /dev/null
+++ b/internal/runner/task.go
@@ -0,0 +1,238 @@
+package runner
+
+import (
+	"slices"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/messenger"
+)
+
+// Answer is the upstream's answer to a start.
+type Answer string
+
+// The answers to starts.
+const (
+	AnswerStarted   Answer = "started"
+	AnswerRefused   Answer = "refused"    // The upstream did not start the task.
+	AnswerStaleRun  Answer = "stale-run"  // The upstream has seen a higher run of the task.
+	AnswerOtherLife Answer = "other-life" // The upstream is another one than was meant.
+	AnswerUnhealthy Answer = "unhealthy"  // The upstream refuses work and has done nothing.
+	AnswerNone      Answer = "none"       // Whether the start took effect is open.
+)
+
+// Started takes the answer to a start.
+func (r *Runner) Started(now time.Duration, c StartCall, a Answer) {
+	t := r.tasks[c.Task]
+	if t == nil || t.Run != c.Run || t.state == stateWaiting {
+		return
+	}
+	switch a {
+	case AnswerStarted:
+		if t.state == stateStarting {
+			t.state = stateRunning
+		}
+	case AnswerNone:
+		if t.state == stateStarting {
+			r.stop(now, t, messenger.EndNotKnown, "start-unanswered")
+		}
+	case AnswerStaleRun:
+		r.end(now, t, messenger.EndStaleRun)
+	case AnswerRefused, AnswerOtherLife, AnswerUnhealthy:
+		r.decide(Decision{Event: "start-refused", Task: t.Task, Run: t.Run, Reason: string(a)})
+		if a == AnswerUnhealthy {
+			r.health.stalled(now)
+			r.dirty()
+		}
+		r.end(now, t, messenger.EndRefused)
+	}
+}
+
+// Stopped takes the answer to a stop: whether the upstream has acknowledged it.
+func (r *Runner) Stopped(now time.Duration, c StopCall, acknowledged bool) {
+	if run, ok := r.strays[c.Task]; ok && run == c.Run {
+		// The next list of runs tells whether it is gone.
+		return
+	}
+	t := r.tasks[c.Task]
+	if t == nil || t.Run != c.Run || t.state != stateStopping {
+		return
+	}
+	if acknowledged {
+		t.state = stateStopped
+		t.stopAt = now
+	}
+}
+
+// Run is one run in a list of the upstream.
+type Run struct {
+	Task    messenger.TaskRef
+	Run     uint64
+	Percent int // Percent is the progress, from 0 to 100.
+}
+
+// RunEnd is the end of a run in a list of the upstream.
+type RunEnd struct {
+	Number int64 // Number counts the ends of a life from 1.
+	Task   messenger.TaskRef
+	Run    uint64
+	Kind   messenger.EndKind
+}
+
+// Listing is the upstream's answer to the question what it runs.
+type Listing struct {
+	Life    Life
+	Running []Run
+	Ended   []RunEnd
+	// AskedAt is when the question was sent.
+	AskedAt time.Duration
+	// Renewed is the time to which the lease was asked to be extended, or 0.
+	Renewed time.Duration
+}
+
+// Listed takes a list of the upstream.
+func (r *Runner) Listed(now time.Duration, l Listing) {
+	if !l.Life.same(r.life) {
+		if l.Life.Born < r.life.Born {
+			return
+		}
+		r.begin(now, l.Life)
+	}
+	if r.silent || !r.answered {
+		r.decide(Decision{Event: "upstream-answers"})
+		r.silent, r.answered = false, true
+		r.dirty()
+	}
+	for _, e := range l.Ended {
+		if e.Number <= r.seen {
+			continue
+		}
+		r.seen = e.Number
+		r.ended(now, e)
+	}
+	listed := make(map[messenger.TaskRef]uint64, len(l.Running))
+	for _, run := range l.Running {
+		listed[run.Task] = run.Run
+		r.progress(now, run)
+	}
+	r.forgetStrays(listed)
+	for _, t := range r.sorted() {
+		// What was stopped and is not in a list that was asked for afterwards is gone.
+		if t.state == stateStopped && listed[t.Task] != t.Run && t.stopAt < l.AskedAt {
+			r.end(now, t, t.kind)
+		}
+	}
+}
+
+func (r *Runner) forgetStrays(listed map[messenger.TaskRef]uint64) {
+	if len(r.strays) == 0 {
+		return
+	}
+	for ref, run := range r.strays {
+		if listed[ref] != run {
+			delete(r.strays, ref)
+		}
+	}
+	if len(r.strays) == 0 {
+		r.decide(Decision{Event: "strays-gone"})
+		r.dirty()
+	}
+}
+
+func (r *Runner) ended(now time.Duration, e RunEnd) {
+	if r.strays[e.Task] == e.Run {
+		delete(r.strays, e.Task)
+	}
+	t := r.tasks[e.Task]
+	if t == nil || t.Run != e.Run || t.state == stateWaiting {
+		return
+	}
+	kind := e.Kind
+	switch {
+	case kind == messenger.EndDone:
+		r.health.done(now, now-t.since, t.Expected)
+	case kind == messenger.EndFailed:
+		if r.health.failed(now) {
+			r.suspect("failures")
+		}
+	case t.kind != "":
+		kind = t.kind
+	}
+	r.end(now, t, kind)
+}
+
+func (r *Runner) suspect(reason string) {
+	r.decide(Decision{Event: "upstream-suspect", Reason: reason})
+	r.dirty()
+}
+
+// progress notes how far a run is and stops it if it stands still.
+func (r *Runner) progress(now time.Duration, run Run) {
+	t := r.tasks[run.Task]
+	if t == nil || t.Run != run.Run || t.state == stateWaiting {
+		if r.strays[run.Task] == 0 {
+			r.decide(Decision{Event: "stray-run", Task: run.Task, Run: run.Run})
+			r.dirty()
+		}
+		r.strays[run.Task] = max(r.strays[run.Task], run.Run)
+		return
+	}
+	if t.state == stateStarting {
+		t.state = stateRunning
+	}
+	if t.progress == 0 || run.Percent != t.percent {
+		t.percent, t.progress = run.Percent, now
+		return
+	}
+	allowed := max(r.limits.StallAfter, t.Expected/stallShare)
+	if t.state != stateRunning || now-t.progress < allowed {
+		return
+	}
+	r.health.stalled(now)
+	r.suspect("stalled")
+	r.decide(Decision{Event: "task-stalled", Task: t.Task, Run: t.Run, Age: now - t.progress})
+	r.stop(now, t, messenger.EndStalled, "stalled")
+}
+
+// stallShare is the share of a task's expected time that it may stand still, as a
+// divisor: progress is told in hundredths.
+const stallShare = 8
+
+// stop ends a task: one that waits at once, another by a stop.
+func (r *Runner) stop(now time.Duration, t *task, kind messenger.EndKind, reason string) {
+	switch t.state {
+	case stateWaiting:
+		r.end(now, t, kind)
+		return
+	case stateStopping, stateStopped:
+		return
+	}
+	r.decide(Decision{Event: "task-stopped", Task: t.Task, Run: t.Run, Reason: reason})
+	t.kind = kind
+	t.state = stateStopping
+	t.stopAt = now
+	r.sendStop(now, t)
+}
+
+func (r *Runner) sendStop(now time.Duration, t *task) {
+	t.retryAt = now + r.limits.StopRetry
+	r.out.Stops = append(r.out.Stops, StopCall{Life: r.life, Task: t.Task, Run: t.Run})
+}
+
+// end forgets a task and tells its entry.
+func (r *Runner) end(now time.Duration, t *task, kind messenger.EndKind) {
+	delete(r.tasks, t.Task)
+	t.session.tasks--
+	e := messenger.End{Task: t.Task, Run: t.Run, Kind: kind, Started: t.state != stateWaiting}
+	if t.state == stateWaiting {
+		if i := slices.Index(r.waiting, t); i >= 0 {
+			r.waiting = slices.Delete(r.waiting, i, i+1)
+		}
+	} else {
+		r.used = r.used.Sub(t.Room)
+		e.Took = now - t.since
+	}
+	if !t.session.closed {
+		t.session.ends = append(t.session.ends, e)
+	}
+	r.dirty()
+}
