Choose among upstreams with room, and send unanswered calls again

Ends that a lost answer held up taught an upstream a pace several times its own; with a pace above all others it was passed over for good, and most upstreams stood idle (their load lines show 0 of 16 cores in use) while tasks waited. A lost start cost 250 ms, a lost question all of the upstream's starts for 300 ms.

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -161,6 +161,18 @@
 	return jobs, len(a.pending)
 }
 
+// Room returns the capacity of the upstreams that are ready, and what is in use or
+// asked for there.
+func (a *Assigner) Room() (capacity, used messenger.Room) {
+	for _, g := range a.order {
+		if g.known && g.load.State == messenger.RunnerReady {
+			capacity = capacity.Add(g.load.Capacity)
+			used = used.Add(g.load.Used).Add(g.load.Queued).Add(g.uncovered())
+		}
+	}
+	return capacity, used
+}
+
 // Waiting returns the number of a queue's jobs of which no task was launched.
 func (a *Assigner) Waiting(queue string) int {
 	n := 0
--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -63,7 +64,7 @@
 			return false
 		}
 		g, wait := a.choose(now, t)
-		if g == nil || wait > lookAhead {
+		if g == nil {
 			misses++
 			return false
 		}
@@ -77,21 +78,31 @@
 // nothing is free, and smaller ones behind them hardly fit either.
 const maxMisses = 16
 
-// choose returns the agent whose upstream is expected to end the task first, and
-// how long the task is expected to wait there; nil if none may run it.
+// choose returns the agent whose upstream is expected to end the task first, among
+// those with room, and how long the task is expected to wait there. It returns nil
+// if none has room, or if those that have are so slow that the task is in time only
+// elsewhere.
 func (a *Assigner) choose(now time.Duration, t *task) (*agent, time.Duration) {
 	var best *agent
 	var bestCost, bestWait time.Duration
+	elsewhere := time.Duration(math.MaxInt64)
 	for _, g := range a.order {
 		if !a.eligible(now, t, g) {
 			continue
 		}
 		wait := g.wait(t.step.Room, a.meanRun())
 		cost := wait + a.cost(t, g)
+		if wait > lookAhead {
+			elsewhere = min(elsewhere, cost)
+			continue
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost, bestWait = g, cost, wait
 		}
 	}
+	if best != nil && now+bestCost > t.urgency() && now+elsewhere <= t.urgency() && elsewhere < bestCost {
+		return nil, 0
+	}
 	return best, bestWait
 }
 
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -33,6 +33,8 @@
 	// a fraction of the shortest objective.
 	tickEvery = 20 * time.Millisecond
 	dialEvery = 100 * time.Millisecond
+	// summaryEvery is the period of the line that sums up the load.
+	summaryEvery = 2 * time.Second
 	// routesEvery is the period at which agents and entries hear of all entries.
 	routesEvery = 2 * time.Second
 )
@@ -137,6 +139,7 @@
 	g.Add(func() error { <-end.Done(); return nil }, func(error) { cancel() })
 	b.timers.Subscribe(tickEvery, func(time.Time) { b.loop.Post(func(time.Time) {}) })
 	b.timers.Subscribe(dialEvery, func(time.Time) { b.loop.Post(b.links.DialDue) })
+	b.timers.Subscribe(summaryEvery, func(time.Time) { b.loop.Post(b.summarize) })
 	err := g.Run()
 	b.stop()
 	b.timers.Stop()
@@ -259,6 +262,15 @@
 	}
 }
 
+func (b *Broker) summarize(time.Time) {
+	jobs, pending := b.assigner.Counts()
+	capacity, used := b.assigner.Room()
+	b.settings.Journal.Line("load").Int("jobs", jobs).Int("pending", pending).
+		Int64("capacity-milli-cpu", capacity.MilliCPU).Int64("used-milli-cpu", used.MilliCPU).
+		Int("agents", len(b.agents)).Int("entries", len(b.entries)).Uint64("config-version", b.version()).
+		Uint64("lines-left-out", b.settings.Journal.Omitted()).Msg("")
+}
+
 func (b *Broker) log(d assigner.Decision) {
 	e := b.settings.Journal.Line(d.Event)
 	if d.Task.Job != "" {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -32,18 +32,21 @@
 	// askFor is how long the upstream may wait for an end before it lists its runs:
 	// progress is known at that period.
 	askFor = 60 * time.Millisecond
-	// askTimeout bounds a question. The upstream is local, so that an answer takes
-	// milliseconds beyond the wait.
-	askTimeout = 300 * time.Millisecond
-	// askPause follows a question without an answer.
+	// callTimeout bounds a call beyond the time that the upstream is to wait. The upstream
+	// is local and answers within a millisecond; a call that is lost is sent again, which
+	// does nothing if it was carried out.
+	callTimeout = 50 * time.Millisecond
+	// startTries is how often a start is sent until the task is stopped.
+	startTries = 4
+	// askPause follows a question for which nothing listened.
 	askPause = 50 * time.Millisecond
-	// callTimeout bounds a start or a stop.
-	callTimeout = 250 * time.Millisecond
 	// discoverAfter is how long no entry may be connected until the addresses of entries
 	// are looked up, and the least time between two look-ups.
 	discoverAfter = time.Second
 	// drainPoll is the period at which a draining agent looks at what is left.
 	drainPoll = 20 * time.Millisecond
+	// summaryEvery is the period of the line that sums up the load.
+	summaryEvery = 2 * time.Second
 	// flushPause is how long a drained agent keeps its connections for the last frames.
 	flushPause = 50 * time.Millisecond
 )
@@ -143,6 +146,7 @@
 	g.Add(func() error { <-end.Done(); k.drain(); return nil }, func(error) { cancel() })
 	k.timers.Subscribe(tickEvery, func(time.Time) { k.loop.Post(func(time.Time) {}) })
 	k.timers.Subscribe(dialEvery, func(time.Time) { k.loop.Post(k.dial) })
+	k.timers.Subscribe(summaryEvery, func(time.Time) { k.loop.Post(k.summarize) })
 	err := g.Run()
 	k.stop()
 	k.timers.Stop()
@@ -184,7 +188,7 @@
 		if q.Renew > 0 {
 			renew = q.Renew - asked
 		}
-		askCtx, cancel := context.WithTimeout(ctx, askTimeout)
+		askCtx, cancel := context.WithTimeout(ctx, askFor+callTimeout)
 		l, silence := k.settings.Driver.Ask(askCtx, q, renew, askFor)
 		cancel()
 		l.AskedAt = asked
@@ -195,7 +199,7 @@
 			}
 			k.runner.Unanswered(k.loop.Elapsed(now), silence == SilenceClosed)
 		})
-		if silence != SilenceNone {
+		if silence == SilenceClosed {
 			pause(ctx, askPause)
 		}
 	}
@@ -260,9 +264,12 @@
 }
 
 func (k *Keeper) start(c runner.StartCall) {
-	ctx, cancel := context.WithTimeout(k.background, callTimeout)
-	defer cancel()
-	a := k.settings.Driver.Start(ctx, c, k.settings.Limits.Lease)
+	a := runner.AnswerNone
+	for try := 0; try < startTries && a == runner.AnswerNone; try++ {
+		ctx, cancel := context.WithTimeout(k.background, callTimeout)
+		a = k.settings.Driver.Start(ctx, c, k.settings.Limits.Lease)
+		cancel()
+	}
 	k.loop.Post(func(now time.Time) { k.runner.Started(k.loop.Elapsed(now), c, a) })
 }
 
@@ -273,6 +280,13 @@
 	k.loop.Post(func(now time.Time) { k.runner.Stopped(k.loop.Elapsed(now), c, acknowledged) })
 }
 
+func (k *Keeper) summarize(now time.Time) {
+	running, waiting, used := k.runner.Counts()
+	k.settings.Journal.Line("load").Int("running", running).Int("waiting", waiting).
+		Int64("used-milli-cpu", used.MilliCPU).Str("state", string(k.runner.State(k.loop.Elapsed(now)))).
+		Int("entries", len(k.conns)).Uint64("lines-left-out", k.settings.Journal.Omitted()).Msg("")
+}
+
 func (k *Keeper) log(d runner.Decision) {
 	e := k.settings.Journal.Line(d.Event)
 	if d.Task.Job != "" {
--- a/internal/runner/health.go
+++ b/internal/runner/health.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"math"
 	"time"
 
 	"sardinelock.dev/sardinelock/internal/messenger"
@@ -22,12 +23,18 @@
 	maxBackOff = 4 * time.Second
 	// trustAfter is how long an upstream must behave until its earlier faults are forgotten.
 	trustAfter = 10 * time.Second
+	// paceHalfLife is the time in which an upstream that runs nothing loses half of what
+	// was learned of its pace: it is not passed over for good.
+	paceHalfLife = time.Second
+	// maxPace bounds what one task teaches: far more than users see of a slow upstream.
+	maxPace = 8
 )
 
 // health is what the ends of tasks tell about the upstream.
 type health struct {
 	failShare float64
 	paceShare float64
+	pacedAt   time.Duration // pacedAt is when a task last taught the pace.
 	backOff   time.Duration
 	until     time.Duration // until is when the upstream may be probed; 0 if it is not suspect.
 	faultAt   time.Duration // faultAt is the time of the latest fault.
@@ -45,12 +52,24 @@
 	return messenger.RunnerProbing
 }
 
+// learn takes the run time of a task.
+func (h *health) learn(now, took, expected time.Duration) {
+	if expected <= 0 {
+		return
+	}
+	h.paceShare = h.decayed(now)
+	h.paceShare += paceWeight * (min(float64(took)/float64(expected), maxPace) - h.paceShare)
+	h.pacedAt = now
+}
+
+// decayed returns the pace without what has been forgotten since.
+func (h *health) decayed(now time.Duration) float64 {
+	return 1 + (h.paceShare-1)*math.Exp2(-float64(now-h.pacedAt)/float64(paceHalfLife))
+}
+
 // done notes a task that ended with success.
-func (h *health) done(now, took, expected time.Duration) {
+func (h *health) done(now time.Duration) {
 	h.failShare *= 1 - failWeight
-	if expected > 0 {
-		h.paceShare += paceWeight * (float64(took)/float64(expected) - h.paceShare)
-	}
 	if h.until != 0 && now >= h.until {
 		h.until = 0
 		h.failShare = 0
@@ -84,4 +103,4 @@
 }
 
 // pace returns the run time of recent tasks by the expected one, in percent.
-func (h *health) pace() int64 { return int64(h.paceShare * 100) }
+func (h *health) pace(now time.Duration) int64 { return int64(h.decayed(now) * 100) }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -79,6 +79,7 @@
 	answered bool
 	// silent means that the upstream does not answer.
 	silent bool
+	misses int // misses counts the questions without an answer since the last list.
 	// closing means that the agent shuts down and takes nothing new.
 	closing   bool
 	leaseEnds time.Duration // leaseEnds is when everything at the upstream has ended without a renewal.
@@ -90,7 +91,11 @@
 	strays map[messenger.TaskRef]uint64
 	used   messenger.Room
 	health health
-	out    Output
+	// listedAt is when the latest list came; fresh means that it came soon after the one
+	// before.
+	listedAt time.Duration
+	fresh    bool
+	out      Output
 }
 
 // New returns a runner that knows no upstream.
--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -32,6 +32,10 @@
 	return q
 }
 
+// maxMisses is how many questions in a row may be without an answer until nothing
+// more is started: single ones are lost.
+const maxMisses = 3
+
 func (r *Runner) renewed(to time.Duration) { r.leaseEnds = max(r.leaseEnds, to) }
 
 // Unanswered takes the failure of a question. If the upstream is closed, nothing
@@ -45,7 +49,8 @@
 		clear(r.strays)
 		r.leaseEnds = 0
 	}
-	if !r.silent {
+	r.misses++
+	if !r.silent && (closed || r.misses >= maxMisses) {
 		r.decide(Decision{Event: "upstream-silent"})
 		r.silent = true
 		r.dirty()
@@ -171,7 +176,7 @@
 }
 
 func (r *Runner) load(now time.Duration, s *session) *messenger.Load {
-	l := &messenger.Load{Life: r.life.String(), State: r.State(now), Used: r.used, Seen: s.seen, Pace: r.health.pace()}
+	l := &messenger.Load{Life: r.life.String(), State: r.State(now), Used: r.used, Seen: s.seen, Pace: r.health.pace(now)}
 	for _, t := range r.waiting {
 		l.Queued = l.Queued.Add(t.Room)
 	}
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -89,6 +89,10 @@
 	Renewed time.Duration
 }
 
+// freshFor is the time since the list before within which ends tell how long the
+// tasks ran. Lists come every 60 ms.
+const freshFor = 100 * time.Millisecond
+
 // Listed takes a list of the upstream.
 func (r *Runner) Listed(now time.Duration, l Listing) {
 	if !l.Life.same(r.life) {
@@ -97,11 +101,14 @@
 		}
 		r.begin(now, l.Life)
 	}
+	r.misses = 0
 	if r.silent || !r.answered {
 		r.decide(Decision{Event: "upstream-answers"})
 		r.silent, r.answered = false, true
 		r.dirty()
 	}
+	r.fresh = now-r.listedAt < freshFor
+	r.listedAt = now
 	for _, e := range l.Ended {
 		if e.Number <= r.seen {
 			continue
@@ -149,7 +156,10 @@
 	kind := e.Kind
 	switch {
 	case kind == messenger.EndDone:
-		r.health.done(now, now-t.since, t.Expected)
+		r.health.done(now)
+		if r.fresh {
+			r.health.learn(now, now-t.since, t.Expected)
+		}
 	case kind == messenger.EndFailed:
 		if r.health.failed(now) {
 			r.suspect("failures")
