Blame a job that fails everywhere, not its upstreams; replay load patterns in virtual time

Change: an agent counts a failure once a job, and only a task's first; when most of a service's upstreams are suspect they are used all the same.

--- a/internal/assigner/job.go
+++ b/internal/assigner/job.go
@@ -1,6 +1,7 @@
 package assigner
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -288,9 +289,14 @@
 			return
 		}
 	}
+	var due []*job
 	for _, j := range a.jobs {
 		if !j.answered && now >= j.deadline {
-			a.abandon(now, j, "deadline", 0)
+			due = append(due, j)
 		}
 	}
+	slices.SortFunc(due, func(x, y *job) int { return cmp.Compare(x.Ticket, y.Ticket) })
+	for _, j := range due {
+		a.abandon(now, j, "deadline", 0)
+	}
 }
--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -112,6 +112,7 @@
 	switch {
 	case !g.known || now-g.heardAt > a.limits.Doubt || l.Service != t.job.Service:
 		return false
+	case a.insists(l):
 	case l.State == messenger.RunnerProbing:
 		if len(g.tasks) > 0 || l.Used.MilliCPU > 0 || l.Queued.MilliCPU > 0 {
 			return false
@@ -122,6 +123,32 @@
 	return t.step.suits(l) && t.belowMost(g)
 }
 
+// insists reports whether a suspect upstream is used all the same: with most of the
+// upstreams of a service suspect, the fault is not theirs.
+func (a *Assigner) insists(l *messenger.Load) bool {
+	if l.State != messenger.RunnerSuspect && l.State != messenger.RunnerProbing {
+		return false
+	}
+	suspect, all := 0, 0
+	for _, g := range a.order {
+		if !g.known || g.load.Service != l.Service {
+			continue
+		}
+		switch g.load.State {
+		case messenger.RunnerSuspect, messenger.RunnerProbing:
+			suspect++
+			all++
+		case messenger.RunnerReady:
+			all++
+		}
+	}
+	return suspect*maxSuspect > all
+}
+
+// maxSuspect is the share of the upstreams that may be passed over as suspect, as a
+// divisor: a half, some five times of what fails at once.
+const maxSuspect = 2
+
 // suits reports whether an upstream has the label and the size for a step.
 func (s *Step) suits(l *messenger.Load) bool {
 	return s.Room.Fits(l.Capacity) && (s.Label == "" || slices.Contains(l.Labels, s.Label))
@@ -273,7 +300,7 @@
 		Task: t.ref, Run: t.run, Payload: j.Payload, Room: t.step.Room, Service: j.Service,
 		Urgency:  agentNow + t.urgency() - now,
 		StartBy:  agentNow + min(returnAfter, j.deadline-now),
-		Expected: t.expected, Life: g.load.Life,
+		Expected: t.expected, Life: g.load.Life, Failures: t.failures, Insist: a.insists(&g.load),
 	})
 	a.decide(Decision{Event: "task-launched", Task: t.ref, Run: t.run, Instance: g.instance, Wait: wait, Age: now - g.heardAt})
 }
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -162,7 +162,7 @@
 // Catalogue returns the queues in force, or nil if none are known yet.
 func (b *Broker) Catalogue() *cataloguer.Catalogue { return b.shelf.InForce() }
 
-// Run a job and wait for its answer, at most until the caller's context ends.
+// Submit runs a job and waits for its answer, at most until the caller's context ends.
 func (b *Broker) Submit(ctx context.Context, j assigner.Job) (assigner.Answer, error) {
 	j.Ticket = b.tickets.Add(1)
 	answers := make(chan assigner.Answer, 1)
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -97,11 +97,10 @@
 	counts   connector.Counts
 
 	// The fields below belong to the control thread.
-	runner       *runner.Runner
-	conns        map[messenger.Peer]*connector.Conn
-	lonelySince  time.Time // lonelySince is when the last entry was connected, or a look-up began.
-	discovering  bool
-	discoverNext time.Time
+	runner      *runner.Runner
+	conns       map[messenger.Peer]*connector.Conn
+	lonelySince time.Time // lonelySince is when the last entry was connected, or a look-up began.
+	discovering bool
 
 	background context.Context
 	stop       context.CancelFunc
--- a/internal/messenger/ephemeral.go
+++ b/internal/messenger/ephemeral.go
@@ -62,6 +62,11 @@
 	// Life is the upstream that the entry chose. Another one at the same agent does
 	// not run the task.
 	Life string `cbor:"9,keyasint"`
+	// Failures is how often the task has failed elsewhere.
+	Failures int `cbor:"10,keyasint,omitempty"`
+	// Insist means that a suspect upstream runs the task as well, because too many are
+	// suspect.
+	Insist bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Withdraw ends a task of an ephemeral job, whether it waits or runs.
--- /dev/null
+++ b/internal/replayer/result.go
@@ -0,0 +1,264 @@
+package replayer
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/assigner"
+	"sardinelock.dev/sardinelock/internal/messenger"
+)
+
+const (
+	// stretch is how often a job may take its longest task to be in time.
+	stretch = 1.6
+	// lateFactor and lateWorth are up to how many objectives an answer is late, and the
+	// share that it is worth then.
+	lateFactor = 3
+	lateWorth  = 0.2
+	// resubmitAfter is how long a caller waits to send a job again whose connection broke.
+	resubmitAfter = 1300 * time.Millisecond
+	// maxAttempts is how often a task may fail.
+	maxAttempts = 4
+	windowSize  = 2 * time.Second
+)
+
+// call is a caller's job.
+type call struct {
+	kind     Kind
+	id       string
+	room     messenger.Room
+	takes    []time.Duration // takes has the run time of each task on a sound upstream.
+	declared time.Duration
+	arrived  time.Duration
+	longest  time.Duration
+	hopeless bool
+	left     bool
+	done     bool
+	entry    *entry
+	job      assigner.Job
+	runs     int  // runs counts the starts of its tasks.
+	rejected bool // rejected means that every answer was a rejection.
+	active   map[messenger.TaskRef]int
+}
+
+// Result is what callers saw.
+type Result struct {
+	Owed, Earned              float64
+	Jobs, InTime, Late        int
+	Rejected, GivenUp, Failed int
+	ByKind                    map[string]Share
+	Windows                   []Share
+	Breaches                  []string
+	Starts, Wasted            int // Wasted counts the runs that did not end with success.
+}
+
+// Share is what was earned of what was owed.
+type Share struct{ Owed, Earned float64 }
+
+// Worth returns the share of the worth that was earned.
+func (s Share) Worth() float64 {
+	if s.Owed == 0 {
+		return 1
+	}
+	return s.Earned / s.Owed
+}
+
+// Worth returns the share of the worth that was earned.
+func (r *Result) Worth() float64 { return Share{r.Owed, r.Earned}.Worth() }
+
+// WorstWindow returns the share that was earned in the worst two seconds.
+func (r *Result) WorstWindow() float64 {
+	worst := 1.0
+	for _, s := range r.Windows {
+		worst = min(worst, s.Worth())
+	}
+	return worst
+}
+
+// arrive makes a job of a kind and submits it.
+func (w *world) arrive(k Kind) {
+	r := w.arriving
+	c := &call{
+		kind: k, id: fmt.Sprintf("%016x", r.Uint64()), arrived: w.now, rejected: true,
+		room:   messenger.Room{MilliCPU: int64(spread(r, float64(k.MilliCPU), 0.2, 1.45)), MemoryBytes: 64 << 20},
+		active: make(map[messenger.TaskRef]int),
+	}
+	mean := spread(r, float64(k.RunTime), 0.4, 4)
+	for range max(1, int(spread(r, k.Tasks, 0.4, 4)+0.5)) {
+		took := time.Duration(mean * (1 + 0.15*(2*r.Float64()-1)))
+		c.takes = append(c.takes, took)
+		c.longest = max(c.longest, took)
+	}
+	c.declared = time.Duration(mean * (1 + 0.4*(2*r.Float64()-1)))
+	for _, f := range w.active(FaultHopeless, k.Name) {
+		c.hopeless = c.hopeless || r.Float64() < f.Factor
+	}
+	w.jobs[c.id] = c
+	w.result.Jobs++
+	for _, f := range w.active(FaultLeave, k.Name) {
+		if r.Float64() < f.Factor {
+			w.after(f.Delay, func() { w.leave(c) })
+		}
+	}
+	c.job = assigner.Job{
+		ID: c.id, Queue: k.Name, Service: service, Stretch: stretch, Allowance: k.Allowance,
+		Patience: k.Patience, MaxAttempts: maxAttempts,
+		Steps: []assigner.Step{{Count: len(c.takes), Room: c.room, Declared: c.declared}},
+	}
+	w.deliver(c)
+}
+
+func (w *world) submit(c *call) {
+	if c.done || c.left {
+		return
+	}
+	e := w.entries[w.random.IntN(len(w.entries))]
+	for range w.entries {
+		if !e.down {
+			break
+		}
+		e = w.entries[(e.index+1)%len(w.entries)]
+	}
+	if e.down {
+		w.resubmit(c)
+		return
+	}
+	c.entry = e
+	w.after(2*time.Millisecond, func() {
+		e.run(func() {
+			e.ticket++
+			j := c.job
+			j.Ticket = e.ticket
+			j.Patience = c.arrived + c.kind.Patience - w.now
+			e.tickets[j.Ticket] = c
+			e.assigner.Submit(w.now, j)
+		})
+		if e.down {
+			w.resubmit(c)
+		}
+	})
+}
+
+// resubmit sends a job again whose connection broke.
+func (w *world) resubmit(c *call) {
+	if w.now+resubmitAfter < c.arrived+c.kind.Patience {
+		w.after(resubmitAfter, func() { w.submit(c) })
+	}
+}
+
+func (w *world) leave(c *call) {
+	if c.done {
+		return
+	}
+	c.left = true
+	e := c.entry
+	if e == nil {
+		return
+	}
+	e.run(func() {
+		for ticket, other := range e.tickets {
+			if other == c {
+				delete(e.tickets, ticket)
+				e.assigner.Leave(w.now, c.id, ticket)
+			}
+		}
+	})
+}
+
+func (c *call) objective() time.Duration {
+	return time.Duration(stretch*float64(c.longest)) + c.kind.Allowance
+}
+
+// worth returns what the job is worth: more for one with more work.
+func (c *call) worth() float64 {
+	work := float64(len(c.takes)) * c.longest.Seconds() / (c.kind.Tasks * c.kind.RunTime.Seconds())
+	return c.kind.Worth * min(4, 0.3+0.7*work)
+}
+
+func (w *world) answered(c *call, a assigner.Answer) {
+	if c.done {
+		w.breach("job %s has two answers", c.id)
+	}
+	took := w.now - c.arrived
+	switch a.Outcome {
+	case assigner.OutcomeRejected:
+		w.result.Rejected++
+		c.done = true
+		return
+	case assigner.OutcomeGivenUp, assigner.OutcomeCancelled:
+		w.result.GivenUp++
+		c.done = true
+		c.rejected = false
+		return
+	case assigner.OutcomeFailed:
+		w.result.Failed++
+		if !c.hopeless {
+			c.done = true
+			c.rejected = false
+			return
+		}
+	}
+	c.done, c.rejected = true, false
+	earned := 0.0
+	switch {
+	case took <= c.objective():
+		earned = c.worth()
+		w.result.InTime++
+	case took <= lateFactor*c.objective():
+		earned = c.worth() * lateWorth
+		w.result.Late++
+	}
+	w.credit(c, 0, earned)
+}
+
+// credit adds to what is owed or earned.
+func (w *world) credit(c *call, owed, earned float64) {
+	r := &w.result
+	if r.ByKind == nil {
+		r.ByKind = make(map[string]Share)
+	}
+	add := func(s Share) Share { return Share{s.Owed + owed, s.Earned + earned} }
+	r.Owed += owed
+	r.Earned += earned
+	r.ByKind[c.kind.Name] = add(r.ByKind[c.kind.Name])
+	i := int(c.arrived / windowSize)
+	for len(r.Windows) <= i {
+		r.Windows = append(r.Windows, Share{})
+	}
+	r.Windows[i] = add(r.Windows[i])
+}
+
+// started checks the promises about a start.
+func (w *world) started(u *upstream, r *run) {
+	c := w.jobs[r.ref.Job]
+	c.runs++
+	w.result.Starts++
+	var used messenger.Room
+	for _, other := range u.runs {
+		used = used.Add(other.room)
+	}
+	if !used.Fits(u.capacity) {
+		w.breach("upstream %d runs %d of %d thousandths of a core", u.index, used.MilliCPU, u.capacity.MilliCPU)
+	}
+	c.active[r.ref]++
+	if c.active[r.ref] > 1 {
+		w.breach("task %v runs twice", r.ref)
+	}
+}
+
+func (w *world) stopped(r *run) { w.jobs[r.ref.Job].active[r.ref]-- }
+
+// finish sums up, and checks the promises that hold at the end.
+func (w *world) finish() {
+	for _, id := range slices.Sorted(maps.Keys(w.jobs)) {
+		c := w.jobs[id]
+		if !c.left {
+			w.credit(c, c.worth(), 0)
+		}
+		if c.done && c.rejected && c.runs > 0 {
+			w.breach("job %s was rejected, and %d of its tasks started", c.id, c.runs)
+		}
+	}
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -95,7 +95,10 @@
 	// before.
 	listedAt time.Duration
 	fresh    bool
-	out      Output
+	// blamed has the jobs whose failures were counted last.
+	blamed    [8]string
+	blameNext int
+	out       Output
 }
 
 // New returns a runner that knows no upstream.
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -112,7 +112,7 @@
 		refuse("runs-already")
 	case l.Life != r.life.String() || r.upstream == nil || r.upstream.Service != l.Service:
 		refuse("other-upstream")
-	case st != messenger.RunnerReady && st != messenger.RunnerProbing:
+	case st != messenger.RunnerReady && st != messenger.RunnerProbing && !(l.Insist && st == messenger.RunnerSuspect):
 		refuse(string(st))
 	case !l.Room.Fits(r.upstream.Capacity):
 		refuse("too-large")
--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -114,8 +115,8 @@
 			r.sendStop(now, t)
 		}
 	}
-	for ref, run := range r.strays {
-		r.out.Stops = append(r.out.Stops, StopCall{Life: r.life, Task: ref, Run: run})
+	for _, ref := range slices.SortedFunc(maps.Keys(r.strays), messenger.TaskRef.Compare) {
+		r.out.Stops = append(r.out.Stops, StopCall{Life: r.life, Task: ref, Run: r.strays[ref]})
 	}
 }
 
@@ -125,13 +126,13 @@
 		return
 	}
 	st := r.State(now)
-	if st == messenger.RunnerAbsent || st == messenger.RunnerLeaving || st == messenger.RunnerSuspect {
+	if st == messenger.RunnerAbsent || st == messenger.RunnerLeaving {
 		r.returnWaiting(now)
 		return
 	}
 	for _, t := range slices.Clone(r.waiting) {
 		switch {
-		case now > t.StartBy:
+		case now > t.StartBy || st == messenger.RunnerSuspect && !t.Insist:
 			r.end(now, t, messenger.EndReturned)
 		case r.mayStart(t, st):
 			r.start(now, t)
@@ -140,7 +141,7 @@
 }
 
 func (r *Runner) mayStart(t *task, st messenger.RunnerState) bool {
-	if st == messenger.RunnerProbing && len(r.tasks)-len(r.waiting) >= probeTasks {
+	if st == messenger.RunnerProbing && !t.Insist && len(r.tasks)-len(r.waiting) >= probeTasks {
 		return false
 	}
 	return r.used.Add(t.Room).Fits(r.upstream.Capacity)
@@ -187,10 +188,5 @@
 }
 
 func sortedPeers(sessions map[messenger.Peer]*session) []messenger.Peer {
-	peers := make([]messenger.Peer, 0, len(sessions))
-	for p := range sessions {
-		peers = append(peers, p)
-	}
-	slices.Sort(peers)
-	return peers
+	return slices.Sorted(maps.Keys(sessions))
 }
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -161,7 +161,7 @@
 			r.health.learn(now, now-t.since, t.Expected)
 		}
 	case kind == messenger.EndFailed:
-		if r.health.failed(now) {
+		if t.Failures == 0 && r.blames(t.Task.Job) && r.health.failed(now) {
 			r.suspect("failures")
 		}
 	case t.kind != "":
@@ -170,6 +170,17 @@
 	r.end(now, t, kind)
 }
 
+// blames reports whether a failure of a job's task speaks against the upstream: a job
+// that can never be done fails everywhere, and counts once.
+func (r *Runner) blames(job string) bool {
+	if slices.Contains(r.blamed[:], job) {
+		return false
+	}
+	r.blamed[r.blameNext%len(r.blamed)] = job
+	r.blameNext++
+	return true
+}
+
 func (r *Runner) suspect(reason string) {
 	r.decide(Decision{Event: "upstream-suspect", Reason: reason})
 	r.dirty()
