Order waiting tasks by priority, bind them late, and reject what others overtake

Change: tasks go by priority, then urgency, late ones last; the expected wait counts what goes before, at all entries; a task is sent when room is expected within 3 ms; a job that can only be late is rejected while others that can be in time find no room; the pace of an upstream is learned from the progress of what runs.

--- a/internal/assigner/agent.go
+++ b/internal/assigner/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -31,6 +32,11 @@
 	room     messenger.Room
 }
 
+// sorted returns the tasks at the agent in a fixed order.
+func (g *agent) sorted() []*task {
+	return slices.SortedFunc(maps.Values(g.tasks), func(x, y *task) int { return x.ref.Compare(y.ref) })
+}
+
 // AgentUp takes the connection of an agent. Nothing that it ran for this entry before
 // is left.
 func (a *Assigner) AgentUp(now time.Duration, peer messenger.Peer, instance, dataCentre string) {
@@ -73,12 +79,11 @@
 		return
 	}
 	d := departure{instance: g.instance, until: g.heardAt + a.limits.Gone}
-	for _, t := range g.tasks {
+	d.tasks = g.sorted()
+	for _, t := range d.tasks {
 		t.state = stateDeparted
 		t.agent = nil
-		d.tasks = append(d.tasks, t)
 	}
-	slices.SortFunc(d.tasks, func(x, y *task) int { return x.ref.Compare(y.ref) })
 	a.departed = append(a.departed, d)
 }
 
@@ -166,6 +171,7 @@
 	switch e.Kind {
 	case messenger.EndDone:
 		a.queue(j.Queue).learn(t.step.Declared, e.Took)
+		a.meanRun += time.Duration(learnWeight * float64(e.Took-a.meanRun))
 		a.done(now, t)
 		return
 	case messenger.EndFailed:
--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -58,6 +58,7 @@
 	Queue       string // Queue names the kind of job, for what is learned and for logs.
 	Service     string
 	Payload     string
+	Priority    int // Priority is that of the queue; 0 comes first.
 	Steps       []Step
 	Stretch     float64       // Stretch is how often a job may take its longest chain of work.
 	Allowance   time.Duration // Allowance is what it may take besides.
@@ -127,6 +128,9 @@
 	unsorted   bool    // unsorted means that pending is not in the order of urgency.
 	departed   []departure
 	queues     map[string]*queue
+	entries    int           // entries is the number of entries that share the upstreams, with this one.
+	meanRun    time.Duration // meanRun is the mean run time of recent tasks.
+	short      bool          // short means that tasks that can be in time have found no room.
 	closing    bool
 	out        Output
 }
@@ -148,9 +152,14 @@
 		agents:     make(map[messenger.Peer]*agent),
 		jobs:       make(map[string]*job),
 		queues:     make(map[string]*queue),
+		entries:    1,
+		meanRun:    defaultRun,
 	}
 }
 
+// SetEntries takes the number of entries that share the upstreams, with this one.
+func (a *Assigner) SetEntries(n int) { a.entries = n }
+
 // Counts returns the number of jobs without an answer and of tasks that wait.
 func (a *Assigner) Counts() (jobs, pending int) {
 	for _, j := range a.jobs {
--- a/internal/assigner/job.go
+++ b/internal/assigner/job.go
@@ -282,7 +282,13 @@
 func (a *Assigner) checkJobs(now time.Duration) {
 	for _, t := range a.pending {
 		j := t.job
-		if !j.answered && j.out == 0 && !j.ran && now+t.expected > j.useless {
+		if j.answered || j.out > 0 || j.ran {
+			continue
+		}
+		// A job that can only be late is not served while others find no room that can
+		// still be in time.
+		overtaken := a.short && t.urgency() < now
+		if overtaken || now+t.expected > j.useless {
 			_, wait := a.outlook(now, j)
 			a.reject(now, j, "too-late", wait)
 			a.checkJobs(now)
--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -15,7 +15,7 @@
 	returnAfter = 80 * time.Millisecond
 	// lookAhead is the longest expected wait with which a task is sent to an agent: it
 	// covers the way there, so that room that becomes free is used at once.
-	lookAhead = 25 * time.Millisecond
+	lookAhead = 3 * time.Millisecond
 	// evenness is what a wholly used upstream counts more than an idle one: among those
 	// with room, load is spread.
 	evenness = 4 * time.Millisecond
@@ -41,20 +41,20 @@
 	}
 	if a.unsorted {
 		slices.SortStableFunc(a.pending, func(x, y *task) int {
-			return cmp.Or(cmp.Compare(x.urgency(), y.urgency()), x.ref.Compare(y.ref))
+			return cmp.Or(cmp.Compare(x.job.Priority, y.job.Priority), cmp.Compare(x.urgency(), y.urgency()), x.ref.Compare(y.ref))
 		})
 		a.unsorted = false
 	}
-	late := a.placeAll(now, func(t *task) bool { return t.urgency() >= now })
-	if !late {
-		return
+	late, misses := a.placeAll(now, func(t *task) bool { return t.urgency() >= now })
+	a.short = misses > 0 && a.Serving()
+	if late {
+		a.placeAll(now, func(t *task) bool { return t.urgency() < now })
 	}
-	a.placeAll(now, func(t *task) bool { return t.urgency() < now })
 }
 
-// placeAll launches the tasks that are selected, and reports whether any was not.
-func (a *Assigner) placeAll(now time.Duration, selected func(*task) bool) (skipped bool) {
-	misses := 0
+// placeAll launches the tasks that are selected. It reports whether any was not, and
+// how many found no room.
+func (a *Assigner) placeAll(now time.Duration, selected func(*task) bool) (skipped bool, misses int) {
 	a.pending = slices.DeleteFunc(a.pending, func(t *task) bool {
 		if !selected(t) {
 			skipped = true
@@ -71,7 +71,7 @@
 		a.launch(now, t, g, wait)
 		return true
 	})
-	return skipped
+	return skipped, misses
 }
 
 // maxMisses bounds the tasks that are tried in vain in one pass: with that many
@@ -90,7 +90,7 @@
 		if !a.eligible(now, t, g) {
 			continue
 		}
-		wait := g.wait(t.step.Room, a.meanRun())
+		wait := g.wait(t.step.Room, a.meanRun)
 		cost := wait + a.cost(t, g)
 		if wait > lookAhead {
 			elsewhere = min(elsewhere, cost)
@@ -149,6 +149,14 @@
 // divisor: a half, some five times of what fails at once.
 const maxSuspect = 2
 
+// before reports whether a task that can be in time goes before those of a job.
+func (t *task) before(j *job) bool {
+	if t.job.Priority != j.Priority {
+		return t.job.Priority < j.Priority
+	}
+	return t.urgency() < j.objective-j.expected
+}
+
 // suits reports whether an upstream has the label and the size for a step.
 func (s *Step) suits(l *messenger.Load) bool {
 	return s.Room.Fits(l.Capacity) && (s.Label == "" || slices.Contains(l.Labels, s.Label))
@@ -223,22 +231,6 @@
 	return time.Duration(float64(of) * float64(part) / float64(whole))
 }
 
-// meanRun returns the mean run time of a task over the queues.
-func (a *Assigner) meanRun() time.Duration {
-	var sum float64
-	n := 0
-	for _, q := range a.queues {
-		if q.mean > 0 {
-			sum += q.mean
-			n++
-		}
-	}
-	if n == 0 {
-		return defaultRun
-	}
-	return time.Duration(sum / float64(n) * float64(time.Second))
-}
-
 // outlook reports whether any known upstream has the size and the labels for the
 // job, and how long the job is expected to wait, from what is ahead of it.
 func (a *Assigner) outlook(now time.Duration, j *job) (fits bool, wait time.Duration) {
@@ -255,15 +247,20 @@
 		return false, 0
 	}
 	for _, t := range a.pending {
-		if t.job == j || t.urgency() < j.objective-j.expected && t.urgency() >= now {
+		if t.job == j {
 			used = used.Add(t.step.Room)
+		} else if t.urgency() >= now && t.before(j) {
+			// The other entries have as much waiting.
+			for range a.entries {
+				used = used.Add(t.step.Room)
+			}
 		}
 	}
 	if capacity == (messenger.Room{}) {
 		return true, 0
 	}
 	excess := used.Sub(capacity)
-	return true, share(excess.MilliCPU, capacity.MilliCPU, a.meanRun())
+	return true, share(excess.MilliCPU, capacity.MilliCPU, a.meanRun)
 }
 
 // everySuits reports whether each step has an upstream of the service that could
@@ -301,6 +298,7 @@
 		Urgency:  agentNow + t.urgency() - now,
 		StartBy:  agentNow + min(returnAfter, j.deadline-now),
 		Expected: t.expected, Life: g.load.Life, Failures: t.failures, Insist: a.insists(&g.load),
+		Priority: j.Priority,
 	})
 	a.decide(Decision{Event: "task-launched", Task: t.ref, Run: t.run, Instance: g.instance, Wait: wait, Age: now - g.heardAt})
 }
--- a/internal/broker/peers.go
+++ b/internal/broker/peers.go
@@ -48,6 +48,7 @@
 			old.Close()
 		}
 		b.entries[h.Peer] = c
+		b.assigner.SetEntries(len(b.entries) + 1)
 		b.settings.Journal.Line("entry-connected").Str("peer", string(h.Peer)).Msg("")
 		b.links.Add(false, b.others([]netip.AddrPort{h.PeerAddr})...)
 		if h.ConfigVersion < b.version() {
@@ -89,6 +90,7 @@
 		b.assigner.AgentDown(b.loop.Elapsed(now), h.Peer)
 	case b.entries[h.Peer] == c:
 		delete(b.entries, h.Peer)
+		b.assigner.SetEntries(len(b.entries) + 1)
 		b.settings.Journal.Line("entry-disconnected").Str("peer", string(h.Peer)).Err(cause).Msg("")
 	}
 }
--- a/internal/messenger/ephemeral.go
+++ b/internal/messenger/ephemeral.go
@@ -53,7 +53,7 @@
 	// Service is the service that the upstream must belong to.
 	Service string `cbor:"5,keyasint"`
 	// Urgency is the latest start that lets the job meet its objective, on the
-	// agent's clock. Waiting tasks are started in its order.
+	// agent's clock. Waiting tasks are started by priority and in its order.
 	Urgency time.Duration `cbor:"6,keyasint"`
 	// StartBy is on the agent's clock. A task that has not started by then goes back.
 	StartBy time.Duration `cbor:"7,keyasint"`
@@ -67,6 +67,8 @@
 	// Insist means that a suspect upstream runs the task as well, because too many are
 	// suspect.
 	Insist bool `cbor:"11,keyasint,omitempty"`
+	// Priority is that of the queue; 0 comes first.
+	Priority int `cbor:"12,keyasint,omitempty"`
 }
 
 // Withdraw ends a task of an ephemeral job, whether it waits or runs.
--- a/internal/replayer/pattern.go
+++ b/internal/replayer/pattern.go
@@ -27,6 +27,7 @@
 	RunTime   time.Duration `yaml:"run-time"`
 	MilliCPU  int64         `yaml:"milli-cpu"`
 	Worth     float64       `yaml:"worth"`
+	Priority  int           `yaml:"priority"`
 	Allowance time.Duration `yaml:"allowance"`
 	Patience  time.Duration `yaml:"patience"`
 }
--- a/internal/replayer/replayer.go
+++ b/internal/replayer/replayer.go
@@ -186,6 +186,7 @@
 	e.life++
 	e.peer = messenger.Peer(fmt.Sprintf("entry-%d-%d", e.index, e.life))
 	e.assigner = assigner.New(assignerLimits, e.world.dataCentre(e.index), e.world.random)
+	e.assigner.SetEntries(e.world.pattern.Entries)
 	e.agents = make(map[messenger.Peer]*link)
 	e.tickets = make(map[uint64]*call)
 	e.down = false
--- a/internal/replayer/result.go
+++ b/internal/replayer/result.go
@@ -103,7 +103,7 @@
 		}
 	}
 	c.job = assigner.Job{
-		ID: c.id, Queue: k.Name, Service: service, Stretch: stretch, Allowance: k.Allowance,
+		ID: c.id, Queue: k.Name, Service: service, Priority: k.Priority, Stretch: stretch, Allowance: k.Allowance,
 		Patience: k.Patience, MaxAttempts: maxAttempts,
 		Steps: []assigner.Step{{Count: len(c.takes), Room: c.room, Declared: c.declared}},
 	}
@@ -143,6 +143,8 @@
 
 // resubmit sends a job again whose connection broke.
 func (w *world) resubmit(c *call) {
+	// The first request has no answer, so that not all of them are rejections.
+	c.rejected = false
 	if w.now+resubmitAfter < c.arrived+c.kind.Patience {
 		w.after(resubmitAfter, func() { w.submit(c) })
 	}
--- a/internal/runner/health.go
+++ b/internal/runner/health.go
@@ -35,12 +35,13 @@
 	failShare float64
 	paceShare float64
 	pacedAt   time.Duration // pacedAt is when a task last taught the pace.
+	toldPace  float64       // toldPace is the pace when entries were last told of a change.
 	backOff   time.Duration
 	until     time.Duration // until is when the upstream may be probed; 0 if it is not suspect.
 	faultAt   time.Duration // faultAt is the time of the latest fault.
 }
 
-func newHealth() health { return health{paceShare: 1, backOff: minBackOff} }
+func newHealth() health { return health{paceShare: 1, toldPace: 1, backOff: minBackOff} }
 
 func (h *health) state(now time.Duration) messenger.RunnerState {
 	switch {
@@ -62,6 +63,49 @@
 	h.pacedAt = now
 }
 
+// paceSample is the mean pace of the tasks that run, from their progress.
+type paceSample struct {
+	sum   float64
+	count int
+}
+
+const (
+	// minPercent is the progress from which the run time of a task can be told.
+	minPercent = 4
+	// minElapsed is the run time from which the progress tells more than the time of the
+	// call.
+	minElapsed = 30 * time.Millisecond
+	// sampleWeight is the weight of one list in the pace; there are some 16 a second.
+	sampleWeight = 0.35
+	// paceChange is the change of the pace that entries are told of at once.
+	paceChange = 0.4
+)
+
+// add takes a task that has run for a time.
+func (s *paceSample) add(elapsed time.Duration, percent int, expected time.Duration) {
+	if percent < minPercent && elapsed < expected || elapsed < minElapsed || expected <= 0 {
+		return
+	}
+	projected := float64(elapsed) * 100 / float64(max(percent, 1))
+	s.sum += min(projected/float64(expected), maxPace)
+	s.count++
+}
+
+// sample learns from the tasks that run, and reports whether the pace has changed by
+// much since entries were told.
+func (h *health) sample(now time.Duration, s paceSample) bool {
+	if s.count > 0 {
+		h.paceShare = h.decayed(now)
+		h.paceShare += sampleWeight * (s.sum/float64(s.count) - h.paceShare)
+		h.pacedAt = now
+	}
+	if math.Abs(h.decayed(now)-h.toldPace) < paceChange {
+		return false
+	}
+	h.toldPace = h.decayed(now)
+	return true
+}
+
 // decayed returns the pace without what has been forgotten since.
 func (h *health) decayed(now time.Duration) float64 {
 	return 1 + (h.paceShare-1)*math.Exp2(-float64(now-h.pacedAt)/float64(paceHalfLife))
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -125,10 +126,7 @@
 }
 
 func compareUrgency(a, b *task) int {
-	if a.Urgency != b.Urgency {
-		return int(a.Urgency - b.Urgency)
-	}
-	return a.Task.Compare(b.Task)
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Urgency, b.Urgency), a.Task.Compare(b.Task))
 }
 
 func (r *Runner) withdraw(now time.Duration, s *session, w *messenger.Withdraw) {
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -117,9 +117,16 @@
 		r.ended(now, e)
 	}
 	listed := make(map[messenger.TaskRef]uint64, len(l.Running))
+	pace := paceSample{}
 	for _, run := range l.Running {
 		listed[run.Task] = run.Run
 		r.progress(now, run)
+		if t := r.tasks[run.Task]; t != nil && t.Run == run.Run && t.state == stateRunning {
+			pace.add(now-t.since, run.Percent, t.Expected)
+		}
+	}
+	if r.health.sample(now, pace) {
+		r.dirty()
 	}
 	r.forgetStrays(listed)
 	for _, t := range r.sorted() {
