--- /dev/null
+++ b/internal/assigner/assigner_test.go
@@ -0,0 +1,165 @@
+package assigner
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/scripter"
+)
+
+var testLimits = Limits{
+	Gone: 1500 * time.Millisecond, Doubt: 400 * time.Millisecond, Silence: 600 * time.Millisecond,
+	BeatEvery: time.Hour, AnswerSlack: 30 * time.Millisecond, Remote: 3 * time.Millisecond,
+}
+
+// TestScripts runs the scripts of the data files. Each line is an event; the output
+// is what the assigner asks for after it.
+//
+//	at TIME                                  sets the time
+//	up INSTANCE [LIFE]                       connects an agent
+//	down INSTANCE                            ends its connection
+//	load INSTANCE STATE CAPACITY USED [PACE] reports its upstream's load
+//	beat INSTANCE...                         a frame with nothing but a stamp
+//	submit ID TICKET TASKS CPU DECLARED [PRIORITY]
+//	end INSTANCE ID/INDEX RUN KIND
+//	leave ID TICKET                          the caller leaves
+//	cancel ID
+//	entries N                                sets the number of entries
+//	close
+//	give-up
+func TestScripts(t *testing.T) {
+	scripter.Run(t, "testdata/*.txtar", func(t *testing.T, lines []scripter.Line) string {
+		s := &script{
+			t: t, assigner: New(testLimits, "dc-1", rand.New(rand.NewPCG(1, 1))),
+			lives: make(map[string]string), seen: make(map[string]uint64), peers: make(map[string]int),
+		}
+		for _, l := range lines {
+			s.line(l)
+		}
+		return s.out.String()
+	})
+}
+
+type script struct {
+	t        *testing.T
+	assigner *Assigner
+	now      time.Duration
+	out      strings.Builder
+	lives    map[string]string
+	seen     map[string]uint64
+	peers    map[string]int
+}
+
+func (s *script) peer(instance string) messenger.Peer {
+	return messenger.Peer(fmt.Sprintf("%s.%d", instance, s.peers[instance]))
+}
+
+func (s *script) line(l scripter.Line) {
+	fmt.Fprintf(&s.out, "> %s %s\n", l.Verb, strings.Join(l.Args, " "))
+	a := l.Args
+	switch l.Verb {
+	case "at":
+		s.now = s.duration(a[0])
+	case "up":
+		s.peers[a[0]]++
+		s.lives[a[0]], s.seen[a[0]] = a[0]+"#1", 0
+		s.assigner.AgentUp(s.now, s.peer(a[0]), a[0], "dc-1")
+	case "down":
+		s.assigner.AgentDown(s.now, s.peer(a[0]))
+	case "load":
+		s.load(a)
+	case "beat":
+		for _, instance := range a {
+			s.assigner.Receive(s.now, s.peer(instance), &messenger.Frame{Stamp: &messenger.Stamp{Clock: s.now}})
+		}
+	case "submit":
+		s.submit(a)
+	case "end":
+		job, index, _ := strings.Cut(a[1], "/")
+		s.assigner.Receive(s.now, s.peer(a[0]), &messenger.Frame{Ends: []messenger.End{{
+			Task: messenger.TaskRef{Job: job, Index: int(s.number(index))}, Run: uint64(s.number(a[2])),
+			Kind: messenger.EndKind(a[3]), Took: 100 * time.Millisecond, Started: true,
+		}}})
+	case "leave":
+		s.assigner.Leave(s.now, a[0], uint64(s.number(a[1])))
+	case "cancel":
+		fmt.Fprintf(&s.out, "known %v\n", s.assigner.Cancel(s.now, a[0]))
+	case "entries":
+		s.assigner.SetEntries(int(s.number(a[0])))
+	case "close":
+		s.assigner.Close()
+	case "give-up":
+		s.assigner.GiveUp(s.now)
+	default:
+		s.t.Fatalf("line %d: unknown verb %q", l.Number, l.Verb)
+	}
+	s.print()
+}
+
+func (s *script) load(a []string) {
+	l := &messenger.Load{
+		Life: s.lives[a[0]], Service: "quote", State: messenger.RunnerState(a[1]), Seen: s.seen[a[0]],
+		Capacity: messenger.Room{MilliCPU: s.number(a[2]), MemoryBytes: 1 << 30},
+		Used:     messenger.Room{MilliCPU: s.number(a[3])}, Pace: 100,
+	}
+	if len(a) > 4 {
+		l.Pace = s.number(a[4])
+	}
+	s.assigner.Receive(s.now, s.peer(a[0]), &messenger.Frame{Load: l, Stamp: &messenger.Stamp{Clock: s.now}})
+}
+
+func (s *script) submit(a []string) {
+	j := Job{
+		ID: a[0], Queue: "q", Service: "quote", Stretch: 1.6, Allowance: 60 * time.Millisecond,
+		Patience: 2 * time.Second, MaxAttempts: 2, Ticket: uint64(s.number(a[1])),
+		Steps: []Step{{Count: int(s.number(a[2])), Room: messenger.Room{MilliCPU: s.number(a[3])}, Declared: s.duration(a[4])}},
+	}
+	if len(a) > 5 {
+		j.Priority = int(s.number(a[5]))
+	}
+	s.assigner.Submit(s.now, j)
+}
+
+func (s *script) print() {
+	out := s.assigner.Take(s.now)
+	for _, send := range out.Sends {
+		instance, _, _ := strings.Cut(string(send.To), ".")
+		for _, l := range send.Frame.Launches {
+			s.seen[instance]++
+			fmt.Fprintf(&s.out, "launch at %s: %s/%d run %d\n", instance, l.Task.Job, l.Task.Index, l.Run)
+		}
+		for _, w := range send.Frame.Withdraws {
+			fmt.Fprintf(&s.out, "withdraw at %s: %s/%d run %d\n", instance, w.Task.Job, w.Task.Index, w.Run)
+		}
+	}
+	for _, a := range out.Answers {
+		fmt.Fprintf(&s.out, "answer %d: %s %s\n", a.Ticket, a.Outcome, a.Reason)
+	}
+	for _, p := range out.Closes {
+		fmt.Fprintf(&s.out, "close %s\n", p)
+	}
+	if jobs, pending := s.assigner.Counts(); pending > 0 {
+		fmt.Fprintf(&s.out, "%d jobs, %d tasks pending\n", jobs, pending)
+	}
+}
+
+func (s *script) number(text string) int64 {
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return n
+}
+
+func (s *script) duration(text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return d
+}
--- /dev/null
+++ b/internal/runner/runner_test.go
@@ -0,0 +1,161 @@
+package runner
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/scripter"
+)
+
+var testLimits = Limits{
+	Silence: 600 * time.Millisecond, Lease: 800 * time.Millisecond, StopRetry: 60 * time.Millisecond,
+	StopsPending: 240 * time.Millisecond, StallAfter: 200 * time.Millisecond,
+	ReportEvery: 10 * time.Millisecond, BeatEvery: time.Hour,
+}
+
+// TestScripts runs the scripts of the data files. Each line is an event; the output
+// is what the runner asks for after it.
+//
+//	at TIME                                 sets the time
+//	announce ID BORN SEQUENCE CPU [leaving] announces the upstream
+//	leave ID                                ends the upstream
+//	up|down ENTRY                           begins or ends a session
+//	launch ENTRY ECHO JOB RUN CPU URGENCY   launches the first task of a job
+//	withdraw ENTRY ECHO JOB RUN
+//	answer JOB RUN ANSWER                   answers a start
+//	stopped JOB RUN true|false              answers a stop
+//	list BORN [running JOB:RUN:PERCENT]... [ended NUMBER:JOB:RUN:KIND]...
+//	silent|refused                          a question without an answer
+//	ask                                     prints the next question
+//	close                                   begins the shutdown
+func TestScripts(t *testing.T) {
+	scripter.Run(t, "testdata/*.txtar", func(t *testing.T, lines []scripter.Line) string {
+		s := &script{t: t, runner: New(testLimits)}
+		for _, l := range lines {
+			s.line(l)
+		}
+		return s.out.String()
+	})
+}
+
+type script struct {
+	t      *testing.T
+	runner *Runner
+	now    time.Duration
+	out    strings.Builder
+}
+
+func (s *script) line(l scripter.Line) {
+	fmt.Fprintf(&s.out, "> %s %s\n", l.Verb, strings.Join(l.Args, " "))
+	a := l.Args
+	switch l.Verb {
+	case "at":
+		s.now = s.duration(a[0])
+	case "announce":
+		u := Upstream{
+			Life: Life{ID: a[0], Born: s.number(a[1])}, Service: "quote", Sequence: s.number(a[2]),
+			Capacity: messenger.Room{MilliCPU: s.number(a[3]), MemoryBytes: 1 << 30}, Leaving: len(a) > 4,
+		}
+		if !s.runner.Announce(s.now, u) {
+			fmt.Fprintln(&s.out, "not taken")
+		}
+	case "leave":
+		s.runner.Leave(s.now, a[0])
+	case "up":
+		s.runner.EntryUp(s.now, messenger.Peer(a[0]))
+	case "down":
+		s.runner.EntryDown(s.now, messenger.Peer(a[0]))
+	case "launch", "withdraw":
+		s.receive(l)
+	case "answer":
+		s.runner.Started(s.now, StartCall{Task: task0(a[0]), Run: uint64(s.number(a[1]))}, Answer(a[2]))
+	case "stopped":
+		s.runner.Stopped(s.now, StopCall{Task: task0(a[0]), Run: uint64(s.number(a[1]))}, a[2] == "true")
+	case "list":
+		s.list(a)
+	case "silent", "refused":
+		s.runner.Unanswered(s.now, l.Verb == "refused")
+	case "ask":
+		q := s.runner.Ask(s.now)
+		fmt.Fprintf(&s.out, "question: seen %d, renew %v\n", q.Seen, q.Renew)
+	case "close":
+		s.runner.Close(s.now)
+	default:
+		s.t.Fatalf("line %d: unknown verb %q", l.Number, l.Verb)
+	}
+	s.print()
+}
+
+func task0(job string) messenger.TaskRef { return messenger.TaskRef{Job: job} }
+
+func (s *script) receive(l scripter.Line) {
+	a := l.Args
+	f := &messenger.Frame{Stamp: &messenger.Stamp{Clock: s.now, Echo: s.duration(a[1])}}
+	run := uint64(s.number(a[3]))
+	if l.Verb == "withdraw" {
+		f.Withdraws = []messenger.Withdraw{{Task: task0(a[2]), Run: run}}
+	} else {
+		f.Launches = []messenger.Launch{{
+			Task: task0(a[2]), Run: run, Service: "quote", Life: s.runner.Life().String(),
+			Room: messenger.Room{MilliCPU: s.number(a[4])}, Urgency: s.duration(a[5]),
+			StartBy: s.now + 100*time.Millisecond, Expected: 100 * time.Millisecond,
+		}}
+	}
+	s.runner.Receive(s.now, messenger.Peer(a[0]), f)
+}
+
+func (s *script) list(a []string) {
+	l := Listing{Life: Life{Born: s.number(a[0])}, AskedAt: s.now - time.Millisecond}
+	for i := 1; i+1 < len(a); i += 2 {
+		p := strings.Split(a[i+1], ":")
+		if a[i] == "running" {
+			l.Running = append(l.Running, Run{Task: task0(p[0]), Run: uint64(s.number(p[1])), Percent: int(s.number(p[2]))})
+			continue
+		}
+		l.Ended = append(l.Ended, RunEnd{Number: s.number(p[0]), Task: task0(p[1]), Run: uint64(s.number(p[2])), Kind: messenger.EndKind(p[3])})
+	}
+	s.runner.Listed(s.now, l)
+}
+
+func (s *script) print() {
+	out := s.runner.Take(s.now)
+	for _, c := range out.Starts {
+		fmt.Fprintf(&s.out, "start %s run %d\n", c.Task.Job, c.Run)
+	}
+	for _, c := range out.Stops {
+		fmt.Fprintf(&s.out, "stop %s run %d\n", c.Task.Job, c.Run)
+	}
+	for _, send := range out.Sends {
+		for _, e := range send.Frame.Ends {
+			fmt.Fprintf(&s.out, "end to %s: %s run %d %s\n", send.To, e.Task.Job, e.Run, e.Kind)
+		}
+	}
+	for _, p := range out.Closes {
+		fmt.Fprintf(&s.out, "close %s\n", p)
+	}
+	for _, d := range out.Decisions {
+		fmt.Fprintf(&s.out, "log %s %s\n", d.Event, d.Reason)
+	}
+	running, waiting, used := s.runner.Counts()
+	fmt.Fprintf(&s.out, "%s: %d running, %d waiting, %d used\n", s.runner.State(s.now), running, waiting, used.MilliCPU)
+}
+
+func (s *script) number(text string) int64 {
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return n
+}
+
+func (s *script) duration(text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return d
+}
