--- a/cmd/sardinelock/cmd/platform.go
+++ b/cmd/sardinelock/cmd/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 
 	"github.com/spf13/cobra"
 
@@ -22,6 +23,7 @@
 
 func newPlatformRoleCommand(role, short string, run func(context.Context, platform.Settings, string) error) *cobra.Command {
 	var logLevel string
+	var metricsPort uint16
 	c := &cobra.Command{
 		Use:   role,
 		Short: short,
@@ -37,9 +39,16 @@
 			if err != nil {
 				return err
 			}
+			if metricsPort > 0 {
+				s.MetricsListen = netip.AddrPortFrom(s.PeerListen.Addr(), metricsPort)
+			}
 			return run(c.Context(), s, logLevel)
 		},
 	}
 	c.Flags().StringVar(&logLevel, "log-level", "info", "lowest level that is logged: debug, info, warn or error")
+	c.Flags().Uint16Var(&metricsPort, "metrics-port", defaultMetricsPort, "port that serves the metrics at /metrics; 0 serves none")
 	return c
 }
+
+// defaultMetricsPort is the usual port of OpenTelemetry's Prometheus exporters.
+const defaultMetricsPort = 9464
--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -88,7 +88,8 @@
 	Reason     string        // Reason is in kebab case.
 	RetryAfter time.Duration // RetryAfter is when a rejected caller may come back.
 	Took       time.Duration
-	Waited     time.Duration // Waited is the time until the first task was launched.
+	Launched   bool          // Launched means that a task was sent to an agent.
+	Waited     time.Duration // Waited is the time until then, or until the answer.
 }
 
 // Decision is a decision that is worth a line in the log.
@@ -182,6 +183,28 @@
 	return capacity, used
 }
 
+// StateCount is how many upstreams are in a state.
+type StateCount struct {
+	State messenger.RunnerState
+	Count int
+}
+
+// States returns how many upstreams are in each state.
+func (a *Assigner) States() []StateCount {
+	counts := []StateCount{
+		{State: messenger.RunnerAbsent}, {State: messenger.RunnerReady}, {State: messenger.RunnerSuspect},
+		{State: messenger.RunnerProbing}, {State: messenger.RunnerLeaving},
+	}
+	for _, g := range a.order {
+		for i := range counts {
+			if g.known && g.load.State == counts[i].State {
+				counts[i].Count++
+			}
+		}
+	}
+	return counts
+}
+
 // Waiting returns the number of a queue's jobs of which no task was launched.
 func (a *Assigner) Waiting(queue string) int {
 	n := 0
--- a/internal/assigner/job.go
+++ b/internal/assigner/job.go
@@ -235,7 +235,7 @@
 	}
 	a.out.Answers = append(a.out.Answers, Answer{
 		Ticket: j.Ticket, Job: j.ID, Queue: j.Queue, Outcome: o, Reason: reason,
-		RetryAfter: retryAfter, Took: now - j.arrived, Waited: waited,
+		RetryAfter: retryAfter, Took: now - j.arrived, Waited: waited, Launched: j.launched,
 	})
 }
 
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -25,6 +25,7 @@
 	"sardinelock.dev/sardinelock/internal/journaler"
 	"sardinelock.dev/sardinelock/internal/linker"
 	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/meter"
 	"sardinelock.dev/sardinelock/internal/timer"
 )
 
@@ -65,7 +66,7 @@
 	shelf    cataloguer.Shelf
 	tickets  atomic.Uint64
 	serving  atomic.Bool
-	meter    *gauge
+	meter    *meter.Meter
 
 	// The fields below belong to the control thread.
 	assigner *assigner.Assigner
@@ -74,6 +75,8 @@
 	waiters  map[uint64]chan<- assigner.Answer
 	document []byte // document is the catalogue in force, as peers read it.
 	routedAt time.Time
+	// offeredAt is when a source last showed the catalogue in force.
+	offeredAt time.Time
 
 	background context.Context
 	stop       context.CancelFunc
@@ -91,7 +94,6 @@
 		peer:     messenger.Peer("entry-" + s.Instance + "-" + uuid.NewString()),
 		timers:   timer.New(),
 		listener: l,
-		meter:    newGauge(),
 		assigner: assigner.New(s.Limits, s.DataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		agents:   make(map[messenger.Peer]*connector.Conn),
 		entries:  make(map[messenger.Peer]*connector.Conn),
@@ -99,6 +101,11 @@
 	}
 	b.background, b.stop = context.WithCancel(context.Background())
 	b.loop = controller.NewOnClock(timer.NewSteadyClock(), b.flush)
+	identity := meter.Identity{Role: string(messenger.RoleEntry), Peer: string(b.peer), Region: s.Region, DataCentre: s.DataCentre}
+	if b.meter, err = meter.New(identity, meter.Sources{Traffic: &b.counts, Busy: b.loop.Busy, Entry: b.state}); err != nil {
+		_ = l.Close()
+		return nil, err
+	}
 	options := connector.Options{Hello: b.hello, Counts: &b.counts}
 	b.links = linker.New(b.background, b.loop, options, linker.Hooks{Up: b.up, Receive: b.receive, Down: b.down})
 	b.links.Add(true, b.others(s.Entries)...)
@@ -156,6 +163,29 @@
 // Addr returns the bound address for peers.
 func (b *Broker) Addr() netip.AddrPort { return b.listener.Addr().(*net.TCPAddr).AddrPort() }
 
+// Meter returns the metrics of the process.
+func (b *Broker) Meter() *meter.Meter { return b.meter }
+
+// state returns what the metrics show of the entry.
+func (b *Broker) state() (s meter.EntryState) {
+	b.loop.Call(func(now time.Time) {
+		s.OpenJobs, s.QueuedTasks = b.assigner.Counts()
+		s.KeptJobs = s.OpenJobs
+		for _, c := range b.assigner.States() {
+			s.Upstreams = append(s.Upstreams, meter.StateCount{State: string(c.State), Count: c.Count})
+		}
+		s.Peers = []meter.StateCount{
+			{State: string(messenger.RoleAgent), Count: len(b.agents)},
+			{State: string(messenger.RoleEntry), Count: len(b.entries)},
+		}
+		s.ConfigVersion, s.ConfigAge = b.version(), -1
+		if !b.offeredAt.IsZero() {
+			s.ConfigAge = now.Sub(b.offeredAt)
+		}
+	})
+	return s
+}
+
 // Ready reports whether jobs can be served: the queues are known, and an upstream.
 func (b *Broker) Ready() bool { return b.serving.Load() && b.shelf.InForce() != nil }
 
@@ -224,7 +254,7 @@
 
 // Offer takes a catalogue that the platform has shown.
 func (b *Broker) Offer(c *cataloguer.Catalogue) {
-	b.loop.Post(func(time.Time) { b.offer(c, "platform") })
+	b.loop.Post(func(now time.Time) { b.offer(now, c, "platform") })
 }
 
 // flush carries out what was decided. It runs on the control thread.
@@ -252,7 +282,10 @@
 }
 
 func (b *Broker) answer(a assigner.Answer) {
-	b.meter.answered(a)
+	b.meter.Answered(a.Queue, string(a.Outcome), a.Reason, a.Took)
+	if a.Launched {
+		b.meter.Started(a.Queue, a.Waited)
+	}
 	b.settings.Journal.Line("job-"+string(a.Outcome)).Str("job", a.Job).Str("queue", a.Queue).
 		Str("reason", a.Reason).Dur("took", a.Took).Dur("waited", a.Waited).
 		Dur("retry-after", a.RetryAfter).Uint64("config-version", b.version()).Msg("")
--- a/internal/broker/peers.go
+++ b/internal/broker/peers.go
@@ -78,7 +78,7 @@
 			b.settings.Journal.Line("catalogue-unreadable").Str("peer", string(h.Peer)).Err(err).Msg("")
 			return
 		}
-		b.offer(catalogue, string(h.Peer))
+		b.offer(now, catalogue, string(h.Peer))
 	}
 }
 
@@ -97,7 +97,10 @@
 
 // offer puts a catalogue in force if it is newer, and tells the other entries: the
 // platform may turn some of them away.
-func (b *Broker) offer(c *cataloguer.Catalogue, source string) {
+func (b *Broker) offer(now time.Time, c *cataloguer.Catalogue, source string) {
+	if c.Version >= b.version() {
+		b.offeredAt = now
+	}
 	if !b.shelf.Offer(c) {
 		return
 	}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -20,6 +20,7 @@
 	"sardinelock.dev/sardinelock/internal/journaler"
 	"sardinelock.dev/sardinelock/internal/linker"
 	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/meter"
 	"sardinelock.dev/sardinelock/internal/runner"
 	"sardinelock.dev/sardinelock/internal/timer"
 )
@@ -95,6 +96,7 @@
 	timers   *timer.Service
 	links    *linker.Linker
 	counts   connector.Counts
+	meter    *meter.Meter
 
 	// The fields below belong to the control thread.
 	runner      *runner.Runner
@@ -107,7 +109,7 @@
 }
 
 // New returns a keeper that does not serve yet.
-func New(s Settings) *Keeper {
+func New(s Settings) (*Keeper, error) {
 	k := &Keeper{
 		settings: s,
 		peer:     messenger.Peer("agent-" + s.Instance + "-" + uuid.NewString()),
@@ -120,7 +122,23 @@
 	options := connector.Options{Hello: k.hello, Counts: &k.counts}
 	k.links = linker.New(k.background, k.loop, options, linker.Hooks{Up: k.up, Receive: k.receive, Down: k.down})
 	k.links.Add(true, s.Entries...)
-	return k
+	identity := meter.Identity{Role: string(messenger.RoleAgent), Peer: string(k.peer), Region: s.Region, DataCentre: s.DataCentre}
+	var err error
+	k.meter, err = meter.New(identity, meter.Sources{Traffic: &k.counts, Busy: k.loop.Busy, Agent: k.state})
+	return k, err
+}
+
+// Meter returns the metrics of the process.
+func (k *Keeper) Meter() *meter.Meter { return k.meter }
+
+// state returns what the metrics show of the agent.
+func (k *Keeper) state() (s meter.AgentState) {
+	k.loop.Call(func(now time.Time) {
+		s.Running, s.Waiting, _ = k.runner.Counts()
+		s.State = messenger.UpstreamState(k.runner.State(k.loop.Elapsed(now)))
+		s.Entries = len(k.conns)
+	})
+	return s
 }
 
 func (k *Keeper) hello() messenger.Hello {
