--- /dev/null
+++ b/cmd/sardinelock/cmd/explain.go
@@ -0,0 +1,124 @@
+package cmd
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+)
+
+func newExplainCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain JOB-ID [FILE...]",
+		Short: "Print the life of a job from the logs of all processes",
+		Long: `Print the life of a job from the logs of all processes, in the order of time.
+
+Reads the files, or standard input. Whatever stands before the JSON of a line, such
+as the name of the instance, is printed in front of the event.`,
+		Example: `  sardinelock explain 5c0e7a21d94b36f8 entry.log agent-*.log`,
+		Args:    cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			lines, err := readLogs(c.InOrStdin(), args[1:], args[0])
+			if err != nil {
+				return err
+			}
+			if len(lines) == 0 {
+				return errors.Errorf("no line names the job %q", args[0])
+			}
+			printLife(c.OutOrStdout(), lines)
+			return nil
+		},
+	}
+}
+
+// logLine is a line of a process's log.
+type logLine struct {
+	source string // source is what stands before the JSON.
+	at     time.Time
+	event  string
+	fields []string // fields has "name=value" of all that is set.
+}
+
+const maxLineBytes = 1 << 20
+
+// readLogs returns the lines that name a job, in the order of time.
+func readLogs(stdin io.Reader, files []string, job string) ([]logLine, error) {
+	var lines []logLine
+	if len(files) == 0 {
+		return sortLines(scanLog(lines, stdin, "", job))
+	}
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		lines, err = scanLog(lines, f, name, job)
+		if closing := f.Close(); err == nil {
+			err = closing
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return sortLines(lines, nil)
+}
+
+func sortLines(lines []logLine, err error) ([]logLine, error) {
+	slices.SortStableFunc(lines, func(a, b logLine) int { return a.at.Compare(b.at) })
+	return lines, err
+}
+
+func scanLog(lines []logLine, r io.Reader, name, job string) ([]logLine, error) {
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLineBytes)
+	for s.Scan() {
+		prefix, body, found := strings.Cut(s.Text(), "{")
+		if !found || !strings.Contains(body, job) {
+			continue
+		}
+		if l, ok := parseLine("{" + body); ok {
+			l.source = cmp.Or(strings.Join(strings.Fields(prefix), " "), name)
+			lines = append(lines, l)
+		}
+	}
+	return lines, s.Err()
+}
+
+// parseLine reads the JSON of a line; false if it is none.
+func parseLine(text string) (logLine, bool) {
+	var fields map[string]any
+	if json.Unmarshal([]byte(text), &fields) != nil {
+		return logLine{}, false
+	}
+	var l logLine
+	l.event, _ = fields["event"].(string)
+	at, _ := fields["time"].(string)
+	l.at, _ = time.Parse(time.RFC3339Nano, at)
+	for name, value := range fields {
+		switch name {
+		case "time", "level", "event", "job":
+			continue
+		}
+		if text := fmt.Sprint(value); text != "" {
+			l.fields = append(l.fields, name+"="+text)
+		}
+	}
+	slices.Sort(l.fields)
+	return l, true
+}
+
+func printLife(w io.Writer, lines []logLine) {
+	begun := lines[0].at
+	for _, l := range lines {
+		fmt.Fprintf(w, "%9.1f ms  %-24s %-16s %s\n",
+			float64(l.at.Sub(begun))/float64(time.Millisecond), l.source, l.event, strings.Join(l.fields, " "))
+	}
+}
--- a/cmd/sardinelock/cmd/platform.go
+++ b/cmd/sardinelock/cmd/platform.go
@@ -30,7 +30,8 @@
 		Long: short + `.
 
 The settings come from the file that the platform names in the environment.`,
-		Args: cobra.NoArgs,
+		Example: "  sardinelock platform " + role + " --log-level info",
+		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			if err := usageFaults(levelFaults(logLevel)); err != nil {
 				return err
--- a/cmd/sardinelock/cmd/root.go
+++ b/cmd/sardinelock/cmd/root.go
@@ -84,6 +84,7 @@
 		newRosterCommand(),
 		newReportCommand(),
 		newPlatformCommand(),
+		newExplainCommand(),
 	)
 	refuseUnknown(root)
 	return root
