Choose among upstreams by chance in proportion to free room, and return waiting tasks sooner

Change: among upstreams with room the choice is by chance, weighted by free room and by cost; a task that has not started within 25 ms goes back.

--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -12,16 +12,16 @@
 const (
 	// returnAfter is how long a task may wait at an agent until it goes back, so that
 	// it can be placed where room has become free.
-	returnAfter = 80 * time.Millisecond
+	returnAfter = 25 * time.Millisecond
 	// lookAhead is the longest expected wait with which a task is sent to an agent: it
 	// covers the way there, so that room that becomes free is used at once.
 	lookAhead = 3 * time.Millisecond
-	// evenness is what a wholly used upstream counts more than an idle one: among those
-	// with room, load is spread.
-	evenness = 4 * time.Millisecond
-	// scatter is the random part of each choice, so that entries with the same view do
-	// not choose the same upstream.
-	scatter = 2 * time.Millisecond
+	// scatter is the weight of chance in each choice. Entries with the same view, which
+	// is as old as the last report, must not choose the same upstream: among equal
+	// ones the chance is in proportion to the room that is free.
+	scatter = 12 * time.Millisecond
+	// minFree is the least share of room that counts as free.
+	minFree = 0.01
 	// avoidCost is what an upstream counts more where the task has ended badly.
 	avoidCost = 300 * time.Millisecond
 	// defaultRun is the run time of tasks until one is known.
@@ -179,13 +179,14 @@
 // cost returns what speaks against an upstream, as a time.
 func (a *Assigner) cost(t *task, g *agent) time.Duration {
 	l := &g.load
-	cost := time.Duration(a.random.Int64N(int64(scatter)))
+	var cost time.Duration
 	if l.Pace > 0 {
 		cost += t.expected * time.Duration(l.Pace-nominalPace) / nominalPace
 	}
 	if l.Capacity.MilliCPU > 0 {
 		used := l.Used.Add(l.Queued).Add(g.uncovered())
-		cost += evenness * time.Duration(used.MilliCPU) / time.Duration(l.Capacity.MilliCPU)
+		free := max(minFree, 1-float64(used.MilliCPU)/float64(l.Capacity.MilliCPU))
+		cost += time.Duration(float64(scatter) * math.Log(a.random.ExpFloat64()/free))
 	}
 	if g.dataCentre != a.dataCentre {
 		cost += a.limits.Remote
