--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -84,7 +84,7 @@
 // elsewhere.
 func (a *Assigner) choose(now time.Duration, t *task) (*agent, time.Duration) {
 	var best *agent
-	var bestCost, bestWait time.Duration
+	var bestCost, bestWait, bestKey time.Duration
 	elsewhere := time.Duration(math.MaxInt64)
 	for _, g := range a.order {
 		if !a.eligible(now, t, g) {
@@ -96,8 +96,8 @@
 			elsewhere = min(elsewhere, cost)
 			continue
 		}
-		if best == nil || cost < bestCost {
-			best, bestCost, bestWait = g, cost, wait
+		if key := cost + a.chance(g); best == nil || key < bestKey {
+			best, bestCost, bestWait, bestKey = g, cost, wait, key
 		}
 	}
 	if best != nil && now+bestCost > t.urgency() && now+elsewhere <= t.urgency() && elsewhere < bestCost {
@@ -183,11 +183,6 @@
 	if l.Pace > 0 {
 		cost += t.expected * time.Duration(l.Pace-nominalPace) / nominalPace
 	}
-	if l.Capacity.MilliCPU > 0 {
-		used := l.Used.Add(l.Queued).Add(g.uncovered())
-		free := max(minFree, 1-float64(used.MilliCPU)/float64(l.Capacity.MilliCPU))
-		cost += time.Duration(float64(scatter) * math.Log(a.random.ExpFloat64()/free))
-	}
 	if g.dataCentre != a.dataCentre {
 		cost += a.limits.Remote
 	}
@@ -200,6 +195,18 @@
 	return cost
 }
 
+// chance returns the random part of a choice: the least of several is in proportion
+// to the room that is free.
+func (a *Assigner) chance(g *agent) time.Duration {
+	l := &g.load
+	if l.Capacity.MilliCPU == 0 {
+		return 0
+	}
+	used := l.Used.Add(l.Queued).Add(g.uncovered())
+	free := max(minFree, 1-float64(used.MilliCPU)/float64(l.Capacity.MilliCPU))
+	return time.Duration(float64(scatter) * math.Log(a.random.ExpFloat64()/free))
+}
+
 // uncovered returns the room of the launches that the agent's load does not cover.
 func (g *agent) uncovered() messenger.Room {
 	var r messenger.Room
