Place late tasks before jobs are rejected as overtaken, and probe suspects sooner

Change: useless jobs are rejected before, overtaken ones after the placing; suspects are probed after 1.5 s at the latest; every end of a run at an entry has a log line.

--- a/internal/assigner/agent.go
+++ b/internal/assigner/agent.go
@@ -183,6 +183,8 @@
 	}
 	if e.Kind != messenger.EndReturned && e.Kind != messenger.EndWithdrawn {
 		t.avoid = append(t.avoid, g.instance)
+	}
+	if !j.answered {
 		a.decide(Decision{Event: "task-ended", Task: t.ref, Run: t.run, Instance: g.instance, Reason: string(e.Kind), Age: e.Took})
 	}
 	ran := e.Kind.Ran() && (e.Kind != messenger.EndWithdrawn || e.Started)
--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -227,8 +227,10 @@
 func (a *Assigner) Take(now time.Duration) Output {
 	a.checkAgents(now)
 	a.resolveDeparted(now)
-	a.checkJobs(now)
+	a.checkDeadlines(now)
+	a.rejectUseless(now)
 	a.place(now)
+	a.rejectOvertaken(now)
 	a.send(now)
 	out := a.out
 	a.out = Output{}
--- a/internal/assigner/job.go
+++ b/internal/assigner/job.go
@@ -278,23 +278,37 @@
 	return jobs
 }
 
-// checkJobs gives up what cannot be answered in time.
-func (a *Assigner) checkJobs(now time.Duration) {
-	for _, t := range a.pending {
-		j := t.job
-		if j.answered || j.out > 0 || j.ran {
-			continue
-		}
-		// A job that can only be late is not served while others find no room that can
-		// still be in time.
-		overtaken := a.short && t.urgency() < now
-		if overtaken || now+t.expected > j.useless {
-			_, wait := a.outlook(now, j)
-			a.reject(now, j, "too-late", wait)
-			a.checkJobs(now)
+// rejectPending rejects the jobs of which nothing was started and that a condition
+// holds for.
+func (a *Assigner) rejectPending(now time.Duration, reason string, holds func(*task) bool) {
+	for {
+		i := slices.IndexFunc(a.pending, func(t *task) bool {
+			return !t.job.answered && t.job.out == 0 && !t.job.ran && holds(t)
+		})
+		if i < 0 {
 			return
 		}
+		j := a.pending[i].job
+		_, wait := a.outlook(now, j)
+		a.reject(now, j, reason, wait)
+	}
+}
+
+// rejectUseless rejects the jobs whose answer would be worth nothing.
+func (a *Assigner) rejectUseless(now time.Duration) {
+	a.rejectPending(now, "too-late", func(t *task) bool { return now+t.expected > t.job.useless })
+}
+
+// rejectOvertaken rejects the jobs that can only be late, while others find no room
+// that can still be in time: they come first.
+func (a *Assigner) rejectOvertaken(now time.Duration) {
+	if a.short {
+		a.rejectPending(now, "overtaken", func(t *task) bool { return t.urgency() < now })
 	}
+}
+
+// checkDeadlines gives up the jobs whose callers are about to leave.
+func (a *Assigner) checkDeadlines(now time.Duration) {
 	var due []*job
 	for _, j := range a.jobs {
 		if !j.answered && now >= j.deadline {
--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -36,6 +36,7 @@
 // place launches the waiting tasks, the most urgent first. What cannot be in time
 // any more comes after what still can.
 func (a *Assigner) place(now time.Duration) {
+	a.short = false
 	if len(a.pending) == 0 {
 		return
 	}
--- a/internal/runner/health.go
+++ b/internal/runner/health.go
@@ -20,7 +20,7 @@
 	// minBackOff and maxBackOff bound the time until a suspect upstream is probed. The
 	// lower bound is in the order of a job's objective.
 	minBackOff = 400 * time.Millisecond
-	maxBackOff = 4 * time.Second
+	maxBackOff = 1500 * time.Millisecond
 	// trustAfter is how long an upstream must behave until its earlier faults are forgotten.
 	trustAfter = 10 * time.Second
 	// paceHalfLife is the time in which an upstream that runs nothing loses half of what
