--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -107,12 +107,15 @@
 		return nil, err
 	}
 	options := connector.Options{Hello: b.hello, Counts: &b.counts}
-	b.links = linker.New(b.background, b.loop, options, linker.Hooks{Up: b.up, Receive: b.receive, Down: b.down})
+	b.links = linker.New(b.background, b.loop, options, linker.Hooks{
+		Up: b.up, Receive: b.receive, Down: b.down, Failed: b.unreached,
+	})
 	b.links.Add(true, b.others(s.Entries)...)
 	mux := http.NewServeMux()
 	mux.HandleFunc(connector.Path, func(w http.ResponseWriter, r *http.Request) {
 		conn, err := connector.Accept(w, r, options)
 		if err != nil {
+			s.Journal.Line("peer-refused").Str("address", r.RemoteAddr).Err(err).Msg("")
 			return
 		}
 		b.links.Serve(conn)
--- a/internal/broker/peers.go
+++ b/internal/broker/peers.go
@@ -95,6 +95,10 @@
 	}
 }
 
+func (b *Broker) unreached(addr netip.AddrPort, err error) {
+	b.settings.Journal.Line("entry-not-reached").Str("address", addr.String()).Err(err).Msg("")
+}
+
 // offer puts a catalogue in force if it is newer, and tells the other entries: the
 // platform may turn some of them away.
 func (b *Broker) offer(now time.Time, c *cataloguer.Catalogue, source string) {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -120,7 +120,9 @@
 	k.background, k.stop = context.WithCancel(context.Background())
 	k.loop = controller.NewOnClock(timer.NewSteadyClock(), k.flush)
 	options := connector.Options{Hello: k.hello, Counts: &k.counts}
-	k.links = linker.New(k.background, k.loop, options, linker.Hooks{Up: k.up, Receive: k.receive, Down: k.down})
+	k.links = linker.New(k.background, k.loop, options, linker.Hooks{
+		Up: k.up, Receive: k.receive, Down: k.down, Failed: k.unreached,
+	})
 	k.links.Add(true, s.Entries...)
 	identity := meter.Identity{Role: string(messenger.RoleAgent), Peer: string(k.peer), Region: s.Region, DataCentre: s.DataCentre}
 	var err error
@@ -327,6 +329,10 @@
 	return true
 }
 
+func (k *Keeper) unreached(addr netip.AddrPort, err error) {
+	k.settings.Journal.Line("entry-not-reached").Str("address", addr.String()).Err(err).Msg("")
+}
+
 func (k *Keeper) receive(now time.Time, c *connector.Conn, f *messenger.Frame) {
 	peer := c.Hello().Peer
 	if k.conns[peer] != c {
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -41,6 +41,9 @@
 	Receive func(now time.Time, c *connector.Conn, f *messenger.Frame)
 	// Down is told of the end of a connection that was up.
 	Down func(now time.Time, c *connector.Conn, cause error)
+	// Failed is told of a dial that did not lead to a connection. Unlike the others it is
+	// called on the goroutine of the dial.
+	Failed func(addr netip.AddrPort, err error)
 }
 
 // Linker keeps the connections of one process.
@@ -126,6 +129,7 @@
 	}()
 	conn, err := connector.Dial(l.ctx, "ws://"+addr.String()+connector.Path, l.options)
 	if err != nil {
+		l.hooks.Failed(addr, err)
 		return
 	}
 	connected = l.Serve(conn)
