Trust no refusal of a start that was sent before without an answer

Change: such a refusal leaves the outcome open; the task is stopped, and its end or the next list decides.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -284,12 +284,13 @@
 
 func (k *Keeper) start(c runner.StartCall) {
 	a := runner.AnswerNone
-	for try := 0; try < startTries && a == runner.AnswerNone; try++ {
+	tries := 0
+	for ; tries < startTries && a == runner.AnswerNone; tries++ {
 		ctx, cancel := context.WithTimeout(k.background, callTimeout)
 		a = k.settings.Driver.Start(ctx, c, k.settings.Limits.Lease)
 		cancel()
 	}
-	k.loop.Post(func(now time.Time) { k.runner.Started(k.loop.Elapsed(now), c, a) })
+	k.loop.Post(func(now time.Time) { k.runner.Started(k.loop.Elapsed(now), c, a, tries > 1) })
 }
 
 func (k *Keeper) halt(c runner.StopCall) {
--- a/internal/replayer/agent.go
+++ b/internal/replayer/agent.go
@@ -155,7 +155,7 @@
 		answered = true
 		a.run(func() {
 			if a.life == life {
-				a.runner.Started(a.world.now, c, answer)
+				a.runner.Started(a.world.now, c, answer, tries < startTries)
 			}
 		})
 	}
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -26,7 +26,7 @@
 //	up|down ENTRY                           begins or ends a session
 //	launch ENTRY ECHO JOB RUN CPU URGENCY   launches the first task of a job
 //	withdraw ENTRY ECHO JOB RUN
-//	answer JOB RUN ANSWER                   answers a start
+//	answer JOB RUN ANSWER [again]           answers a start, which was sent before
 //	stopped JOB RUN true|false              answers a stop
 //	list BORN [running JOB:RUN:PERCENT]... [ended NUMBER:JOB:RUN:KIND]...
 //	silent|refused                          a question without an answer
@@ -72,7 +72,7 @@
 	case "launch", "withdraw":
 		s.receive(l)
 	case "answer":
-		s.runner.Started(s.now, StartCall{Task: task0(a[0]), Run: uint64(s.number(a[1]))}, Answer(a[2]))
+		s.runner.Started(s.now, StartCall{Task: task0(a[0]), Run: uint64(s.number(a[1]))}, Answer(a[2]), len(a) > 3)
 	case "stopped":
 		s.runner.Stopped(s.now, StopCall{Task: task0(a[0]), Run: uint64(s.number(a[1]))}, a[2] == "true")
 	case "list":
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -20,8 +20,12 @@
 	AnswerNone      Answer = "none"       // Whether the start took effect is open.
 )
 
-// Started takes the answer to a start.
-func (r *Runner) Started(now time.Duration, c StartCall, a Answer) {
+// Started takes the answer to a start. If the start was sent before without an answer,
+// a refusal says nothing about that one: it may have run, or may still be carried out.
+func (r *Runner) Started(now time.Duration, c StartCall, a Answer, again bool) {
+	if again && a != AnswerStarted && a != AnswerOtherLife {
+		a = AnswerNone
+	}
 	t := r.tasks[c.Task]
 	if t == nil || t.Run != c.Run || t.state == stateWaiting {
 		return
