Remove what nothing calls, and order a comparison so that it cannot overflow

Cause: read as a newcomer would: Runner.Busy, Runner.Life and two fields had no use; an absent alternative was added to the time before it was compared.

Change: removed, reordered; nothing decides otherwise.

--- a/internal/assigner/job.go
+++ b/internal/assigner/job.go
@@ -50,8 +50,6 @@
 	run      uint64
 	failures int
 	agent    *agent // agent is where the task was launched last.
-	sequence uint64 // sequence is the number of the launch at the agent.
-	launchAt time.Duration
 	expected time.Duration
 	avoid    []string // avoid has the instances where the task did badly.
 }
--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -101,7 +101,7 @@
 			best, bestCost, bestWait, bestKey = g, cost, wait, key
 		}
 	}
-	if best != nil && now+bestCost > t.urgency() && now+elsewhere <= t.urgency() && elsewhere < bestCost {
+	if best != nil && elsewhere < bestCost && now+bestCost > t.urgency() && now+elsewhere <= t.urgency() {
 		return nil, 0
 	}
 	return best, bestWait
@@ -297,7 +297,7 @@
 	t.run++
 	t.run = max(t.run, j.base+1)
 	g.sent++
-	t.state, t.agent, t.sequence, t.launchAt = stateLaunched, g, g.sent, now
+	t.state, t.agent = stateLaunched, g
 	j.out++
 	g.tasks[t.ref] = t
 	g.ahead = append(g.ahead, ahead{sequence: g.sent, room: t.step.Room})
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -258,9 +258,6 @@
 // Idle reports whether no task is left.
 func (r *Runner) Idle() bool { return len(r.tasks) == 0 }
 
-// Life returns the upstream's life as far as it is known.
-func (r *Runner) Life() Life { return r.life }
-
 // Counts returns the number of tasks that run and that wait, and the room in use.
 func (r *Runner) Counts() (running, waiting int, used messenger.Room) {
 	return len(r.tasks) - len(r.waiting), len(r.waiting), r.used
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -100,7 +100,7 @@
 		f.Withdraws = []messenger.Withdraw{{Task: task0(a[2]), Run: run}}
 	} else {
 		f.Launches = []messenger.Launch{{
-			Task: task0(a[2]), Run: run, Service: "quote", Life: s.runner.Life().String(),
+			Task: task0(a[2]), Run: run, Service: "quote", Life: s.runner.life.String(),
 			Room: messenger.Room{MilliCPU: s.number(a[4])}, Urgency: s.duration(a[5]),
 			StartBy: s.now + 100*time.Millisecond, Expected: 100 * time.Millisecond,
 		}}
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -33,17 +33,6 @@
 	}
 }
 
-// Busy reports whether tasks of an ended session of the entry are left, so that it
-// must not be connected again yet.
-func (r *Runner) Busy(peer messenger.Peer) bool {
-	for _, t := range r.tasks {
-		if t.session.peer == peer && t.session.closed {
-			return true
-		}
-	}
-	return false
-}
-
 // Orphaned reports whether tasks of any ended session are left.
 func (r *Runner) Orphaned() bool {
 	for _, t := range r.tasks {
