--- a/internal/replayer/replayer.go
+++ b/internal/replayer/replayer.go
@@ -8,6 +8,7 @@
 package replayer
 
 import (
+	"bytes"
 	"container/heap"
 	"fmt"
 	"maps"
@@ -90,6 +91,7 @@
 	agents  []*agent
 	jobs    map[string]*call
 	result  Result
+	frame   bytes.Buffer // frame is used again for each encoding.
 }
 
 func newWorld(p Pattern, seed uint64) *world {
@@ -246,10 +248,24 @@
 	}
 }
 
+// count adds a frame to the traffic of an entry, in both directions.
+func (w *world) count(entry int, f *messenger.Frame) {
+	w.frame.Reset()
+	if err := messenger.Append(&w.frame, f); err != nil {
+		w.breach("a frame cannot be encoded: %v", err)
+	}
+	w.result.Frames++
+	for len(w.result.EntryBytes) <= entry {
+		w.result.EntryBytes = append(w.result.EntryBytes, 0)
+	}
+	w.result.EntryBytes[entry] += w.frame.Len()
+}
+
 // delay is the one-way time of the connection.
 func (l *link) delay() time.Duration { return l.agent.world.networkDelay(l.entry.index, l.agent.index) }
 
 func (l *link) toAgent(f *messenger.Frame) {
+	l.agent.world.count(l.entry.index, f)
 	if l.cut {
 		return
 	}
@@ -263,6 +279,7 @@
 }
 
 func (l *link) toEntry(f *messenger.Frame) {
+	l.agent.world.count(l.entry.index, f)
 	if l.cut {
 		return
 	}
--- a/internal/replayer/result.go
+++ b/internal/replayer/result.go
@@ -51,7 +51,9 @@
 	ByKind                    map[string]Share
 	Windows                   []Share
 	Breaches                  []string
-	Starts, Wasted            int // Wasted counts the runs that did not end with success.
+	Starts                    int
+	Frames                    int   // Frames counts the messages between entries and agents.
+	EntryBytes                []int // EntryBytes has the bytes that each entry has sent and received.
 }
 
 // Share is what was earned of what was owed.
