Let one function wait, one sum the room in use, and one name the end of lost tasks

Cause: read again: the wait for a time or a context's end stood four times, the room in use or asked for at an agent four times, and the kind of end of what an upstream lost twice.

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -177,7 +177,7 @@
 	for _, g := range a.order {
 		if g.known && g.load.State == messenger.RunnerReady {
 			capacity = capacity.Add(g.load.Capacity)
-			used = used.Add(g.load.Used).Add(g.load.Queued).Add(g.uncovered())
+			used = used.Add(g.occupied())
 		}
 	}
 	return capacity, used
--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -203,14 +203,15 @@
 	if l.Capacity.MilliCPU == 0 {
 		return 0
 	}
-	used := l.Used.Add(l.Queued).Add(g.uncovered())
+	used := g.occupied()
 	free := max(minFree, 1-float64(used.MilliCPU)/float64(l.Capacity.MilliCPU))
 	return time.Duration(float64(scatter) * math.Log(a.random.ExpFloat64()/free))
 }
 
-// uncovered returns the room of the launches that the agent's load does not cover.
-func (g *agent) uncovered() messenger.Room {
-	var r messenger.Room
+// occupied returns the room in use or asked for at the agent, with the launches that
+// its load does not cover.
+func (g *agent) occupied() messenger.Room {
+	r := g.load.Used.Add(g.load.Queued)
 	for _, h := range g.ahead {
 		r = r.Add(h.room)
 	}
@@ -221,7 +222,7 @@
 // room in use becomes free evenly over the run time of a task.
 func (g *agent) wait(room messenger.Room, run time.Duration) time.Duration {
 	l := &g.load
-	used := l.Used.Add(l.Queued).Add(g.uncovered()).Add(room)
+	used := g.occupied().Add(room)
 	if used.Fits(l.Capacity) {
 		return 0
 	}
@@ -250,7 +251,7 @@
 			continue
 		}
 		capacity = capacity.Add(l.Capacity)
-		used = used.Add(l.Used).Add(l.Queued).Add(g.uncovered())
+		used = used.Add(g.occupied())
 	}
 	if !a.everySuits(j) {
 		return false, 0
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -219,20 +219,11 @@
 			k.runner.Unanswered(k.loop.Elapsed(now), silence == SilenceClosed)
 		})
 		if silence == SilenceClosed {
-			pause(ctx, askPause)
+			timer.Sleep(ctx, askPause)
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // Announce takes an announcement of the upstream and reports whether it was taken.
 func (k *Keeper) Announce(u runner.Upstream) (taken bool) {
 	k.loop.Call(func(now time.Time) { taken = k.runner.Announce(k.loop.Elapsed(now), u) })
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -230,15 +230,20 @@
 // loseAll ends all tasks: the upstream runs nothing any more.
 func (r *Runner) loseAll(now time.Duration) {
 	for _, t := range r.sorted() {
-		kind := messenger.EndLost
-		if t.state == stateWaiting {
-			kind = messenger.EndReturned
-		}
-		if t.kind != "" {
-			kind = t.kind
-		}
-		r.end(now, t, kind)
+		r.end(now, t, t.lost())
+	}
+}
+
+// lost returns what the end of a task is reported as when the upstream runs nothing
+// any more.
+func (t *task) lost() messenger.EndKind {
+	switch {
+	case t.kind != "":
+		return t.kind
+	case t.state == stateWaiting:
+		return messenger.EndReturned
 	}
+	return messenger.EndLost
 }
 
 // returnWaiting gives back what has not started.
--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -90,16 +90,12 @@
 			continue
 		}
 		lost = true
-		kind := messenger.EndLost
-		if t.kind != "" {
-			kind = t.kind
-		}
 		// A start that was held up on its way may still be carried out. Its room
 		// stays charged until a stop is acknowledged.
 		if t.state == stateStarting || t.state == stateStopping && t.kind == messenger.EndNotKnown {
 			continue
 		}
-		r.end(now, t, kind)
+		r.end(now, t, t.lost())
 	}
 	if lost {
 		r.decide(Decision{Event: "lease-lapsed"})
--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -22,6 +22,8 @@
 	"time"
 
 	"github.com/google/uuid"
+
+	"sardinelock.dev/sardinelock/internal/timer"
 )
 
 // Row is one row of the table.
@@ -95,7 +97,7 @@
 		http:    &http.Client{},
 		timeout: defaultTimeout,
 		retries: defaultRetries,
-		Sleep:   sleep,
+		Sleep:   timer.Sleep,
 		Observe: func(string, Kind) {},
 	}
 }
@@ -204,10 +206,3 @@
 type statusError int
 
 func (s statusError) Error() string { return "status " + strconv.Itoa(int(s)) }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/surveyor/connections.go
+++ b/internal/surveyor/connections.go
@@ -20,6 +20,7 @@
 	"sardinelock.dev/sardinelock/internal/invoker"
 	"sardinelock.dev/sardinelock/internal/launcher"
 	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/timer"
 	"sardinelock.dev/sardinelock/pkg/submitter"
 )
 
@@ -123,7 +124,7 @@
 		if err := c.grow(ctx, n); err != nil {
 			return nil, err
 		}
-		pause(ctx, settleTime)
+		timer.Sleep(ctx, settleTime)
 		joined, took := c.traffic(), time.Since(begun)
 		settled, err := ReadUsage(o.PID)
 		if err != nil {
@@ -169,7 +170,7 @@
 		if err := f.grow(ctx, n); err != nil {
 			return nil, err
 		}
-		pause(ctx, 2*settleTime)
+		timer.Sleep(ctx, 2*settleTime)
 		if err := f.checkConnected(); err != nil {
 			return nil, err
 		}
--- a/internal/surveyor/meters.go
+++ b/internal/surveyor/meters.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sardinelock.dev/sardinelock/internal/connector"
+	"sardinelock.dev/sardinelock/internal/timer"
 )
 
 // meter names one cost.
@@ -52,7 +53,7 @@
 		return reading{}, err
 	}
 	from, begun := traffic(), time.Now()
-	pause(ctx, o.Hold)
+	timer.Sleep(ctx, o.Hold)
 	to, took := traffic(), time.Since(begun)
 	after, err := ReadUsage(o.PID)
 	if err != nil {
@@ -67,10 +68,3 @@
 		bytes:    float64(to.BytesSent+to.BytesRead-from.BytesSent-from.BytesRead) / seconds,
 	}, nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/surveyor/tasks.go
+++ b/internal/surveyor/tasks.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"sardinelock.dev/sardinelock/internal/emulator"
+	"sardinelock.dev/sardinelock/internal/timer"
 	"sardinelock.dev/sardinelock/pkg/submitter"
 )
 
@@ -34,7 +35,7 @@
 	if err := c.grow(ctx, loadAgents); err != nil {
 		return nil, err
 	}
-	pause(ctx, settleTime)
+	timer.Sleep(ctx, settleTime)
 	m := newMeters("task of a job",
 		meter{"entry-job-time", "us"}, meter{"entry-load-resident", "B"},
 		meter{"job-messages", "1"}, meter{"job-bytes", "B"})
@@ -80,7 +81,7 @@
 		if time.Now().After(deadline) || ctx.Err() != nil {
 			return &Error{Op: "load", Kind: KindSystem, Err: errors.Errorf("no job completes: %v %s %s", err, a.Outcome, a.Detail)}
 		}
-		pause(ctx, readyPoll)
+		timer.Sleep(ctx, readyPoll)
 	}
 	return nil
 }
--- a/internal/timer/timer.go
+++ b/internal/timer/timer.go
@@ -57,3 +57,13 @@
 		}
 	}
 }
+
+// Sleep waits for a time, or until the context ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
