Tell entries of an agent's load when what they know is too far off

Cause: each start and end at an agent made a report for every entry, 42 a second at three entries, though an entry knows its own launches and a small change does not alter a choice. Change: a session remembers what its entry knows, with the entry's own launches. A report alone goes out when that is off by an eighth of the capacity or a quarter of what is free. Beats and ends carry the load as before.

--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -31,6 +31,7 @@
 //	list BORN [running JOB:RUN:PERCENT]... [ended NUMBER:JOB:RUN:KIND]...
 //	silent|refused                          a question without an answer
 //	ask                                     prints the next question
+//	loads                                   prints the reports of load from then on
 //	close                                   begins the shutdown
 func TestScripts(t *testing.T) {
 	scripter.Run(t, "testdata/*.txtar", func(t *testing.T, lines []scripter.Line) string {
@@ -47,6 +48,7 @@
 	runner *Runner
 	now    time.Duration
 	out    strings.Builder
+	loads  bool // loads means that reports of load are printed.
 }
 
 func (s *script) line(l scripter.Line) {
@@ -82,6 +84,8 @@
 	case "ask":
 		q := s.runner.Ask(s.now)
 		fmt.Fprintf(&s.out, "question: seen %d, renew %v\n", q.Seen, q.Renew)
+	case "loads":
+		s.loads = true
 	case "close":
 		s.runner.Close(s.now)
 	default:
@@ -133,6 +137,9 @@
 		for _, e := range send.Frame.Ends {
 			fmt.Fprintf(&s.out, "end to %s: %s run %d %s\n", send.To, e.Task.Job, e.Run, e.Kind)
 		}
+		if l := send.Frame.Load; l != nil && s.loads {
+			fmt.Fprintf(&s.out, "load to %s: %d used, %d queued\n", send.To, l.Used.MilliCPU, l.Queued.MilliCPU)
+		}
 	}
 	for _, p := range out.Closes {
 		fmt.Fprintf(&s.out, "close %s\n", p)
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -10,13 +10,16 @@
 
 // session is one connection to an entry.
 type session struct {
-	peer   messenger.Peer
-	heard  time.Duration // heard is the latest stamp of this runner that the entry has had.
-	entry  time.Duration // entry is the latest stamp of the entry.
-	seen   uint64        // seen counts the launches that came on the connection.
-	ends   []messenger.End
-	tasks  int           // tasks counts the tasks that the session owns.
-	dirty  bool          // dirty means that the load has changed since it was last sent.
+	peer  messenger.Peer
+	heard time.Duration // heard is the latest stamp of this runner that the entry has had.
+	entry time.Duration // entry is the latest stamp of the entry.
+	seen  uint64        // seen counts the launches that came on the connection.
+	ends  []messenger.End
+	tasks int  // tasks counts the tasks that the session owns.
+	dirty bool // dirty means that the entry must hear of the load soon.
+	moved bool // moved means that the room in use has changed since it was last sent.
+	// told is the room in use or asked for as the entry knows it, with its own launches.
+	told   messenger.Room
 	sentAt time.Duration // sentAt is when the latest frame was sent.
 	closed bool          // closed means that the connection has ended.
 }
@@ -81,7 +84,7 @@
 		s.seen++
 		r.launch(now, s, &f.Launches[i])
 	}
-	s.dirty = s.dirty || len(f.Launches) > 0
+	s.moved = s.moved || len(f.Launches) > 0
 }
 
 func (r *Runner) silence(now time.Duration, s *session) {
@@ -111,6 +114,8 @@
 		s.tasks++
 		at, _ := slices.BinarySearchFunc(r.waiting, t, compareUrgency)
 		r.waiting = slices.Insert(r.waiting, at, t)
+		s.told = s.told.Add(l.Room)
+		r.moved()
 	}
 }
 
@@ -133,3 +138,10 @@
 		s.dirty = true
 	}
 }
+
+// moved notes that the room in use or asked for has changed.
+func (r *Runner) moved() {
+	for _, s := range r.sessions {
+		s.moved = true
+	}
+}
--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -151,7 +151,6 @@
 	r.used = r.used.Add(t.Room)
 	r.renewed(now + r.limits.Lease)
 	r.out.Starts = append(r.out.Starts, StartCall{Life: r.life, Task: t.Task, Run: t.Run, Payload: t.Payload})
-	r.dirty()
 }
 
 // report makes the frames for the entries that must hear something.
@@ -160,22 +159,57 @@
 	for _, peer := range sortedPeers(r.sessions) {
 		s := r.sessions[peer]
 		since := now - s.sentAt
-		if len(s.ends) == 0 && since < r.limits.BeatEvery && (!s.dirty || since < reportEvery) {
+		due := since >= reportEvery && (s.dirty || s.moved && r.strayed(s))
+		if len(s.ends) == 0 && since < r.limits.BeatEvery && !due {
 			continue
 		}
 		f := &messenger.Frame{Ends: s.ends, Stamp: &messenger.Stamp{Clock: now, Echo: s.entry}}
-		if s.dirty {
+		if s.dirty || s.moved {
 			f.Load = r.load(now, s)
+			s.told = f.Load.Used.Add(f.Load.Queued)
 		}
-		s.ends, s.dirty, s.sentAt = nil, false, now
+		s.ends, s.dirty, s.moved, s.sentAt = nil, false, false, now
 		r.out.Sends = append(r.out.Sends, Send{To: peer, Frame: f})
 	}
 }
 
-func (r *Runner) load(now time.Duration, s *session) *messenger.Load {
-	l := &messenger.Load{Life: r.life.String(), State: r.State(now), Used: r.used, Seen: s.seen, Pace: r.health.pace(now)}
+// moveShare and freeShare say by how much what an entry knows of the room in use may be
+// wrong until it is told, as divisors of the capacity and of what is free: where little
+// is free, each task matters.
+const (
+	moveShare = 8
+	freeShare = 4
+)
+
+// strayed reports whether what an entry knows of the room in use is too far off.
+func (r *Runner) strayed(s *session) bool {
+	if r.upstream == nil {
+		return true
+	}
+	occupied, c := r.used.Add(r.queued()), r.upstream.Capacity
+	d, free := occupied.Sub(s.told), c.Sub(occupied)
+	return far(d.MilliCPU, c.MilliCPU, free.MilliCPU) || far(d.MemoryBytes, c.MemoryBytes, free.MemoryBytes) ||
+		far(d.Accelerators, c.Accelerators, free.Accelerators)
+}
+
+// far reports whether a difference is large beside the capacity or what is free.
+func far(difference, capacity, free int64) bool {
+	d := max(difference, -difference)
+	return d > 0 && (d*moveShare >= capacity || d*freeShare >= free)
+}
+
+// queued returns the room that is asked for by what waits.
+func (r *Runner) queued() messenger.Room {
+	var sum messenger.Room
 	for _, t := range r.waiting {
-		l.Queued = l.Queued.Add(t.Room)
+		sum = sum.Add(t.Room)
+	}
+	return sum
+}
+
+func (r *Runner) load(now time.Duration, s *session) *messenger.Load {
+	l := &messenger.Load{
+		Life: r.life.String(), State: r.State(now), Used: r.used, Queued: r.queued(), Seen: s.seen, Pace: r.health.pace(now),
 	}
 	if r.upstream != nil {
 		l.Service, l.Capacity, l.Labels = r.upstream.Service, r.upstream.Capacity, r.upstream.Labels
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -266,5 +266,5 @@
 	if !t.session.closed {
 		t.session.ends = append(t.session.ends, e)
 	}
-	r.dirty()
+	r.moved()
 }
