Pause between questions that an upstream breaks off at once

Cause: an agent asks its upstream again as soon as a question has failed. Change: a pause of 50 ms after the third question in a row without an answer, as after one for which nothing listens.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -39,8 +39,11 @@
 	callTimeout = 50 * time.Millisecond
 	// startTries is how often a start is sent until the task is stopped.
 	startTries = 4
-	// askPause follows a question for which nothing listened.
-	askPause = 50 * time.Millisecond
+	// askPause follows a question for which nothing listened, or that is lost after
+	// hastyAsks others in a row: connections that break at once must not follow each other
+	// at once. A single one that is lost is asked again without delay.
+	askPause  = 50 * time.Millisecond
+	hastyAsks = 2
 	// discoverAfter is how long no entry may be connected until the addresses of entries
 	// are looked up, and the least time between two look-ups.
 	discoverAfter = time.Second
@@ -196,6 +199,7 @@
 
 // ask asks the upstream again and again.
 func (k *Keeper) ask(ctx context.Context) {
+	lost := 0 // lost counts the questions without an answer since the last one with.
 	for ctx.Err() == nil {
 		var q runner.Question
 		var asked time.Duration
@@ -218,7 +222,11 @@
 			}
 			k.runner.Unanswered(k.loop.Elapsed(now), silence == SilenceClosed)
 		})
-		if silence == SilenceClosed {
+		if silence == SilenceNone {
+			lost = 0
+			continue
+		}
+		if lost++; silence == SilenceClosed || lost > hastyAsks {
 			timer.Sleep(ctx, askPause)
 		}
 	}
--- /dev/null
+++ b/internal/keeper/keeper_test.go
@@ -0,0 +1,42 @@
+package keeper
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/journaler"
+	"sardinelock.dev/sardinelock/internal/runner"
+)
+
+// TestAskIsPaced checks that an upstream whose connections break at once is not asked
+// without a pause.
+func TestAskIsPaced(t *testing.T) {
+	for _, silence := range []Silence{SilenceLost, SilenceClosed} {
+		t.Run(string(silence), func(t *testing.T) {
+			var asked atomic.Int64
+			j := journaler.New("info", t.Output())
+			defer j.Close()
+			k, err := New(Settings{
+				Instance: "agent-1", Journal: j,
+				Driver: Driver{Ask: func(context.Context, runner.Question, time.Duration, time.Duration) (runner.Listing, Silence) {
+					asked.Add(1)
+					return runner.Listing{}, silence
+				}},
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 10*askPause)
+			defer cancel()
+			if err := k.Run(ctx); err != nil {
+				t.Fatal(err)
+			}
+			// Draining takes as long again.
+			if n := asked.Load(); n > 30+hastyAsks {
+				t.Errorf("the upstream was asked %d times in %v", n, 10*askPause)
+			}
+		})
+	}
+}
