Reject at once during an outage, and send callers to other entries

Change: an outage that has lasted for a time is expected to last as long again; jobs that are of no use then are rejected at once, others wait. Agents that are silent for doubtful long no longer count as usable, nor as capacity.

--- a/internal/assigner/agent.go
+++ b/internal/assigner/agent.go
@@ -171,6 +171,11 @@
 	return silence
 }
 
+// doubtful reports whether an agent has been silent for so long that nothing is sent to it.
+func (a *Assigner) doubtful(now time.Duration, g *agent) bool {
+	return a.silence(now, g) > a.limits.Doubt
+}
+
 // Receive takes a frame of an agent.
 func (a *Assigner) Receive(now time.Duration, peer messenger.Peer, f *messenger.Frame) {
 	g := a.agents[peer]
--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -137,6 +137,8 @@
 	entries    int           // entries is the number of entries that share the upstreams, with this one.
 	meanRun    time.Duration // meanRun is the mean run time of recent tasks.
 	short      bool          // short means that tasks that can be in time have found no room.
+	serving    bool          // serving means that an upstream was usable when it was last looked at.
+	outageAt   time.Duration // outageAt is when the last upstream became unusable.
 	closing    bool
 	out        Output
 }
@@ -222,15 +224,36 @@
 }
 
 // Serving reports whether an upstream of any service can run tasks.
-func (a *Assigner) Serving() bool {
+func (a *Assigner) Serving(now time.Duration) bool {
 	return slices.ContainsFunc(a.order, func(g *agent) bool {
-		return g.load.State == messenger.RunnerReady || g.load.State == messenger.RunnerProbing
+		ready := g.load.State == messenger.RunnerReady || g.load.State == messenger.RunnerProbing
+		return ready && !a.doubtful(now, g)
 	})
 }
 
+// watch notes when the last upstream became unusable.
+func (a *Assigner) watch(now time.Duration) {
+	serving := a.Serving(now)
+	if a.serving && !serving {
+		a.outageAt = now
+		a.decide(Decision{Event: "no-upstream-left"})
+	}
+	a.serving = serving
+}
+
+// outage returns for how long no upstream has been usable: 0 if one is, or if none has
+// been so far. An outage is expected to last for as long again.
+func (a *Assigner) outage(now time.Duration) time.Duration {
+	if a.serving || a.outageAt == 0 {
+		return 0
+	}
+	return now - a.outageAt
+}
+
 // Take returns what must be done since the last call.
 func (a *Assigner) Take(now time.Duration) Output {
 	a.checkAgents(now)
+	a.watch(now)
 	a.resolveDeparted(now)
 	a.checkDeadlines(now)
 	a.rejectUseless(now)
--- a/internal/assigner/job.go
+++ b/internal/assigner/job.go
@@ -127,7 +127,11 @@
 	case !fitting:
 		a.reject(now, j, "fits-no-upstream", 0)
 	case now+wait+j.expected > j.useless:
-		a.reject(now, j, "overload", wait)
+		reason := "overload"
+		if a.outage(now) > 0 {
+			reason = "no-upstream"
+		}
+		a.reject(now, j, reason, wait)
 	}
 }
 
@@ -294,7 +298,8 @@
 
 // rejectUseless rejects the jobs whose answer would be worth nothing.
 func (a *Assigner) rejectUseless(now time.Duration) {
-	a.rejectPending(now, "too-late", func(t *task) bool { return now+t.expected > t.job.useless })
+	start := now + a.outage(now)
+	a.rejectPending(now, "too-late", func(t *task) bool { return start+t.expected > t.job.useless })
 }
 
 // rejectOvertaken rejects the jobs that can only be late, while others find no room
--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -49,7 +49,7 @@
 		a.unsorted = false
 	}
 	late, misses := a.placeAll(now, func(t *task) bool { return t.urgency() >= now })
-	a.short = misses > 0 && a.Serving()
+	a.short = misses > 0 && a.serving
 	if late {
 		a.placeAll(now, func(t *task) bool { return t.urgency() < now })
 	}
@@ -137,7 +137,7 @@
 func (a *Assigner) eligible(now time.Duration, t *task, g *agent) bool {
 	l := &g.load
 	switch {
-	case !g.known || a.silence(now, g) > a.limits.Doubt || l.Service != t.job.Service:
+	case !g.known || a.doubtful(now, g) || l.Service != t.job.Service:
 		return false
 	case a.insists(l):
 	case l.State == messenger.RunnerProbing:
@@ -273,7 +273,7 @@
 	var capacity, used messenger.Room
 	for _, g := range a.order {
 		l := &g.load
-		if !g.known || l.Service != j.Service || l.State != messenger.RunnerReady {
+		if !g.known || l.Service != j.Service || l.State != messenger.RunnerReady || a.doubtful(now, g) {
 			continue
 		}
 		capacity = capacity.Add(l.Capacity)
@@ -293,7 +293,7 @@
 		}
 	}
 	if capacity == (messenger.Room{}) {
-		return true, 0
+		return true, a.outage(now)
 	}
 	excess := used.Sub(capacity)
 	return true, share(excess.MilliCPU, capacity.MilliCPU, a.meanRun)
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -263,7 +263,7 @@
 // flush carries out what was decided. It runs on the control thread.
 func (b *Broker) flush(now time.Time) {
 	out := b.assigner.Take(b.loop.Elapsed(now))
-	b.serving.Store(b.assigner.Serving())
+	b.serving.Store(b.assigner.Serving(b.loop.Elapsed(now)))
 	for _, d := range out.Decisions {
 		b.log(d)
 	}
--- a/internal/replayer/agent.go
+++ b/internal/replayer/agent.go
@@ -88,7 +88,7 @@
 func (a *agent) connect(e *entry, peer messenger.Peer, life int) {
 	a.run(func() {
 		delete(a.dialling, peer)
-		if a.life != life || e.peer != peer || e.down || e.frozen || a.runner.Orphaned() {
+		if a.life != life || e.peer != peer || e.down || e.frozen || e.cut || a.runner.Orphaned() {
 			return
 		}
 		l := &link{entry: e, agent: a}
--- a/internal/replayer/pattern.go
+++ b/internal/replayer/pattern.go
@@ -52,6 +52,7 @@
 	FaultKillAgent   FaultKind = "kill-agent"   // Some agents end and come back.
 	FaultFreezeAgent FaultKind = "freeze-agent" // Some agents stand still.
 	FaultCut         FaultKind = "cut"          // Some agents reach no entry; the connections stay open.
+	FaultCutEntry    FaultKind = "cut-entry"    // Some entries reach no agent, nor do new connections.
 )
 
 // Fault is something that goes wrong for a while.
@@ -135,6 +136,14 @@
 			e.frozen = true
 			ends(e.thaw)
 		}
+	case FaultCutEntry:
+		for _, e := range w.entries[:min(count, len(w.entries))] {
+			e.cut = true
+			for _, l := range e.agents {
+				l.cut = true
+			}
+			ends(func() { e.cut = false })
+		}
 	case FaultKillEntry:
 		for _, e := range w.entries[:min(count, len(w.entries))] {
 			e.kill()
--- a/internal/replayer/replayer.go
+++ b/internal/replayer/replayer.go
@@ -165,6 +165,8 @@
 	tickets  map[uint64]*call
 	ticket   uint64
 	down     bool
+	cut      bool          // cut means that it reaches no agent.
+	unready  time.Duration // unready is since when it has not been ready; 0 if it is.
 	// frozen means that the process does not run; what comes is kept.
 	frozen  bool
 	backlog []func()
@@ -211,6 +213,11 @@
 	}
 	do()
 	out := e.assigner.Take(e.world.now)
+	if e.assigner.Serving(e.world.now) {
+		e.unready = 0
+	} else if e.unready == 0 {
+		e.unready = e.world.now
+	}
 	for _, a := range out.Answers {
 		if c := e.tickets[a.Ticket]; c != nil {
 			delete(e.tickets, a.Ticket)
--- a/internal/replayer/result.go
+++ b/internal/replayer/result.go
@@ -22,6 +22,8 @@
 	// maxAttempts is how often a task may fail.
 	maxAttempts = 4
 	windowSize  = 2 * time.Second
+	// balancerNotice is how long an entry must not be ready until callers are sent elsewhere.
+	balancerNotice = 2 * time.Second
 )
 
 // call is a caller's job.
@@ -118,7 +120,7 @@
 	}
 	e := w.entries[w.random.IntN(len(w.entries))]
 	for range w.entries {
-		if !e.down {
+		if !e.down && (e.unready == 0 || w.now-e.unready < balancerNotice) {
 			break
 		}
 		e = w.entries[(e.index+1)%len(w.entries)]
