--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -66,6 +66,7 @@
 	shelf    cataloguer.Shelf
 	tickets  atomic.Uint64
 	serving  atomic.Bool
+	draining atomic.Bool // draining means that the process shuts down.
 	meter    *meter.Meter
 
 	// The fields below belong to the control thread.
@@ -189,8 +190,11 @@
 	return s
 }
 
-// Ready reports whether jobs can be served: the queues are known, and an upstream.
-func (b *Broker) Ready() bool { return b.serving.Load() && b.shelf.InForce() != nil }
+// Ready reports whether jobs can be served, now and for a while: the queues are known,
+// and an upstream, and the entry does not drain.
+func (b *Broker) Ready() bool {
+	return b.serving.Load() && !b.draining.Load() && b.shelf.InForce() != nil
+}
 
 // Catalogue returns the queues in force, or nil if none are known yet.
 func (b *Broker) Catalogue() *cataloguer.Catalogue { return b.shelf.InForce() }
--- /dev/null
+++ b/internal/broker/drain.go
@@ -0,0 +1,36 @@
+package broker
+
+import "time"
+
+const (
+	// closeBefore is how long before the end of the grace period nothing new is accepted:
+	// the longest objective. giveUpBefore is when what is left is answered.
+	closeBefore  = 2500 * time.Millisecond
+	giveUpBefore = 700 * time.Millisecond
+	// drainPoll is the period at which a draining entry looks at what is left.
+	drainPoll = 20 * time.Millisecond
+	// flushPause is how long a drained entry keeps connections for the last answers.
+	flushPause = 100 * time.Millisecond
+)
+
+// Drain serves on until the balancer, which needs a time to notice, sends nothing more
+// and every job has its answer, at most for the grace period. The entry is not ready
+// from the first.
+func (b *Broker) Drain(grace, notice time.Duration) {
+	b.settings.Journal.Line("draining").Msg("")
+	b.draining.Store(true)
+	begun := time.Now()
+	closed := false
+	for time.Since(begun) < grace-giveUpBefore {
+		time.Sleep(drainPoll)
+		if !closed && time.Since(begun) >= grace-closeBefore {
+			b.Close()
+			closed = true
+		}
+		if time.Since(begun) >= notice && b.Outstanding() == 0 {
+			break
+		}
+	}
+	b.GiveUp()
+	time.Sleep(flushPause)
+}
