--- a/internal/replayer/pattern.go
+++ b/internal/replayer/pattern.go
@@ -14,9 +14,12 @@
 	Upstreams int           `yaml:"upstreams"`
 	Duration  time.Duration `yaml:"duration"`
 	// Rate is the number of jobs that arrive in a second at all entries.
-	Rate   float64 `yaml:"rate"`
-	Kinds  []Kind  `yaml:"kinds"`
-	Faults []Fault `yaml:"faults"`
+	Rate float64 `yaml:"rate"`
+	// Shares has the part of the jobs that each entry gets, relative to the others; without
+	// it all get as many.
+	Shares []float64 `yaml:"shares"`
+	Kinds  []Kind    `yaml:"kinds"`
+	Faults []Fault   `yaml:"faults"`
 }
 
 // Kind is a kind of job.
--- a/internal/replayer/result.go
+++ b/internal/replayer/result.go
@@ -39,6 +39,7 @@
 	left     bool
 	done     bool
 	entry    *entry
+	first    int // first is the entry that the job came to first.
 	job      assigner.Job
 	runs     int  // runs counts the starts of its tasks.
 	rejected bool // rejected means that every answer was a rejection.
@@ -52,6 +53,7 @@
 	Rejected, GivenUp, Failed int
 	ByKind                    map[string]Share
 	Windows                   []Share
+	ByEntry                   []Share // ByEntry has the shares of the entries that jobs came to first.
 	Breaches                  []string
 	Starts                    int
 	Frames                    int   // Frames counts the messages between entries and agents.
@@ -118,7 +120,7 @@
 	if c.done || c.left {
 		return
 	}
-	e := w.entries[w.random.IntN(len(w.entries))]
+	e := w.entries[w.pick()]
 	for range w.entries {
 		if !e.down && (e.unready == 0 || w.now-e.unready < balancerNotice) {
 			break
@@ -129,6 +131,9 @@
 		w.resubmit(c)
 		return
 	}
+	if c.entry == nil {
+		c.first = e.index
+	}
 	c.entry = e
 	w.after(2*time.Millisecond, func() {
 		e.run(func() {
@@ -145,6 +150,25 @@
 	})
 }
 
+// pick returns the entry that the balancer chooses.
+func (w *world) pick() int {
+	shares := w.pattern.Shares
+	if len(shares) == 0 {
+		return w.random.IntN(len(w.entries))
+	}
+	var total float64
+	for _, s := range shares {
+		total += s
+	}
+	at := w.random.Float64() * total
+	for i, s := range shares {
+		if at -= s; at < 0 {
+			return i
+		}
+	}
+	return len(shares) - 1
+}
+
 // resubmit sends a job again whose connection broke.
 func (w *world) resubmit(c *call) {
 	// The first request has no answer, so that not all of them are rejections.
@@ -229,6 +253,10 @@
 	r.Owed += owed
 	r.Earned += earned
 	r.ByKind[c.kind.Name] = add(r.ByKind[c.kind.Name])
+	for len(r.ByEntry) <= c.first {
+		r.ByEntry = append(r.ByEntry, Share{})
+	}
+	r.ByEntry[c.first] = add(r.ByEntry[c.first])
 	i := int(c.arrived / windowSize)
 	for len(r.Windows) <= i {
 		r.Windows = append(r.Windows, Share{})
