Trust an upstream later each time it comes back

Change: from the second fall within 10 s on, an upstream that comes back is suspect for 400 ms, doubled with each fall up to 1.5 s, and then probed by one task.

--- a/internal/replayer/pattern.go
+++ b/internal/replayer/pattern.go
@@ -45,6 +45,7 @@
 	FaultFail        FaultKind = "fail"         // Factor of the tasks at some upstreams fail.
 	FaultSlow        FaultKind = "slow"         // Tasks at some upstreams take Factor times as long.
 	FaultCrash       FaultKind = "crash"        // Some upstreams end and come back.
+	FaultFlap        FaultKind = "flap"         // Some upstreams cannot be reached for Delay, can for Delay, and so on.
 	FaultRack        FaultKind = "rack"         // The upstreams of a rack end and come back.
 	FaultLate        FaultKind = "late"         // Factor of the orders are carried out late and without an answer.
 	FaultLeave       FaultKind = "leave"        // Factor of the callers leave after Delay.
@@ -123,7 +124,7 @@
 	count := max(1, f.Count)
 	ends := func(do func()) { w.after(f.For, do) }
 	switch f.Kind {
-	case FaultHang, FaultFail, FaultSlow, FaultCrash, FaultRelease, FaultLate:
+	case FaultHang, FaultFail, FaultSlow, FaultCrash, FaultRelease, FaultLate, FaultFlap:
 		if f.Kind == FaultLate {
 			count = len(w.agents)
 		}
@@ -188,6 +189,11 @@
 	case FaultLate:
 		u.late = f.Factor
 		w.after(f.For, func() { u.late = 0 })
+	case FaultFlap:
+		for at := time.Duration(0); at < f.For; at += 2 * f.Delay {
+			w.after(at, func() { u.cut = true })
+			w.after(at+f.Delay, func() { u.cut = false })
+		}
 	case FaultCrash:
 		u.crash()
 		w.after(f.For, func() { u.down = false })
--- a/internal/replayer/upstream.go
+++ b/internal/replayer/upstream.go
@@ -30,6 +30,7 @@
 	polls    []func()
 	down     bool
 	leaving  bool
+	cut      bool // cut means that no call reaches it, while what runs goes on.
 	hangs    bool
 	failing  float64 // failing is the share of tasks that fail at once.
 	late     float64 // late is the share of orders that are carried out late and without an answer.
@@ -75,7 +76,7 @@
 
 // order carries out a call, now or late and without an answer.
 func (u *upstream) order(do func(lost bool)) {
-	if u.down {
+	if u.down || u.cut {
 		return
 	}
 	if u.world.random.Float64() < u.late {
@@ -175,7 +176,7 @@
 	answered := false
 	life := u.life
 	reply := func() {
-		if !answered && u.life == life {
+		if !answered && u.life == life && !u.cut {
 			answered = true
 			answer(u.listing())
 		}
--- a/internal/runner/health.go
+++ b/internal/runner/health.go
@@ -146,5 +146,15 @@
 	h.backOff = min(2*h.backOff, maxBackOff)
 }
 
+// distrust makes an upstream suspect that has come back, for longer each time.
+func (h *health) distrust(now time.Duration, times int) {
+	h.backOff = min(minBackOff<<min(times-1, maxDoublings), maxBackOff)
+	h.until = now + h.backOff
+	h.faultAt = now
+}
+
+// maxDoublings is after how many falls the time of distrust has reached its bound.
+const maxDoublings = 4
+
 // pace returns the run time of recent tasks by the expected one, in percent.
 func (h *health) pace(now time.Duration) int64 { return int64(h.decayed(now) * 100) }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -99,6 +99,10 @@
 	// before.
 	listedAt time.Duration
 	fresh    bool
+	// falls counts how often the upstream has fallen silent or ended, up to fellAt, with
+	// less than trustAfter between.
+	falls  int
+	fellAt time.Duration
 	// blamed has the jobs whose failures were counted last.
 	blamed    [8]string
 	blameNext int
@@ -220,6 +224,9 @@
 func (r *Runner) begin(now time.Duration, l Life) {
 	if r.life != (Life{}) {
 		r.decide(Decision{Event: "upstream-restarted"})
+		if !r.silent {
+			r.fell(now)
+		}
 	}
 	r.loseAll(now)
 	r.life = l
--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -54,10 +54,20 @@
 	if !r.silent && (closed || r.misses >= maxMisses) {
 		r.decide(Decision{Event: "upstream-silent"})
 		r.silent = true
+		r.fell(now)
 		r.dirty()
 	}
 }
 
+// fell notes that the upstream has fallen silent or ended.
+func (r *Runner) fell(now time.Duration) {
+	if now-r.fellAt > trustAfter {
+		r.falls = 0
+	}
+	r.falls++
+	r.fellAt = now
+}
+
 // Take returns what must be done since the last call.
 func (r *Runner) Take(now time.Duration) Output {
 	r.dropSilent(now)
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -109,6 +109,10 @@
 	if r.silent || !r.answered {
 		r.decide(Decision{Event: "upstream-answers"})
 		r.silent, r.answered = false, true
+		if r.falls > 1 {
+			r.health.distrust(now, r.falls-1)
+			r.suspect("flapping")
+		}
 		r.dirty()
 	}
 	r.fresh = now-r.listedAt < freshFor
