Let tasks that wait for a label keep no others from a place

Cause: a pass tried at most 16 tasks in vain; 16 at its head that wait for a label whose upstreams are full kept all others waiting, where upstreams were free. Change: a task that asks for as much as one that found no room in the pass, of the same service and label, is not tried; the 16 tries are left for others.

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -131,6 +131,7 @@
 	spares     []spare  // spares has what is not occupied at each of them, in one place for speed.
 	jobs       map[string]*job
 	pending    []*task // pending has the tasks that are ready and not placed.
+	missed     []*task // missed has the tasks that found no room in the pass.
 	unsorted   bool    // unsorted means that pending is not in the order of urgency.
 	departed   []departure
 	queues     map[string]*queue
--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -23,9 +23,9 @@
 //	at TIME                                  sets the time
 //	up INSTANCE [LIFE]                       connects an agent
 //	down INSTANCE                            ends its connection
-//	load INSTANCE STATE CAPACITY USED [PACE] reports its upstream's load
+//	load INSTANCE STATE CAPACITY USED [PACE [LABEL]] reports its upstream's load
 //	beat INSTANCE...                         a frame with nothing but a stamp
-//	submit ID TICKET TASKS CPU DECLARED [PRIORITY]
+//	submit ID TICKET TASKS CPU DECLARED [PRIORITY [LABEL]]
 //	end INSTANCE ID/INDEX RUN KIND
 //	leave ID TICKET                          the caller leaves
 //	cancel ID
@@ -115,6 +115,7 @@
 	if len(a) > 4 {
 		l.Pace = s.number(a[4])
 	}
+	l.Labels = a[min(len(a), 5):]
 	s.assigner.Receive(s.now, s.peer(a[0]), &messenger.Frame{Load: l, Stamp: &messenger.Stamp{Clock: s.now}})
 }
 
@@ -127,6 +128,9 @@
 	if len(a) > 5 {
 		j.Priority = int(s.number(a[5]))
 	}
+	if len(a) > 6 {
+		j.Steps[0].Label = a[6]
+	}
 	s.assigner.Submit(s.now, j)
 }
 
--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -58,17 +58,22 @@
 // placeAll launches the tasks that are selected. It reports whether any was not, and
 // how many found no room.
 func (a *Assigner) placeAll(now time.Duration, selected func(*task) bool) (skipped bool, misses int) {
+	tries := 0
+	a.missed = a.missed[:0]
 	a.pending = slices.DeleteFunc(a.pending, func(t *task) bool {
 		if !selected(t) {
 			skipped = true
 			return false
 		}
-		if misses >= maxMisses {
+		if tries >= maxTries || slices.ContainsFunc(a.missed, t.asksMore) {
+			misses++
 			return false
 		}
 		g, wait := a.choose(now, t)
 		if g == nil {
 			misses++
+			tries++
+			a.missed = append(a.missed, t)
 			return false
 		}
 		a.launch(now, t, g, wait)
@@ -77,9 +82,15 @@
 	return skipped, misses
 }
 
-// maxMisses bounds the tasks that are tried in vain in one pass: with that many
-// nothing is free, and smaller ones behind them hardly fit either.
-const maxMisses = 16
+// maxTries bounds the tasks that are tried in vain in one pass, each of which asks for
+// less than those before it or for another label.
+const maxTries = 16
+
+// asksMore reports whether a task asks for as much as another one or more, of the same
+// upstreams.
+func (t *task) asksMore(o *task) bool {
+	return t.job.Service == o.job.Service && t.step.Label == o.step.Label && o.step.Room.Fits(t.step.Room)
+}
 
 // maxLooks bounds the upstreams with room that are compared for a task, and as many
 // without: more make a choice hardly better, and take more than 2 us.
