Tell rejected callers how long the overload lasts, and reject little while agents connect

Change 1: an overload that has lasted for a time is expected to last as long again. Change 2: for 300 ms after the first usable upstream none is rejected for lack of room.

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -139,9 +139,13 @@
 	meanRun    time.Duration // meanRun is the mean run time of recent tasks.
 	short      bool          // short means that tasks that can be in time have found no room.
 	serving    bool          // serving means that an upstream was usable when it was last looked at.
+	servingAt  time.Duration // servingAt is when the first upstream became usable.
 	outageAt   time.Duration // outageAt is when the last upstream became unusable.
-	closing    bool
-	out        Output
+	// rejectingAt is when the first of the latest jobs was rejected, with no lull since, and
+	// rejectedAt when the last was.
+	rejectingAt, rejectedAt time.Duration
+	closing                 bool
+	out                     Output
 }
 
 // departure has tasks at an agent that is away, which may still run.
@@ -239,9 +243,22 @@
 		a.outageAt = now
 		a.decide(Decision{Event: "no-upstream-left"})
 	}
+	if serving && !a.serving {
+		a.servingAt = now
+	}
 	a.serving = serving
 }
 
+// settleAfter is how long after the first usable upstream others may still connect: agents
+// dial an entry within some 200 ms of its start.
+const settleAfter = 300 * time.Millisecond
+
+// settling reports whether only a part of the upstreams may be known, so that what they
+// cannot do says little.
+func (a *Assigner) settling(now time.Duration) bool {
+	return a.serving && now-a.servingAt < settleAfter
+}
+
 // outage returns for how long no upstream has been usable: 0 if one is, or if none has
 // been so far. An outage is expected to last for as long again.
 func (a *Assigner) outage(now time.Duration) time.Duration {
--- a/internal/assigner/job.go
+++ b/internal/assigner/job.go
@@ -126,7 +126,7 @@
 	switch {
 	case !fitting:
 		a.reject(now, j, "fits-no-upstream", 0)
-	case now+wait+j.expected > j.useless:
+	case now+wait+j.expected > j.useless && !a.settling(now):
 		reason := "overload"
 		if a.outage(now) > 0 {
 			reason = "no-upstream"
@@ -208,18 +208,27 @@
 }
 
 func (a *Assigner) reject(now time.Duration, j *job, reason string, wait time.Duration) {
-	a.finish(now, j, OutcomeRejected, reason, a.comeBack(wait))
+	if now-a.rejectedAt > lullAfter {
+		a.rejectingAt = now
+	}
+	a.rejectedAt = now
+	a.finish(now, j, OutcomeRejected, reason, a.comeBack(max(wait, now-a.rejectingAt)))
 }
 
-// minRetryAfter is the least time after which a rejected caller may come back, in
-// the whole seconds of the header.
-const minRetryAfter = time.Second
+const (
+	// minRetryAfter is the least time after which a rejected caller may come back, in the
+	// whole seconds of the header.
+	minRetryAfter = time.Second
+	// lullAfter is the time without a rejection after which an overload is over.
+	lullAfter = time.Second
+)
 
-// comeBack returns when a rejected caller may come back: when what is ahead has
-// drained, and later by a part of that, so that callers do not return together.
+// comeBack returns when a rejected caller may come back: when what is ahead has drained,
+// or the overload has lasted for twice as long, and later by a part of that, so that
+// callers do not return together.
 func (a *Assigner) comeBack(wait time.Duration) time.Duration {
-	spread := max(wait, minRetryAfter)
-	return max(minRetryAfter, wait) + time.Duration(a.random.Int64N(int64(spread)))
+	wait = max(wait, minRetryAfter)
+	return wait + time.Duration(a.random.Int64N(int64(wait)))
 }
 
 // finish answers a job and drops what is left of it.
@@ -305,7 +314,7 @@
 // rejectOvertaken rejects the jobs that can only be late, while others find no room
 // that can still be in time: they come first.
 func (a *Assigner) rejectOvertaken(now time.Duration) {
-	if a.short {
+	if a.short && !a.settling(now) {
 		a.rejectPending(now, "overtaken", func(t *task) bool { return t.urgency() < now })
 	}
 }
--- a/internal/replayer/agent.go
+++ b/internal/replayer/agent.go
@@ -125,6 +125,7 @@
 		return
 	}
 	do()
+	a.world.result.Wakeups++
 	out := a.runner.Take(a.world.now)
 	for _, c := range out.Starts {
 		a.start(c, startTries)
--- a/internal/replayer/pattern.go
+++ b/internal/replayer/pattern.go
@@ -18,8 +18,10 @@
 	// Shares has the part of the jobs that each entry gets, relative to the others; without
 	// it all get as many.
 	Shares []float64 `yaml:"shares"`
-	Kinds  []Kind    `yaml:"kinds"`
-	Faults []Fault   `yaml:"faults"`
+	// Follow means that rejected callers come back when they are told to.
+	Follow bool    `yaml:"follow"`
+	Kinds  []Kind  `yaml:"kinds"`
+	Faults []Fault `yaml:"faults"`
 }
 
 // Kind is a kind of job.
--- a/internal/replayer/replayer.go
+++ b/internal/replayer/replayer.go
@@ -212,6 +212,7 @@
 		return
 	}
 	do()
+	e.world.result.Wakeups++
 	out := e.assigner.Take(e.world.now)
 	if e.assigner.Serving(e.world.now) {
 		e.unready = 0
--- a/internal/replayer/result.go
+++ b/internal/replayer/result.go
@@ -43,6 +43,7 @@
 	job      assigner.Job
 	runs     int  // runs counts the starts of its tasks.
 	rejected bool // rejected means that every answer was a rejection.
+	returns  int  // returns counts how often the caller has come back after a rejection.
 	active   map[messenger.TaskRef]int
 }
 
@@ -54,10 +55,18 @@
 	ByKind                    map[string]Share
 	Windows                   []Share
 	ByEntry                   []Share // ByEntry has the shares of the entries that jobs came to first.
-	Breaches                  []string
-	Starts                    int
-	Frames                    int   // Frames counts the messages between entries and agents.
-	EntryBytes                []int // EntryBytes has the bytes that each entry has sent and received.
+	// Returned counts the rejected callers that came back when they were told to, and
+	// Served those of them that were in time then, or the next times.
+	Returned, Served int
+	RejectedBy       []int // RejectedBy counts the rejections in each window.
+	// RejectedInVain counts the jobs that were rejected while sound upstreams had room for
+	// all of their tasks, and all that waited, and they could still be in time.
+	RejectedInVain int
+	Breaches       []string
+	Starts         int
+	Wakeups        int   // Wakeups counts how often a process has had something to do.
+	Frames         int   // Frames counts the messages between entries and agents.
+	EntryBytes     []int // EntryBytes has the bytes that each entry has sent and received.
 }
 
 // Share is what was earned of what was owed.
@@ -214,8 +223,8 @@
 	took := w.now - c.arrived
 	switch a.Outcome {
 	case assigner.OutcomeRejected:
-		w.result.Rejected++
 		c.done = true
+		w.refused(c, a)
 		return
 	case assigner.OutcomeGivenUp, assigner.OutcomeCancelled:
 		w.result.GivenUp++
@@ -231,6 +240,12 @@
 		}
 	}
 	c.done, c.rejected = true, false
+	if c.returns > 0 {
+		if took <= c.objective() {
+			w.result.Served++
+		}
+		return
+	}
 	earned := 0.0
 	switch {
 	case took <= c.objective():
@@ -243,6 +258,62 @@
 	w.credit(c, 0, earned)
 }
 
+// maxReturns is how often a rejected caller comes back.
+const maxReturns = 3
+
+// refused takes a rejection. A caller that follows it comes back with another job.
+func (w *world) refused(c *call, a assigner.Answer) {
+	w.result.Rejected++
+	i := int(w.now / windowSize)
+	for len(w.result.RejectedBy) <= i {
+		w.result.RejectedBy = append(w.result.RejectedBy, 0)
+	}
+	w.result.RejectedBy[i]++
+	if w.now+c.longest <= c.arrived+c.objective() && w.room(c) {
+		w.result.RejectedInVain++
+	}
+	if !w.pattern.Follow || c.returns == maxReturns {
+		return
+	}
+	w.after(a.RetryAfter, func() {
+		next := *c
+		next.returns++
+		next.id = fmt.Sprintf("%s-%d", c.id, next.returns)
+		next.done, next.left, next.rejected = false, false, true
+		next.arrived, next.runs, next.active = w.now, 0, make(map[messenger.TaskRef]int)
+		next.job.ID = next.id
+		w.jobs[next.id] = &next
+		if next.returns == 1 {
+			w.result.Returned++
+		}
+		w.deliver(&next)
+	})
+}
+
+// room reports whether sound upstreams have room for all tasks of a job, beside those
+// that wait at entries.
+func (w *world) room(c *call) bool {
+	left := len(c.takes)
+	for _, e := range w.entries {
+		_, pending := e.assigner.Counts()
+		left += pending
+	}
+	for _, g := range w.agents {
+		u := g.upstream
+		if u.down || u.cut || u.leaving || u.hangs || u.failing > 0 || u.speed > 1 || g.down || g.frozen {
+			continue
+		}
+		free := u.capacity
+		for _, r := range u.runs {
+			free = free.Sub(r.room)
+		}
+		for ; left > 0 && c.room.Fits(free); left-- {
+			free = free.Sub(c.room)
+		}
+	}
+	return left == 0
+}
+
 // credit adds to what is owed or earned.
 func (w *world) credit(c *call, owed, earned float64) {
 	r := &w.result
@@ -288,7 +359,7 @@
 func (w *world) finish() {
 	for _, id := range slices.Sorted(maps.Keys(w.jobs)) {
 		c := w.jobs[id]
-		if !c.left {
+		if !c.left && c.returns == 0 {
 			w.credit(c, c.worth(), 0)
 		}
 		if c.done && c.rejected && c.runs > 0 {
--- a/internal/replayer/traffic_test.go
+++ b/internal/replayer/traffic_test.go
@@ -44,3 +44,21 @@
 func TestControlTrafficAt900Agents(t *testing.T) {
 	benchLine(t, "ephemeral-entry-bytes-at-rest-900-agents", idleBytes(t, 2, 900), "B/s", maxControlBytes)
 }
+
+const (
+	// maxBytesPerTask and maxWakeupsPerTask are what a task may cost at all processes, in
+	// messages between them and as often as one has something to do.
+	maxBytesPerTask   = 1 << 10
+	maxWakeupsPerTask = 12
+)
+
+// TestTaskCost checks what a task costs on a calm day at the size of a small site.
+func TestTaskCost(t *testing.T) {
+	r := Play(loadPattern(t, "testdata/calm.yaml"), 1)
+	bytes := 0
+	for _, n := range r.EntryBytes {
+		bytes += n
+	}
+	benchLine(t, "ephemeral-bytes-per-task", float64(bytes)/float64(r.Starts), "B", maxBytesPerTask)
+	benchLine(t, "ephemeral-wakeups-per-task", float64(r.Wakeups)/float64(r.Starts), "1", maxWakeupsPerTask)
+}
