--- a/internal/replayer/returning_test.go
+++ b/internal/replayer/returning_test.go
@@ -1,6 +1,10 @@
 package replayer
 
-import "testing"
+import (
+	"slices"
+	"testing"
+	"time"
+)
 
 const (
 	// servedShare is the least share of the callers that come back when they are told to
@@ -24,24 +28,27 @@
 			if share := float64(r.Served) / float64(r.Returned); share < servedShare {
 				t.Errorf("%.3f of those who came back were served in time, below %.2f", share, servedShare)
 			}
-			worst, end := 0, 0
-			for _, f := range p.Faults {
-				if f.Kind == FaultBurst {
-					end = max(end, int((f.At+f.For)/windowSize))
-				}
-			}
-			for _, n := range r.RejectedBy {
-				worst = max(worst, n)
-			}
-			for i := end + 1; i < len(r.RejectedBy); i++ {
-				if float64(r.RejectedBy[i]) > secondWave*float64(worst) {
-					t.Errorf("%d rejections from second %d on, %d in the worst two", r.RejectedBy[i], 2*i, worst)
-				}
-			}
+			checkSecondWave(t, p, r)
 		})
 	}
 }
 
+func checkSecondWave(t *testing.T, p Pattern, r Result) {
+	t.Helper()
+	var end time.Duration
+	for _, f := range p.Faults {
+		if f.Kind == FaultBurst {
+			end = max(end, f.At+f.For)
+		}
+	}
+	worst := slices.Max(r.RejectedBy)
+	for i := int(end/windowSize) + 1; i < len(r.RejectedBy); i++ {
+		if float64(r.RejectedBy[i]) > secondWave*float64(worst) {
+			t.Errorf("%d rejections from second %d on, %d in the worst two", r.RejectedBy[i], 2*i, worst)
+		}
+	}
+}
+
 // TestNoneRejectedInVain checks that jobs are rejected only where none could be served.
 func TestNoneRejectedInVain(t *testing.T) {
 	for _, name := range []string{"calm", "burst-1.3", "burst-1.9", "overload", "overload-uneven"} {
