Count a flapping upstream as slower instead of passing it over

Change: one that comes back after its second fall within 10 s counts as 2.5 times as slow, for 0.5 s, doubled up to 4 s: sound ones go before it, and it is used when room is short.

--- a/internal/runner/health.go
+++ b/internal/runner/health.go
@@ -39,6 +39,7 @@
 	backOff   time.Duration
 	until     time.Duration // until is when the upstream may be probed; 0 if it is not suspect.
 	faultAt   time.Duration // faultAt is the time of the latest fault.
+	waryUntil time.Duration // waryUntil is until when the upstream counts as slower.
 }
 
 func newHealth() health { return health{paceShare: 1, toldPace: 1, backOff: minBackOff} }
@@ -146,15 +147,29 @@
 	h.backOff = min(2*h.backOff, maxBackOff)
 }
 
-// distrust makes an upstream suspect that has come back, for longer each time.
+// distrust makes an upstream that has come back count as slower for a while, for longer
+// each time: others go before it as long as they have room in time.
 func (h *health) distrust(now time.Duration, times int) {
-	h.backOff = min(minBackOff<<min(times-1, maxDoublings), maxBackOff)
-	h.until = now + h.backOff
-	h.faultAt = now
+	h.waryUntil = now + min(minWary<<min(times-1, maxDoublings), maxWary)
 }
 
-// maxDoublings is after how many falls the time of distrust has reached its bound.
-const maxDoublings = 4
+const (
+	// minWary and maxWary bound how long an upstream counts as slower that has come back:
+	// from twice the time of an average task to that of a long one.
+	minWary = 500 * time.Millisecond
+	maxWary = 4 * time.Second
+	// waryPace is added to its pace: a task may be lost when half of it is done, and begins
+	// anew elsewhere.
+	waryPace = 1.5
+	// maxDoublings is after how many falls the time of distrust has reached its bound.
+	maxDoublings = 3
+)
 
 // pace returns the run time of recent tasks by the expected one, in percent.
-func (h *health) pace(now time.Duration) int64 { return int64(h.decayed(now) * 100) }
+func (h *health) pace(now time.Duration) int64 {
+	pace := h.decayed(now)
+	if now < h.waryUntil {
+		pace += waryPace
+	}
+	return int64(pace * 100)
+}
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -32,6 +32,7 @@
 //	list BORN [running JOB:RUN:PERCENT]... [ended NUMBER:JOB:RUN:KIND]...
 //	silent|refused                          a question without an answer
 //	ask                                     prints the next question
+//	pace                                    prints the pace of the upstream, in percent
 //	loads                                   prints the reports of load from then on
 //	close                                   begins the shutdown
 func TestScripts(t *testing.T) {
@@ -89,6 +90,8 @@
 		l := testLimits
 		l.RestBeat, l.RestAfter = 1200*time.Millisecond, 2*time.Second
 		s.runner = New(l)
+	case "pace":
+		fmt.Fprintf(&s.out, "pace %d\n", s.runner.health.pace(s.now))
 	case "loads":
 		s.loads = true
 	case "close":
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -111,7 +111,7 @@
 		r.silent, r.answered = false, true
 		if r.falls > 1 {
 			r.health.distrust(now, r.falls-1)
-			r.suspect("flapping")
+			r.decide(Decision{Event: "upstream-distrusted", Reason: "flapping"})
 		}
 		r.dirty()
 	}
