--- a/internal/dispatcher/caller.go
+++ b/internal/dispatcher/caller.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -135,6 +136,13 @@
 				Detail: "the limit is " + strconv.FormatInt(limits.MaxBodyBytes, 10) + " bytes",
 			}
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, &submitter.Problem{
+				Status: http.StatusRequestTimeout,
+				Title:  "the body came too slowly",
+				Detail: "the limit is " + limits.BodyTimeout.String(),
+			}
+		}
 		return nil, &submitter.Problem{
 			Status: http.StatusBadRequest,
 			Title:  "the body is not a job",
