Let one function read a script's durations, and one extend the counts of a replay

Cause: five tests of scripts had a method each that reads a duration or ends the test, two of them one for numbers, with the same body; four places of the replayer extended a slice up to an index by the same loop. Change: scripter.Duration and scripter.Number, used by all five; slot in the replayer.

--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -65,7 +64,7 @@
 	a := l.Args
 	switch l.Verb {
 	case "at":
-		s.now = s.duration(a[0])
+		s.now = scripter.Duration(s.t, a[0])
 	case "up":
 		s.peers[a[0]]++
 		s.lives[a[0]], s.seen[a[0]] = a[0]+"#1", 0
@@ -83,15 +82,15 @@
 	case "end":
 		job, index, _ := strings.Cut(a[1], "/")
 		s.assigner.Receive(s.now, s.peer(a[0]), &messenger.Frame{Ends: []messenger.End{{
-			Task: messenger.TaskRef{Job: job, Index: int(s.number(index))}, Run: uint64(s.number(a[2])),
+			Task: messenger.TaskRef{Job: job, Index: int(scripter.Number(s.t, index))}, Run: uint64(scripter.Number(s.t, a[2])),
 			Kind: messenger.EndKind(a[3]), Took: 100 * time.Millisecond, Started: true,
 		}}})
 	case "leave":
-		s.assigner.Leave(s.now, a[0], uint64(s.number(a[1])))
+		s.assigner.Leave(s.now, a[0], uint64(scripter.Number(s.t, a[1])))
 	case "cancel":
 		fmt.Fprintf(&s.out, "known %v\n", s.assigner.Cancel(s.now, a[0]))
 	case "entries":
-		s.assigner.SetEntries(int(s.number(a[0])))
+		s.assigner.SetEntries(int(scripter.Number(s.t, a[0])))
 	case "rests":
 		l := testLimits
 		l.RestBeat, l.RestAfter = 1200*time.Millisecond, 2*time.Second
@@ -109,11 +108,11 @@
 func (s *script) load(a []string) {
 	l := &messenger.Load{
 		Life: s.lives[a[0]], Service: "quote", State: messenger.RunnerState(a[1]), Seen: s.seen[a[0]],
-		Capacity: messenger.Room{MilliCPU: s.number(a[2]), MemoryBytes: 1 << 30},
-		Used:     messenger.Room{MilliCPU: s.number(a[3])}, Pace: 100,
+		Capacity: messenger.Room{MilliCPU: scripter.Number(s.t, a[2]), MemoryBytes: 1 << 30},
+		Used:     messenger.Room{MilliCPU: scripter.Number(s.t, a[3])}, Pace: 100,
 	}
 	if len(a) > 4 {
-		l.Pace = s.number(a[4])
+		l.Pace = scripter.Number(s.t, a[4])
 	}
 	l.Labels = a[min(len(a), 5):]
 	s.assigner.Receive(s.now, s.peer(a[0]), &messenger.Frame{Load: l, Stamp: &messenger.Stamp{Clock: s.now}})
@@ -122,11 +121,11 @@
 func (s *script) submit(a []string) {
 	j := Job{
 		ID: a[0], Queue: "q", Service: "quote", Stretch: 1.6, Allowance: 60 * time.Millisecond,
-		Patience: 2 * time.Second, MaxAttempts: 2, Ticket: uint64(s.number(a[1])),
-		Steps: []Step{{Count: int(s.number(a[2])), Room: messenger.Room{MilliCPU: s.number(a[3])}, Declared: s.duration(a[4])}},
+		Patience: 2 * time.Second, MaxAttempts: 2, Ticket: uint64(scripter.Number(s.t, a[1])),
+		Steps: []Step{{Count: int(scripter.Number(s.t, a[2])), Room: messenger.Room{MilliCPU: scripter.Number(s.t, a[3])}, Declared: scripter.Duration(s.t, a[4])}},
 	}
 	if len(a) > 5 {
-		j.Priority = int(s.number(a[5]))
+		j.Priority = int(scripter.Number(s.t, a[5]))
 	}
 	if len(a) > 6 {
 		j.Steps[0].Label = a[6]
@@ -156,19 +155,3 @@
 		fmt.Fprintf(&s.out, "%d jobs, %d tasks pending\n", jobs, pending)
 	}
 }
-
-func (s *script) number(text string) int64 {
-	n, err := strconv.ParseInt(text, 10, 64)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	return n
-}
-
-func (s *script) duration(text string) time.Duration {
-	d, err := time.ParseDuration(text)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	return d
-}
--- a/internal/experimenter/experiment_test.go
+++ b/internal/experimenter/experiment_test.go
@@ -69,7 +69,7 @@
 		case "seed":
 			sc.Seed = uint64(b.number(value))
 		case "duration":
-			sc.Duration = b.duration(value)
+			sc.Duration = scripter.Duration(b.t, value)
 		case "entries":
 			sc.Entries = int(b.number(value))
 		case "agents":
@@ -83,9 +83,9 @@
 		case "burst":
 			sc.Burst = b.number(value)
 		case "burst-at":
-			sc.BurstAt = b.duration(value)
+			sc.BurstAt = scripter.Duration(b.t, value)
 		case "burst-for":
-			sc.BurstFor = b.duration(value)
+			sc.BurstFor = scripter.Duration(b.t, value)
 		case "flood":
 			sc.Flood = b.number(value)
 		case "declared-error":
@@ -93,7 +93,7 @@
 		case "declared-factor":
 			sc.DeclaredFactor = b.number(value)
 		case "deadline":
-			sc.Deadline = b.duration(value)
+			sc.Deadline = scripter.Duration(b.t, value)
 		case "loss":
 			sc.Loss = b.number(value)
 		default:
@@ -103,7 +103,7 @@
 }
 
 func (b *bench) fault(l scripter.Line) Fault {
-	f := Fault{Kind: FaultKind(l.Args[0]), At: b.duration(l.Arg("at"))}
+	f := Fault{Kind: FaultKind(l.Args[0]), At: scripter.Duration(b.t, l.Arg("at"))}
 	if text := l.Arg("agents"); text != "" {
 		for n := range strings.SplitSeq(text, ",") {
 			f.Agents = append(f.Agents, int(b.number(n)))
@@ -113,7 +113,7 @@
 		f.Entry = int(b.number(text))
 	}
 	if text := l.Arg("for"); text != "" {
-		f.For = b.duration(text)
+		f.For = scripter.Duration(b.t, text)
 	}
 	if text := l.Arg("factor"); text != "" {
 		f.Factor = b.number(text)
@@ -125,7 +125,7 @@
 func (b *bench) restrict(l scripter.Line) {
 	var after time.Duration
 	if text := l.Arg("after"); text != "" {
-		after = b.duration(text)
+		after = scripter.Duration(b.t, text)
 	}
 	notTeam := -1
 	if text := l.Arg("not-team"); text != "" {
@@ -233,11 +233,3 @@
 	}
 	return n
 }
-
-func (b *bench) duration(text string) time.Duration {
-	d, err := time.ParseDuration(text)
-	if err != nil {
-		b.t.Fatal(err)
-	}
-	return d
-}
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -75,7 +75,7 @@
 	case "announce":
 		b.guard.Announce(b.now, invoker.Announcement{
 			Slots:      b.number(l.Arg("slots")),
-			TimeToLive: submitter.Duration(b.duration(l.Arg("ttl"))),
+			TimeToLive: submitter.Duration(scripter.Duration(b.t, l.Arg("ttl"))),
 			Leaving:    l.Arg("leaving") == "true",
 		})
 	case "start":
@@ -94,7 +94,7 @@
 		b.guard.Ended(b.now, TaskRef{Submission: b.id(l.Arg("job")), Index: uint16(b.number(l.Arg("task")))},
 			messenger.TaskResult{Index: uint16(b.number(l.Arg("task"))), Kind: messenger.ResultDone})
 	case "wait":
-		b.now = b.now.Add(b.duration(l.Args[0]))
+		b.now = b.now.Add(scripter.Duration(b.t, l.Args[0]))
 		b.guard.Tick(b.now)
 	default:
 		b.t.Fatalf("%v: unknown verb", l)
@@ -102,7 +102,7 @@
 }
 
 func (b *bench) start(l scripter.Line) messenger.Start {
-	startBy := b.guard.Clock(b.now) + b.duration(l.Arg("budget"))
+	startBy := b.guard.Clock(b.now) + scripter.Duration(b.t, l.Arg("budget"))
 	s := messenger.Start{
 		Submission: b.id(l.Arg("job")),
 		Epoch:      uint64(b.number(l.Arg("epoch"))),
@@ -183,14 +183,6 @@
 	return n
 }
 
-func (b *bench) duration(text string) time.Duration {
-	d, err := time.ParseDuration(text)
-	if err != nil {
-		b.t.Fatal(err)
-	}
-	return d
-}
-
 func epochsOf(raised []messenger.PartitionEpoch) []uint64 {
 	var out []uint64
 	for _, p := range raised {
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -110,7 +110,7 @@
 	case "hand-over":
 		b.handOver(l)
 	case "wait":
-		b.now = b.now.Add(b.parse(l.Args[0]))
+		b.now = b.now.Add(scripter.Duration(b.t, l.Args[0]))
 		b.owner.Tick(b.now)
 	default:
 		b.t.Fatalf("%v: unknown verb", l)
@@ -249,15 +249,7 @@
 
 func (b *bench) duration(l scripter.Line, name, otherwise string) time.Duration {
 	if text := l.Arg(name); text != "" {
-		return b.parse(text)
+		return scripter.Duration(b.t, text)
 	}
-	return b.parse(otherwise)
-}
-
-func (b *bench) parse(text string) time.Duration {
-	d, err := time.ParseDuration(text)
-	if err != nil {
-		b.t.Fatal(err)
-	}
-	return d
+	return scripter.Duration(b.t, otherwise)
 }
--- a/internal/replayer/replayer.go
+++ b/internal/replayer/replayer.go
@@ -264,10 +264,7 @@
 		w.breach("a frame cannot be encoded: %v", err)
 	}
 	w.result.Frames++
-	for len(w.result.EntryBytes) <= entry {
-		w.result.EntryBytes = append(w.result.EntryBytes, 0)
-	}
-	w.result.EntryBytes[entry] += w.frame.Len()
+	*slot(&w.result.EntryBytes, entry) += w.frame.Len()
 }
 
 // delay is the one-way time of the connection.
--- a/internal/replayer/result.go
+++ b/internal/replayer/result.go
@@ -264,11 +264,7 @@
 // refused takes a rejection. A caller that follows it comes back with another job.
 func (w *world) refused(c *call, a assigner.Answer) {
 	w.result.Rejected++
-	i := int(w.now / windowSize)
-	for len(w.result.RejectedBy) <= i {
-		w.result.RejectedBy = append(w.result.RejectedBy, 0)
-	}
-	w.result.RejectedBy[i]++
+	*slot(&w.result.RejectedBy, int(w.now/windowSize))++
 	if w.now+c.longest <= c.arrived+c.objective() && w.room(c) {
 		w.result.RejectedInVain++
 	}
@@ -324,15 +320,17 @@
 	r.Owed += owed
 	r.Earned += earned
 	r.ByKind[c.kind.Name] = add(r.ByKind[c.kind.Name])
-	for len(r.ByEntry) <= c.first {
-		r.ByEntry = append(r.ByEntry, Share{})
+	for _, s := range []*Share{slot(&r.ByEntry, c.first), slot(&r.Windows, int(c.arrived/windowSize))} {
+		*s = add(*s)
 	}
-	r.ByEntry[c.first] = add(r.ByEntry[c.first])
-	i := int(c.arrived / windowSize)
-	for len(r.Windows) <= i {
-		r.Windows = append(r.Windows, Share{})
+}
+
+// slot returns the element of a slice at an index, up to which the slice is extended.
+func slot[T any](s *[]T, i int) *T {
+	if missing := i + 1 - len(*s); missing > 0 {
+		*s = append(*s, make([]T, missing)...)
 	}
-	r.Windows[i] = add(r.Windows[i])
+	return &(*s)[i]
 }
 
 // started checks the promises about a start.
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -58,11 +57,11 @@
 	a := l.Args
 	switch l.Verb {
 	case "at":
-		s.now = s.duration(a[0])
+		s.now = scripter.Duration(s.t, a[0])
 	case "announce":
 		u := Upstream{
-			Life: Life{ID: a[0], Born: s.number(a[1])}, Service: "quote", Sequence: s.number(a[2]),
-			Capacity: messenger.Room{MilliCPU: s.number(a[3]), MemoryBytes: 1 << 30}, Leaving: len(a) > 4,
+			Life: Life{ID: a[0], Born: scripter.Number(s.t, a[1])}, Service: "quote", Sequence: scripter.Number(s.t, a[2]),
+			Capacity: messenger.Room{MilliCPU: scripter.Number(s.t, a[3]), MemoryBytes: 1 << 30}, Leaving: len(a) > 4,
 		}
 		if !s.runner.Announce(s.now, u) {
 			fmt.Fprintln(&s.out, "not taken")
@@ -76,9 +75,9 @@
 	case "launch", "withdraw":
 		s.receive(l)
 	case "answer":
-		s.runner.Started(s.now, StartCall{Task: task0(a[0]), Run: uint64(s.number(a[1]))}, Answer(a[2]), len(a) > 3)
+		s.runner.Started(s.now, StartCall{Task: task0(a[0]), Run: uint64(scripter.Number(s.t, a[1]))}, Answer(a[2]), len(a) > 3)
 	case "stopped":
-		s.runner.Stopped(s.now, StopCall{Task: task0(a[0]), Run: uint64(s.number(a[1]))}, a[2] == "true")
+		s.runner.Stopped(s.now, StopCall{Task: task0(a[0]), Run: uint64(scripter.Number(s.t, a[1]))}, a[2] == "true")
 	case "list":
 		s.list(a)
 	case "silent", "refused":
@@ -106,32 +105,32 @@
 
 func (s *script) receive(l scripter.Line) {
 	a := l.Args
-	f := &messenger.Frame{Stamp: &messenger.Stamp{Clock: s.now, Echo: s.duration(a[1])}}
-	run := uint64(s.number(a[3]))
+	f := &messenger.Frame{Stamp: &messenger.Stamp{Clock: s.now, Echo: scripter.Duration(s.t, a[1])}}
+	run := uint64(scripter.Number(s.t, a[3]))
 	if l.Verb == "withdraw" {
 		f.Withdraws = []messenger.Withdraw{{Task: task0(a[2]), Run: run}}
 	} else {
 		f.Launches = []messenger.Launch{{
 			Task: task0(a[2]), Run: run, Service: "quote", Life: s.runner.life.String(),
-			Room: messenger.Room{MilliCPU: s.number(a[4])}, Urgency: s.duration(a[5]),
+			Room: messenger.Room{MilliCPU: scripter.Number(s.t, a[4])}, Urgency: scripter.Duration(s.t, a[5]),
 			StartBy: s.now + 100*time.Millisecond, Expected: 100 * time.Millisecond,
 		}}
 		if len(a) > 6 {
-			f.Launches[0].StartBy = s.duration(a[6])
+			f.Launches[0].StartBy = scripter.Duration(s.t, a[6])
 		}
 	}
 	s.runner.Receive(s.now, messenger.Peer(a[0]), f)
 }
 
 func (s *script) list(a []string) {
-	l := Listing{Life: Life{Born: s.number(a[0])}, AskedAt: s.now - time.Millisecond}
+	l := Listing{Life: Life{Born: scripter.Number(s.t, a[0])}, AskedAt: s.now - time.Millisecond}
 	for i := 1; i+1 < len(a); i += 2 {
 		p := strings.Split(a[i+1], ":")
 		if a[i] == "running" {
-			l.Running = append(l.Running, Run{Task: task0(p[0]), Run: uint64(s.number(p[1])), Percent: int(s.number(p[2]))})
+			l.Running = append(l.Running, Run{Task: task0(p[0]), Run: uint64(scripter.Number(s.t, p[1])), Percent: int(scripter.Number(s.t, p[2]))})
 			continue
 		}
-		l.Ended = append(l.Ended, RunEnd{Number: s.number(p[0]), Task: task0(p[1]), Run: uint64(s.number(p[2])), Kind: messenger.EndKind(p[3])})
+		l.Ended = append(l.Ended, RunEnd{Number: scripter.Number(s.t, p[0]), Task: task0(p[1]), Run: uint64(scripter.Number(s.t, p[2])), Kind: messenger.EndKind(p[3])})
 	}
 	s.runner.Listed(s.now, l)
 }
@@ -161,19 +160,3 @@
 	running, waiting, used := s.runner.Counts()
 	fmt.Fprintf(&s.out, "%s: %d running, %d waiting, %d used\n", s.runner.State(s.now), running, waiting, used.MilliCPU)
 }
-
-func (s *script) number(text string) int64 {
-	n, err := strconv.ParseInt(text, 10, 64)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	return n
-}
-
-func (s *script) duration(text string) time.Duration {
-	d, err := time.ParseDuration(text)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	return d
-}
