Dial entries that start at once, and announce entries as differences

Cause: when all machines lose power, agents that start before an entry send it an opening packet that nobody answers. Each entry also sent all known addresses, most of them twice, to every agent and entry each 2 s and after each connection.

Change: a dial waits 250 ms for an answer. A connection is sent the list once, and later only entries that connected, batched over 100 ms; the receiver dials those without delay.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -36,9 +36,8 @@
 	dialInterval = 100 * time.Millisecond
 	// loadLogInterval is the interval of the log line with the load.
 	loadLogInterval = 2 * time.Second
-	// routesInterval is the interval at which agents and entries are sent the addresses of
-	// all entries.
-	routesInterval = 2 * time.Second
+	// announceInterval is the shortest time between two announcements of new entries.
+	announceInterval = 100 * time.Millisecond
 )
 
 // Settings are the settings of a broker.
@@ -71,12 +70,13 @@
 	meter     *meter.Meter
 
 	// The fields below belong to the control thread.
-	assigner     *assigner.Assigner
-	agents       map[messenger.Peer]*connector.Conn
-	entries      map[messenger.Peer]*connector.Conn
-	waiters      map[uint64]chan<- assigner.Answer
-	document     []byte // document is the encoded catalogue in force.
-	routesSentAt time.Time
+	assigner    *assigner.Assigner
+	agents      map[messenger.Peer]*connector.Conn
+	entries     map[messenger.Peer]*connector.Conn
+	waiters     map[uint64]chan<- assigner.Answer
+	document    []byte // document is the encoded catalogue in force.
+	directory   directory
+	announcedAt time.Time // announcedAt is when new entries were last announced.
 	// confirmedAt is when the platform or a peer last sent the version in force.
 	confirmedAt time.Time
 
@@ -288,7 +288,7 @@
 			conn.Close()
 		}
 	}
-	b.sendRoutes(now)
+	b.announceEntries(now)
 }
 
 func (b *Broker) deliverAnswer(a assigner.Answer) {
--- a/internal/broker/peers.go
+++ b/internal/broker/peers.go
@@ -40,7 +40,7 @@
 		}
 		b.agents[h.Peer] = c
 		b.assigner.AgentUp(b.loop.Elapsed(now), h.Peer, h.Instance, h.DataCentre)
-		b.routesSentAt = time.Time{}
+		c.Send(routesFrame(b.directory.list(b.settings.PeerListen, b.links.Addresses())))
 	case messenger.RoleEntry:
 		if h.Peer == b.peer {
 			return false
@@ -52,10 +52,11 @@
 		b.assigner.SetEntries(len(b.entries) + 1)
 		b.settings.Journal.Line("entry-connected").Str("peer", string(h.Peer)).Msg("")
 		b.links.Add(false, b.dialTargets([]netip.AddrPort{h.PeerAddr})...)
+		c.Send(routesFrame(b.directory.list(b.settings.PeerListen, b.links.Addresses())))
+		b.directory.connected(h.Peer, h.PeerAddr)
 		if h.ConfigVersion < b.version() {
 			c.Send(b.configFrame())
 		}
-		b.routesSentAt = time.Time{}
 	default:
 		return false
 	}
@@ -71,7 +72,9 @@
 		return
 	}
 	if f.Routes != nil {
-		b.links.Add(false, b.dialTargets(addresses(f.Routes))...)
+		connected, others := f.Routes.Addresses()
+		b.links.Reachable(now, b.dialTargets(connected)...)
+		b.links.Add(false, b.dialTargets(others)...)
 	}
 	if f.Config != nil && f.Config.Document != nil {
 		catalogue, err := cataloguer.Decode(f.Config.Document)
@@ -91,6 +94,7 @@
 		b.assigner.AgentDown(b.loop.Elapsed(now), h.Peer)
 	case b.entries[h.Peer] == c:
 		delete(b.entries, h.Peer)
+		b.directory.disconnected(h.Peer)
 		b.assigner.SetEntries(len(b.entries) + 1)
 		b.settings.Journal.Line("entry-disconnected").Str("peer", string(h.Peer)).Err(cause).Msg("")
 	}
@@ -125,32 +129,21 @@
 	return &messenger.Frame{Config: &messenger.Config{Version: b.version(), Document: b.document}}
 }
 
-// sendRoutes sends the addresses of all known entries to agents and entries, once in each
-// routesInterval and without delay after a new connection.
-func (b *Broker) sendRoutes(now time.Time) {
-	if now.Sub(b.routesSentAt) < routesInterval {
+// announceEntries sends the addresses of newly connected entries to all agents and entries.
+func (b *Broker) announceEntries(now time.Time) {
+	if now.Sub(b.announcedAt) < announceInterval {
 		return
 	}
-	b.routesSentAt = now
-	r := &messenger.Routes{Entries: []messenger.EntryAddr{{Peer: b.peer, Addr: b.settings.PeerListen}}}
-	for peer, c := range b.entries {
-		r.Entries = append(r.Entries, messenger.EntryAddr{Peer: peer, Addr: c.Hello().PeerAddr})
-	}
-	for _, addr := range b.links.Addresses() {
-		r.Entries = append(r.Entries, messenger.EntryAddr{Addr: addr})
+	added := b.directory.takeAdded()
+	if len(added) == 0 {
+		return
 	}
+	b.announcedAt = now
+	f := routesFrame(added)
 	for _, c := range b.agents {
-		c.Send(&messenger.Frame{Routes: r})
+		c.Send(f)
 	}
 	for _, c := range b.entries {
-		c.Send(&messenger.Frame{Routes: r})
-	}
-}
-
-func addresses(r *messenger.Routes) []netip.AddrPort {
-	addrs := make([]netip.AddrPort, 0, len(r.Entries))
-	for _, e := range r.Entries {
-		addrs = append(addrs, e.Addr)
+		c.Send(f)
 	}
-	return addrs
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -347,9 +347,9 @@
 		return
 	}
 	if f.Routes != nil {
-		for _, e := range f.Routes.Entries {
-			k.links.Add(false, e.Addr)
-		}
+		connected, others := f.Routes.Addresses()
+		k.links.Reachable(now, connected...)
+		k.links.Add(false, others...)
 	}
 	k.runner.Receive(k.loop.Elapsed(now), peer, f)
 }
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -2,7 +2,8 @@
 //
 // A [Linker] belongs to the control thread of a process. It dials the known addresses
 // that are not connected, with exponential backoff and jitter, and passes the frames of
-// its connections to hooks.
+// its connections to hooks. When each address is dialled is decided without I/O by a
+// schedule.
 package linker
 
 import (
@@ -22,13 +23,10 @@
 )
 
 const (
-	minDialDelay = 100 * time.Millisecond
-	maxDialDelay = time.Second
-	// maxDialFailures is how many dials of a learned address may fail in a row before the
-	// address is forgotten: some two minutes at the longest delay.
-	maxDialFailures = 120
-	// dialTimeout bounds a dial, since no machine may exist at the address to answer it.
-	dialTimeout = time.Second
+	// dialTimeout bounds how long the machine at an address may take to answer the opening
+	// packet. The kernel repeats a lost one only after a second, so that a machine that
+	// starts meanwhile is reached sooner by the next dial.
+	dialTimeout = 250 * time.Millisecond
 	// ackTimeout is how long sent bytes may remain unacknowledged before the connection is
 	// closed.
 	ackTimeout = 2 * time.Second
@@ -52,20 +50,13 @@
 	hooks   Hooks
 	options connector.Options
 	ctx     context.Context
-	targets map[netip.AddrPort]*target
-}
-
-type target struct {
-	configured bool // configured is set if the address comes from the settings; it is never forgotten.
-	active     bool // active is set while the address is connected or being dialled.
-	failures   int  // failures counts the dials that failed since the last connection.
-	nextDial   time.Time
+	dials   schedule
 }
 
 // New returns a linker whose connections end with the context.
 func New(ctx context.Context, loop *controller.Loop, o connector.Options, h Hooks) *Linker {
 	o.Client = &http.Client{Transport: &http.Transport{DialContext: Dial}}
-	return &Linker{loop: loop, hooks: h, options: o, ctx: ctx, targets: make(map[netip.AddrPort]*target)}
+	return &Linker{loop: loop, hooks: h, options: o, ctx: ctx, dials: make(schedule)}
 }
 
 // Dial opens a connection that fails if sent bytes remain unacknowledged for ackTimeout, so
@@ -91,33 +82,18 @@
 }
 
 // Add adds addresses. Configured ones are never forgotten.
-func (l *Linker) Add(configured bool, addrs ...netip.AddrPort) {
-	for _, addr := range addrs {
-		t := l.targets[addr]
-		if t == nil {
-			t = &target{}
-			l.targets[addr] = t
-		}
-		t.configured = t.configured || configured
-	}
-}
+func (l *Linker) Add(configured bool, addrs ...netip.AddrPort) { l.dials.add(configured, addrs...) }
+
+// Reachable adds addresses that another process is connected to. They are dialled without
+// further delay.
+func (l *Linker) Reachable(now time.Time, addrs ...netip.AddrPort) { l.dials.reachable(now, addrs...) }
 
 // Addresses returns the known addresses.
-func (l *Linker) Addresses() []netip.AddrPort {
-	addrs := make([]netip.AddrPort, 0, len(l.targets))
-	for addr := range l.targets {
-		addrs = append(addrs, addr)
-	}
-	return addrs
-}
+func (l *Linker) Addresses() []netip.AddrPort { return l.dials.addresses() }
 
 // DialDue dials the addresses that are not connected and whose delay has passed.
 func (l *Linker) DialDue(now time.Time) {
-	for addr, t := range l.targets {
-		if t.active || now.Before(t.nextDial) {
-			continue
-		}
-		t.active = true
+	for _, addr := range l.dials.begin(now) {
 		go l.dial(addr)
 	}
 }
@@ -125,7 +101,7 @@
 func (l *Linker) dial(addr netip.AddrPort) {
 	connected := false
 	defer func() {
-		l.loop.Post(func(now time.Time) { l.scheduleRedial(now, addr, connected) })
+		l.loop.Post(func(now time.Time) { l.dials.ended(now, addr, connected, rand.Float64()) })
 	}()
 	conn, err := connector.Dial(l.ctx, "ws://"+addr.String()+connector.Path, l.options)
 	if err != nil {
@@ -153,18 +129,3 @@
 	l.loop.Post(func(now time.Time) { l.hooks.Down(now, conn, err) })
 	return true
 }
-
-func (l *Linker) scheduleRedial(now time.Time, addr netip.AddrPort, connected bool) {
-	t := l.targets[addr]
-	t.active = false
-	if connected {
-		t.failures = 0
-	}
-	delay := min(minDialDelay<<min(t.failures, 8), maxDialDelay)
-	t.failures++
-	if !t.configured && t.failures > maxDialFailures {
-		delete(l.targets, addr)
-		return
-	}
-	t.nextDial = now.Add(delay/2 + rand.N(delay))
-}
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -294,10 +294,25 @@
 	Revision uint64 `cbor:"3,keyasint,omitempty"`
 }
 
+// Addresses returns the listed addresses: those that the sender is connected to, and the
+// others.
+func (r *Routes) Addresses() (connected, others []netip.AddrPort) {
+	for _, e := range r.Entries {
+		if e.Connected {
+			connected = append(connected, e.Addr)
+		} else {
+			others = append(others, e.Addr)
+		}
+	}
+	return connected, others
+}
+
 // EntryAddr is the address at which an entry accepts peers.
 type EntryAddr struct {
-	Peer Peer           `cbor:"1,keyasint"`
+	Peer Peer           `cbor:"1,keyasint,omitempty"`
 	Addr netip.AddrPort `cbor:"2,keyasint"`
+	// Connected is set if the sender is connected to the entry.
+	Connected bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Config propagates a version of the operators' configuration and states which version
