Start late launches that fit, and hold a task longer after each return

Cause: the 25 ms that a task may wait at an agent were counted on the entry's estimate of the agent's clock, transit excluded. When a link's queue held frames for longer, every launch was returned, also where capacity was free, and was launched again at once with its payload; the returns kept the queue full.

Change: the wait counts from the arrival at the agent, a task that fits starts whatever its wait, and the wait doubles with each return of the task, up to 400 ms. The latest start of a first launch bounds its delay to 150 ms; any other launch is accepted only within the liveness timeout after an echo.

--- a/internal/assigner/agent.go
+++ b/internal/assigner/agent.go
@@ -151,10 +151,10 @@
 	}
 }
 
-// wakeMargin is the longest time that the first task after an idle period may wait at its
-// agent: maxAgentWait, plus the drift of clocks that differ by 2% over an idle period of
-// 2 s, plus a margin.
-const wakeMargin = 100 * time.Millisecond
+// wakeMargin is the longest time between the launch of the first task at an agent and its
+// start: firstStartWindow, plus the drift of clocks that differ by 2% over an idle period
+// of 2 s, in both directions, plus a margin.
+const wakeMargin = 250 * time.Millisecond
 
 // idle reports whether an agent has had no task for at least the duration.
 func (a *Assigner) idle(now time.Duration, g *agent, d time.Duration) bool {
@@ -231,6 +231,8 @@
 		}
 	case messenger.EndStaleRun:
 		j.baseRun += runStep
+	case messenger.EndReturned:
+		t.returns++
 	}
 	if e.Kind != messenger.EndReturned && e.Kind != messenger.EndWithdrawn {
 		t.avoid = append(t.avoid, g.instance)
--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -10,9 +10,15 @@
 )
 
 const (
-	// maxAgentWait is the time that a task may wait at an agent before the agent returns
-	// it, so that it can be scheduled on another upstream with free capacity.
-	maxAgentWait = 25 * time.Millisecond
+	// minAgentWait is the time that a task may wait at an agent before the agent returns
+	// it, so that it can be scheduled on another upstream with free capacity. The time
+	// doubles with each return, up to maxAgentWait, which bounds the launches of a task when
+	// the view of the load is inaccurate.
+	minAgentWait = 25 * time.Millisecond
+	maxAgentWait = 400 * time.Millisecond
+	// firstStartWindow is the longest time between the launch of the first task at an agent
+	// and its start.
+	firstStartWindow = 150 * time.Millisecond
 	// maxLaunchWait is the longest expected wait with which a task is launched at an agent.
 	// It covers the latency to the agent, so that freed capacity is used immediately.
 	maxLaunchWait = 3 * time.Millisecond
@@ -20,6 +26,8 @@
 	// of the load, which is as old as the latest report, must not all choose the same
 	// upstream: among equal upstreams, the probability is proportional to the free capacity.
 	randomWeight = 12 * time.Millisecond
+	// maxWaitDoublings is the number of returns after which the wait is maxAgentWait.
+	maxWaitDoublings = 4
 	// clockSkewDivisor bounds the rate error of an agent's clock, as a divisor: 2%.
 	clockSkewDivisor = 50
 	// minFreeShare is the least share of the capacity that is counted as free.
@@ -336,8 +344,11 @@
 	if a.idle(now, g, a.limits.IdleThreshold/2) {
 		g.leftIdleAt = now
 	}
-	if len(g.tasks) == 0 {
+	first := len(g.tasks) == 0
+	startWithin := j.deadline - now
+	if first {
 		g.busySince = now
+		startWithin = min(startWithin, firstStartWindow)
 	}
 	t.state, t.agent = stateLaunched, g
 	j.running++
@@ -349,7 +360,9 @@
 	g.launches = append(g.launches, messenger.Launch{
 		Task: t.ref, Run: t.run, Payload: j.Payload, Resources: t.step.Resources, Service: j.Service,
 		Urgency:         agentNow + t.latestStart() - now,
-		StartBy:         agentNow + min(maxAgentWait+age/clockSkewDivisor, j.deadline-now),
+		StartBy:         agentNow + startWithin + age/clockSkewDivisor,
+		MaxWait:         min(minAgentWait<<min(t.returns, maxWaitDoublings), maxAgentWait),
+		First:           first,
 		ExpectedRunTime: t.expected, Incarnation: g.load.Incarnation, Failures: t.failures, AllowSuspect: a.allowSuspect(&g.load),
 		Priority: j.Priority,
 	})
--- a/internal/assigner/place_test.go
+++ b/internal/assigner/place_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"sardinelock.dev/sardinelock/internal/messenger"
 )
 
@@ -41,6 +43,31 @@
 	}
 }
 
+// TestMaxWait checks that agents hold a task for longer after each return, so that an
+// inaccurate view of the load causes a bounded number of launches.
+func TestMaxWait(t *testing.T) {
+	a, _ := loadedAssigner(11, 4000)
+	a.Submit(0, Job{
+		ID: "j2", Queue: "q", Service: "quote", SlowdownFactor: 1.6, LatencyAllowance: 10 * time.Second, CallerTimeout: 10 * time.Second, MaxAttempts: 2,
+		Steps: []Step{{Count: 1, Resources: messenger.Resources{MilliCPU: 1600}, DeclaredRunTime: 100 * time.Millisecond}},
+	})
+	var got []time.Duration
+	for now := time.Duration(0); len(got) < 7; now += time.Millisecond {
+		for _, send := range a.Advance(now).Sends {
+			for _, l := range send.Frame.Launches {
+				got = append(got, l.MaxWait)
+				end := messenger.End{Task: l.Task, Run: l.Run, Kind: messenger.EndReturned}
+				a.Receive(now, send.To, &messenger.Frame{Ends: []messenger.End{end}})
+			}
+		}
+	}
+	ms := time.Millisecond
+	want := []time.Duration{25 * ms, 50 * ms, 100 * ms, 200 * ms, 400 * ms, 400 * ms, 400 * ms}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("longest waits at agents (-want +got):\n%s", diff)
+	}
+}
+
 // BenchmarkChoose times the choice of an upstream if most have free capacity and if none
 // has.
 func BenchmarkChoose(b *testing.B) {
--- a/internal/messenger/ephemeral.go
+++ b/internal/messenger/ephemeral.go
@@ -56,7 +56,7 @@
 	// meets its objective. Waiting tasks start in order of priority, then of Urgency.
 	Urgency time.Duration `cbor:"6,keyasint"`
 	// StartBy is on the agent's clock. A task that has not started by then is returned
-	// to the entry.
+	// to the entry, so that a launch that was delayed in transit has no effect.
 	StartBy time.Duration `cbor:"7,keyasint"`
 	// ExpectedRunTime is the expected run time of the task.
 	ExpectedRunTime time.Duration `cbor:"8,keyasint"`
@@ -70,6 +70,12 @@
 	AllowSuspect bool `cbor:"11,keyasint,omitempty"`
 	// Priority is the priority of the task in the agent's queue; 0 is the highest.
 	Priority int `cbor:"12,keyasint,omitempty"`
+	// MaxWait is how long the task may wait for capacity at the agent before it is returned
+	// to the entry.
+	MaxWait time.Duration `cbor:"13,keyasint,omitempty"`
+	// First is set if the entry has no other task at the agent. Such a launch may follow an
+	// idle period; any other is valid only within the liveness timeout after an echo.
+	First bool `cbor:"14,keyasint,omitempty"`
 }
 
 // Withdraw asks an agent to remove a waiting task of an ephemeral job from its queue,
--- a/internal/replayer/pattern.go
+++ b/internal/replayer/pattern.go
@@ -18,6 +18,9 @@
 	// Shares holds the relative share of jobs that each entry receives. If it is empty,
 	// all entries receive equally many.
 	Shares []float64 `yaml:"shares"`
+	// LinkRate is the rate of each entry's network link in bits per second, in each
+	// direction. If it is 0, frames take only the latency.
+	LinkRate int64 `yaml:"link-rate"`
 	// FollowRetryAfter makes rejected callers retry after the time in their answer.
 	FollowRetryAfter bool    `yaml:"follow"`
 	Kinds            []Kind  `yaml:"kinds"`
--- a/internal/replayer/replayer.go
+++ b/internal/replayer/replayer.go
@@ -32,6 +32,8 @@
 	maxStartAttempts = 4
 	// reconnectDelay is the time that a new connection takes to establish.
 	reconnectDelay = 200 * time.Millisecond
+	// frameOverhead is the size of the headers of a frame on the network, in bytes.
+	frameOverhead = 60
 	// settleTime is simulated after the last arrival, so that every job is answered.
 	settleTime = 12 * time.Second
 )
@@ -168,6 +170,8 @@
 	down         bool
 	partitioned  bool          // While partitioned, the entry reaches no agent and accepts no connection.
 	unreadySince time.Duration // unreadySince is when the entry stopped being ready; 0 while it is ready.
+	sending      transmission
+	receiving    transmission
 	// While frozen, the process does not run, and its events wait in the backlog.
 	frozen  bool
 	backlog []func()
@@ -259,43 +263,61 @@
 	}
 }
 
-// countFrame adds a frame to the traffic of an entry. Frames of both directions count.
-func (w *world) countFrame(entry int, f *messenger.Frame) {
+// transmission is one direction of an entry's network link.
+type transmission struct {
+	freeAt time.Duration // freeAt is when all frames so far have been transmitted.
+}
+
+// add adds a frame and returns how long it takes until it is transmitted.
+func (t *transmission) add(now time.Duration, bytes int, rate int64) time.Duration {
+	if rate == 0 {
+		return 0
+	}
+	t.freeAt = max(t.freeAt, now) + time.Duration(int64(bytes+frameOverhead)*8*int64(time.Second)/rate)
+	return t.freeAt - now
+}
+
+// countFrame adds a frame to the traffic of an entry and returns its size in bytes. Frames
+// of both directions count.
+func (w *world) countFrame(entry int, f *messenger.Frame) int {
 	w.encodeBuffer.Reset()
 	if err := messenger.Append(&w.encodeBuffer, f); err != nil {
 		w.violation("a frame cannot be encoded: %v", err)
 	}
 	w.result.Frames++
 	*elementAt(&w.result.EntryBytes, entry) += w.encodeBuffer.Len()
+	return w.encodeBuffer.Len()
 }
 
 // delay returns the one-way latency of the connection.
 func (l *link) delay() time.Duration { return l.agent.world.networkDelay(l.entry.index, l.agent.index) }
 
 func (l *link) toAgent(f *messenger.Frame) {
-	l.agent.world.countFrame(l.entry.index, f)
+	w := l.agent.world
+	bytes := w.countFrame(l.entry.index, f)
 	if l.partitioned {
 		return
 	}
-	l.agent.world.after(l.delay(), func() {
+	w.after(l.delay()+l.entry.sending.add(w.now, bytes, w.pattern.LinkRate), func() {
 		l.agent.run(func() {
 			if !l.closed {
-				l.agent.runner.Receive(l.agent.world.now, l.entry.peer, f)
+				l.agent.runner.Receive(w.now, l.entry.peer, f)
 			}
 		})
 	})
 }
 
 func (l *link) toEntry(f *messenger.Frame) {
-	l.agent.world.countFrame(l.entry.index, f)
+	w := l.agent.world
+	bytes := w.countFrame(l.entry.index, f)
 	if l.partitioned {
 		return
 	}
 	incarnation := l.entry.incarnation
-	l.agent.world.after(l.delay(), func() {
+	w.after(l.delay()+l.entry.receiving.add(w.now, bytes, w.pattern.LinkRate), func() {
 		l.entry.run(func() {
 			if !l.closed && l.entry.incarnation == incarnation {
-				l.entry.assigner.Receive(l.agent.world.now, l.agent.peer, f)
+				l.entry.assigner.Receive(w.now, l.agent.peer, f)
 			}
 		})
 	})
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -177,6 +177,7 @@
 	session    *session
 	state      state
 	kind       messenger.EndKind // kind is the kind of end that is reported if the task is stopped.
+	arrivedAt  time.Duration     // arrivedAt is when the launch was received.
 	startedAt  time.Duration     // startedAt is when the start was sent.
 	stoppedAt  time.Duration     // stoppedAt is when the first stop was sent, or acknowledged.
 	retryAt    time.Duration     // retryAt is when a stop is sent again.
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -23,7 +23,8 @@
 //	announce ID BORN SEQUENCE CPU [leaving] announces the upstream
 //	leave ID                                ends the upstream
 //	up|down ENTRY                           begins or ends a session
-//	launch ENTRY ECHO JOB RUN CPU URGENCY [START-BY]  launches the first task of a job
+//	launch ENTRY ECHO JOB RUN CPU URGENCY [START-BY [MAX-WAIT]]  launches the first task of a job
+//	launch-more ...  the same, from an entry that has other tasks at the agent
 //	rests                                   sets the idle limits; must be the first line
 //	withdraw ENTRY ECHO JOB RUN
 //	answer JOB RUN ANSWER [again]           answers a start; again if it was a retry
@@ -72,7 +73,7 @@
 		s.runner.EntryUp(s.now, messenger.Peer(a[0]))
 	case "down":
 		s.runner.EntryDown(s.now, messenger.Peer(a[0]))
-	case "launch", "withdraw":
+	case "launch", "launch-more", "withdraw":
 		s.receive(l)
 	case "answer":
 		s.runner.Started(s.now, StartCall{Task: task0(a[0]), Run: uint64(scripter.Number(s.t, a[1]))}, Answer(a[2]), len(a) > 3)
@@ -113,11 +114,15 @@
 		f.Launches = []messenger.Launch{{
 			Task: task0(a[2]), Run: run, Service: "quote", Incarnation: s.runner.incarnation.String(),
 			Resources: messenger.Resources{MilliCPU: scripter.Number(s.t, a[4])}, Urgency: scripter.Duration(s.t, a[5]),
-			StartBy: s.now + 100*time.Millisecond, ExpectedRunTime: 100 * time.Millisecond,
+			StartBy: s.now + 100*time.Millisecond, MaxWait: 100 * time.Millisecond,
+			ExpectedRunTime: 100 * time.Millisecond, First: l.Verb != "launch-more",
 		}}
 		if len(a) > 6 {
 			f.Launches[0].StartBy = scripter.Duration(s.t, a[6])
 		}
+		if len(a) > 7 {
+			f.Launches[0].MaxWait = scripter.Duration(s.t, a[7])
+		}
 	}
 	s.runner.Receive(s.now, messenger.Peer(a[0]), f)
 }
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -113,7 +113,7 @@
 }
 
 func (r *Runner) launch(now time.Duration, s *session, l *messenger.Launch) {
-	t := &task{Launch: *l, session: s, state: stateWaiting}
+	t := &task{Launch: *l, session: s, state: stateWaiting, arrivedAt: now}
 	refuse := func(reason string) {
 		r.logDecision(Decision{Event: "task-returned", Task: l.Task, Run: l.Run, Reason: reason, Age: now - s.echoed})
 		s.ends = append(s.ends, messenger.End{Task: l.Task, Run: l.Run, Kind: messenger.EndReturned})
@@ -122,6 +122,8 @@
 	switch {
 	case r.tasks[l.Task] != nil:
 		refuse("runs-already")
+	case now > l.StartBy, !l.First && now-max(s.echoed, s.resumedAt) > r.limits.LivenessTimeout:
+		refuse("delayed")
 	case l.Incarnation != r.incarnation.String() || r.upstream == nil || r.upstream.Service != l.Service:
 		refuse("other-upstream")
 	case st != messenger.RunnerReady && st != messenger.RunnerProbing && !(l.AllowSuspect && st == messenger.RunnerSuspect):
--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -143,6 +143,8 @@
 			r.end(now, t, messenger.EndReturned)
 		case r.mayStart(t, st):
 			r.start(now, t)
+		case now-t.arrivedAt > t.MaxWait:
+			r.end(now, t, messenger.EndReturned)
 		}
 	}
 }
