Pass a configuration on to another entry only when it asks

Change: an entry sends its version; one that has waited for a quarter of the configuration deadline without getting it from the platform asks for the document, one entry after the other with growing delays. An entry without any configuration asks after a sixteenth.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -34,6 +34,9 @@
 	// is a fraction of the shortest latency objective.
 	tickInterval = 20 * time.Millisecond
 	dialInterval = 100 * time.Millisecond
+	// configCheckInterval is the interval at which an entry checks whether other entries have
+	// a newer catalogue.
+	configCheckInterval = 50 * time.Millisecond
 	// loadLogInterval is the interval of the log line with the load.
 	loadLogInterval = 2 * time.Second
 	// announceInterval is the shortest time between two announcements of new entries.
@@ -50,7 +53,10 @@
 	// Entries are the peer addresses of some entries.
 	Entries []netip.AddrPort
 	Limits  assigner.Limits
-	Journal *journaler.Journaler
+	// ConfigRequestDelay is how long an entry waits for a catalogue from the platform before
+	// it requests it from an entry that has it.
+	ConfigRequestDelay time.Duration
+	Journal            *journaler.Journaler
 }
 
 // Broker is a running entry.
@@ -77,6 +83,7 @@
 	document    []byte // document is the encoded catalogue in force.
 	directory   directory
 	announcedAt time.Time // announcedAt is when new entries were last announced.
+	versions    versionTracker
 	// confirmedAt is when the platform or a peer last sent the version in force.
 	confirmedAt time.Time
 
@@ -100,6 +107,7 @@
 		agents:   make(map[messenger.Peer]*connector.Conn),
 		entries:  make(map[messenger.Peer]*connector.Conn),
 		waiters:  make(map[uint64]chan<- assigner.Answer),
+		versions: versionTracker{delay: s.ConfigRequestDelay, peers: make(map[messenger.Peer]uint64)},
 	}
 	b.background, b.stop = context.WithCancel(context.Background())
 	b.loop = controller.NewOnClock(timer.NewBootTimeClock(), b.flush)
@@ -151,6 +159,7 @@
 	g.Add(func() error { <-end.Done(); return nil }, func(error) { cancel() })
 	b.timers.Subscribe(tickInterval, func(time.Time) { b.loop.Post(func(time.Time) {}) })
 	b.timers.Subscribe(dialInterval, func(time.Time) { b.loop.Post(b.links.DialDue) })
+	b.timers.Subscribe(configCheckInterval, func(time.Time) { b.loop.Post(b.requestConfig) })
 	b.timers.Subscribe(loadLogInterval, func(time.Time) { b.loop.Post(b.logLoad) })
 	err := g.Run()
 	b.stop()
--- a/internal/broker/peers.go
+++ b/internal/broker/peers.go
@@ -54,9 +54,7 @@
 		b.links.Add(false, b.dialTargets([]netip.AddrPort{h.PeerAddr})...)
 		c.Send(routesFrame(b.directory.list(b.settings.PeerListen, b.links.Addresses())))
 		b.directory.connected(h.Peer, h.PeerAddr)
-		if h.ConfigVersion < b.version() {
-			c.Send(b.configFrame())
-		}
+		b.versions.heard(h.Peer, h.ConfigVersion)
 	default:
 		return false
 	}
@@ -76,7 +74,14 @@
 		b.links.Reachable(now, b.dialTargets(connected)...)
 		b.links.Add(false, b.dialTargets(others)...)
 	}
-	if f.Config != nil && f.Config.Document != nil {
+	if f.Config == nil {
+		return
+	}
+	b.versions.heard(h.Peer, f.Config.Version)
+	if f.Config.WantVersion > 0 && f.Config.WantVersion <= b.version() {
+		c.Send(&messenger.Frame{Config: &messenger.Config{Version: b.version(), Document: b.document}})
+	}
+	if f.Config.Document != nil {
 		catalogue, err := cataloguer.Decode(f.Config.Document)
 		if err != nil {
 			b.settings.Journal.Line("catalogue-unreadable").Str("peer", string(h.Peer)).Err(err).Msg("")
@@ -95,6 +100,7 @@
 	case b.entries[h.Peer] == c:
 		delete(b.entries, h.Peer)
 		b.directory.disconnected(h.Peer)
+		b.versions.gone(h.Peer)
 		b.assigner.SetEntries(len(b.entries) + 1)
 		b.settings.Journal.Line("entry-disconnected").Str("peer", string(h.Peer)).Err(cause).Msg("")
 	}
@@ -104,8 +110,9 @@
 	b.settings.Journal.Line("entry-not-reached").Str("address", addr.String()).Err(err).Msg("")
 }
 
-// applyCatalogue puts a catalogue in force if it is newer, and sends it to the other
-// entries, since the platform may refuse the requests of some of them.
+// applyCatalogue puts a catalogue in force if it is newer, and sends its version to the
+// other entries. They request the document if they do not get it from the platform, which
+// may refuse their requests.
 func (b *Broker) applyCatalogue(now time.Time, c *cataloguer.Catalogue, source string) {
 	if c.Version >= b.version() {
 		b.confirmedAt = now
@@ -121,12 +128,17 @@
 	}
 	b.document = document
 	for _, conn := range b.entries {
-		conn.Send(b.configFrame())
+		conn.Send(&messenger.Frame{Config: &messenger.Config{Version: c.Version}})
 	}
 }
 
-func (b *Broker) configFrame() *messenger.Frame {
-	return &messenger.Frame{Config: &messenger.Config{Version: b.version(), Document: b.document}}
+// requestConfig requests the catalogue from another entry if that is due.
+func (b *Broker) requestConfig(now time.Time) {
+	peer, version := b.versions.request(now, b.version())
+	if conn := b.entries[peer]; conn != nil {
+		b.settings.Journal.Line("config-requested").Str("peer", string(peer)).Uint64("config-version", version).Msg("")
+		conn.Send(&messenger.Frame{Config: &messenger.Config{Version: b.version(), WantVersion: version}})
+	}
 }
 
 // announceEntries sends the addresses of newly connected entries to all agents and entries.
