--- a/internal/assigner/job.go
+++ b/internal/assigner/job.go
@@ -49,7 +49,7 @@
 	state    state
 	run      uint64
 	failures int
-	returns  int // number of launches that an agent returned
+	returns  int    // number of launches that an agent returned
 	agent    *agent // where the task is launched; nil if it is not
 	expected time.Duration
 	avoid    []string // instances at which a run of the task ended badly
