Derive the longest wait at an agent from its doublings alone

Cause: maxAgentWait repeated what minAgentWait and maxWaitDoublings imply (25 ms doubled four times), so the launch took a minimum that had no effect.

--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -12,10 +12,10 @@
 const (
 	// minAgentWait is the time that a task may wait at an agent before the agent returns
 	// it, so that it can be scheduled on another upstream with free capacity. The time
-	// doubles with each return, up to maxAgentWait, which bounds the launches of a task when
-	// the view of the load is inaccurate.
-	minAgentWait = 25 * time.Millisecond
-	maxAgentWait = 400 * time.Millisecond
+	// doubles with each return, up to maxWaitDoublings times, which bounds the launches of a
+	// task when the view of the load is inaccurate.
+	minAgentWait     = 25 * time.Millisecond
+	maxWaitDoublings = 4
 	// firstStartWindow is the longest time between the launch of the first task at an agent
 	// and its start.
 	firstStartWindow = 150 * time.Millisecond
@@ -26,8 +26,6 @@
 	// of the load, which is as old as the latest report, must not all choose the same
 	// upstream: among equal upstreams, the probability is proportional to the free capacity.
 	randomWeight = 12 * time.Millisecond
-	// maxWaitDoublings is the number of returns after which the wait is maxAgentWait.
-	maxWaitDoublings = 4
 	// clockSkewDivisor bounds the rate error of an agent's clock, as a divisor: 2%.
 	clockSkewDivisor = 50
 	// minFreeShare is the least share of the capacity that is counted as free.
@@ -361,7 +359,7 @@
 		Task: t.ref, Run: t.run, Payload: j.Payload, Resources: t.step.Resources, Service: j.Service,
 		Urgency:         agentNow + t.latestStart() - now,
 		StartBy:         agentNow + startWithin + age/clockSkewDivisor,
-		MaxWait:         min(minAgentWait<<min(t.returns, maxWaitDoublings), maxAgentWait),
+		MaxWait:         minAgentWait << min(t.returns, maxWaitDoublings),
 		First:           first,
 		ExpectedRunTime: t.expected, Incarnation: g.load.Incarnation, Failures: t.failures, AllowSuspect: a.allowSuspect(&g.load),
 		Priority: j.Priority,
