Log and count crashes of upstreams apart from expired leases

An agent reported every task that an upstream took down as lost, as it does for an expired lease, and nothing named the tasks that ran beside it. Ends have a kind crashed; the agent logs upstream-crashed, and task-crashed with run and age for each task that ran; sardinelock_agent_upstream_crashes_total and sardinelock_task_crashes_total (by queue) count them. No decision changes.

--- a/internal/assigner/agent.go
+++ b/internal/assigner/agent.go
@@ -233,6 +233,8 @@
 		j.baseRun += runStep
 	case messenger.EndReturned:
 		t.returns++
+	case messenger.EndCrashed:
+		a.out.Crashed = append(a.out.Crashed, j.Queue)
 	}
 	if e.Kind != messenger.EndReturned && e.Kind != messenger.EndWithdrawn {
 		t.avoid = append(t.avoid, g.instance)
--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -113,6 +113,7 @@
 type Output struct {
 	Sends     []Send
 	Closes    []messenger.Peer // agents whose connections must be closed
+	Crashed   []string         // queues of the runs that ended because their upstream crashed
 	Answers   []Answer
 	Decisions []Decision
 }
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -283,6 +283,9 @@
 	for _, d := range out.Decisions {
 		b.logDecision(d)
 	}
+	for _, queue := range out.Crashed {
+		b.meter.Crashed(queue)
+	}
 	for _, a := range out.Answers {
 		b.deliverAnswer(a)
 	}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -145,6 +145,7 @@
 	k.loop.Call(func(now time.Time) {
 		s.Running, s.Waiting, _ = k.runner.Counts()
 		s.State = messenger.UpstreamState(k.runner.State(k.loop.Elapsed(now)))
+		s.UpstreamCrashes = k.runner.Crashes()
 		s.Entries = len(k.conns)
 	})
 	return s
--- a/internal/messenger/ephemeral.go
+++ b/internal/messenger/ephemeral.go
@@ -98,7 +98,8 @@
 	EndWithdrawn  EndKind = "withdrawn"  // The entry withdrew the task.
 	EndStalled    EndKind = "stalled"    // The task made no progress and was stopped.
 	EndStraggled  EndKind = "straggled"  // The task was far slower than expected and was stopped.
-	EndLost       EndKind = "lost"       // The upstream terminated, or its lease expired.
+	EndLost       EndKind = "lost"       // The lease expired, or the upstream left while the task ran.
+	EndCrashed    EndKind = "crashed"    // The upstream crashed while the task ran.
 	EndUnresolved EndKind = "unresolved" // It is unknown whether the task started; it no longer runs.
 )
 
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -42,6 +42,7 @@
 	answers          metric.Int64Counter
 	verdicts         metric.Int64Counter
 	storeCalls       metric.Int64Counter
+	crashedRuns      metric.Int64Counter
 
 	answerOptions  optionCache[answerKey]
 	jobOptions     optionCache[answerKey]
@@ -121,6 +122,11 @@
 	m.queueTimes.Record(context.Background(), waited.Seconds(), m.queueOptions.get(service, serviceAttributes).record...)
 }
 
+// Crashed records a run that ended because its upstream crashed.
+func (m *Meter) Crashed(service string) {
+	m.crashedRuns.Add(context.Background(), 1, m.queueOptions.get(service, serviceAttributes).add...)
+}
+
 // knownMethods are the HTTP methods with a series of their own. Any other method
 // counts as otherMethod, so that clients cannot create new series.
 var knownMethods = []string{
@@ -155,6 +161,7 @@
 	m.answers = r.counter("sardinelock.job.answers", "Answers by kind and reason.")
 	m.verdicts = r.counter("sardinelock.objective.events", "Answers by what they are for each objective of their service.")
 	m.storeCalls = r.counter("sardinelock.store.calls", "Tries of calls of the platform's services.")
+	m.crashedRuns = r.counter("sardinelock.task.crashes", "Runs of tasks that ended because their upstream crashed.")
 	r.observe(s)
 	return r.err
 }
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -61,6 +61,7 @@
 	m.Request("MADE-UP", "", 405, time.Second)
 	m.Request("MADE-UP-TOO", "", 405, time.Second)
 	m.StoreCall("read", "unavailable")
+	m.Crashed("quote")
 	want := []string{
 		`http_server_request_duration_seconds_count{http_request_method="POST",http_response_status_code="502",http_route="/v1/services/{service}/jobs"} 1`,
 		`http_server_request_duration_seconds_count{http_request_method="_OTHER",http_response_status_code="405",http_route=""} 2`,
@@ -86,13 +87,14 @@
 		`sardinelock_peer_bytes_total{type="start"} 900`,
 		`sardinelock_peer_messages_total{type="start"} 3`,
 		`sardinelock_store_calls_total{error_type="unavailable",operation="read"} 1`,
+		`sardinelock_task_crashes_total{service="quote"} 1`,
 		`sardinelock_tasks_queued 11`,
 	}
 	got := scrape(t, m, "http_server_request_duration_seconds_count", "sardinelock_certificate", "sardinelock_config",
 		"sardinelock_control", "sardinelock_draining", "sardinelock_job_answers", `sardinelock_job_duration_seconds_bucket{outcome="failed",service="quote",le="0.25"}`,
 		`sardinelock_job_duration_seconds_bucket{outcome="failed",service="quote",le="0.5"}`, "sardinelock_job_queue_time_seconds_sum",
 		"sardinelock_jobs", "sardinelock_objective", "sardinelock_partition", `sardinelock_peer_bytes_total{type="start"}`,
-		`sardinelock_peer_messages_total{type="start"}`, "sardinelock_store", "sardinelock_tasks")
+		`sardinelock_peer_messages_total{type="start"}`, "sardinelock_store", "sardinelock_task")
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("samples (-want +got):\n%s", diff)
 	}
@@ -104,7 +106,7 @@
 		Traffic: new(connector.Counts),
 		Busy:    func() (time.Duration, uint64) { return 0, 0 },
 		Agent: func() AgentState {
-			return AgentState{Running: 3, Waiting: 1, Slots: 8, Records: 40, State: messenger.UpstreamServing, HighestEpoch: 6, Entries: 2}
+			return AgentState{Running: 3, Waiting: 1, Slots: 8, Records: 40, State: messenger.UpstreamServing, HighestEpoch: 6, Entries: 2, UpstreamCrashes: 5}
 		},
 	})
 	if err != nil {
@@ -116,6 +118,7 @@
 		`sardinelock_agent_slots 8`,
 		`sardinelock_agent_tasks{state="running"} 3`,
 		`sardinelock_agent_tasks{state="waiting"} 1`,
+		`sardinelock_agent_upstream_crashes_total 5`,
 		`sardinelock_agent_upstream{state="absent"} 0`,
 		`sardinelock_agent_upstream{state="leaving"} 0`,
 		`sardinelock_agent_upstream{state="serving"} 1`,
--- a/internal/meter/roles.go
+++ b/internal/meter/roles.go
@@ -63,6 +63,7 @@
 	serving := r.gauge("sardinelock.agent.upstream", "", "1 for the state that the upstream is in.")
 	epoch := r.gauge("sardinelock.agent.epoch", "{epoch}", "Highest epoch seen of any partition.")
 	entries := r.gauge("sardinelock.peer.connections", "{connection}", "Connections to peers by role.")
+	crashes := r.total("sardinelock.agent.upstream-crashes", "{crash}", "Crashes of the upstream.")
 	version := r.gauge("sardinelock.config.version", "{version}", "Version of the configuration in force.")
 	current := r.gauge("sardinelock.config.current", "", "1 if the latest version is in force and a later one would be learned.")
 	r.callback(func(_ context.Context, o metric.Observer) error {
@@ -77,11 +78,12 @@
 			o.ObserveFloat64(serving, float64(boolToInt(s.State == u)), label("state", string(u)))
 		}
 		o.ObserveFloat64(epoch, float64(s.HighestEpoch))
+		o.ObserveFloat64(crashes, float64(s.UpstreamCrashes))
 		o.ObserveFloat64(entries, float64(s.Entries), label("role", string(messenger.RoleEntry)))
 		o.ObserveFloat64(version, float64(s.ConfigVersion))
 		o.ObserveFloat64(current, float64(boolToInt(s.ConfigCurrent)))
 		return nil
-	}, tasks, slots, records, serving, epoch, entries, version, current)
+	}, tasks, slots, records, serving, crashes, epoch, entries, version, current)
 }
 
 func observeStates(o metric.Observer, g metric.Float64Observable, name string, states []StateCount) {
--- a/internal/meter/sources.go
+++ b/internal/meter/sources.go
@@ -81,6 +81,8 @@
 	Running, Waiting, Slots int
 	Records                 int
 	State                   messenger.UpstreamState
+	// UpstreamCrashes counts the crashes of the upstream.
+	UpstreamCrashes uint64
 	// HighestEpoch is the highest epoch seen of any partition.
 	HighestEpoch uint64
 	// Entries is the number of connected entries.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -105,6 +105,7 @@
 	// one.
 	outages    int
 	lastOutage time.Duration
+	crashes    uint64 // crashes counts the crashes of the upstream.
 	// countedJobs has the jobs whose failures were counted most recently.
 	countedJobs [8]string
 	nextCounted int
@@ -219,7 +220,7 @@
 	}
 	r.logDecision(Decision{Event: "upstream-left"})
 	r.upstream = nil
-	r.endAll(now)
+	r.endAll(now, messenger.EndLost)
 	r.requestReports()
 }
 
@@ -232,7 +233,7 @@
 			r.recordOutage(now)
 		}
 	}
-	r.endAll(now)
+	r.endAll(now, r.recordCrash(now, "restarted"))
 	r.incarnation = l
 	r.lastEnd = 0
 	r.answered = false
@@ -242,23 +243,24 @@
 	r.requestReports()
 }
 
-// endAll ends all tasks, because the upstream has no runs left.
-func (r *Runner) endAll(now time.Duration) {
+// endAll ends all tasks, because the upstream has no runs left. The kind is that of the
+// tasks that were running.
+func (r *Runner) endAll(now time.Duration, kind messenger.EndKind) {
 	for _, t := range r.sortedTasks() {
-		r.end(now, t, t.lostKind())
+		r.end(now, t, t.lostKind(kind))
 	}
 }
 
 // lostKind returns the kind of end to report for a task when the upstream has no runs
-// left.
-func (t *task) lostKind() messenger.EndKind {
+// left. The given kind is that of a running task.
+func (t *task) lostKind(running messenger.EndKind) messenger.EndKind {
 	switch {
 	case t.kind != "":
 		return t.kind
 	case t.state == stateWaiting:
 		return messenger.EndReturned
 	}
-	return messenger.EndLost
+	return running
 }
 
 // returnWaiting returns the tasks that have not started to their entries.
@@ -278,6 +280,9 @@
 // Idle reports whether no task is left.
 func (r *Runner) Idle() bool { return len(r.tasks) == 0 }
 
+// Crashes returns how often the upstream has crashed.
+func (r *Runner) Crashes() uint64 { return r.crashes }
+
 // Counts returns the number of running and of waiting tasks, and the resources in use.
 func (r *Runner) Counts() (running, waiting int, used messenger.Resources) {
 	return len(r.tasks) - len(r.waiting), len(r.waiting), r.used
--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -47,7 +47,7 @@
 		if len(r.tasks) > 0 {
 			r.logDecision(Decision{Event: "upstream-closed"})
 		}
-		r.endAll(now)
+		r.endAll(now, r.recordCrash(now, "closed"))
 		clear(r.orphans)
 		r.leaseEnds = 0
 	}
@@ -106,7 +106,7 @@
 		if t.state == stateStarting || t.state == stateStopping && t.kind == messenger.EndUnresolved {
 			continue
 		}
-		r.end(now, t, t.lostKind())
+		r.end(now, t, t.lostKind(messenger.EndLost))
 	}
 	if lost {
 		r.logDecision(Decision{Event: "lease-lapsed"})
