--- a/internal/messenger/ephemeral.go
+++ b/internal/messenger/ephemeral.go
@@ -23,6 +23,12 @@
 	return Resources{r.MilliCPU - o.MilliCPU, r.MemoryBytes - o.MemoryBytes, r.Accelerators - o.Accelerators}
 }
 
+// Scale returns r multiplied by a factor, rounded down.
+func (r Resources) Scale(by float64) Resources {
+	scale := func(n int64) int64 { return int64(float64(n) * by) }
+	return Resources{scale(r.MilliCPU), scale(r.MemoryBytes), scale(r.Accelerators)}
+}
+
 // Fits reports whether no component of r exceeds that of limit.
 func (r Resources) Fits(limit Resources) bool {
 	return r.MilliCPU <= limit.MilliCPU && r.MemoryBytes <= limit.MemoryBytes && r.Accelerators <= limit.Accelerators
--- a/internal/replayer/agent.go
+++ b/internal/replayer/agent.go
@@ -60,6 +60,7 @@
 	if u := a.upstream; !u.down {
 		a.sequence++
 		seq := a.sequence
+		u.announced = u.capacity
 		a.run(func() {
 			a.runner.Announce(a.world.now, runner.Announcement{
 				Incarnation: u.incarnation, Service: service, Capacity: u.capacity, Labels: []string{u.rack},
--- a/internal/replayer/ideal.go
+++ b/internal/replayer/ideal.go
@@ -85,7 +85,7 @@
 
 func (i *ideal) submit(c *callerJob) {
 	i.jobs[c] = &idealJob{remaining: len(c.runTimes)}
-	if c.alwaysFails {
+	if c.alwaysFails || c.crash != nil {
 		i.world.answered(c, assigner.Answer{Outcome: assigner.OutcomeFailed})
 		return
 	}
--- a/internal/replayer/pattern.go
+++ b/internal/replayer/pattern.go
@@ -55,6 +55,8 @@
 	FaultLateCalls      FaultKind = "late"         // The share Factor of the calls to upstreams takes effect late and gets no answer.
 	FaultCallersLeave   FaultKind = "leave"        // The share Factor of the callers disconnects after Delay.
 	FaultFailingJobs    FaultKind = "hopeless"     // The share Factor of the jobs always fails.
+	FaultCrashingJobs   FaultKind = "deadly"       // The share Factor of the jobs has a task that crashes its upstream, which is down for Delay.
+	FaultShrink         FaultKind = "shrink"       // The capacity of some upstreams is multiplied by Factor.
 	FaultRollingRestart FaultKind = "release"      // Some upstreams leave and restart, one after the other.
 	FaultFreezeEntry    FaultKind = "freeze-entry" // Some entries stop running and later continue.
 	FaultKillEntry      FaultKind = "kill-entry"   // Some entries are killed and restart.
@@ -73,6 +75,8 @@
 	Factor   float64       `yaml:"factor"`
 	Delay    time.Duration `yaml:"delay"`
 	JobKind  string        `yaml:"of"` // JobKind limits the fault to one kind of job; empty is all kinds.
+	// After is how long a task of a FaultCrashingJobs runs before it crashes its upstream.
+	After time.Duration `yaml:"after"`
 }
 
 // ParsePattern reads a pattern in YAML. It returns an error that names the line of
@@ -130,7 +134,7 @@
 	count := max(1, f.Count)
 	afterFault := func(end func()) { w.after(f.Duration, end) }
 	switch f.Kind {
-	case FaultHang, FaultFail, FaultSlow, FaultCrash, FaultRollingRestart, FaultLateCalls, FaultFlap:
+	case FaultHang, FaultFail, FaultSlow, FaultCrash, FaultRollingRestart, FaultLateCalls, FaultFlap, FaultShrink:
 		if f.Kind == FaultLateCalls {
 			count = len(w.agents)
 		}
@@ -203,6 +207,10 @@
 	case FaultCrash:
 		u.crash()
 		w.after(f.Duration, func() { u.down = false })
+	case FaultShrink:
+		full := u.capacity
+		u.capacity = full.Scale(f.Factor)
+		w.after(f.Duration, func() { u.capacity = full })
 	case FaultRollingRestart:
 		w.after(time.Duration(index)*time.Second, func() {
 			u.leaving = true
--- a/internal/replayer/result.go
+++ b/internal/replayer/result.go
@@ -37,6 +37,8 @@
 	arrived        time.Duration
 	longestTask    time.Duration
 	alwaysFails    bool
+	crash          *Fault // crash is set if the first task crashes each upstream that starts it.
+	crashes        int    // crashes counts the upstreams that the job has crashed.
 	callerLeft     bool
 	done           bool
 	entry          *entry
@@ -54,6 +56,7 @@
 	Jobs, InTime, Late        int
 	Rejected, GivenUp, Failed int
 	ByKind                    map[string]Value
+	KindWindows               map[KindWindow]Value
 	Windows                   []Value
 	ByEntry                   []Value // ByEntry is indexed by the first entry that received a job.
 	// Retried counts the rejected callers that retried after the time in their answer, and
@@ -64,6 +67,8 @@
 	// in time and healthy upstreams had free capacity for all of their tasks and for all
 	// pending tasks.
 	RejectedDespiteCapacity int
+	Crashes                 int // Crashes counts the crashes of upstreams that tasks caused.
+	MaxJobCrashes           int // MaxJobCrashes is the highest number of crashes that one job caused.
 	Violations              []string
 	Starts                  int
 	Wakeups                 int   // Wakeups counts the events that processes handled.
@@ -113,6 +118,11 @@
 	for _, f := range w.activeFaults(FaultFailingJobs, k.Name) {
 		c.alwaysFails = c.alwaysFails || r.Float64() < f.Factor
 	}
+	for _, f := range w.activeFaults(FaultCrashingJobs, k.Name) {
+		if r.Float64() < f.Factor {
+			c.crash = &f
+		}
+	}
 	w.jobs[c.id] = c
 	w.result.Jobs++
 	for _, f := range w.activeFaults(FaultCallersLeave, k.Name) {
@@ -236,7 +246,7 @@
 		return
 	case assigner.OutcomeFailed:
 		w.result.Failed++
-		if !c.alwaysFails {
+		if !c.alwaysFails || c.crash != nil {
 			c.done = true
 			c.onlyRejections = false
 			return
@@ -318,11 +328,14 @@
 	r := &w.result
 	if r.ByKind == nil {
 		r.ByKind = make(map[string]Value)
+		r.KindWindows = make(map[KindWindow]Value)
 	}
 	add := func(s Value) Value { return Value{s.Offered + offered, s.Earned + earned} }
 	r.Offered += offered
 	r.Earned += earned
 	r.ByKind[c.kind.Name] = add(r.ByKind[c.kind.Name])
+	key := KindWindow{Kind: c.kind.Name, Window: int(c.arrived / windowSize)}
+	r.KindWindows[key] = add(r.KindWindows[key])
 	for _, s := range []*Value{elementAt(&r.ByEntry, c.firstEntry), elementAt(&r.Windows, int(c.arrived/windowSize))} {
 		*s = add(*s)
 	}
@@ -346,8 +359,8 @@
 	for _, other := range u.runs {
 		used = used.Add(other.resources)
 	}
-	if !used.Fits(u.capacity) {
-		w.violation("upstream %d runs %d of %d thousandths of a core", u.index, used.MilliCPU, u.capacity.MilliCPU)
+	if !used.Fits(u.announced) {
+		w.violation("upstream %d runs %d of %d thousandths of a core", u.index, used.MilliCPU, u.announced.MilliCPU)
 	}
 	c.running[r.ref]++
 	if c.running[r.ref] > 1 {
@@ -362,7 +375,7 @@
 func (w *world) finish() {
 	for _, id := range slices.Sorted(maps.Keys(w.jobs)) {
 		c := w.jobs[id]
-		if !c.callerLeft && c.retries == 0 {
+		if !c.callerLeft && c.retries == 0 && c.crash == nil {
 			w.addValue(c, c.value(), 0)
 		}
 		if c.done && c.onlyRejections && c.starts > 0 {
@@ -370,3 +383,9 @@
 		}
 	}
 }
+
+// KindWindow is a kind of job in a window.
+type KindWindow struct {
+	Kind   string
+	Window int
+}
--- a/internal/replayer/upstream.go
+++ b/internal/replayer/upstream.go
@@ -19,6 +19,7 @@
 	index         int
 	incarnation   runner.Incarnation
 	capacity      messenger.Resources
+	announced     messenger.Resources // announced is the capacity that the agent was last told.
 	rack          string
 	slowdown      float64 // slowdown is the run time of a task relative to healthy upstreams.
 	runs          map[messenger.TaskRef]*run
@@ -74,6 +75,18 @@
 	u.down = true
 }
 
+// crashUnder crashes the upstream because of a run, unless the run has ended.
+func (u *upstream) crashUnder(r *run, c *callerJob) {
+	if r.ended {
+		return
+	}
+	c.crashes++
+	u.world.result.Crashes++
+	u.world.result.MaxJobCrashes = max(u.world.result.MaxJobCrashes, c.crashes)
+	u.crash()
+	u.world.after(c.crash.Delay, func() { u.down = false })
+}
+
 // call handles a call from the agent. It is delayed and its answer lost with the
 // probability lateRatio.
 func (u *upstream) call(handle func(answerLost bool)) {
@@ -121,6 +134,8 @@
 	u.runs[c.Task] = r
 	u.world.started(u, r)
 	switch {
+	case call.crash != nil && c.Task.Index == 0:
+		u.world.after(min(r.runTime, call.crash.After), func() { u.crashUnder(r, call) })
 	case u.world.random.Float64() < u.failRatio || call.alwaysFails:
 		u.world.after(min(r.runTime, 10*time.Millisecond), func() { u.end(r, messenger.EndFailed) })
 	case !r.hangs:
