Give a job up after two upstreams have crashed under one of its tasks

The agent reports each crash, with the tasks that ran, to every entry, and for a minute to entries that connect, so the count outlives the entry that owns the job and the agent of the crash. An entry counts each incarnation once, fails the job when a second upstream has crashed under a task, also when its caller submits it again elsewhere. A run whose lease expired while the upstream was silent counts if that upstream then restarts. An upstream that announced that it leaves has not crashed.

--- a/internal/assigner/agent.go
+++ b/internal/assigner/agent.go
@@ -137,6 +137,11 @@
 		a.forget(now, j)
 		return
 	}
+	if a.crashes.givenUp(t.ref) {
+		t.state = stateDropped
+		a.failCrashing(now, j)
+		return
+	}
 	a.makePending(t)
 }
 
@@ -189,6 +194,9 @@
 	if f.Stamp != nil {
 		g.lastClock = max(g.lastClock, f.Stamp.Clock)
 	}
+	for i := range f.Crashes {
+		a.recordCrash(now, &f.Crashes[i])
+	}
 	for i := range f.Ends {
 		a.applyEnd(now, g, &f.Ends[i])
 	}
--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -148,6 +148,7 @@
 	// followed by a pause of overloadGap. rejectedAt is the latest rejection.
 	rejectingAt, rejectedAt time.Duration
 	closing                 bool
+	crashes                 crashLog
 	out                     Output
 }
 
@@ -170,6 +171,7 @@
 		queues:     make(map[string]*queue),
 		entries:    1,
 		meanRun:    defaultRun,
+		crashes:    newCrashLog(),
 	}
 }
 
--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -26,6 +26,7 @@
 //	beat INSTANCE...                         delivers a heartbeat: a frame with only a stamp
 //	submit ID TICKET TASKS CPU DECLARED [PRIORITY [LABEL]]
 //	end INSTANCE ID/INDEX RUN KIND
+//	crash INSTANCE INCARNATION ID/INDEX...   reports that an upstream crashed under tasks
 //	leave ID TICKET                          ends the caller's connection
 //	cancel ID
 //	entries N                                sets the number of entries
@@ -59,6 +60,12 @@
 	return messenger.Peer(fmt.Sprintf("%s.%d", instance, s.connections[instance]))
 }
 
+// task parses ID/INDEX.
+func (s *script) task(name string) messenger.TaskRef {
+	job, index, _ := strings.Cut(name, "/")
+	return messenger.TaskRef{Job: job, Index: int(scripter.Number(s.t, index))}
+}
+
 func (s *script) line(l scripter.Line) {
 	fmt.Fprintf(&s.out, "> %s %s\n", l.Verb, strings.Join(l.Args, " "))
 	a := l.Args
@@ -80,11 +87,16 @@
 	case "submit":
 		s.submit(a)
 	case "end":
-		job, index, _ := strings.Cut(a[1], "/")
 		s.assigner.Receive(s.now, s.peer(a[0]), &messenger.Frame{Ends: []messenger.End{{
-			Task: messenger.TaskRef{Job: job, Index: int(scripter.Number(s.t, index))}, Run: uint64(scripter.Number(s.t, a[2])),
+			Task: s.task(a[1]), Run: uint64(scripter.Number(s.t, a[2])),
 			Kind: messenger.EndKind(a[3]), RunTime: 100 * time.Millisecond, Started: true,
 		}}})
+	case "crash":
+		c := messenger.Crash{Upstream: a[1]}
+		for _, name := range a[2:] {
+			c.Runs = append(c.Runs, messenger.CrashedRun{Task: s.task(name), Queue: "q"})
+		}
+		s.assigner.Receive(s.now, s.peer(a[0]), &messenger.Frame{Crashes: []messenger.Crash{c}})
 	case "leave":
 		s.assigner.CallerLeft(s.now, a[0], uint64(scripter.Number(s.t, a[1])))
 	case "cancel":
--- a/internal/assigner/job.go
+++ b/internal/assigner/job.go
@@ -125,6 +125,8 @@
 	}
 	fitting, wait := a.outlook(now, j)
 	switch {
+	case slices.ContainsFunc(j.tasks, func(t *task) bool { return a.crashes.givenUp(t.ref) }):
+		a.failCrashing(now, j)
 	case !fitting:
 		a.reject(now, j, "fits-no-upstream", 0)
 	case now+wait+j.expected > j.latestUseful && !a.settling(now):
--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -362,7 +362,7 @@
 		MaxWait:         minAgentWait << min(t.returns, maxWaitDoublings),
 		First:           first,
 		ExpectedRunTime: t.expected, Incarnation: g.load.Incarnation, Failures: t.failures, AllowSuspect: a.allowSuspect(&g.load),
-		Priority: j.Priority,
+		Priority: j.Priority, Queue: j.Queue,
 	})
 	a.logDecision(Decision{Event: "task-launched", Task: t.ref, Run: t.run, Instance: g.instance, Wait: wait, Age: age})
 }
--- a/internal/messenger/ephemeral.go
+++ b/internal/messenger/ephemeral.go
@@ -82,6 +82,8 @@
 	// First is set if the entry has no other task at the agent. Such a launch may follow an
 	// idle period; any other is valid only within the liveness timeout after an echo.
 	First bool `cbor:"14,keyasint,omitempty"`
+	// Queue is the kind of job.
+	Queue string `cbor:"15,keyasint,omitempty"`
 }
 
 // Withdraw asks an agent to remove a waiting task of an ephemeral job from its queue,
@@ -125,6 +127,25 @@
 	Started bool `cbor:"5,keyasint,omitempty"`
 }
 
+// Crash reports that an upstream crashed, and what ran there. An agent sends it to every
+// entry, also to those that connect later, so that what is known of a task outlives the
+// entry that owns it.
+type Crash struct {
+	// Upstream is the incarnation of the upstream that crashed. It crashes once.
+	Upstream string `cbor:"1,keyasint"`
+	// Age is the time since the crash, when the message is built.
+	Age  time.Duration `cbor:"2,keyasint,omitempty"`
+	Runs []CrashedRun  `cbor:"3,keyasint,omitempty"`
+}
+
+// CrashedRun is a run that had not ended when its upstream crashed.
+type CrashedRun struct {
+	Task  TaskRef `cbor:"1,keyasint"`
+	Queue string  `cbor:"2,keyasint,omitempty"`
+	// RunTime is the time from the start to the crash.
+	RunTime time.Duration `cbor:"3,keyasint,omitempty"`
+}
+
 // RunnerState is the state of the upstream that an agent runs tasks on.
 type RunnerState string
 
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -61,6 +61,7 @@
 	Ends                   []End                  `cbor:"26,keyasint,omitempty"`
 	Load                   *Load                  `cbor:"27,keyasint,omitempty"`
 	Stamp                  *Stamp                 `cbor:"28,keyasint,omitempty"`
+	Crashes                []Crash                `cbor:"29,keyasint,omitempty"`
 }
 
 // Hello is the first message in both directions of a connection.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -105,7 +105,7 @@
 	// one.
 	outages    int
 	lastOutage time.Duration
-	crashes    uint64 // crashes counts the crashes of the upstream.
+	crashes    crashLog
 	// countedJobs has the jobs whose failures were counted most recently.
 	countedJobs [8]string
 	nextCounted int
@@ -281,7 +281,7 @@
 func (r *Runner) Idle() bool { return len(r.tasks) == 0 }
 
 // Crashes returns how often the upstream has crashed.
-func (r *Runner) Crashes() uint64 { return r.crashes }
+func (r *Runner) Crashes() uint64 { return r.crashes.total }
 
 // Counts returns the number of running and of waiting tasks, and the resources in use.
 func (r *Runner) Counts() (running, waiting int, used messenger.Resources) {
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -152,6 +152,13 @@
 		for _, e := range send.Frame.Ends {
 			fmt.Fprintf(&s.out, "end to %s: %s run %d %s\n", send.To, e.Task.Job, e.Run, e.Kind)
 		}
+		for _, c := range send.Frame.Crashes {
+			fmt.Fprintf(&s.out, "crash to %s: %s %v ago:", send.To, c.Upstream, c.Age)
+			for _, run := range c.Runs {
+				fmt.Fprintf(&s.out, " %s after %v", run.Task.Job, run.RunTime)
+			}
+			fmt.Fprintln(&s.out)
+		}
 		if l := send.Frame.Load; l != nil && s.loads {
 			fmt.Fprintf(&s.out, "load to %s: %d used, %d queued\n", send.To, l.Used.MilliCPU, l.Queued.MilliCPU)
 		}
--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -101,6 +101,9 @@
 			continue
 		}
 		lost = true
+		if r.silent {
+			r.crashes.lapsed = append(r.crashes.lapsed, t.crashed(now))
+		}
 		// A start that was delayed in transit may still be executed. Its resources
 		// stay charged until a stop is acknowledged.
 		if t.state == stateStarting || t.state == stateStopping && t.kind == messenger.EndUnresolved {
@@ -178,15 +181,15 @@
 		if s.idleFor(now, r.limits.IdleThreshold) {
 			beatEvery = max(beatEvery, r.limits.IdleHeartbeatInterval)
 		}
-		if len(s.ends) == 0 && since < beatEvery && !due {
+		if len(s.ends)+len(s.crashes) == 0 && since < beatEvery && !due {
 			continue
 		}
-		f := &messenger.Frame{Ends: s.ends, Stamp: &messenger.Stamp{Clock: now, Echo: s.entryStamp}}
+		f := &messenger.Frame{Ends: s.ends, Crashes: crashMessages(now, s.crashes), Stamp: &messenger.Stamp{Clock: now, Echo: s.entryStamp}}
 		if s.reportDue || s.loadChanged {
 			f.Load = r.load(now, s)
 			s.reportedLoad = f.Load.Used.Add(f.Load.Queued)
 		}
-		s.ends, s.reportDue, s.loadChanged, s.sentAt = nil, false, false, now
+		s.ends, s.crashes, s.reportDue, s.loadChanged, s.sentAt = nil, nil, false, false, now
 		r.out.Sends = append(r.out.Sends, Send{To: peer, Frame: f})
 	}
 }
