Confine kinds of jobs whose tasks crash upstreams to a share of the upstreams

Every entry draws the same conclusions from the reported crashes. A task that ran in two crashes, at the same point of its work, is their cause, if no other did; tasks that ran beside it are cleared. While the cause is unknown, the tasks of a crash are spread over the upstreams by a rule that all entries share, so that the next crash has one task in common with it. A queue with enough evidence is hazardous until 10 s after its last crash. Its tasks run at exposed upstreams only: a prefix of an order by name, with the queue's share of the demand, in quarters. Others avoid these while there is other capacity. What would wait for exposed upstreams for too long is rejected at once (503, confined), or given up if it has run. A silent upstream whose lease expired counts as an unconfirmed crash: its jobs are given up, not failed.

--- a/internal/assigner/agent.go
+++ b/internal/assigner/agent.go
@@ -29,6 +29,8 @@
 	tasks        map[messenger.TaskRef]*task
 	launches     []messenger.Launch
 	withdraws    []messenger.Withdraw
+	exposed      bool          // whether tasks of hazardous queues may be launched at the agent
+	absentSince  time.Duration // when the upstream became absent; 0 if it is not
 }
 
 // spareCPU returns the capacity that is not occupied, in thousandths of a core.
@@ -41,6 +43,10 @@
 		g.position = i
 		a.spareCPU = append(a.spareCPU, g.spareCPU())
 	}
+	a.exposure = append(a.exposure[:0], a.order...)
+	slices.SortFunc(a.exposure, func(x, y *agent) int {
+		return cmp.Or(cmp.Compare(exposureRank(x.instance), exposureRank(y.instance)), cmp.Compare(x.instance, y.instance))
+	})
 }
 
 // unreportedLaunch holds the resources of a launch.
@@ -139,7 +145,7 @@
 	}
 	if a.crashes.givenUp(t.ref) {
 		t.state = stateDropped
-		a.failCrashing(now, j)
+		a.failCrashing(now, j, t.ref)
 		return
 	}
 	a.makePending(t)
@@ -201,12 +207,13 @@
 		a.applyEnd(now, g, &f.Ends[i])
 	}
 	if f.Load != nil {
-		a.applyLoad(g, f.Load)
+		a.applyLoad(now, g, f.Load)
 		a.spareCPU[g.position] = g.spareCPU()
 	}
 }
 
-func (a *Assigner) applyLoad(g *agent, l *messenger.Load) {
+func (a *Assigner) applyLoad(now time.Duration, g *agent, l *messenger.Load) {
+	a.observeOutage(now, g, l.State)
 	if !g.loadKnown || g.load.State != l.State || g.load.Incarnation != l.Incarnation {
 		a.logDecision(Decision{Event: "upstream-state", Instance: g.instance, Reason: string(l.State)})
 	}
--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -126,29 +126,35 @@
 
 // Assigner is the scheduling state of one entry.
 type Assigner struct {
-	limits        Limits
-	dataCentre    string
-	random        *rand.Rand
-	agents        map[messenger.Peer]*agent
-	order         []*agent // ordered by instance
-	spareCPU      []int64  // spare CPU of each agent in order, in thousandths of a core
-	jobs          map[string]*job
-	pending       []*task // tasks that are ready and not scheduled
-	unscheduled   []*task // tasks for which the current pass found no capacity
-	unsorted      bool    // whether pending must be sorted by urgency
-	departed      []departedAgent
-	queues        map[string]*queue
-	entries       int           // number of entries that share the upstreams, including this one
-	meanRun       time.Duration // mean run time of recent tasks
-	lacksCapacity bool          // whether the latest pass left tasks that can still be in time without capacity
-	serving       bool          // whether an upstream was usable at the latest check
-	servingAt     time.Duration // when the first upstream became usable
-	outageAt      time.Duration // when the last upstream became unusable
+	limits      Limits
+	dataCentre  string
+	random      *rand.Rand
+	agents      map[messenger.Peer]*agent
+	order       []*agent // ordered by instance
+	exposure    []*agent // the same agents, in the order in which they are exposed to hazards
+	spareCPU    []int64  // spare CPU of each agent in order, in thousandths of a core
+	jobs        map[string]*job
+	pending     []*task // tasks that are ready and not scheduled
+	unscheduled []*task // tasks for which the current pass found no capacity
+	unsorted    bool    // whether pending must be sorted by urgency
+	departed    []departedAgent
+	queues      map[string]*queue
+	entries     int           // number of entries that share the upstreams, including this one
+	meanRun     time.Duration // mean run time of recent tasks
+	// lacksCapacity is whether the latest pass left tasks that can still be in time without
+	// capacity; lacksExposed is the same for the tasks of hazardous queues.
+	lacksCapacity, lacksExposed bool
+	meanOutage                  time.Duration // mean time for which upstreams were absent recently; 0 if unknown
+	serving                     bool          // whether an upstream was usable at the latest check
+	servingAt                   time.Duration // when the first upstream became usable
+	outageAt                    time.Duration // when the last upstream became unusable
 	// rejectingAt is the start of the current overload: the first rejection that was not
 	// followed by a pause of overloadGap. rejectedAt is the latest rejection.
 	rejectingAt, rejectedAt time.Duration
+	firstJobAt              time.Duration // when the first job arrived; 0 if none has
 	closing                 bool
 	crashes                 crashLog
+	exposing                bool // whether upstreams were exposed to hazardous queues at the latest pass
 	out                     Output
 }
 
@@ -280,8 +286,10 @@
 	a.checkAgents(now)
 	a.updateServing(now)
 	a.resolveDeparted(now)
+	a.updateExposure(now)
 	a.checkDeadlines(now)
 	a.rejectTooLate(now)
+	a.abandonUnplaceable(now)
 	a.schedule(now)
 	a.rejectDisplaced(now)
 	a.send(now)
--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -1,6 +1,7 @@
 package assigner
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -26,7 +27,10 @@
 //	beat INSTANCE...                         delivers a heartbeat: a frame with only a stamp
 //	submit ID TICKET TASKS CPU DECLARED [PRIORITY [LABEL]]
 //	end INSTANCE ID/INDEX RUN KIND
-//	crash INSTANCE INCARNATION ID/INDEX...   reports that an upstream crashed under tasks
+//	crash INSTANCE INCARNATION ID/INDEX[:QUEUE[:RUN-TIME]]...  reports that an upstream crashed under tasks
+//	silent ...                               the same, unconfirmed
+//	queue NAME                               sets the queue of the jobs that are submitted next
+//	log                                      prints decisions about crashes and hazards from then on
 //	leave ID TICKET                          ends the caller's connection
 //	cancel ID
 //	entries N                                sets the number of entries
@@ -54,6 +58,8 @@
 	incarnations map[string]string
 	launchesSeen map[string]uint64
 	connections  map[string]int
+	queue        string
+	logged       bool // logged is set if decisions about crashes and hazards are printed.
 }
 
 func (s *script) peer(instance string) messenger.Peer {
@@ -91,12 +97,18 @@
 			Task: s.task(a[1]), Run: uint64(scripter.Number(s.t, a[2])),
 			Kind: messenger.EndKind(a[3]), RunTime: 100 * time.Millisecond, Started: true,
 		}}})
-	case "crash":
-		c := messenger.Crash{Upstream: a[1]}
+	case "crash", "silent":
+		c := messenger.Crash{Upstream: a[1], Unconfirmed: l.Verb == "silent"}
 		for _, name := range a[2:] {
-			c.Runs = append(c.Runs, messenger.CrashedRun{Task: s.task(name), Queue: "q"})
+			parts := strings.Split(name, ":")
+			parts = append(parts, []string{"q", "10ms"}[min(len(parts), 3)-1:]...)
+			c.Runs = append(c.Runs, messenger.CrashedRun{Task: s.task(parts[0]), Queue: parts[1], RunTime: scripter.Duration(s.t, parts[2])})
 		}
 		s.assigner.Receive(s.now, s.peer(a[0]), &messenger.Frame{Crashes: []messenger.Crash{c}})
+	case "queue":
+		s.queue = a[0]
+	case "log":
+		s.logged = true
 	case "leave":
 		s.assigner.CallerLeft(s.now, a[0], uint64(scripter.Number(s.t, a[1])))
 	case "cancel":
@@ -132,7 +144,7 @@
 
 func (s *script) submit(a []string) {
 	j := Job{
-		ID: a[0], Queue: "q", Service: "quote", SlowdownFactor: 1.6, LatencyAllowance: 60 * time.Millisecond,
+		ID: a[0], Queue: cmp.Or(s.queue, "q"), Service: "quote", SlowdownFactor: 1.6, LatencyAllowance: 60 * time.Millisecond,
 		CallerTimeout: 2 * time.Second, MaxAttempts: 2, Ticket: uint64(scripter.Number(s.t, a[1])),
 		Steps: []Step{{Count: int(scripter.Number(s.t, a[2])), Resources: messenger.Resources{MilliCPU: scripter.Number(s.t, a[3])}, DeclaredRunTime: scripter.Duration(s.t, a[4])}},
 	}
@@ -160,6 +172,11 @@
 	for _, a := range out.Answers {
 		fmt.Fprintf(&s.out, "answer %d: %s %s\n", a.Ticket, a.Outcome, a.Reason)
 	}
+	for _, d := range out.Decisions {
+		if s.logged && (d.Event == "crash-recorded" || strings.HasPrefix(d.Event, "queue-")) {
+			fmt.Fprintf(&s.out, "log %s %s %s\n", d.Event, d.Reason, d.Task.Job)
+		}
+	}
 	for _, p := range out.Closes {
 		fmt.Fprintf(&s.out, "close %s\n", p)
 	}
--- a/internal/assigner/job.go
+++ b/internal/assigner/job.go
@@ -53,6 +53,13 @@
 	agent    *agent // where the task is launched; nil if it is not
 	expected time.Duration
 	avoid    []string // instances at which a run of the task ended badly
+	// hazardous and suspicion are as of the latest pass: whether the queue is hazardous, and
+	// the latest crash that the task may have caused, or nil.
+	hazardous bool
+	suspicion *crashRecord
+	// suspectsPerUpstream is the number of tasks with the same suspicion that may run at one
+	// upstream.
+	suspectsPerUpstream int
 }
 
 // Submit adds a job. Its answer may be in the next output.
@@ -104,6 +111,10 @@
 			})
 		}
 	}
+	q.addDemand(now, &s)
+	if a.firstJobAt == 0 {
+		a.firstJobAt = now
+	}
 	objective := time.Duration(s.SlowdownFactor*float64(j.expected)) + s.LatencyAllowance
 	j.objective = now + objective
 	j.deadline = now + s.CallerTimeout - a.limits.AnswerMargin
@@ -123,16 +134,21 @@
 		a.reject(now, j, "shutting-down", 0)
 		return
 	}
+	if i := slices.IndexFunc(j.tasks, func(t *task) bool { return a.crashes.givenUp(t.ref) }); i >= 0 {
+		a.failCrashing(now, j, j.tasks[i].ref)
+		return
+	}
 	fitting, wait := a.outlook(now, j)
 	switch {
-	case slices.ContainsFunc(j.tasks, func(t *task) bool { return a.crashes.givenUp(t.ref) }):
-		a.failCrashing(now, j)
 	case !fitting:
 		a.reject(now, j, "fits-no-upstream", 0)
 	case now+wait+j.expected > j.latestUseful && !a.settling(now):
 		reason := "overload"
-		if a.outage(now) > 0 {
+		switch {
+		case a.outage(now) > 0:
 			reason = "no-upstream"
+		case a.crashes.hazardous(now, j.Queue):
+			reason = "confined"
 		}
 		a.reject(now, j, reason, wait)
 	}
@@ -313,15 +329,22 @@
 
 // rejectTooLate rejects the jobs whose answer would come too late to be of use.
 func (a *Assigner) rejectTooLate(now time.Duration) {
-	start := now + a.outage(now)
-	a.rejectPending(now, "too-late", func(t *task) bool { return start+t.expected > t.job.latestUseful })
+	a.rejectPending(now, "too-late", func(t *task) bool {
+		return now+a.startDelay(now, t.job)+t.expected > t.job.latestUseful
+	})
 }
 
 // rejectDisplaced rejects the jobs that would be late while tasks that can still be in
 // time find no capacity, because those take precedence.
 func (a *Assigner) rejectDisplaced(now time.Duration) {
-	if a.lacksCapacity && !a.settling(now) {
-		a.rejectPending(now, "overtaken", func(t *task) bool { return t.latestStart() < now })
+	if (a.lacksCapacity || a.lacksExposed) && !a.settling(now) {
+		a.rejectPending(now, "overtaken", func(t *task) bool {
+			lacking := a.lacksCapacity
+			if t.hazardous {
+				lacking = a.lacksExposed
+			}
+			return lacking && t.latestStart() < now
+		})
 	}
 }
 
--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -30,7 +30,8 @@
 	clockSkewDivisor = 50
 	// minFreeShare is the least share of the capacity that is counted as free.
 	minFreeShare = 0.01
-	// avoidCost is the added cost of an upstream at which a run of the task ended badly.
+	// avoidCost is the added cost of an upstream at which a run of the task ended badly, or
+	// which may crash under tasks of other queues.
 	avoidCost = 300 * time.Millisecond
 	// defaultRun is the mean run time that is assumed until tasks have ended.
 	defaultRun = 250 * time.Millisecond
@@ -45,7 +46,7 @@
 // schedule launches the pending tasks, the most urgent first. Tasks that can no longer be
 // in time come after those that can.
 func (a *Assigner) schedule(now time.Duration) {
-	a.lacksCapacity = false
+	a.lacksCapacity, a.lacksExposed = false, false
 	if len(a.pending) == 0 {
 		return
 	}
@@ -55,8 +56,12 @@
 		})
 		a.unsorted = false
 	}
+	for _, t := range a.pending {
+		a.updateSuspicion(now, t)
+	}
 	late, unscheduled := a.scheduleSelected(now, func(t *task) bool { return t.latestStart() >= now })
-	a.lacksCapacity = unscheduled > 0 && a.serving
+	a.lacksCapacity = unscheduled.others > 0 && a.serving
+	a.lacksExposed = unscheduled.hazardous > 0 && a.serving
 	if late {
 		a.scheduleSelected(now, func(t *task) bool { return t.latestStart() < now })
 	}
@@ -64,7 +69,7 @@
 
 // scheduleSelected launches the pending tasks that are selected. It reports whether any
 // was not selected, and for how many of the others there was no capacity.
-func (a *Assigner) scheduleSelected(now time.Duration, selected func(*task) bool) (skipped bool, unscheduled int) {
+func (a *Assigner) scheduleSelected(now time.Duration, selected func(*task) bool) (skipped bool, unscheduled unscheduledTasks) {
 	failedAttempts := 0
 	a.unscheduled = a.unscheduled[:0]
 	a.pending = slices.DeleteFunc(a.pending, func(t *task) bool {
@@ -73,12 +78,12 @@
 			return false
 		}
 		if failedAttempts >= maxFailedAttempts || slices.ContainsFunc(a.unscheduled, t.needsAtLeast) {
-			unscheduled++
+			unscheduled.add(t)
 			return false
 		}
 		g, wait := a.choose(now, t)
 		if g == nil {
-			unscheduled++
+			unscheduled.add(t)
 			failedAttempts++
 			a.unscheduled = append(a.unscheduled, t)
 			return false
@@ -89,6 +94,20 @@
 	return skipped, unscheduled
 }
 
+// unscheduledTasks counts tasks for which a pass found no capacity. Tasks that are under
+// suspicion are left out, since these wait for more than capacity.
+type unscheduledTasks struct{ hazardous, others int }
+
+func (u *unscheduledTasks) add(t *task) {
+	switch {
+	case t.suspicion != nil:
+	case t.hazardous:
+		u.hazardous++
+	default:
+		u.others++
+	}
+}
+
 // maxFailedAttempts bounds the failed attempts to schedule a task in one pass. Each is for
 // a task that needs less than those before it, or other upstreams.
 const maxFailedAttempts = 16
@@ -96,7 +115,8 @@
 // needsAtLeast reports whether a task needs the same upstreams as another task and at
 // least as many resources.
 func (t *task) needsAtLeast(o *task) bool {
-	return t.job.Service == o.job.Service && t.step.Label == o.step.Label && o.step.Resources.Fits(t.step.Resources)
+	return t.job.Service == o.job.Service && t.step.Label == o.step.Label && o.step.Resources.Fits(t.step.Resources) &&
+		(t.hazardous || !o.hazardous) && t.suspicion == o.suspicion
 }
 
 // maxCandidates bounds the number of upstreams with free capacity that are compared for a
@@ -109,6 +129,9 @@
 // has free capacity, or if those that do are so slow that the task can be in time only at
 // an upstream that is still occupied.
 func (a *Assigner) choose(now time.Duration, t *task) (*agent, time.Duration) {
+	if g := a.spread(now, t); g != nil {
+		return g, 0
+	}
 	var best *agent
 	var bestCost, bestWait, bestKey time.Duration
 	fullCost := time.Duration(math.MaxInt64)
@@ -153,6 +176,8 @@
 	switch {
 	case !g.loadKnown || a.suspect(now, g) || l.Service != t.job.Service:
 		return false
+	case !t.allowedBesideHazards(g):
+		return false
 	case a.allowSuspect(l):
 	case l.State == messenger.RunnerProbing:
 		if len(g.tasks) > 0 || l.Used.MilliCPU > 0 || l.Queued.MilliCPU > 0 {
@@ -231,7 +256,7 @@
 	if t.step.Rack != "" && !slices.Contains(l.Labels, t.step.Rack) {
 		cost += t.expected / 2
 	}
-	if slices.Contains(t.avoid, g.instance) {
+	if slices.Contains(t.avoid, g.instance) || g.exposed && !t.hazardous {
 		cost += avoidCost
 	}
 	return cost
@@ -286,9 +311,10 @@
 // steps, and how long the job is expected to wait behind the work ahead of it.
 func (a *Assigner) outlook(now time.Duration, j *job) (fits bool, wait time.Duration) {
 	var capacity, used messenger.Resources
+	hazardous := a.crashes.hazardous(now, j.Queue)
 	for _, g := range a.order {
 		l := &g.load
-		if !g.loadKnown || l.Service != j.Service || l.State != messenger.RunnerReady || a.suspect(now, g) {
+		if hazardous && !g.exposed || !g.loadKnown || l.Service != j.Service || l.State != messenger.RunnerReady || a.suspect(now, g) {
 			continue
 		}
 		capacity = capacity.Add(l.Capacity)
@@ -300,7 +326,7 @@
 	for _, t := range a.pending {
 		if t.job == j {
 			used = used.Add(t.step.Resources)
-		} else if t.latestStart() >= now && t.before(j) {
+		} else if t.latestStart() >= now && t.before(j) && t.hazardous == hazardous {
 			// Each other entry is assumed to have as much work waiting.
 			for range a.entries {
 				used = used.Add(t.step.Resources)
@@ -308,7 +334,7 @@
 		}
 	}
 	if capacity == (messenger.Resources{}) {
-		return true, a.outage(now)
+		return true, a.startDelay(now, j)
 	}
 	excess := used.Sub(capacity)
 	return true, share(excess.MilliCPU, capacity.MilliCPU, a.meanRun)
--- a/internal/assigner/queue.go
+++ b/internal/assigner/queue.go
@@ -8,6 +8,12 @@
 	ratio float64
 	// mean is the mean run time of tasks in seconds; 0 if none has ended yet.
 	mean float64
+	// service is that of the latest job.
+	service string
+	// demand is the recent work of submitted jobs, in core-seconds, decayed at demandAt.
+	demand    float64
+	demandAt  time.Duration
+	hazardous bool // whether the queue was hazardous at the latest pass
 }
 
 // learnWeight is the weight of one task in the moving averages: some twenty tasks make up
--- a/internal/messenger/ephemeral.go
+++ b/internal/messenger/ephemeral.go
@@ -131,11 +131,15 @@
 // entry, also to those that connect later, so that what is known of a task outlives the
 // entry that owns it.
 type Crash struct {
-	// Upstream is the incarnation of the upstream that crashed. It crashes once.
+	// Upstream is the incarnation of the upstream that crashed. It crashes once, but may be
+	// reported twice: first unconfirmed, when the lease of its runs expires while it does not
+	// answer, and again when it turns out to have restarted.
 	Upstream string `cbor:"1,keyasint"`
 	// Age is the time since the crash, when the message is built.
 	Age  time.Duration `cbor:"2,keyasint,omitempty"`
 	Runs []CrashedRun  `cbor:"3,keyasint,omitempty"`
+	// Unconfirmed is set while it is not known that the upstream crashed.
+	Unconfirmed bool `cbor:"4,keyasint,omitempty"`
 }
 
 // CrashedRun is a run that had not ended when its upstream crashed.
--- a/internal/replayer/agent.go
+++ b/internal/replayer/agent.go
@@ -32,9 +32,13 @@
 func newAgent(w *world, index int) *agent {
 	a := &agent{world: w, index: index}
 	a.upstream = newUpstream(w, index)
+	a.upstream.connectionsBroken = func() {
+		a.run(func() { a.runner.PollFailed(w.now, true) })
+	}
+	a.upstream.announce = a.announce
 	a.startProcess()
 	a.tick()
-	a.announce()
+	a.announceRegularly()
 	return a
 }
 
@@ -68,7 +72,11 @@
 			})
 		})
 	}
-	a.world.after(announceInterval, a.announce)
+}
+
+func (a *agent) announceRegularly() {
+	a.announce()
+	a.world.after(announceInterval, a.announceRegularly)
 }
 
 // dial connects to every entry that is not connected. It waits until the runs that
--- a/internal/replayer/pattern.go
+++ b/internal/replayer/pattern.go
@@ -77,6 +77,9 @@
 	JobKind  string        `yaml:"of"` // JobKind limits the fault to one kind of job; empty is all kinds.
 	// After is how long a task of a FaultCrashingJobs runs before it crashes its upstream.
 	After time.Duration `yaml:"after"`
+	// Silent makes the upstreams of FaultCrashingJobs leave calls unanswered while they are
+	// down. Otherwise their connections break at once.
+	Silent bool `yaml:"silent"`
 }
 
 // ParsePattern reads a pattern in YAML. It returns an error that names the line of
--- a/internal/replayer/upstream.go
+++ b/internal/replayer/upstream.go
@@ -29,12 +29,15 @@
 	highestAgent  int // highestAgent is the highest agent incarnation seen; lower ones are fenced.
 	leaseUntil    time.Duration
 	waitingPolls  []func()
-	down          bool
-	leaving       bool
-	unreachable   bool // While unreachable, the upstream receives no call, but its tasks continue.
-	hanging       bool
-	failRatio     float64 // failRatio is the share of tasks that fail immediately.
-	lateRatio     float64 // lateRatio is the share of calls that take effect late and get no answer.
+	// connectionsBroken tells the agent that its poll has failed since the upstream is down.
+	// announce announces the upstream to the agent.
+	connectionsBroken, announce func()
+	down                        bool
+	leaving                     bool
+	unreachable                 bool // While unreachable, the upstream receives no call, but its tasks continue.
+	hanging                     bool
+	failRatio                   float64 // failRatio is the share of tasks that fail immediately.
+	lateRatio                   float64 // lateRatio is the share of calls that take effect late and get no answer.
 }
 
 type run struct {
@@ -84,7 +87,13 @@
 	u.world.result.Crashes++
 	u.world.result.MaxJobCrashes = max(u.world.result.MaxJobCrashes, c.crashes)
 	u.crash()
-	u.world.after(c.crash.Delay, func() { u.down = false })
+	if !c.crash.Silent {
+		u.world.after(localDelay, u.connectionsBroken)
+	}
+	u.world.after(c.crash.Delay, func() {
+		u.down = false
+		u.announce()
+	})
 }
 
 // call handles a call from the agent. It is delayed and its answer lost with the
--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -1,7 +1,6 @@
 package runner
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -19,28 +18,29 @@
 
 // crashLog has the recent crashes of the upstream.
 type crashLog struct {
-	total  uint64 // total counts all crashes.
-	recent []crash
-	// lapsed has the runs that ended because the lease expired while the upstream did not
-	// answer. If the upstream turns out to have restarted, they ran when it crashed.
-	lapsed []messenger.CrashedRun
+	total  uint64 // total counts the confirmed crashes.
+	recent []*crash
+	// silent is the crash that is assumed while the upstream does not answer, or nil.
+	silent *crash
 }
 
 type crash struct {
-	at       time.Duration
-	upstream string
-	runs     []messenger.CrashedRun // runs are ordered by run time.
+	at        time.Duration
+	upstream  string
+	runs      []messenger.CrashedRun
+	confirmed bool
 }
 
 // recordCrash records that the upstream has no runs left, and returns the kind of end of
 // the tasks that were running. If the upstream had not announced that it leaves, it has
 // crashed.
 func (r *Runner) recordCrash(now time.Duration, reason string) messenger.EndKind {
-	runs := r.crashes.lapsed
-	r.crashes.lapsed = nil
+	c := r.crashes.silent
+	r.crashes.silent = nil
 	if r.upstream == nil || r.upstream.Leaving {
 		return messenger.EndLost
 	}
+	var runs []messenger.CrashedRun
 	for _, t := range r.sortedTasks() {
 		if t.state == stateWaiting {
 			continue
@@ -48,19 +48,47 @@
 		runs = append(runs, t.crashed(now))
 		r.logDecision(Decision{Event: "task-crashed", Task: t.Task, Run: t.Run, Reason: string(t.state), Age: now - t.startedAt})
 	}
-	if len(runs) == 0 {
+	if c != nil {
+		c.confirmed = true
+		c.runs = append(c.runs, runs...)
+	} else if len(runs) > 0 {
+		c = r.addCrash(now, runs)
+		c.confirmed = true
+	}
+	if c == nil {
 		return messenger.EndCrashed
 	}
-	slices.SortStableFunc(runs, func(a, b messenger.CrashedRun) int { return cmp.Compare(a.RunTime, b.RunTime) })
-	c := crash{at: now, upstream: r.incarnation.String(), runs: runs[:min(len(runs), maxCrashedRuns)]}
+	c.runs = c.runs[:min(len(c.runs), maxCrashedRuns)]
 	r.crashes.total++
+	r.reportCrash(c)
+	r.logDecision(Decision{Event: "upstream-crashed", Reason: reason})
+	return messenger.EndCrashed
+}
+
+// recordSilentCrash records that the upstream may have crashed: the lease of the given runs
+// expired while it did not answer.
+func (r *Runner) recordSilentCrash(now time.Duration, runs []messenger.CrashedRun) {
+	if len(runs) == 0 || r.upstream == nil || r.upstream.Leaving || r.crashes.silent != nil {
+		return
+	}
+	r.crashes.silent = r.addCrash(now, runs)
+	r.reportCrash(r.crashes.silent)
+	r.logDecision(Decision{Event: "upstream-crash-assumed", Reason: "silent"})
+}
+
+func (r *Runner) addCrash(now time.Duration, runs []messenger.CrashedRun) *crash {
+	c := &crash{at: now, upstream: r.incarnation.String(), runs: runs}
 	r.crashes.recent = append(r.crashes.recentAt(now), c)
 	r.crashes.recent = r.crashes.recent[max(0, len(r.crashes.recent)-maxCrashes):]
+	return c
+}
+
+func (r *Runner) reportCrash(c *crash) {
 	for _, s := range r.sessions {
-		s.crashes = append(s.crashes, c)
+		if !slices.Contains(s.crashes, c) {
+			s.crashes = append(s.crashes, c)
+		}
 	}
-	r.logDecision(Decision{Event: "upstream-crashed", Reason: reason})
-	return messenger.EndCrashed
 }
 
 func (t *task) crashed(now time.Duration) messenger.CrashedRun {
@@ -68,15 +96,17 @@
 }
 
 // recentAt returns the crashes that are not older than crashMemory.
-func (l *crashLog) recentAt(now time.Duration) []crash {
-	return slices.DeleteFunc(slices.Clone(l.recent), func(c crash) bool { return now-c.at > crashMemory })
+func (l *crashLog) recentAt(now time.Duration) []*crash {
+	return slices.DeleteFunc(slices.Clone(l.recent), func(c *crash) bool { return now-c.at > crashMemory })
 }
 
 // crashMessages returns the messages for crashes.
-func crashMessages(now time.Duration, crashes []crash) []messenger.Crash {
+func crashMessages(now time.Duration, crashes []*crash) []messenger.Crash {
 	var messages []messenger.Crash
 	for _, c := range crashes {
-		messages = append(messages, messenger.Crash{Upstream: c.upstream, Age: now - c.at, Runs: c.runs})
+		messages = append(messages, messenger.Crash{
+			Upstream: c.upstream, Age: now - c.at, Runs: c.runs, Unconfirmed: !c.confirmed,
+		})
 	}
 	return messages
 }
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -154,6 +154,9 @@
 		}
 		for _, c := range send.Frame.Crashes {
 			fmt.Fprintf(&s.out, "crash to %s: %s %v ago:", send.To, c.Upstream, c.Age)
+			if c.Unconfirmed {
+				fmt.Fprint(&s.out, " unconfirmed")
+			}
 			for _, run := range c.Runs {
 				fmt.Fprintf(&s.out, " %s after %v", run.Task.Job, run.RunTime)
 			}
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -15,8 +15,8 @@
 	entryStamp       time.Duration // entryStamp is the latest stamp of the entry.
 	launchesReceived uint64        // launchesReceived counts the launches received on the connection.
 	ends             []messenger.End
-	crashes          []crash // crashes have not been reported to the entry.
-	tasks            int     // tasks counts the tasks that the session owns.
+	crashes          []*crash // crashes have not been reported to the entry.
+	tasks            int      // tasks counts the tasks that the session owns.
 	// idleSince is when the last task of the session ended; resumedAt is when a task
 	// came after an idle time.
 	idleSince, resumedAt time.Duration
--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -96,13 +96,14 @@
 	}
 	r.leaseEnds = 0
 	lost := false
+	var lapsed []messenger.CrashedRun
 	for _, t := range r.sortedTasks() {
 		if t.state == stateWaiting {
 			continue
 		}
 		lost = true
 		if r.silent {
-			r.crashes.lapsed = append(r.crashes.lapsed, t.crashed(now))
+			lapsed = append(lapsed, t.crashed(now))
 		}
 		// A start that was delayed in transit may still be executed. Its resources
 		// stay charged until a stop is acknowledged.
@@ -111,6 +112,7 @@
 		}
 		r.end(now, t, t.lostKind(messenger.EndLost))
 	}
+	r.recordSilentCrash(now, lapsed)
 	if lost {
 		r.logDecision(Decision{Event: "lease-lapsed"})
 	}
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -107,7 +107,7 @@
 		r.startIncarnation(now, l.Incarnation)
 	}
 	r.failedPolls = 0
-	r.crashes.lapsed = nil
+	r.crashes.silent = nil
 	if r.silent || !r.answered {
 		r.logDecision(Decision{Event: "upstream-answers"})
 		r.silent, r.answered = false, true
