Launch nothing at an upstream whose capacity has shrunk to nothing

An entry took a reported capacity of zero for unknown and kept the previous one, which is right only while the upstream is absent.

--- a/internal/assigner/agent.go
+++ b/internal/assigner/agent.go
@@ -217,7 +217,7 @@
 	if !g.loadKnown || g.load.State != l.State || g.load.Incarnation != l.Incarnation {
 		a.logDecision(Decision{Event: "upstream-state", Instance: g.instance, Reason: string(l.State)})
 	}
-	if l.Capacity == (messenger.Resources{}) {
+	if l.State == messenger.RunnerAbsent && l.Capacity == (messenger.Resources{}) {
 		l.Capacity = g.load.Capacity
 	}
 	g.load, g.loadKnown = *l, true
--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -24,6 +24,7 @@
 //	up INSTANCE [LIFE]                       connects an agent
 //	down INSTANCE                            ends its connection
 //	load INSTANCE STATE CAPACITY USED [PACE [LABEL]] reports its upstream's load
+//	load INSTANCE empty                      reports that its upstream is ready without any capacity
 //	beat INSTANCE...                         delivers a heartbeat: a frame with only a stamp
 //	submit ID TICKET TASKS CPU DECLARED [PRIORITY [LABEL]]
 //	end INSTANCE ID/INDEX RUN KIND
@@ -130,6 +131,11 @@
 }
 
 func (s *script) load(a []string) {
+	if a[1] == "empty" {
+		l := &messenger.Load{Incarnation: s.incarnations[a[0]], Service: "quote", State: messenger.RunnerReady}
+		s.assigner.Receive(s.now, s.peer(a[0]), &messenger.Frame{Load: l, Stamp: &messenger.Stamp{Clock: s.now}})
+		return
+	}
 	l := &messenger.Load{
 		Incarnation: s.incarnations[a[0]], Service: "quote", State: messenger.RunnerState(a[1]), LaunchesReceived: s.launchesSeen[a[0]],
 		Capacity: messenger.Resources{MilliCPU: scripter.Number(s.t, a[2]), MemoryBytes: 1 << 30},
