Give a job up after three agents were lost under one of its tasks

A task at three agents when these were lost ends its job with 504 (agents-lost). Script agents-lost.txtar fails without the change: the task is launched a fourth time.

--- a/internal/assigner/agent.go
+++ b/internal/assigner/agent.go
@@ -112,6 +112,10 @@
 	a.departed = append(a.departed, d)
 }
 
+// maxLostAgents is the number of agents that are lost while a task is at them before its job
+// is given up: what the entry sends may be what ends them.
+const maxLostAgents = 3
+
 // resolveDeparted reschedules the tasks of departed agents whose lease has expired, so
 // that their runs have ended.
 func (a *Assigner) resolveDeparted(now time.Duration) {
@@ -127,6 +131,7 @@
 		for _, t := range d.tasks {
 			a.logDecision(Decision{Event: "task-lost", Task: t.ref, Run: t.run, Instance: d.instance})
 			t.avoid = append(t.avoid, d.instance)
+			t.lostAgents++
 			a.endRun(now, t, true)
 		}
 	}
@@ -143,6 +148,11 @@
 		a.forget(now, j)
 		return
 	}
+	if t.lostAgents >= maxLostAgents {
+		t.state = stateDropped
+		a.finish(now, j, OutcomeGivenUp, "agents-lost", 0)
+		return
+	}
 	if a.crashes.givenUp(t.ref) {
 		t.state = stateDropped
 		a.failCrashing(now, j, t.ref)
--- a/internal/assigner/job.go
+++ b/internal/assigner/job.go
@@ -49,10 +49,12 @@
 	state    state
 	run      uint64
 	failures int
-	returns  int    // number of launches that an agent returned
-	agent    *agent // where the task is launched; nil if it is not
-	expected time.Duration
-	avoid    []string // instances at which a run of the task ended badly
+	returns  int // number of launches that an agent returned
+	// lostAgents is the number of agents that were lost while the task was at them.
+	lostAgents int
+	agent      *agent // where the task is launched; nil if it is not
+	expected   time.Duration
+	avoid      []string // instances at which a run of the task ended badly
 	// hazardous and suspicion are as of the latest pass: whether the queue is hazardous, and
 	// the latest crash that the task may have caused, or nil.
 	hazardous bool
