Expose all upstreams to a hazardous queue if no other queue has jobs

A service with a single queue got a quarter of its upstreams while that queue was hazardous, though there was nobody to protect: seen in the soak, whose jobs all have one queue, as rejections with 503. Script hazard-alone.txtar fails without the change: one of the two tasks is launched.

--- a/internal/assigner/exposure.go
+++ b/internal/assigner/exposure.go
@@ -21,6 +21,8 @@
 	// demandHalfLife is the half-life of the demand of a queue. An entry that has had jobs for
 	// less time exposes the smallest share.
 	demandHalfLife = 5 * time.Second
+	// minOtherDemand is the share of the demand below which the other queues need no upstream.
+	minOtherDemand = 0.01
 	// outageWeight is the weight of one outage of an upstream in the mean.
 	outageWeight = 0.3
 )
@@ -90,8 +92,12 @@
 		}
 	}
 	for _, e := range services {
-		e.share = 1.0 / exposureSteps
-		if now-a.firstJobAt >= demandHalfLife && e.demand > 0 {
+		switch {
+		case !e.hasOthers():
+			e.share = 1
+		case now-a.firstJobAt < demandHalfLife:
+			e.share = 1.0 / exposureSteps
+		default:
 			e.share = max(1, math.Round(e.hazardous/e.demand*exposureSteps)) / exposureSteps
 		}
 	}
@@ -109,13 +115,16 @@
 	a.logDecision(Decision{Event: event, Reason: queue})
 }
 
+// hasOthers reports whether queues that are not hazardous have any demand to speak of.
+func (e *exposure) hasOthers() bool { return e.hazardous < (1-minOtherDemand)*e.demand }
+
 // expose reports whether the next upstream is exposed. One is always, and one is not if
-// other queues have any demand.
+// other queues have demand.
 func (e *exposure) expose(g *agent) bool {
 	switch {
 	case !e.any || e.full:
 		return false
-	case e.demand > e.hazardous && e.upstreams > 1 && e.exposed == e.upstreams-1:
+	case e.hasOthers() && e.upstreams > 1 && e.exposed == e.upstreams-1:
 		return false
 	case e.exposed > 0 && float64(e.exposedCapacity+g.load.Capacity.MilliCPU) > e.share*float64(e.capacity):
 		// No later upstream is exposed instead, so that a larger share exposes the same ones
