Fail a job only for crashes that certainly met its task

The agent had sent a start to an upstream that was crashing and had no answer yet, so the crash report named the task, but the start never arrived.

A run in a crash report is certain if its start had been acknowledged or the run listed, and its lease had not expired while the upstream was silent. This replaces the unconfirmed reports of silent upstreams.

--- a/internal/assigner/crash.go
+++ b/internal/assigner/crash.go
@@ -52,7 +52,6 @@
 	upstream  string // incarnation of the upstream
 	at        time.Duration
 	runs      []messenger.CrashedRun
-	confirmed bool
 	hazardous bool              // whether any of the runs is of a hazardous queue, and so a likely cause
 	culprit   messenger.TaskRef // the task that caused the crash; zero if it is not known
 }
@@ -63,14 +62,13 @@
 
 // add adds a crash. It returns nil if the crash is known already.
 func (l *crashLog) add(now time.Duration, c *messenger.Crash) *crashRecord {
-	if i := slices.IndexFunc(l.records, func(r *crashRecord) bool { return r.upstream == c.Upstream }); i >= 0 {
-		l.records[i].confirmed = l.records[i].confirmed || !c.Unconfirmed
+	if slices.ContainsFunc(l.records, func(r *crashRecord) bool { return r.upstream == c.Upstream }) {
 		return nil
 	}
 	for len(l.records) > 0 && (now-l.records[0].at > crashMemory || len(l.records) >= maxCrashRecords) {
 		l.removeOldest()
 	}
-	r := &crashRecord{upstream: c.Upstream, at: now - c.Age, runs: c.Runs, confirmed: !c.Unconfirmed}
+	r := &crashRecord{upstream: c.Upstream, at: now - c.Age, runs: c.Runs}
 	for _, run := range r.runs {
 		l.byTask[run.Task] = append(l.byTask[run.Task], r)
 	}
@@ -240,12 +238,12 @@
 	return len(l.byTask[ref]) >= maxTaskCrashes || l.blame(ref) >= maxBlame
 }
 
-// confirmed reports whether the upstreams of a task that is given up are known to have
-// crashed.
-func (l *crashLog) confirmed(ref messenger.TaskRef) bool {
+// certain reports whether upstreams certainly crashed while they ran a task, as often as for a
+// task that is given up.
+func (l *crashLog) certain(ref messenger.TaskRef) bool {
 	n := 0
 	for _, r := range l.byTask[ref] {
-		if r.confirmed {
+		if r.runs[r.index(ref)].Certain {
 			n++
 		}
 	}
@@ -287,9 +285,9 @@
 }
 
 // failCrashing ends a job with a task under which too many upstreams have crashed. It fails
-// only if these are known to have crashed.
+// only if these certainly ran the task.
 func (a *Assigner) failCrashing(now time.Duration, j *job, ref messenger.TaskRef) {
-	if a.crashes.confirmed(ref) {
+	if a.crashes.certain(ref) {
 		a.finish(now, j, OutcomeFailed, "upstreams-crashed", 0)
 		return
 	}
--- a/internal/messenger/ephemeral.go
+++ b/internal/messenger/ephemeral.go
@@ -127,19 +127,16 @@
 	Started bool `cbor:"5,keyasint,omitempty"`
 }
 
-// Crash reports that an upstream crashed, and what ran there. An agent sends it to every
+// Crash reports that an upstream crashed, or fell silent until the lease of its runs expired,
+// and what ran there. An agent sends it to every
 // entry, also to those that connect later, so that what is known of a task outlives the
 // entry that owns it.
 type Crash struct {
-	// Upstream is the incarnation of the upstream that crashed. It crashes once, but may be
-	// reported twice: first unconfirmed, when the lease of its runs expires while it does not
-	// answer, and again when it turns out to have restarted.
+	// Upstream is the incarnation of the upstream that crashed. It crashes once.
 	Upstream string `cbor:"1,keyasint"`
 	// Age is the time since the crash, when the message is built.
 	Age  time.Duration `cbor:"2,keyasint,omitempty"`
 	Runs []CrashedRun  `cbor:"3,keyasint,omitempty"`
-	// Unconfirmed is set while it is not known that the upstream crashed.
-	Unconfirmed bool `cbor:"4,keyasint,omitempty"`
 }
 
 // CrashedRun is a run that had not ended when its upstream crashed.
@@ -148,6 +145,9 @@
 	Queue string  `cbor:"2,keyasint,omitempty"`
 	// RunTime is the time from the start to the crash.
 	RunTime time.Duration `cbor:"3,keyasint,omitempty"`
+	// Certain is set if the run was there when the upstream crashed: its start had been
+	// acknowledged, and its lease had not expired while the upstream was silent.
+	Certain bool `cbor:"4,keyasint,omitempty"`
 }
 
 // RunnerState is the state of the upstream that an agent runs tasks on.
--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -18,17 +18,16 @@
 
 // crashLog has the recent crashes of the upstream.
 type crashLog struct {
-	total  uint64 // total counts the confirmed crashes.
+	total  uint64 // total counts the crashes, without those that are only assumed.
 	recent []*crash
 	// silent is the crash that is assumed while the upstream does not answer, or nil.
 	silent *crash
 }
 
 type crash struct {
-	at        time.Duration
-	upstream  string
-	runs      []messenger.CrashedRun
-	confirmed bool
+	at       time.Duration
+	upstream string
+	runs     []messenger.CrashedRun
 }
 
 // recordCrash records that the upstream has no runs left, and returns the kind of end of
@@ -48,19 +47,13 @@
 		runs = append(runs, t.crashed(now))
 		r.logDecision(Decision{Event: "task-crashed", Task: t.Task, Run: t.Run, Reason: string(t.state), Age: now - t.startedAt})
 	}
-	if c != nil {
-		c.confirmed = true
-		c.runs = append(c.runs, runs...)
-	} else if len(runs) > 0 {
+	if len(runs) > 0 && c == nil {
 		c = r.addCrash(now, runs)
-		c.confirmed = true
 	}
 	if c == nil {
 		return messenger.EndCrashed
 	}
-	c.runs = c.runs[:min(len(c.runs), maxCrashedRuns)]
 	r.crashes.total++
-	r.reportCrash(c)
 	r.logDecision(Decision{Event: "upstream-crashed", Reason: reason})
 	return messenger.EndCrashed
 }
@@ -71,28 +64,26 @@
 	if len(runs) == 0 || r.upstream == nil || r.upstream.Leaving || r.crashes.silent != nil {
 		return
 	}
+	for i := range runs {
+		runs[i].Certain = false
+	}
 	r.crashes.silent = r.addCrash(now, runs)
-	r.reportCrash(r.crashes.silent)
 	r.logDecision(Decision{Event: "upstream-crash-assumed", Reason: "silent"})
 }
 
+// addCrash adds a crash and reports it to all entries.
 func (r *Runner) addCrash(now time.Duration, runs []messenger.CrashedRun) *crash {
-	c := &crash{at: now, upstream: r.incarnation.String(), runs: runs}
+	c := &crash{at: now, upstream: r.incarnation.String(), runs: runs[:min(len(runs), maxCrashedRuns)]}
 	r.crashes.recent = append(r.crashes.recentAt(now), c)
 	r.crashes.recent = r.crashes.recent[max(0, len(r.crashes.recent)-maxCrashes):]
-	return c
-}
-
-func (r *Runner) reportCrash(c *crash) {
 	for _, s := range r.sessions {
-		if !slices.Contains(s.crashes, c) {
-			s.crashes = append(s.crashes, c)
-		}
+		s.crashes = append(s.crashes, c)
 	}
+	return c
 }
 
 func (t *task) crashed(now time.Duration) messenger.CrashedRun {
-	return messenger.CrashedRun{Task: t.Task, Queue: t.Queue, RunTime: now - t.startedAt}
+	return messenger.CrashedRun{Task: t.Task, Queue: t.Queue, RunTime: now - t.startedAt, Certain: t.acknowledged}
 }
 
 // recentAt returns the crashes that are not older than crashMemory.
@@ -104,9 +95,7 @@
 func crashMessages(now time.Duration, crashes []*crash) []messenger.Crash {
 	var messages []messenger.Crash
 	for _, c := range crashes {
-		messages = append(messages, messenger.Crash{
-			Upstream: c.upstream, Age: now - c.at, Runs: c.runs, Unconfirmed: !c.confirmed,
-		})
+		messages = append(messages, messenger.Crash{Upstream: c.upstream, Age: now - c.at, Runs: c.runs})
 	}
 	return messages
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -175,15 +175,18 @@
 
 type task struct {
 	messenger.Launch
-	session    *session
-	state      state
-	kind       messenger.EndKind // kind is the kind of end that is reported if the task is stopped.
-	arrivedAt  time.Duration     // arrivedAt is when the launch was received.
-	startedAt  time.Duration     // startedAt is when the start was sent.
-	stoppedAt  time.Duration     // stoppedAt is when the first stop was sent, or acknowledged.
-	retryAt    time.Duration     // retryAt is when a stop is sent again.
-	percent    int               // percent is the latest progress.
-	progressAt time.Duration     // progressAt is when the progress last changed.
+	session   *session
+	state     state
+	kind      messenger.EndKind // kind is the kind of end that is reported if the task is stopped.
+	arrivedAt time.Duration     // arrivedAt is when the launch was received.
+	startedAt time.Duration     // startedAt is when the start was sent.
+	stoppedAt time.Duration     // stoppedAt is when the first stop was sent, or acknowledged.
+	retryAt   time.Duration     // retryAt is when a stop is sent again.
+	// acknowledged is set once the upstream has answered the start with success or has listed
+	// the run.
+	acknowledged bool
+	percent      int           // percent is the latest progress.
+	progressAt   time.Duration // progressAt is when the progress last changed.
 }
 
 // Announce applies an announcement, and reports whether it was accepted. An
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -33,6 +33,7 @@
 	}
 	switch a {
 	case AnswerStarted:
+		t.acknowledged = true
 		if t.state == stateStarting {
 			t.state = stateRunning
 		}
@@ -216,6 +217,7 @@
 		r.orphans[run.Task] = max(r.orphans[run.Task], run.Run)
 		return
 	}
+	t.acknowledged = true
 	if t.state == stateStarting {
 		t.state = stateRunning
 	}
