--- a/internal/assigner/agent.go
+++ b/internal/assigner/agent.go
@@ -43,9 +43,9 @@
 		g.position = i
 		a.spareCPU = append(a.spareCPU, g.spareCPU())
 	}
-	a.exposure = append(a.exposure[:0], a.order...)
-	slices.SortFunc(a.exposure, func(x, y *agent) int {
-		return cmp.Or(cmp.Compare(exposureRank(x.instance), exposureRank(y.instance)), cmp.Compare(x.instance, y.instance))
+	a.exposureOrder = append(a.exposureOrder[:0], a.order...)
+	slices.SortFunc(a.exposureOrder, func(x, y *agent) int {
+		return cmp.Or(cmp.Compare(nameHash(x.instance), nameHash(y.instance)), cmp.Compare(x.instance, y.instance))
 	})
 }
 
--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -126,21 +126,21 @@
 
 // Assigner is the scheduling state of one entry.
 type Assigner struct {
-	limits      Limits
-	dataCentre  string
-	random      *rand.Rand
-	agents      map[messenger.Peer]*agent
-	order       []*agent // ordered by instance
-	exposure    []*agent // the same agents, in the order in which they are exposed to hazards
-	spareCPU    []int64  // spare CPU of each agent in order, in thousandths of a core
-	jobs        map[string]*job
-	pending     []*task // tasks that are ready and not scheduled
-	unscheduled []*task // tasks for which the current pass found no capacity
-	unsorted    bool    // whether pending must be sorted by urgency
-	departed    []departedAgent
-	queues      map[string]*queue
-	entries     int           // number of entries that share the upstreams, including this one
-	meanRun     time.Duration // mean run time of recent tasks
+	limits        Limits
+	dataCentre    string
+	random        *rand.Rand
+	agents        map[messenger.Peer]*agent
+	order         []*agent // ordered by instance
+	exposureOrder []*agent // the same agents, in the order in which they are exposed to hazards
+	spareCPU      []int64  // spare CPU of each agent in order, in thousandths of a core
+	jobs          map[string]*job
+	pending       []*task // tasks that are ready and not scheduled
+	unscheduled   []*task // tasks for which the current pass found no capacity
+	unsorted      bool    // whether pending must be sorted by urgency
+	departed      []departedAgent
+	queues        map[string]*queue
+	entries       int           // number of entries that share the upstreams, including this one
+	meanRun       time.Duration // mean run time of recent tasks
 	// lacksCapacity is whether the latest pass left tasks that can still be in time without
 	// capacity; lacksExposed is the same for the tasks of hazardous queues.
 	lacksCapacity, lacksExposed bool
--- a/internal/assigner/exposure.go
+++ b/internal/assigner/exposure.go
@@ -41,8 +41,8 @@
 	return q.demand * math.Exp2(-float64(now-q.demandAt)/float64(demandHalfLife))
 }
 
-// exposureRank orders the upstreams in which they are exposed.
-func exposureRank(instance string) uint64 {
+// nameHash returns a number that is the same for a name at all entries.
+func nameHash(instance string) uint64 {
 	h := fnv.New64a()
 	// Writing to a hash never fails.
 	_, _ = h.Write([]byte(instance))
@@ -85,7 +85,7 @@
 			a.logHazard(name, hazardous)
 		}
 	}
-	for _, g := range a.exposure {
+	for _, g := range a.exposureOrder {
 		if e := services[g.load.Service]; e != nil {
 			e.upstreams++
 			e.capacity += g.load.Capacity.MilliCPU
@@ -101,7 +101,7 @@
 			e.share = max(1, math.Round(e.hazardous/e.demand*exposureSteps)) / exposureSteps
 		}
 	}
-	for _, g := range a.exposure {
+	for _, g := range a.exposureOrder {
 		e := services[g.load.Service]
 		g.exposed = e != nil && e.expose(g)
 	}
@@ -175,7 +175,7 @@
 // others that may have, are spread.
 func (a *Assigner) spreadTargets(now time.Duration, t *task) []*agent {
 	var agents []*agent
-	for _, g := range a.exposure {
+	for _, g := range a.exposureOrder {
 		if g.exposed == t.hazardous && g.load.Service == t.job.Service && a.usable(now, g) {
 			agents = append(agents, g)
 		}
@@ -195,7 +195,7 @@
 		return nil
 	}
 	n := uint64(len(agents))
-	g := agents[(exposureRank(t.suspicion.upstream)%n+uint64(t.suspicion.index(t.ref)))%n]
+	g := agents[(nameHash(t.suspicion.upstream)%n+uint64(t.suspicion.index(t.ref)))%n]
 	if !a.eligible(now, t, g) || g.wait(t.step.Resources, a.meanRun) > 0 {
 		return nil
 	}
