--- a/internal/interceptor/interceptor_test.go
+++ b/internal/interceptor/interceptor_test.go
@@ -1,10 +1,10 @@
 package interceptor
 
 import (
+	"bytes"
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -12,28 +12,10 @@
 	"sardinelock.dev/sardinelock/internal/journaler"
 )
 
-// logBuffer is a buffer for the goroutine of a journaler.
-type logBuffer struct {
-	mu   sync.Mutex
-	text strings.Builder
-}
-
-func (b *logBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.Write(p)
-}
-
-func (b *logBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.String()
-}
-
 // TestPanicCostsOneRequest checks that a request whose handler panics is answered, and that
 // the server goes on.
 func TestPanicCostsOneRequest(t *testing.T) {
-	var logged logBuffer
+	var logged bytes.Buffer
 	journal := journaler.New("info", &logged)
 	server := httptest.NewServer(Wrap(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/bad" {
--- a/internal/replayer/crash_test.go
+++ b/internal/replayer/crash_test.go
@@ -1,9 +1,7 @@
 package replayer
 
 import (
-	"path/filepath"
 	"slices"
-	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -23,17 +21,9 @@
 func TestOneTaskCrashesManyUpstreams(t *testing.T) { playCrashes(t, 1) }
 
 func playCrashes(t *testing.T, seed uint64) {
-	paths, err := filepath.Glob("testdata/crashes/*.yaml")
-	if err != nil || len(paths) == 0 {
-		t.Fatalf("no patterns: %v", err)
-	}
-	for _, path := range paths {
-		name := strings.TrimSuffix(filepath.Base(path), ".yaml")
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			checkCrashes(t, name, loadPattern(t, path), seed)
-		})
-	}
+	forEachPattern(t, "testdata/crashes/*.yaml", func(t *testing.T, name string, p Pattern) {
+		checkCrashes(t, name, p, seed)
+	})
 }
 
 func checkCrashes(t *testing.T, name string, p Pattern, seed uint64) {
--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -34,7 +34,7 @@
 // the tasks that were running. If the upstream had not announced that it leaves, it has
 // crashed.
 func (r *Runner) recordCrash(now time.Duration, reason string) messenger.EndKind {
-	c := r.crashes.silent
+	reported := r.crashes.silent != nil
 	r.crashes.silent = nil
 	if r.upstream == nil || r.upstream.Leaving {
 		return messenger.EndLost
@@ -47,11 +47,12 @@
 		runs = append(runs, t.crashed(now))
 		r.logDecision(Decision{Event: "task-crashed", Task: t.Task, Run: t.Run, Reason: string(t.state), Age: now - t.startedAt})
 	}
-	if len(runs) > 0 && c == nil {
-		c = r.addCrash(now, runs)
-	}
-	if c == nil {
+	switch {
+	case reported:
+	case len(runs) == 0:
 		return messenger.EndCrashed
+	default:
+		r.addCrash(now, runs)
 	}
 	r.crashes.total++
 	r.logDecision(Decision{Event: "upstream-crashed", Reason: reason})
