review: two more cases, a duplicate after a cancel and a refused connection

A request that arrives again seconds after the job and its cancelling were answered with 200 runs the cancelled job (UNASKED). A refused connection counts as a crash of the executor, whose tasks are started elsewhere while it works on (TWICE).

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,6 +19,8 @@
 	"agent-restart": agentRestart,
 	"agent-pause":   agentPause,
 	"cancel":        cancelElsewhere,
+	"duplicate":     duplicateAfterCancel,
+	"refuse":        refuse,
 }
 
 func main() { os.Exit(play()) }
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -209,6 +209,17 @@
 	}
 }
 
+// changeSetting replaces a value in the settings file.
+func (p *process) changeSetting(from, to string) {
+	text, err := os.ReadFile(p.settings)
+	if err != nil {
+		fail("settings: %v", err)
+	}
+	if err := os.WriteFile(p.settings, []byte(strings.ReplaceAll(string(text), from, to)), 0o600); err != nil {
+		fail("settings: %v", err)
+	}
+}
+
 // launch starts the process with the command of the deploy file.
 func (p *process) launch() {
 	cmd := exec.Command(p.w.program, "platform", p.role)
