--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -138,13 +139,26 @@
 	return l.Addr().String()
 }
 
+// freePort returns a port below those that the kernel gives to outgoing connections, so that
+// it stays free until its process listens. It is free at the addresses of all entries.
 func freePort() int {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		fail("listen: %v", err)
+	for range 1000 {
+		port := 12000 + rand.IntN(20000)
+		free := true
+		for _, ip := range []string{"127.0.0.1", "127.0.1.1", "127.0.1.2"} {
+			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+			if err != nil {
+				free = false
+				break
+			}
+			_ = l.Close()
+		}
+		if free {
+			return port
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port
+	fail("no port is free")
+	return 0
 }
 
 func freeAddress() string { return fmt.Sprintf("127.0.0.1:%d", freePort()) }
