--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -131,35 +131,48 @@
 	}
 	switch path {
 	case "/api/run-start":
-		if r := e.runs[o.Task]; r != nil && r.number == o.RunID {
-			return http.StatusOK, ""
-		}
-		if o.RunID <= e.highest[o.Task] || e.runs[o.Task] != nil {
-			return http.StatusConflict, "old"
-		}
-		if o.DeadlineMs > 0 && deadline <= now {
-			return http.StatusConflict, "late"
-		}
-		e.begin(o)
-		return http.StatusOK, ""
+		return e.applyStart(o, now)
 	case "/api/run-stop":
-		e.highest[o.Task] = max(e.highest[o.Task], o.RunID)
-		if r := e.runs[o.Task]; r != nil && r.number <= o.RunID && !r.terminated {
-			r.terminated = true
-			time.AfterFunc(stopTime, func() { e.finish(r, "stopped") })
-		}
-		return http.StatusOK, ""
+		e.applyStop(o)
 	case "/api/hold":
-		kept := e.ends[:0:0]
-		for _, row := range e.ends {
-			if row[0].(int64) > o.AckCursor {
-				kept = append(kept, row)
-			}
-		}
-		e.ends = kept
+		e.forgetEnds(o.AckCursor)
+	default:
+		return http.StatusNotFound, ""
+	}
+	return http.StatusOK, ""
+}
+
+func (e *executor) applyStart(o order, now time.Duration) (status int, reason string) {
+	r := e.runs[o.Task]
+	switch {
+	case r != nil && r.number == o.RunID:
 		return http.StatusOK, ""
+	case r != nil || o.RunID <= e.highest[o.Task]:
+		return http.StatusConflict, "old"
+	case o.DeadlineMs > 0 && time.Duration(o.DeadlineMs)*time.Millisecond <= now:
+		return http.StatusConflict, "late"
+	}
+	e.begin(o)
+	return http.StatusOK, ""
+}
+
+func (e *executor) applyStop(o order) {
+	e.highest[o.Task] = max(e.highest[o.Task], o.RunID)
+	if r := e.runs[o.Task]; r != nil && r.number <= o.RunID && !r.terminated {
+		r.terminated = true
+		time.AfterFunc(stopTime, func() { e.finish(r, "stopped") })
+	}
+}
+
+// forgetEnds deletes the ends up to the cursor.
+func (e *executor) forgetEnds(cursor int64) {
+	kept := e.ends[:0:0]
+	for _, row := range e.ends {
+		if row[0].(int64) > cursor {
+			kept = append(kept, row)
+		}
 	}
-	return http.StatusNotFound, ""
+	e.ends = kept
 }
 
 // begin starts a run.
--- a/review/standin/scripts.go
+++ b/review/standin/scripts.go
@@ -42,7 +42,7 @@
 		for i := range 3 {
 			id := fmt.Sprintf("a%07d%08d", round, i)
 			wg.Go(func() {
-				w.submit(id, job("900 1600", step{Count: 4, Cpu: 1600, MemMb: 64, EstRuntimeMs: 900}), clientDeadline, w.entries...)
+				w.submit(id, job("900 1600", step{Count: 4, CPU: 1600, MemMb: 64, EstRuntimeMs: 900}), clientDeadline, w.entries...)
 			})
 		}
 		time.Sleep(150 * time.Millisecond)
@@ -75,7 +75,7 @@
 		var wg sync.WaitGroup
 		executor.delay = time.Millisecond
 		if trouble {
-			executor.onStart = func(task string) {
+			executor.onStart = func(string) {
 				once.Do(func() {
 					agent.signal(syscall.SIGSTOP)
 					wg.Go(func() {
@@ -85,7 +85,7 @@
 				})
 			}
 		}
-		w.submit(id, job("900 100", step{Count: 150, Cpu: 100, MemMb: 16, EstRuntimeMs: 900}), clientDeadline, w.entries...)
+		w.submit(id, job("900 100", step{Count: 150, CPU: 100, MemMb: 16, EstRuntimeMs: 900}), clientDeadline, w.entries...)
 		wg.Wait()
 		executor.onStart = func(string) {}
 		time.Sleep(3 * time.Second)
@@ -105,7 +105,7 @@
 		id := fmt.Sprintf("c%07d%08d", round, 0)
 		var steps []step
 		for i := range 16 {
-			s := step{Count: 2, Cpu: 1000, MemMb: 64, EstRuntimeMs: 400}
+			s := step{Count: 2, CPU: 1000, MemMb: 64, EstRuntimeMs: 400}
 			if i > 0 {
 				s.After = []int{i - 1}
 			}
@@ -142,7 +142,7 @@
 	w.launchAll()
 	for round := range 4 {
 		id := fmt.Sprintf("d%07d%08d", round, 0)
-		body := job("900 1600", step{Count: 4, Cpu: 1600, MemMb: 64, EstRuntimeMs: 900})
+		body := job("900 1600", step{Count: 4, CPU: 1600, MemMb: 64, EstRuntimeMs: 900})
 		var wg sync.WaitGroup
 		wg.Go(func() { w.call(w.entries[0].front, http.MethodPost, id, body, clientDeadline) })
 		time.Sleep(400 * time.Millisecond)
@@ -180,7 +180,7 @@
 		for i := range 3 {
 			id := fmt.Sprintf("e%07d%08d", round, i)
 			wg.Go(func() {
-				w.submit(id, job("900 1600", step{Count: 4, Cpu: 1600, MemMb: 64, EstRuntimeMs: 900}), clientDeadline, w.entries...)
+				w.submit(id, job("900 1600", step{Count: 4, CPU: 1600, MemMb: 64, EstRuntimeMs: 900}), clientDeadline, w.entries...)
 			})
 		}
 		time.Sleep(150 * time.Millisecond)
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -326,7 +326,7 @@
 // step is a step of a job.
 type step struct {
 	Count        int
-	Cpu          int64
+	CPU          int64 `json:"Cpu"`
 	MemMb        int64
 	EstRuntimeMs int64
 	After        []int `json:",omitempty"`
