Connect a restarted agent only after its upstream's first list

Cause: an entry takes a new connection of an agent as proof that its earlier runs there have ended. The agent guaranteed that by HasOrphans, which is false until the upstream's first list, as the runs of the earlier process are not known yet. With the first poll unanswered, it connected 100 ms after its start and got the list later.

MayConnect now also requires a list to this process, or the time after which the longest lease that an earlier process can have got has expired on the slowest clock (1.07 s after the start). Until the list, no poll renews the lease.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -121,7 +121,7 @@
 		settings: s,
 		peer:     messenger.Peer("agent-" + s.Instance + "-" + uuid.NewString()),
 		timers:   timer.New(),
-		runner:   runner.New(s.Limits),
+		runner:   runner.New(0, s.Limits),
 		conns:    make(map[messenger.Peer]*connector.Conn),
 	}
 	k.background, k.stop = context.WithCancel(context.Background())
@@ -181,10 +181,10 @@
 	return err
 }
 
-// dial connects to entries. While tasks of closed sessions or orphan runs remain, it does
-// nothing.
+// dial connects to entries. While tasks of closed sessions or runs of an earlier process may
+// be left, it does nothing.
 func (k *Keeper) dial(now time.Time) {
-	if k.runner.HasOrphans() {
+	if !k.runner.MayConnect(k.loop.Elapsed(now)) {
 		return
 	}
 	k.links.DialDue(now)
@@ -326,7 +326,7 @@
 // on the control thread.
 func (k *Keeper) addConn(now time.Time, c *connector.Conn) bool {
 	h := c.Hello()
-	if h.Role != messenger.RoleEntry || k.runner.HasOrphans() {
+	if h.Role != messenger.RoleEntry || !k.runner.MayConnect(k.loop.Elapsed(now)) {
 		return false
 	}
 	if old := k.conns[h.Peer]; old != nil {
--- a/internal/replayer/agent.go
+++ b/internal/replayer/agent.go
@@ -48,7 +48,7 @@
 func (a *agent) startProcess() {
 	a.incarnation++
 	a.peer = messenger.Peer(fmt.Sprintf("agent-%d-%d", a.index, a.incarnation))
-	a.runner = runner.New(runnerLimits)
+	a.runner = runner.New(a.world.now, runnerLimits)
 	a.links = make(map[messenger.Peer]*link)
 	a.dialling = make(map[messenger.Peer]bool)
 	a.down = false
@@ -82,7 +82,7 @@
 // dial connects to every entry that is not connected. It waits until the runs that
 // earlier connections left behind have ended.
 func (a *agent) dial() {
-	if a.runner.HasOrphans() {
+	if !a.runner.MayConnect(a.world.now) {
 		return
 	}
 	for _, e := range a.world.entries {
@@ -98,7 +98,7 @@
 func (a *agent) connect(e *entry, peer messenger.Peer, incarnation int) {
 	a.run(func() {
 		delete(a.dialling, peer)
-		if a.incarnation != incarnation || e.peer != peer || e.down || e.frozen || e.partitioned || a.runner.HasOrphans() {
+		if a.incarnation != incarnation || e.peer != peer || e.down || e.frozen || e.partitioned || !a.runner.MayConnect(a.world.now) {
 			return
 		}
 		l := &link{entry: e, agent: a}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -28,6 +28,9 @@
 	LivenessTimeout time.Duration
 	// LeaseDuration is how long the upstream runs tasks without a renewal.
 	LeaseDuration time.Duration
+	// MaxLeaseDuration is the longest lease that an earlier process of the agent may have
+	// got from the upstream.
+	MaxLeaseDuration time.Duration
 	// StopRetryInterval is the time after which an unanswered stop is sent again.
 	StopRetryInterval time.Duration
 	// MaxStopPending is how long a stop may remain unanswered before the lease is no
@@ -82,6 +85,10 @@
 	upstream    *Announcement // upstream is the latest announcement of the incarnation, or nil.
 	// answered is set once the upstream has listed its runs in this incarnation.
 	answered bool
+	// listed is set once the upstream has listed its runs to this process. Until then runs of
+	// an earlier process may be left, at the latest until earlierLeaseEnds.
+	listed           bool
+	earlierLeaseEnds time.Duration
 	// silent is set while the upstream does not answer polls.
 	silent      bool
 	failedPolls int // failedPolls counts the failed polls since the last listing.
@@ -112,10 +119,12 @@
 	out         Output
 }
 
-// New returns a runner that knows no upstream.
-func New(l Limits) *Runner {
+// New returns a runner that knows no upstream. The process of the agent starts at the given
+// time.
+func New(now time.Duration, l Limits) *Runner {
 	return &Runner{
-		limits:   l,
+		limits:           l,
+		earlierLeaseEnds: now + expiry(l.MaxLeaseDuration),
 		sessions: make(map[messenger.Peer]*session),
 		tasks:    make(map[messenger.TaskRef]*task),
 		orphans:  make(map[messenger.TaskRef]uint64),
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -11,7 +11,7 @@
 )
 
 var testLimits = Limits{
-	LivenessTimeout: 600 * time.Millisecond, LeaseDuration: 800 * time.Millisecond, StopRetryInterval: 60 * time.Millisecond,
+	LivenessTimeout: 600 * time.Millisecond, LeaseDuration: 800 * time.Millisecond, MaxLeaseDuration: time.Second, StopRetryInterval: 60 * time.Millisecond,
 	MaxStopPending: 240 * time.Millisecond, StallTimeout: 200 * time.Millisecond,
 	LoadReportInterval: 10 * time.Millisecond, HeartbeatInterval: time.Hour,
 }
@@ -35,9 +35,10 @@
 //	pace                                    prints the slowdown of the upstream, in percent
 //	loads                                   prints the load reports from then on
 //	close                                   begins the shutdown
+//	may-connect                             prints whether entries may be connected
 func TestScripts(t *testing.T) {
 	scripter.Run(t, "testdata/*.txtar", func(t *testing.T, lines []scripter.Line) string {
-		s := &script{t: t, runner: New(testLimits)}
+		s := &script{t: t, runner: New(0, testLimits)}
 		for _, l := range lines {
 			s.line(l)
 		}
@@ -89,11 +90,13 @@
 	case "rests":
 		l := testLimits
 		l.IdleHeartbeatInterval, l.IdleThreshold = 1200*time.Millisecond, 2*time.Second
-		s.runner = New(l)
+		s.runner = New(0, l)
 	case "pace":
 		fmt.Fprintf(&s.out, "pace %d\n", s.runner.health.slowdownPercent(s.now))
 	case "loads":
 		s.loads = true
+	case "may-connect":
+		fmt.Fprintf(&s.out, "may connect: %v\n", s.runner.MayConnect(s.now))
 	case "close":
 		s.runner.StopAdmitting(s.now)
 	default:
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -41,14 +41,16 @@
 	}
 }
 
-// HasOrphans reports whether tasks of any ended session, or orphan runs, are left.
-func (r *Runner) HasOrphans() bool {
+// MayConnect reports whether nothing is left of ended sessions or of an earlier process, so
+// that an entry may be connected: it takes a new connection as proof that its earlier runs
+// at this upstream have ended.
+func (r *Runner) MayConnect(now time.Duration) bool {
 	for _, t := range r.tasks {
 		if t.session.closed {
-			return true
+			return false
 		}
 	}
-	return len(r.orphans) > 0
+	return len(r.orphans) == 0 && (r.listed || now >= r.earlierLeaseEnds)
 }
 
 func (r *Runner) closeSession(now time.Duration, s *session, reason string) {
--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -17,11 +17,11 @@
 }
 
 // NextPoll returns the poll to send to the upstream now. The lease is not renewed while
-// orphans are left, or a stop has been unanswered for longer than MaxStopPending; when
+// orphans are left or unknown, or a stop has been unanswered for longer than MaxStopPending; when
 // the lease then expires, all runs end.
 func (r *Runner) NextPoll(now time.Duration) PollRequest {
 	q := PollRequest{Incarnation: r.incarnation, LastEnd: r.lastEnd}
-	if len(r.orphans) > 0 {
+	if !r.listed || len(r.orphans) > 0 {
 		return q
 	}
 	for _, t := range r.tasks {
@@ -91,7 +91,7 @@
 
 // checkLease ends the tasks whose runs must have ended because the lease expired.
 func (r *Runner) checkLease(now time.Duration) {
-	if r.leaseEnds == 0 || now < r.leaseEnds+r.limits.LeaseDuration/clockSkewDivisor+leaseMargin {
+	if r.leaseEnds == 0 || now < r.leaseEnds+expiry(r.limits.LeaseDuration)-r.limits.LeaseDuration {
 		return
 	}
 	r.leaseEnds = 0
@@ -121,6 +121,10 @@
 // leaseMargin is added to the end of a lease for the transit of the last renewal.
 const leaseMargin = 50 * time.Millisecond
 
+// expiry returns the time after which a lease of the given duration has expired on any
+// upstream's clock.
+func expiry(lease time.Duration) time.Duration { return lease + lease/clockSkewDivisor + leaseMargin }
+
 func (r *Runner) retryStops(now time.Duration) {
 	for _, t := range r.sortedTasks() {
 		if t.state == stateStopping && now >= t.retryAt {
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -109,6 +109,7 @@
 	}
 	r.failedPolls = 0
 	r.crashes.silent = nil
+	r.listed = true
 	if r.silent || !r.answered {
 		r.logDecision(Decision{Event: "upstream-answers"})
 		r.silent, r.answered = false, true
