Count the lease of a start from the decision to start it

Cause: each attempt asked for a lease that began when it was sent, while the runner, and the entry, count it from the decision.

A start and a poll now carry the end of the lease on the agent's clock. The driver reads the upstream's clock first and what is left of the lease second, so that a pause between the two shortens it, and a start whose lease has expired is not sent. An unanswered start of an ended session stays charged until its stop is acknowledged, like that of any other.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -60,15 +60,19 @@
 )
 
 // Driver calls the upstream. Its functions may be called on any goroutine.
+//
+// A lease is passed as a function that returns how much of it is left at that time. The
+// process may be paused at any point, so a driver reads the upstream's clock first: a pause
+// between the two then shortens the lease that it asks for.
 type Driver struct {
-	// Start starts a task with a lease of the given duration.
-	Start func(ctx context.Context, c runner.StartCall, lease time.Duration) runner.Answer
+	// Start starts a task with the given lease.
+	Start func(ctx context.Context, c runner.StartCall, lease func() time.Duration) runner.Answer
 	// Stop stops a task and reports whether the upstream acknowledged it.
 	Stop func(ctx context.Context, c runner.StopCall) bool
-	// Poll acknowledges runs that ended and renews the lease for the given time unless
-	// that is 0. It returns the upstream's runs as soon as one has ended, and after the
-	// wait otherwise.
-	Poll func(ctx context.Context, q runner.PollRequest, renew, wait time.Duration) (runner.Listing, PollStatus)
+	// Poll acknowledges runs that ended and extends the lease to the given one unless that
+	// is nil. It returns the upstream's runs as soon as one has ended, and after the wait
+	// otherwise.
+	Poll func(ctx context.Context, q runner.PollRequest, lease func() time.Duration, wait time.Duration) (runner.Listing, PollStatus)
 }
 
 // PollStatus says whether a poll was answered, and if not, why.
@@ -214,12 +218,12 @@
 			sentAt = k.loop.Elapsed(now)
 			q = k.runner.NextPoll(sentAt)
 		})
-		renew := time.Duration(0)
+		var lease func() time.Duration
 		if q.LeaseUntil > 0 {
-			renew = q.LeaseUntil - sentAt
+			lease = k.remaining(q.LeaseUntil)
 		}
 		callCtx, cancel := context.WithTimeout(ctx, pollWait+callTimeout)
-		l, status := k.settings.Driver.Poll(callCtx, q, renew, pollWait)
+		l, status := k.settings.Driver.Poll(callCtx, q, lease, pollWait)
 		cancel()
 		l.RequestedAt = sentAt
 		k.loop.Call(func(now time.Time) {
@@ -294,12 +298,18 @@
 	attempts := 0
 	for ; attempts < maxStartAttempts && a == runner.AnswerNone; attempts++ {
 		ctx, cancel := context.WithTimeout(k.background, callTimeout)
-		a = k.settings.Driver.Start(ctx, c, k.settings.Limits.LeaseDuration)
+		a = k.settings.Driver.Start(ctx, c, k.remaining(c.LeaseUntil))
 		cancel()
 	}
 	k.loop.Post(func(now time.Time) { k.runner.Started(k.loop.Elapsed(now), c, a, attempts > 1) })
 }
 
+// remaining returns a function that returns the time left until the given time on the
+// control thread's clock.
+func (k *Keeper) remaining(until time.Duration) func() time.Duration {
+	return func() time.Duration { return until - k.loop.Elapsed(k.loop.Now()) }
+}
+
 func (k *Keeper) stopTask(c runner.StopCall) {
 	ctx, cancel := context.WithTimeout(k.background, callTimeout)
 	defer cancel()
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -20,7 +20,7 @@
 			defer j.Close()
 			k, err := New(Settings{
 				Instance: "agent-1", Journal: j,
-				Driver: Driver{Poll: func(context.Context, runner.PollRequest, time.Duration, time.Duration) (runner.Listing, PollStatus) {
+				Driver: Driver{Poll: func(context.Context, runner.PollRequest, func() time.Duration, time.Duration) (runner.Listing, PollStatus) {
 					polls.Add(1)
 					return runner.Listing{}, status
 				}},
--- a/internal/replayer/agent.go
+++ b/internal/replayer/agent.go
@@ -171,9 +171,8 @@
 			}
 		})
 	}
-	deadline := a.world.now + runnerLimits.LeaseDuration
 	a.upstream.call(func(lost bool) {
-		r := a.upstream.start(c, a.incarnation, deadline)
+		r := a.upstream.start(c, a.incarnation)
 		if !lost {
 			a.world.after(localDelay, func() { answer(r) })
 		}
--- a/internal/replayer/upstream.go
+++ b/internal/replayer/upstream.go
@@ -122,7 +122,7 @@
 	return agent < u.highestAgent
 }
 
-func (u *upstream) start(c runner.StartCall, agent int, deadline time.Duration) runner.Answer {
+func (u *upstream) start(c runner.StartCall, agent int) runner.Answer {
 	switch {
 	case u.fenced(agent):
 		return runner.AnswerRefused
@@ -132,11 +132,11 @@
 		return runner.AnswerStarted
 	case c.Run <= u.highestRun[c.Task]:
 		return runner.AnswerStaleRun
-	case deadline < u.world.now:
+	case c.LeaseUntil < u.world.now:
 		return runner.AnswerRefused
 	}
 	call := u.world.jobs[c.Task.Job]
-	u.extendLease(deadline)
+	u.extendLease(c.LeaseUntil)
 	u.highestRun[c.Task] = c.Run
 	r := &run{ref: c.Task, number: c.Run, resources: call.resources, startedAt: u.world.now, hangs: u.hanging}
 	r.runTime = time.Duration(float64(call.runTimes[c.Task.Index]) * u.slowdown)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -125,10 +125,10 @@
 	return &Runner{
 		limits:           l,
 		earlierLeaseEnds: now + expiry(l.MaxLeaseDuration),
-		sessions: make(map[messenger.Peer]*session),
-		tasks:    make(map[messenger.TaskRef]*task),
-		orphans:  make(map[messenger.TaskRef]uint64),
-		health:   newHealth(),
+		sessions:         make(map[messenger.Peer]*session),
+		tasks:            make(map[messenger.TaskRef]*task),
+		orphans:          make(map[messenger.TaskRef]uint64),
+		health:           newHealth(),
 	}
 }
 
@@ -147,6 +147,9 @@
 	Task        messenger.TaskRef
 	Run         uint64
 	Payload     string
+	// LeaseUntil is when the lease of the run ends. A start that is sent again, or sent late,
+	// does not extend it, since the entry may have given the run up by then.
+	LeaseUntil time.Duration
 }
 
 // StopCall is a stop that must be sent to the upstream.
--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -107,7 +107,7 @@
 		}
 		// A start that was delayed in transit may still be executed. Its resources
 		// stay charged until a stop is acknowledged.
-		if t.state == stateStarting || t.state == stateStopping && t.kind == messenger.EndUnresolved {
+		if !t.acknowledged && t.state != stateStopped {
 			continue
 		}
 		r.end(now, t, t.lostKind(messenger.EndLost))
@@ -171,8 +171,9 @@
 	t.state = stateStarting
 	t.startedAt = now
 	r.used = r.used.Add(t.Resources)
-	r.extendLease(now + r.limits.LeaseDuration)
-	r.out.Starts = append(r.out.Starts, StartCall{Incarnation: r.incarnation, Task: t.Task, Run: t.Run, Payload: t.Payload})
+	until := now + r.limits.LeaseDuration
+	r.extendLease(until)
+	r.out.Starts = append(r.out.Starts, StartCall{Incarnation: r.incarnation, Task: t.Task, Run: t.Run, Payload: t.Payload, LeaseUntil: until})
 }
 
 // report makes the frames for the entries for which ends, a load report or a heartbeat
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -17,6 +17,7 @@
 	AnswerStaleRun         Answer = "stale-run"  // The upstream has seen a higher run of the task.
 	AnswerOtherIncarnation Answer = "other-life" // The start was meant for another incarnation.
 	AnswerUnhealthy        Answer = "unhealthy"  // The upstream refuses work; the task did not start.
+	AnswerExpired          Answer = "expired"    // The lease had expired, so the start was not sent.
 	AnswerNone             Answer = "none"       // Whether the task started is not known.
 )
 
@@ -43,7 +44,7 @@
 		}
 	case AnswerStaleRun:
 		r.end(now, t, messenger.EndStaleRun)
-	case AnswerRefused, AnswerOtherIncarnation, AnswerUnhealthy:
+	case AnswerRefused, AnswerOtherIncarnation, AnswerUnhealthy, AnswerExpired:
 		r.logDecision(Decision{Event: "start-refused", Task: t.Task, Run: t.Run, Reason: string(a)})
 		if a == AnswerUnhealthy {
 			r.health.stalled(now)
