Use short leases while polls are answered in time

The tasks of an upstream that has crashed or is cut off have certainly ended only when the lease expires, which takes 866 ms with leases of 800 ms.

A lease is now 250 ms, renewed each 60 ms, while polls are answered in time. One lost poll after another may still end it: at the third. After a lost or late poll leases are 800 ms for 5 s, as before. What an entry waits for a lost agent is computed with the long lease.

The script short-leases shows both.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -26,8 +26,11 @@
 	// LivenessTimeout is how long an entry may go without receiving from the runner
 	// before its tasks are stopped.
 	LivenessTimeout time.Duration
-	// LeaseDuration is how long the upstream runs tasks without a renewal.
-	LeaseDuration time.Duration
+	// LeaseDuration is how long the upstream runs tasks without a renewal, if polls have been
+	// lost or late recently. ShortLeaseDuration is the same otherwise: the tasks of an
+	// upstream that has crashed wait for the end of the lease.
+	LeaseDuration      time.Duration
+	ShortLeaseDuration time.Duration
 	// MaxLeaseDuration is the longest lease that an earlier process of the agent may have
 	// got from the upstream.
 	MaxLeaseDuration time.Duration
@@ -91,7 +94,10 @@
 	earlierLeaseEnds time.Duration
 	// silent is set while the upstream does not answer polls.
 	silent      bool
-	failedPolls int // failedPolls counts the failed polls since the last listing.
+	failedPolls int           // failedPolls counts the failed polls since the last listing.
+	polledAt    time.Duration // polledAt is when the latest poll was sent; 0 if none was.
+	// longLeaseUntil is when leases are short again after a lost or late poll.
+	longLeaseUntil time.Duration
 	// closing is set once the agent shuts down; no new task is accepted.
 	closing   bool
 	leaseEnds time.Duration // leaseEnds is when the upstream ends all runs unless the lease is renewed.
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -11,7 +11,7 @@
 )
 
 var testLimits = Limits{
-	LivenessTimeout: 600 * time.Millisecond, LeaseDuration: 800 * time.Millisecond, MaxLeaseDuration: time.Second, StopRetryInterval: 60 * time.Millisecond,
+	LivenessTimeout: 600 * time.Millisecond, LeaseDuration: 800 * time.Millisecond, ShortLeaseDuration: 800 * time.Millisecond, MaxLeaseDuration: time.Second, StopRetryInterval: 60 * time.Millisecond,
 	MaxStopPending: 240 * time.Millisecond, StallTimeout: 200 * time.Millisecond,
 	LoadReportInterval: 10 * time.Millisecond, HeartbeatInterval: time.Hour,
 }
@@ -26,10 +26,12 @@
 //	launch ENTRY ECHO JOB RUN CPU URGENCY [START-BY [MAX-WAIT]]  launches the first task of a job
 //	launch-more ...  the same, from an entry that has other tasks at the agent
 //	rests                                   sets the idle limits; must be the first line
+//	short-leases                            sets short leases; must be the first line
 //	withdraw ENTRY ECHO JOB RUN
 //	answer JOB RUN ANSWER [again]           answers a start; again if it was a retry
 //	stopped JOB RUN true|false              answers a stop
 //	list BORN [running JOB:RUN:PERCENT]... [ended NUMBER:JOB:RUN:KIND]...
+//	polls TIME                              polls the upstream each 60 ms until the time, and gets empty lists
 //	silent|refused                          a poll fails; refused if no process listens
 //	ask                                     prints the next poll
 //	pace                                    prints the slowdown of the upstream, in percent
@@ -82,11 +84,20 @@
 		s.runner.Stopped(s.now, StopCall{Task: task0(a[0]), Run: uint64(scripter.Number(s.t, a[1]))}, a[2] == "true")
 	case "list":
 		s.list(a)
+	case "polls":
+		for end := scripter.Duration(s.t, a[0]); s.now < end; s.now += 60 * time.Millisecond {
+			s.runner.NextPoll(s.now)
+			s.runner.Listed(s.now, Listing{Incarnation: s.runner.incarnation, RequestedAt: s.now})
+		}
 	case "silent", "refused":
 		s.runner.PollFailed(s.now, l.Verb == "refused")
 	case "ask":
 		q := s.runner.NextPoll(s.now)
 		fmt.Fprintf(&s.out, "question: seen %d, renew %v\n", q.LastEnd, q.LeaseUntil)
+	case "short-leases":
+		l := testLimits
+		l.ShortLeaseDuration = 250 * time.Millisecond
+		s.runner = New(0, l)
 	case "rests":
 		l := testLimits
 		l.IdleHeartbeatInterval, l.IdleThreshold = 1200*time.Millisecond, 2*time.Second
--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -20,6 +20,10 @@
 // orphans are left or unknown, or a stop has been unanswered for longer than MaxStopPending; when
 // the lease then expires, all runs end.
 func (r *Runner) NextPoll(now time.Duration) PollRequest {
+	if r.failedPolls == 0 && r.polledAt > 0 && now-r.polledAt > latePoll {
+		r.longLeaseUntil = now + longLeaseTime
+	}
+	r.polledAt = now
 	q := PollRequest{Incarnation: r.incarnation, LastEnd: r.lastEnd}
 	if !r.listed || len(r.orphans) > 0 {
 		return q
@@ -29,7 +33,7 @@
 			return q
 		}
 	}
-	q.LeaseUntil = now + r.limits.LeaseDuration
+	q.LeaseUntil = now + r.leaseDuration(now)
 	r.extendLease(q.LeaseUntil)
 	return q
 }
@@ -38,6 +42,23 @@
 // are started, because single polls get lost.
 const maxFailedPolls = 3
 
+const (
+	// latePoll is the longest time from one poll to the next if the first is answered in time:
+	// the upstream waits 60 ms with its answer.
+	latePoll = 130 * time.Millisecond
+	// longLeaseTime is how long leases stay long after a lost or late poll.
+	longLeaseTime = 5 * time.Second
+)
+
+// leaseDuration returns the duration of a lease that begins now. It is long while polls are
+// lost or late, so that one more of them does not end all runs.
+func (r *Runner) leaseDuration(now time.Duration) time.Duration {
+	if now < r.longLeaseUntil {
+		return r.limits.LeaseDuration
+	}
+	return r.limits.ShortLeaseDuration
+}
+
 func (r *Runner) extendLease(to time.Duration) { r.leaseEnds = max(r.leaseEnds, to) }
 
 // PollFailed applies the failure of a poll. If closed is set, no process listens at the
@@ -171,7 +192,7 @@
 	t.state = stateStarting
 	t.startedAt = now
 	r.used = r.used.Add(t.Resources)
-	until := now + r.limits.LeaseDuration
+	until := now + r.leaseDuration(now)
 	r.extendLease(until)
 	r.out.Starts = append(r.out.Starts, StartCall{Incarnation: r.incarnation, Task: t.Task, Run: t.Run, Payload: t.Payload, LeaseUntil: until})
 }
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -108,6 +108,9 @@
 		}
 		r.startIncarnation(now, l.Incarnation)
 	}
+	if r.failedPolls > 0 {
+		r.longLeaseUntil = now + longLeaseTime
+	}
 	r.failedPolls = 0
 	r.crashes.silent = nil
 	r.listed = true
