Wait for the first list of a restarted upstream before its runs count as ended

A run now ends with the earlier incarnation only if its start was acknowledged before the poll was sent whose answer is the new incarnation's list, and that list does not contain it. Any other is stopped there, like an unanswered start.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -204,10 +204,14 @@
 	stoppedAt time.Duration     // stoppedAt is when the first stop was sent, or acknowledged.
 	retryAt   time.Duration     // retryAt is when a stop is sent again.
 	// acknowledged is set once the upstream has answered the start with success or has listed
-	// the run.
-	acknowledged bool
-	percent      int           // percent is the latest progress.
-	progressAt   time.Duration // progressAt is when the progress last changed.
+	// the run, for the first time at acknowledgedAt.
+	acknowledged   bool
+	acknowledgedAt time.Duration
+	// earlier is set if the upstream has restarted since. Whether the run has ended with the
+	// earlier incarnation is known with the first listing of the new one.
+	earlier    bool
+	percent    int           // percent is the latest progress.
+	progressAt time.Duration // progressAt is when the progress last changed.
 }
 
 // Announce applies an announcement, and reports whether it was accepted. An
@@ -249,7 +253,7 @@
 }
 
 // startIncarnation switches to a new incarnation of the upstream. All runs of an
-// earlier one have ended.
+// earlier one have ended, but a start may have reached the new one.
 func (r *Runner) startIncarnation(now time.Duration, l Incarnation) {
 	if r.incarnation != (Incarnation{}) {
 		r.logDecision(Decision{Event: "upstream-restarted"})
@@ -257,7 +261,14 @@
 			r.recordOutage(now)
 		}
 	}
-	r.endAll(now, r.recordCrash(now, "restarted"))
+	kind := r.recordCrash(now, "restarted")
+	for _, t := range r.sortedTasks() {
+		if t.state == stateWaiting {
+			r.end(now, t, messenger.EndReturned)
+			continue
+		}
+		t.earlier, t.kind = true, t.lostKind(kind)
+	}
 	r.incarnation = l
 	r.lastEnd = 0
 	r.answered = false
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -34,7 +34,7 @@
 	}
 	switch a {
 	case AnswerStarted:
-		t.acknowledged = true
+		t.acknowledge(now)
 		if t.state == stateStarting {
 			t.state = stateRunning
 		}
@@ -54,6 +54,12 @@
 	}
 }
 
+func (t *task) acknowledge(now time.Duration) {
+	if !t.acknowledged {
+		t.acknowledged, t.acknowledgedAt = true, now
+	}
+}
+
 // Stopped applies the result of a stop: whether the upstream has acknowledged it.
 func (r *Runner) Stopped(now time.Duration, c StopCall, acknowledged bool) {
 	if run, ok := r.orphans[c.Task]; ok && run == c.Run {
@@ -145,6 +151,7 @@
 		r.requestReports()
 	}
 	r.removeOrphans(listed)
+	r.endEarlierRuns(now, l, listed)
 	for _, t := range r.sortedTasks() {
 		// A stopped run that is missing from a listing requested afterwards has ended.
 		if t.state == stateStopped && listed[t.Task] != t.Run && t.stoppedAt < l.RequestedAt {
@@ -153,6 +160,22 @@
 	}
 }
 
+// endEarlierRuns ends the runs of an earlier incarnation of the upstream. A run that the new
+// one lists, or whose start may still reach it, is stopped there.
+func (r *Runner) endEarlierRuns(now time.Duration, l Listing, listed map[messenger.TaskRef]uint64) {
+	for _, t := range r.sortedTasks() {
+		if !t.earlier {
+			continue
+		}
+		t.earlier = false
+		if listed[t.Task] != t.Run && t.acknowledged && t.acknowledgedAt < l.RequestedAt {
+			r.end(now, t, t.kind)
+			continue
+		}
+		r.stop(now, t, t.kind, "restarted")
+	}
+}
+
 func (r *Runner) removeOrphans(listed map[messenger.TaskRef]uint64) {
 	if len(r.orphans) == 0 {
 		return
@@ -222,7 +245,7 @@
 		r.orphans[run.Task] = max(r.orphans[run.Task], run.Run)
 		return
 	}
-	t.acknowledged = true
+	t.acknowledge(now)
 	if t.state == stateStarting {
 		t.state = stateRunning
 	}
