Let the runs of an upstream that leaves end with their lease

The runs now end with their listed ends or their lease, which is not renewed before the next announcement.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -241,14 +241,15 @@
 	return true
 }
 
-// Leave applies the departure of an upstream.
+// Leave applies the departure of an upstream. It ends after it has said so, so its runs go on
+// until it is known to run nothing, or until their lease expires, which is not renewed.
 func (r *Runner) Leave(now time.Duration, id string) {
 	if r.upstream == nil || r.upstream.Incarnation.ID != id {
 		return
 	}
 	r.logDecision(Decision{Event: "upstream-left"})
 	r.upstream = nil
-	r.endAll(now, messenger.EndLost)
+	r.returnWaiting(now)
 	r.requestReports()
 }
 
@@ -278,14 +279,6 @@
 	r.requestReports()
 }
 
-// endAll ends all tasks, because the upstream has no runs left. The kind is that of the
-// tasks that were running.
-func (r *Runner) endAll(now time.Duration, kind messenger.EndKind) {
-	for _, t := range r.sortedTasks() {
-		r.end(now, t, t.lostKind(kind))
-	}
-}
-
 // lostKind returns the kind of end to report for a task when the upstream has no runs
 // left. The given kind is that of a running task.
 func (t *task) lostKind(running messenger.EndKind) messenger.EndKind {
--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -19,7 +19,7 @@
 }
 
 // NextPoll returns the poll to send to the upstream now. The lease is not renewed while
-// orphans are left or unknown, after a failed poll, or while a stop has been unanswered for
+// orphans are left or unknown, without an announced upstream, after a failed poll, or while a stop has been unanswered for
 // longer than MaxStopPending; when the lease then expires, all runs end.
 func (r *Runner) NextPoll(now time.Duration) PollRequest {
 	if r.failedPolls == 0 && r.polledAt > 0 && now-r.polledAt > latePoll {
@@ -28,7 +28,7 @@
 	r.polledAt = now
 	r.leaseBeforePoll = r.lease
 	q := PollRequest{Incarnation: r.incarnation, LastEnd: r.lastEnd, AtOnce: !r.answered || r.failedPolls > 0}
-	if !r.listed || len(r.orphans) > 0 {
+	if !r.listed || r.upstream == nil || len(r.orphans) > 0 {
 		return q
 	}
 	for _, t := range r.tasks {
