Return a launch only when the earlier run of its task has ended

Such a launch is now held, the earlier run is stopped, and the launch is returned when it has ended.

The script launched-again fails without the change (both launches are returned at once).

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -110,8 +110,12 @@
 	waiting                []*task // waiting has the tasks that have not started, in order of urgency.
 	// orphans are runs that the upstream lists and that no session owns.
 	orphans map[messenger.TaskRef]uint64
-	used    messenger.Resources
-	health  health
+	// held are the launches of tasks of which an earlier run may go on here, as a task or an
+	// orphan. They are returned when that run has ended: the entry then launches the task
+	// elsewhere.
+	held   map[messenger.TaskRef][]heldLaunch
+	used   messenger.Resources
+	health health
 	// listedAt is when the latest listing came. recentListing is set if that was within
 	// recentListingAge of the listing before.
 	listedAt      time.Duration
@@ -137,6 +141,7 @@
 		sessions:     make(map[messenger.Peer]*session),
 		tasks:        make(map[messenger.TaskRef]*task),
 		orphans:      make(map[messenger.TaskRef]uint64),
+		held:         make(map[messenger.TaskRef][]heldLaunch),
 		health:       newHealth(),
 	}
 }
@@ -275,7 +280,7 @@
 	r.answered = false
 	r.upstream = nil
 	r.health = newHealth()
-	clear(r.orphans)
+	r.clearOrphans()
 	r.requestReports()
 }
 
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -119,12 +119,12 @@
 	t := &task{Launch: *l, session: s, state: stateWaiting, arrivedAt: now}
 	refuse := func(reason string) {
 		r.logDecision(Decision{Event: "task-returned", Task: l.Task, Run: l.Run, Reason: reason, Age: now - s.echoed})
-		s.ends = append(s.ends, messenger.End{Task: l.Task, Run: l.Run, Kind: messenger.EndReturned})
+		s.returnLaunch(l.Task, l.Run)
 	}
 	st := r.State(now)
 	switch {
-	case r.tasks[l.Task] != nil:
-		refuse("runs-already")
+	case r.tasks[l.Task] != nil, r.orphans[l.Task] != 0:
+		r.hold(now, s, l)
 	case now > l.StartBy, !l.First && now-max(s.echoed, s.resumedAt) > r.limits.LivenessTimeout:
 		refuse("delayed")
 	case l.Incarnation != r.incarnation.String() || r.upstream == nil || r.upstream.Service != l.Service:
@@ -146,6 +146,47 @@
 	}
 }
 
+// heldLaunch is a launch that is returned when an earlier run of its task has ended.
+type heldLaunch struct {
+	session *session
+	run     uint64
+}
+
+// hold holds a launch until the earlier run of its task has ended, and stops that run.
+func (r *Runner) hold(now time.Duration, s *session, l *messenger.Launch) {
+	r.logDecision(Decision{Event: "task-held", Task: l.Task, Run: l.Run, Reason: "runs-already", Age: now - s.echoed})
+	r.held[l.Task] = append(r.held[l.Task], heldLaunch{session: s, run: l.Run})
+	if t := r.tasks[l.Task]; t != nil {
+		r.stop(now, t, messenger.EndWithdrawn, "launched-again")
+	}
+}
+
+// releaseHeld returns the launches of a task to their entries.
+func (r *Runner) releaseHeld(ref messenger.TaskRef) {
+	for _, h := range r.held[ref] {
+		h.session.returnLaunch(ref, h.run)
+	}
+	delete(r.held, ref)
+}
+
+// returnLaunch tells the entry that a launch was not started, unless the session has ended.
+func (s *session) returnLaunch(ref messenger.TaskRef, run uint64) {
+	if !s.closed {
+		s.ends = append(s.ends, messenger.End{Task: ref, Run: run, Kind: messenger.EndReturned})
+	}
+}
+
+func (r *Runner) removeOrphan(ref messenger.TaskRef) {
+	delete(r.orphans, ref)
+	r.releaseHeld(ref)
+}
+
+func (r *Runner) clearOrphans() {
+	for ref := range r.orphans {
+		r.removeOrphan(ref)
+	}
+}
+
 func compareUrgency(a, b *task) int {
 	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Urgency, b.Urgency), a.Task.Compare(b.Task))
 }
--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -148,7 +148,7 @@
 		return
 	}
 	if r.silent {
-		clear(r.orphans)
+		r.clearOrphans()
 	}
 	if r.lease == (lease{}) {
 		return
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -182,7 +182,7 @@
 	}
 	for ref, run := range r.orphans {
 		if listed[ref] != run {
-			delete(r.orphans, ref)
+			r.removeOrphan(ref)
 		}
 	}
 	if len(r.orphans) == 0 {
@@ -193,7 +193,7 @@
 
 func (r *Runner) applyEnd(now time.Duration, e RunEnd) {
 	if r.orphans[e.Task] == e.Run {
-		delete(r.orphans, e.Task)
+		r.removeOrphan(e.Task)
 	}
 	t := r.tasks[e.Task]
 	if t == nil || t.Run != e.Run || t.state == stateWaiting {
@@ -305,5 +305,6 @@
 	if !t.session.closed {
 		t.session.ends = append(t.session.ends, e)
 	}
+	r.releaseHeld(t.Task)
 	r.markLoadChanged()
 }
