Take an agent's first frame, not its handshake, as the end of earlier runs

Found on related paths, as before: an entry ended the runs of an agent's earlier connection when another handshake of the same instance was complete. The handshake may be that of a dial which the agent has given up, on a slow link, or of a process that has ended; the agent then goes on with the runs of the connection in use, which the entry also closed.

An agent sends a frame only on a connection that it has accepted, which it does only if nothing is left of earlier ones.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -76,8 +76,11 @@
 	meter     *meter.Meter
 
 	// The fields below belong to the control thread.
-	assigner    *assigner.Assigner
-	agents      map[messenger.Peer]*connector.Conn
+	assigner *assigner.Assigner
+	agents   map[messenger.Peer]*connector.Conn
+	// newAgents are the connections of agents that have not sent a frame yet, with the times
+	// at which they were accepted.
+	newAgents   map[*connector.Conn]time.Time
 	entries     map[messenger.Peer]*connector.Conn
 	waiters     map[uint64]chan<- assigner.Answer
 	document    []byte // document is the encoded catalogue in force.
@@ -105,9 +108,11 @@
 		listener: l,
 		assigner: assigner.New(s.Limits, s.DataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		agents:   make(map[messenger.Peer]*connector.Conn),
-		entries:  make(map[messenger.Peer]*connector.Conn),
-		waiters:  make(map[uint64]chan<- assigner.Answer),
-		versions: versionTracker{delay: s.ConfigRequestDelay, peers: make(map[messenger.Peer]uint64)},
+
+		newAgents: make(map[*connector.Conn]time.Time),
+		entries:   make(map[messenger.Peer]*connector.Conn),
+		waiters:   make(map[uint64]chan<- assigner.Answer),
+		versions:  versionTracker{delay: s.ConfigRequestDelay, peers: make(map[messenger.Peer]uint64)},
 	}
 	b.background, b.stop = context.WithCancel(context.Background())
 	b.loop = controller.NewOnClock(timer.NewBootTimeClock(), b.flush)
@@ -160,7 +165,7 @@
 	b.timers.Subscribe(tickInterval, func(time.Time) { b.loop.Post(func(time.Time) {}) })
 	b.timers.Subscribe(dialInterval, func(time.Time) { b.loop.Post(b.links.DialDue) })
 	b.timers.Subscribe(configCheckInterval, func(time.Time) { b.loop.Post(b.requestConfig) })
-	b.timers.Subscribe(loadLogInterval, func(time.Time) { b.loop.Post(b.logLoad) })
+	b.timers.Subscribe(loadLogInterval, func(time.Time) { b.loop.Post(b.closeSilentAgents); b.loop.Post(b.logLoad) })
 	err := g.Run()
 	b.stop()
 	b.timers.Stop()
--- a/internal/broker/peers.go
+++ b/internal/broker/peers.go
@@ -35,11 +35,7 @@
 	h := c.Hello()
 	switch h.Role {
 	case messenger.RoleAgent:
-		if old := b.agents[h.Peer]; old != nil {
-			old.Close()
-		}
-		b.agents[h.Peer] = c
-		b.assigner.AgentUp(b.loop.Elapsed(now), h.Peer, h.Instance, h.DataCentre)
+		b.newAgents[c] = now
 		c.Send(routesFrame(b.directory.list(b.settings.PeerListen, b.links.Addresses())))
 	case messenger.RoleEntry:
 		if h.Peer == b.peer {
@@ -64,6 +60,9 @@
 func (b *Broker) receive(now time.Time, c *connector.Conn, f *messenger.Frame) {
 	h := c.Hello()
 	if h.Role == messenger.RoleAgent {
+		if _, isNew := b.newAgents[c]; isNew {
+			b.registerAgent(now, c)
+		}
 		if b.agents[h.Peer] == c {
 			b.assigner.Receive(b.loop.Elapsed(now), h.Peer, f)
 		}
@@ -91,8 +90,32 @@
 	}
 }
 
+// registerAgent registers a connection of an agent with its first frame. The agent has
+// accepted the connection only if nothing is left of earlier ones. The handshake does not
+// show that: the agent may have given the connection up meanwhile, or have ended.
+func (b *Broker) registerAgent(now time.Time, c *connector.Conn) {
+	h := c.Hello()
+	delete(b.newAgents, c)
+	if old := b.agents[h.Peer]; old != nil {
+		old.Close()
+	}
+	b.agents[h.Peer] = c
+	b.assigner.AgentUp(b.loop.Elapsed(now), h.Peer, h.Instance, h.DataCentre)
+}
+
+// closeSilentAgents closes the connections on which an agent has sent no frame in time.
+func (b *Broker) closeSilentAgents(now time.Time) {
+	for c, accepted := range b.newAgents {
+		if now.Sub(accepted) > handshakeTimeout {
+			delete(b.newAgents, c)
+			c.Close()
+		}
+	}
+}
+
 func (b *Broker) removeConn(now time.Time, c *connector.Conn, cause error) {
 	h := c.Hello()
+	delete(b.newAgents, c)
 	switch {
 	case b.agents[h.Peer] == c:
 		delete(b.agents, h.Peer)
