Report with each end of a run how it is known

One list of proofs now holds for agents and entries: a listed end, an acknowledged stop with a later list, an expired lease, a new incarnation that has listed its runs, a start that was not sent or was refused, and, at entries, a new connection that the agent has accepted. Each end of a task at an agent names one, and the entry logs it; a listed end, the usual one, costs no bytes and no field.

--- a/internal/assigner/agent.go
+++ b/internal/assigner/agent.go
@@ -74,7 +74,7 @@
 	}
 	for i := range a.departed {
 		if a.departed[i].instance == instance {
-			a.departed[i].leaseExpiry = now
+			a.departed[i].leaseExpiry, a.departed[i].proof = now, messenger.ProofReconnected
 		}
 	}
 	a.resolveDeparted(now)
@@ -103,7 +103,7 @@
 	if len(g.tasks) == 0 {
 		return
 	}
-	d := departedAgent{instance: g.instance, leaseExpiry: max(g.lastReceived, g.busySince+wakeMargin) + a.limits.LeaseExpiry}
+	d := departedAgent{instance: g.instance, proof: messenger.ProofLeaseExpired, leaseExpiry: max(g.lastReceived, g.busySince+wakeMargin) + a.limits.LeaseExpiry}
 	d.tasks = g.sorted()
 	for _, t := range d.tasks {
 		t.state = stateDeparted
@@ -129,7 +129,7 @@
 	})
 	for _, d := range due {
 		for _, t := range d.tasks {
-			a.logDecision(Decision{Event: "task-lost", Task: t.ref, Run: t.run, Instance: d.instance})
+			a.logDecision(Decision{Event: "task-lost", Task: t.ref, Run: t.run, Instance: d.instance, Proof: d.proof})
 			t.avoid = append(t.avoid, d.instance)
 			t.lostAgents++
 			a.endRun(now, t, true)
@@ -265,7 +265,7 @@
 		t.avoid = append(t.avoid, g.instance)
 	}
 	if !j.answered {
-		a.logDecision(Decision{Event: "task-ended", Task: t.ref, Run: t.run, Instance: g.instance, Reason: string(e.Kind), Age: e.RunTime})
+		a.logDecision(Decision{Event: "task-ended", Task: t.ref, Run: t.run, Instance: g.instance, Reason: string(e.Kind), Proof: e.Proof, Age: e.RunTime})
 	}
 	ran := e.Kind.Ran() && (e.Kind != messenger.EndWithdrawn || e.Started)
 	a.endRun(now, t, ran)
--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -105,8 +105,9 @@
 	Run      uint64
 	Instance string // the agent's instance
 	Reason   string
-	Wait     time.Duration // time that the task is expected to wait at the agent
-	Age      time.Duration // time since the agent's latest frame; for task-ended, the run time
+	Proof    messenger.Proof // how the end of a run is known
+	Wait     time.Duration   // time that the task is expected to wait at the agent
+	Age      time.Duration   // time since the agent's latest frame; for task-ended, the run time
 }
 
 // Output holds the actions that the caller must perform.
@@ -162,6 +163,7 @@
 type departedAgent struct {
 	instance    string
 	leaseExpiry time.Duration // when the runs have ended
+	proof       messenger.Proof
 	tasks       []*task
 }
 
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -336,5 +336,8 @@
 	if d.Task.Job != "" {
 		e = e.Str("job", d.Task.Job).Int("step", d.Task.Step).Int("task", d.Task.Index).Uint64("run", d.Run)
 	}
+	if d.Proof != "" {
+		e = e.Str("proof", string(d.Proof))
+	}
 	e.Str("instance", d.Instance).Str("reason", d.Reason).Dur("wait", d.Wait).Dur("age", d.Age).Msg("")
 }
--- a/internal/messenger/ephemeral.go
+++ b/internal/messenger/ephemeral.go
@@ -116,6 +116,20 @@
 	return k != EndReturned && k != EndRefused && k != EndStaleRun
 }
 
+// Proof says how it is known that a run has ended. Nothing else ends a run: neither a refused
+// connection nor the end of one, neither silence nor an announced departure.
+type Proof string
+
+// The proofs of the end of a run.
+const (
+	ProofListed       Proof = ""              // The upstream has listed the end.
+	ProofStopped      Proof = "stopped"       // A stop was acknowledged, and a later list does not contain the run.
+	ProofLeaseExpired Proof = "lease-expired" // The lease has expired on the slowest clock.
+	ProofRestarted    Proof = "restarted"     // A later incarnation of the upstream has listed its runs.
+	ProofNotStarted   Proof = "not-started"   // The start was not sent, or was refused.
+	ProofReconnected  Proof = "reconnected"   // The agent has accepted a new connection, which it does once the run has ended.
+)
+
 // End reports to the entry that a task of an ephemeral job has ended at an agent.
 type End struct {
 	Task TaskRef `cbor:"1,keyasint"`
@@ -124,7 +138,8 @@
 	// RunTime is the time from the start to the end, if the task ran.
 	RunTime time.Duration `cbor:"4,keyasint,omitempty"`
 	// Started is set if a withdrawn task may have started.
-	Started bool `cbor:"5,keyasint,omitempty"`
+	Started bool  `cbor:"5,keyasint,omitempty"`
+	Proof   Proof `cbor:"6,keyasint,omitempty"`
 }
 
 // Crash reports that an upstream crashed, or fell silent until the lease of its runs expired,
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -270,7 +270,7 @@
 	kind := r.recordCrash(now, "restarted")
 	for _, t := range r.sortedTasks() {
 		if t.state == stateWaiting {
-			r.end(now, t, messenger.EndReturned)
+			r.end(now, t, messenger.EndReturned, messenger.ProofNotStarted)
 			continue
 		}
 		t.earlier, t.kind = true, t.lostKind(kind)
@@ -299,7 +299,7 @@
 // returnWaiting returns the tasks that have not started to their entries.
 func (r *Runner) returnWaiting(now time.Duration) {
 	for _, t := range slices.Clone(r.waiting) {
-		r.end(now, t, messenger.EndReturned)
+		r.end(now, t, messenger.EndReturned, messenger.ProofNotStarted)
 	}
 }
 
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -164,7 +164,11 @@
 	}
 	for _, send := range out.Sends {
 		for _, e := range send.Frame.Ends {
-			fmt.Fprintf(&s.out, "end to %s: %s run %d %s\n", send.To, e.Task.Job, e.Run, e.Kind)
+			fmt.Fprintf(&s.out, "end to %s: %s run %d %s", send.To, e.Task.Job, e.Run, e.Kind)
+			if e.Proof != messenger.ProofListed {
+				fmt.Fprintf(&s.out, " (%s)", e.Proof)
+			}
+			fmt.Fprintln(&s.out)
 		}
 		for _, c := range send.Frame.Crashes {
 			fmt.Fprintf(&s.out, "crash to %s: %s %v ago:", send.To, c.Upstream, c.Age)
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -172,7 +172,7 @@
 // returnLaunch tells the entry that a launch was not started, unless the session has ended.
 func (s *session) returnLaunch(ref messenger.TaskRef, run uint64) {
 	if !s.closed {
-		s.ends = append(s.ends, messenger.End{Task: ref, Run: run, Kind: messenger.EndReturned})
+		s.ends = append(s.ends, messenger.End{Task: ref, Run: run, Kind: messenger.EndReturned, Proof: messenger.ProofNotStarted})
 	}
 }
 
--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -173,7 +173,7 @@
 		if !t.acknowledged && t.state != stateStopped {
 			continue
 		}
-		r.end(now, t, t.lostKind(kind))
+		r.end(now, t, t.lostKind(kind), messenger.ProofLeaseExpired)
 	}
 	if lost {
 		r.logDecision(Decision{Event: "lease-lapsed"})
@@ -204,11 +204,11 @@
 	for _, t := range slices.Clone(r.waiting) {
 		switch {
 		case now > t.StartBy || st == messenger.RunnerSuspect && !t.AllowSuspect:
-			r.end(now, t, messenger.EndReturned)
+			r.end(now, t, messenger.EndReturned, messenger.ProofNotStarted)
 		case r.mayStart(t, st):
 			r.start(now, t)
 		case now-t.arrivedAt > t.MaxWait:
-			r.end(now, t, messenger.EndReturned)
+			r.end(now, t, messenger.EndReturned, messenger.ProofNotStarted)
 		}
 	}
 }
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -43,14 +43,14 @@
 			r.stop(now, t, messenger.EndUnresolved, "start-unanswered")
 		}
 	case AnswerStaleRun:
-		r.end(now, t, messenger.EndStaleRun)
+		r.end(now, t, messenger.EndStaleRun, messenger.ProofNotStarted)
 	case AnswerRefused, AnswerOtherIncarnation, AnswerUnhealthy, AnswerExpired:
 		r.logDecision(Decision{Event: "start-refused", Task: t.Task, Run: t.Run, Reason: string(a)})
 		if a == AnswerUnhealthy {
 			r.health.stalled(now)
 			r.requestReports()
 		}
-		r.end(now, t, messenger.EndRefused)
+		r.end(now, t, messenger.EndRefused, messenger.ProofNotStarted)
 	}
 }
 
@@ -155,7 +155,7 @@
 	for _, t := range r.sortedTasks() {
 		// A stopped run that is missing from a listing requested afterwards has ended.
 		if t.state == stateStopped && listed[t.Task] != t.Run && t.stoppedAt < l.RequestedAt {
-			r.end(now, t, t.kind)
+			r.end(now, t, t.kind, messenger.ProofStopped)
 		}
 	}
 }
@@ -169,7 +169,7 @@
 		}
 		t.earlier = false
 		if listed[t.Task] != t.Run && t.acknowledged && t.acknowledgedAt < l.RequestedAt {
-			r.end(now, t, t.kind)
+			r.end(now, t, t.kind, messenger.ProofRestarted)
 			continue
 		}
 		r.stop(now, t, t.kind, "restarted")
@@ -213,7 +213,7 @@
 	case t.kind != "":
 		kind = t.kind
 	}
-	r.end(now, t, kind)
+	r.end(now, t, kind, messenger.ProofListed)
 }
 
 // countsFailure reports whether a failure of a job's task counts against the upstream.
@@ -271,7 +271,7 @@
 func (r *Runner) stop(now time.Duration, t *task, kind messenger.EndKind, reason string) {
 	switch t.state {
 	case stateWaiting:
-		r.end(now, t, kind)
+		r.end(now, t, kind, messenger.ProofNotStarted)
 		return
 	case stateStopping, stateStopped:
 		return
@@ -288,12 +288,13 @@
 	r.out.Stops = append(r.out.Stops, StopCall{Incarnation: r.incarnation, Task: t.Task, Run: t.Run})
 }
 
-// end deletes a task and reports its end to the entry.
-func (r *Runner) end(now time.Duration, t *task, kind messenger.EndKind) {
+// end deletes a task and reports its end to the entry. The entry may launch the task elsewhere
+// then, so an end needs a proof.
+func (r *Runner) end(now time.Duration, t *task, kind messenger.EndKind, proof messenger.Proof) {
 	delete(r.tasks, t.Task)
 	t.session.tasks--
 	t.session.idleSince = now
-	e := messenger.End{Task: t.Task, Run: t.Run, Kind: kind, Started: t.state != stateWaiting}
+	e := messenger.End{Task: t.Task, Run: t.Run, Kind: kind, Started: t.state != stateWaiting, Proof: proof}
 	if t.state == stateWaiting {
 		if i := slices.Index(r.waiting, t); i >= 0 {
 			r.waiting = slices.Delete(r.waiting, i, i+1)
