Split the replayer's poll and a script's printing

The linter's bound of complexity: a poll of the replayer is a type with its three outcomes, and the ends of runs are printed by a function of their own.

--- a/internal/replayer/agent.go
+++ b/internal/replayer/agent.go
@@ -212,7 +212,7 @@
 }
 
 // poll sends a poll to the upstream, and the next one as soon as it is answered or has
-// timed out.
+// failed.
 func (a *agent) poll(incarnation int) {
 	if a.down || a.incarnation != incarnation {
 		return
@@ -222,42 +222,17 @@
 		return
 	}
 	w := a.world
-	requestedAt := w.now
-	request := a.runner.NextPoll(requestedAt)
-	answered := false
-	answer := func(handle func(), delay time.Duration) {
-		if answered || a.incarnation != incarnation {
-			return
-		}
-		answered = true
-		a.run(handle)
-		if delay == 0 {
-			a.poll(incarnation)
-			return
-		}
-		w.after(delay, func() { a.poll(incarnation) })
-	}
-	handleListing := func(l *runner.Listing) {
-		answer(func() {
-			if l == nil {
-				a.runner.PollFailed(w.now, false)
-				return
-			}
-			l.RequestedAt = requestedAt
-			a.runner.Listed(w.now, *l)
-		}, 0)
-	}
-	a.failPoll = func() { handleListing(nil) }
+	call := &pollCall{agent: a, incarnation: incarnation, sentAt: w.now}
+	a.failPoll = call.lost
+	request := a.runner.NextPoll(w.now)
 	if a.upstream.refuses() {
-		w.after(localDelay, func() {
-			answer(func() { a.runner.PollFailed(w.now, true) }, pollRetryDelay)
-		})
+		w.after(localDelay, call.refused)
 		return
 	}
 	a.upstream.call(func(lost bool) {
 		a.upstream.poll(request, a.incarnation, func(l runner.Listing) {
 			if !lost {
-				w.after(localDelay, func() { handleListing(&l) })
+				w.after(localDelay, func() { call.answered(l) })
 			}
 		})
 	})
@@ -265,7 +240,42 @@
 	if request.AtOnce {
 		wait = 0
 	}
-	w.after(wait+callTimeout, func() { handleListing(nil) })
+	w.after(wait+callTimeout, call.lost)
+}
+
+// pollCall is one poll of an agent.
+type pollCall struct {
+	agent       *agent
+	incarnation int // incarnation is that of the agent's process.
+	sentAt      time.Duration
+	ended       bool
+}
+
+func (c *pollCall) answered(l runner.Listing) {
+	l.RequestedAt = c.sentAt
+	c.end(0, func() { c.agent.runner.Listed(c.agent.world.now, l) })
+}
+
+func (c *pollCall) lost() {
+	c.end(0, func() { c.agent.runner.PollFailed(c.agent.world.now, false) })
+}
+
+func (c *pollCall) refused() {
+	c.end(pollRetryDelay, func() { c.agent.runner.PollFailed(c.agent.world.now, true) })
+}
+
+// end applies the end of the poll, if it is the first, and sends the next one after a delay.
+func (c *pollCall) end(delay time.Duration, handle func()) {
+	if c.ended || c.agent.incarnation != c.incarnation {
+		return
+	}
+	c.ended = true
+	c.agent.run(handle)
+	if delay == 0 {
+		c.agent.poll(c.incarnation)
+		return
+	}
+	c.agent.world.after(delay, func() { c.agent.poll(c.incarnation) })
 }
 
 func (a *agent) kill() {
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -154,6 +154,16 @@
 	s.runner.Listed(s.now, l)
 }
 
+func (s *script) printEnds(send Send) {
+	for _, e := range send.Frame.Ends {
+		fmt.Fprintf(&s.out, "end to %s: %s run %d %s", send.To, e.Task.Job, e.Run, e.Kind)
+		if e.Proof != messenger.ProofListed {
+			fmt.Fprintf(&s.out, " (%s)", e.Proof)
+		}
+		fmt.Fprintln(&s.out)
+	}
+}
+
 func (s *script) print() {
 	out := s.runner.Take(s.now)
 	for _, c := range out.Starts {
@@ -163,13 +173,7 @@
 		fmt.Fprintf(&s.out, "stop %s run %d\n", c.Task.Job, c.Run)
 	}
 	for _, send := range out.Sends {
-		for _, e := range send.Frame.Ends {
-			fmt.Fprintf(&s.out, "end to %s: %s run %d %s", send.To, e.Task.Job, e.Run, e.Kind)
-			if e.Proof != messenger.ProofListed {
-				fmt.Fprintf(&s.out, " (%s)", e.Proof)
-			}
-			fmt.Fprintln(&s.out)
-		}
+		s.printEnds(send)
 		for _, c := range send.Frame.Crashes {
 			fmt.Fprintf(&s.out, "crash to %s: %s %v ago:", send.To, c.Upstream, c.Age)
 			for _, run := range c.Runs {
