Follow an upstream that restarts with a lower start time

Seen by the review by reading: an upstream whose time of day was set back starts again with a lower 'born'. Its agent ignored its lists and announcements until the agent itself restarted, so that no run there ended, jobs were held until their deadline, and the capacity was lost.

Cause: incarnations were ordered by their numbers alone. An answer to a call that was sent after an incarnation was learned is that incarnation's or a later one's.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -59,7 +59,7 @@
 // have ended.
 type Incarnation struct {
 	ID     string
-	Number int64 // Number grows with each start of the same upstream.
+	Number int64 // Number grows with each start of the same upstream, unless its wall clock is set back.
 }
 
 // String returns the name of the incarnation in messages to entries.
@@ -85,7 +85,9 @@
 type Runner struct {
 	limits      Limits
 	incarnation Incarnation
-	upstream    *Announcement // upstream is the latest announcement of the incarnation, or nil.
+	// learnedAt is when the incarnation became known.
+	learnedAt time.Duration
+	upstream  *Announcement // upstream is the latest announcement of the incarnation, or nil.
 	// answered is set once the upstream has listed its runs in this incarnation.
 	answered bool
 	// listed is set once the upstream has listed its runs to this process. Until then runs of
@@ -275,7 +277,7 @@
 		}
 		t.earlier, t.kind = true, t.lostKind(kind)
 	}
-	r.incarnation = l
+	r.incarnation, r.learnedAt = l, now
 	r.lastEnd = 0
 	r.answered = false
 	r.upstream = nil
--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -19,8 +19,9 @@
 }
 
 // NextPoll returns the poll to send to the upstream now. The lease is not renewed while
-// orphans are left or unknown, without an announced upstream, after a failed poll, or while a stop has been unanswered for
-// longer than MaxStopPending; when the lease then expires, all runs end.
+// orphans are left or unknown, without an announced upstream, after a failed poll, or while a
+// stop has been unanswered for longer than MaxStopPending; when the lease then expires, all
+// runs end.
 func (r *Runner) NextPoll(now time.Duration) PollRequest {
 	if r.failedPolls == 0 && r.polledAt > 0 && now-r.polledAt > latePoll {
 		r.longLeaseUntil = now + longLeaseTime
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -109,9 +109,11 @@
 // Listed applies a listing.
 func (r *Runner) Listed(now time.Duration, l Listing) {
 	if !l.Incarnation.matches(r.incarnation) {
-		if l.Incarnation.Number < r.incarnation.Number {
+		if l.RequestedAt <= r.learnedAt && l.Incarnation.Number < r.incarnation.Number {
 			return
 		}
+		// A poll that was sent later is answered by a later incarnation, also if that has a
+		// lower number because the wall clock has been set back.
 		r.startIncarnation(now, l.Incarnation)
 	}
 	if r.failedPolls > 0 {
