Report a retried start that another incarnation rejects as one that may have run

Seen by the review by reading: a start without an answer was sent again, reached the next incarnation of the upstream, which rejected it, and was reported as refused, so that its job could be rejected as not run. The first attempt may have run in the earlier incarnation.

It is now reported as lost with the restart as proof: the run has ended, and its job counts as one that may have run. The script restarted-retried-start fails without the change (both tasks 'refused').

--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -45,6 +45,11 @@
 	case AnswerStaleRun:
 		r.end(now, t, messenger.EndStaleRun, messenger.ProofNotStarted)
 	case AnswerRefused, AnswerOtherIncarnation, AnswerUnhealthy, AnswerExpired:
+		if retried {
+			// The first attempt may have run in the earlier incarnation, with which it ended.
+			r.end(now, t, messenger.EndLost, messenger.ProofRestarted)
+			return
+		}
 		r.logDecision(Decision{Event: "start-refused", Task: t.Task, Run: t.Run, Reason: string(a)})
 		if a == AnswerUnhealthy {
 			r.health.stalled(now)
