Wait for the longest lease after an upstream has restarted within its lease

Cause: a call on its way when an upstream restarts within its lease asks for the end of a lease on the earlier incarnation's clock, which is ahead. An upstream cuts such a lease to the longest (1 s), so runs of the new incarnation may go on for that long, while the agent counted 250 ms from its own renewals and then started others.

The agent now counts the longest lease from the first list of such an incarnation.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -278,6 +278,7 @@
 		t.earlier, t.kind = true, t.lostKind(kind)
 	}
 	r.incarnation, r.learnedAt = l, now
+	r.distrustLease(now)
 	r.lastEnd = 0
 	r.answered = false
 	r.upstream = nil
@@ -286,6 +287,15 @@
 	r.requestReports()
 }
 
+// distrustLease records that the new incarnation may hold the longest lease: calls that were
+// sent before it was known asked for the end of a lease on the clock of the earlier one, which
+// is ahead.
+func (r *Runner) distrustLease(now time.Duration) {
+	if now < r.lease.expires {
+		r.lease = newLease(now, r.limits.MaxLeaseDuration)
+	}
+}
+
 // lostKind returns the kind of end to report for a task when the upstream has no runs
 // left. The given kind is that of a running task.
 func (t *task) lostKind(running messenger.EndKind) messenger.EndKind {
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -121,21 +121,7 @@
 		// lower number because the wall clock has been set back.
 		r.startIncarnation(now, l.Incarnation)
 	}
-	if r.failedPolls > 0 {
-		r.longLeaseUntil = now + longLeaseTime
-	}
-	r.failedPolls = 0
-	r.crashes.assumed = nil
-	r.listed = true
-	if r.silent || !r.answered {
-		r.logDecision(Decision{Event: "upstream-answers"})
-		r.silent, r.answered = false, true
-		if r.outages > 1 {
-			r.health.penalise(now, r.outages-1)
-			r.logDecision(Decision{Event: "upstream-distrusted", Reason: "flapping"})
-		}
-		r.requestReports()
-	}
+	r.markAnswered(now)
 	r.recentListing = now-r.listedAt < recentListingAge
 	r.listedAt = now
 	for _, e := range l.Ended {
@@ -183,6 +169,29 @@
 	}
 }
 
+// markAnswered records that the upstream has answered a poll.
+func (r *Runner) markAnswered(now time.Duration) {
+	if r.failedPolls > 0 {
+		r.longLeaseUntil = now + longLeaseTime
+	}
+	r.failedPolls = 0
+	r.crashes.assumed = nil
+	r.listed = true
+	if !r.answered {
+		r.distrustLease(now)
+	}
+	if r.answered && !r.silent {
+		return
+	}
+	r.logDecision(Decision{Event: "upstream-answers"})
+	r.silent, r.answered = false, true
+	if r.outages > 1 {
+		r.health.penalise(now, r.outages-1)
+		r.logDecision(Decision{Event: "upstream-distrusted", Reason: "flapping"})
+	}
+	r.requestReports()
+}
+
 func (r *Runner) removeOrphans(listed map[messenger.TaskRef]uint64) {
 	if len(r.orphans) == 0 {
 		return
