Check new connections of agents on a timer of their own

The check for connections without a first frame shared the timer of the log line with the load. Behaviour is unchanged but for the interval, 1 s instead of 2 s.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -39,6 +39,8 @@
 	configCheckInterval = 50 * time.Millisecond
 	// loadLogInterval is the interval of the log line with the load.
 	loadLogInterval = 2 * time.Second
+	// silentCheckInterval is the interval at which new connections without a frame are checked.
+	silentCheckInterval = time.Second
 	// announceInterval is the shortest time between two announcements of new entries.
 	announceInterval = 100 * time.Millisecond
 )
@@ -102,13 +104,12 @@
 		return nil, &Error{Op: "start", Kind: KindListen, Err: err}
 	}
 	b := &Broker{
-		settings: s,
-		peer:     messenger.Peer("entry-" + s.Instance + "-" + uuid.NewString()),
-		timers:   timer.New(),
-		listener: l,
-		assigner: assigner.New(s.Limits, s.DataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		agents:   make(map[messenger.Peer]*connector.Conn),
-
+		settings:  s,
+		peer:      messenger.Peer("entry-" + s.Instance + "-" + uuid.NewString()),
+		timers:    timer.New(),
+		listener:  l,
+		assigner:  assigner.New(s.Limits, s.DataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		agents:    make(map[messenger.Peer]*connector.Conn),
 		newAgents: make(map[*connector.Conn]time.Time),
 		entries:   make(map[messenger.Peer]*connector.Conn),
 		waiters:   make(map[uint64]chan<- assigner.Answer),
@@ -165,7 +166,8 @@
 	b.timers.Subscribe(tickInterval, func(time.Time) { b.loop.Post(func(time.Time) {}) })
 	b.timers.Subscribe(dialInterval, func(time.Time) { b.loop.Post(b.links.DialDue) })
 	b.timers.Subscribe(configCheckInterval, func(time.Time) { b.loop.Post(b.requestConfig) })
-	b.timers.Subscribe(loadLogInterval, func(time.Time) { b.loop.Post(b.closeSilentAgents); b.loop.Post(b.logLoad) })
+	b.timers.Subscribe(silentCheckInterval, func(time.Time) { b.loop.Post(b.closeSilentAgents) })
+	b.timers.Subscribe(loadLogInterval, func(time.Time) { b.loop.Post(b.logLoad) })
 	err := g.Run()
 	b.stop()
 	b.timers.Stop()
