Drop a dead case of a task's end, and reuse the return of waiting tasks

Found by reading the whole change. lostKind had a case for waiting tasks, which none of its callers passes any more: what is left is a choice of two kinds. A restart returned waiting tasks in a loop of its own beside returnWaiting. No verdict changes; within one frame waiting tasks are returned in order of urgency on a restart, as everywhere else.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -14,6 +14,7 @@
 package runner
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"time"
@@ -270,12 +271,9 @@
 		}
 	}
 	kind := r.recordCrash(now, "restarted")
-	for _, t := range r.sortedTasks() {
-		if t.state == stateWaiting {
-			r.end(now, t, messenger.EndReturned, messenger.ProofNotStarted)
-			continue
-		}
-		t.earlier, t.kind = true, t.lostKind(kind)
+	r.returnWaiting(now)
+	for _, t := range r.tasks {
+		t.earlier, t.kind = true, cmp.Or(t.kind, kind)
 	}
 	r.incarnation, r.learnedAt = l, now
 	r.distrustLease(now)
@@ -296,18 +294,6 @@
 	}
 }
 
-// lostKind returns the kind of end to report for a task when the upstream has no runs
-// left. The given kind is that of a running task.
-func (t *task) lostKind(running messenger.EndKind) messenger.EndKind {
-	switch {
-	case t.kind != "":
-		return t.kind
-	case t.state == stateWaiting:
-		return messenger.EndReturned
-	}
-	return running
-}
-
 // returnWaiting returns the tasks that have not started to their entries.
 func (r *Runner) returnWaiting(now time.Duration) {
 	for _, t := range slices.Clone(r.waiting) {
--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -174,7 +175,7 @@
 		if !t.acknowledged && t.state != stateStopped {
 			continue
 		}
-		r.end(now, t, t.lostKind(kind), messenger.ProofLeaseExpired)
+		r.end(now, t, cmp.Or(t.kind, kind), messenger.ProofLeaseExpired)
 	}
 	if lost {
 		r.logDecision(Decision{Event: "lease-lapsed"})
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -103,8 +103,6 @@
 	Ended       []RunEnd
 	// RequestedAt is when the poll was sent.
 	RequestedAt time.Duration
-	// LeaseUntil is the time to which the poll asked to extend the lease, or 0.
-	LeaseUntil time.Duration
 }
 
 // recentListingAge is the longest time since the previous listing at which an end is
