Start nothing while a stop is overdue

Cause: a poll does not renew the lease once a stop has been unanswered for MaxStopPending, so that the run ends with the lease. A start did not check that, and renewed the lease of all runs of the upstream each time. A run whose stops got lost went on for as long as other tasks were started there, beyond the time after which its entry takes it as ended and starts it elsewhere (LeaseExpiry).

Change: a waiting task is started only while no stop is overdue. It waits meanwhile, and is returned after its longest wait.

--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -35,6 +35,7 @@
 //	silent|refused                          a poll fails; refused if the connection was refused
 //	ask                                     prints the next poll
 //	pace                                    prints the slowdown of the upstream, in percent
+//	leases                                  prints the ends of the leases of starts from then on
 //	loads                                   prints the load reports from then on
 //	close                                   begins the shutdown
 //	may-connect                             prints whether entries may be connected
@@ -54,6 +55,7 @@
 	now    time.Duration
 	out    strings.Builder
 	loads  bool // loads is set if load reports are printed.
+	leases bool // leases is set if the ends of the leases of starts are printed.
 }
 
 func (s *script) line(l scripter.Line) {
@@ -104,6 +106,8 @@
 		s.runner = New(0, l)
 	case "pace":
 		fmt.Fprintf(&s.out, "pace %d\n", s.runner.health.slowdownPercent(s.now))
+	case "leases":
+		s.leases = true
 	case "loads":
 		s.loads = true
 	case "may-connect":
@@ -167,7 +171,11 @@
 func (s *script) print() {
 	out := s.runner.Take(s.now)
 	for _, c := range out.Starts {
-		fmt.Fprintf(&s.out, "start %s run %d\n", c.Task.Job, c.Run)
+		fmt.Fprintf(&s.out, "start %s run %d", c.Task.Job, c.Run)
+		if s.leases {
+			fmt.Fprintf(&s.out, " until %v", c.LeaseUntil)
+		}
+		fmt.Fprintln(&s.out)
 	}
 	for _, c := range out.Stops {
 		fmt.Fprintf(&s.out, "stop %s run %d\n", c.Task.Job, c.Run)
--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -33,13 +33,22 @@
 	if !r.listed || r.upstream == nil || len(r.orphans) > 0 {
 		return q
 	}
+	if r.stopOverdue(now) {
+		return q
+	}
+	q.LeaseUntil = r.extendLease(now)
+	return q
+}
+
+// stopOverdue reports whether a stop has been unanswered for longer than MaxStopPending. The
+// lease is not renewed then, by a poll or a start, so that the run ends with it.
+func (r *Runner) stopOverdue(now time.Duration) bool {
 	for _, t := range r.tasks {
 		if t.state == stateStopping && now-t.stoppedAt > r.limits.MaxStopPending {
-			return q
+			return true
 		}
 	}
-	q.LeaseUntil = r.extendLease(now)
-	return q
+	return false
 }
 
 // maxFailedPolls is the number of polls in a row that must fail before no more tasks
@@ -203,11 +212,12 @@
 		r.returnWaiting(now)
 		return
 	}
+	overdue := r.stopOverdue(now)
 	for _, t := range slices.Clone(r.waiting) {
 		switch {
 		case now > t.StartBy || st == messenger.RunnerSuspect && !t.AllowSuspect:
 			r.end(now, t, messenger.EndReturned, messenger.ProofNotStarted)
-		case r.mayStart(t, st):
+		case !overdue && r.mayStart(t, st):
 			r.start(now, t)
 		case now-t.arrivedAt > t.MaxWait:
 			r.end(now, t, messenger.EndReturned, messenger.ProofNotStarted)
