End runs before callers whose entry lost its contact submit again

Cause: an entry that loses its contact with an agent, but not with its callers, answers that it has given the jobs up; the callers submit them to another entry after 1.3 s, which knows nothing of the earlier runs. The agent closes the session after 650 ms. If its stops are not answered, it renewed the lease for another 240 ms, by 800 ms after a lost poll: runs could go on until 1.71 s after the contact. A lease of 800 ms that is renewed just before the session is closed is too long already (1.47 s).

Change: a lease begins only as long as it expires 1.27 s after the latest contact of each entry with runs at the upstream, on the slowest clock. The latest contact is the stamp that the entry has echoed, or the latest sending of the first task after an idle time. A lease can't be shortened, so that a task is not started while the lease of the others is too long for its entry's contact.

Callers see no difference in usual operation: echoes are at most two heartbeat intervals old, which leaves more than the longest lease (TestLimits checks it).

--- a/internal/replayer/replayer.go
+++ b/internal/replayer/replayer.go
@@ -43,7 +43,7 @@
 // The limits equal those of processes on the users' platform.
 var (
 	runnerLimits = runner.Limits{
-		LivenessTimeout: 650 * time.Millisecond, LeaseDuration: 800 * time.Millisecond, ShortLeaseDuration: 250 * time.Millisecond, MaxLeaseDuration: time.Second, StopRetryInterval: 60 * time.Millisecond,
+		LivenessTimeout: 650 * time.Millisecond, ContactExpiry: 1274 * time.Millisecond, LeaseDuration: 800 * time.Millisecond, ShortLeaseDuration: 250 * time.Millisecond, MaxLeaseDuration: time.Second, StopRetryInterval: 60 * time.Millisecond,
 		MaxStopPending: 240 * time.Millisecond, StallTimeout: 200 * time.Millisecond,
 		LoadReportInterval: 8 * time.Millisecond, HeartbeatInterval: 180 * time.Millisecond,
 		IdleHeartbeatInterval: 1200 * time.Millisecond, IdleThreshold: 2 * time.Second,
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -27,6 +27,10 @@
 	// LivenessTimeout is how long an entry may go without receiving from the runner
 	// before its tasks are stopped.
 	LivenessTimeout time.Duration
+	// ContactExpiry is how long after the latest contact of an entry its runs have ended. It is
+	// shorter than the time after which a caller submits a job, which that entry may have given
+	// up since, to another one.
+	ContactExpiry time.Duration
 	// LeaseDuration is how long the upstream runs tasks without a renewal, if polls have been
 	// lost or late recently. ShortLeaseDuration is the same otherwise: the tasks of an
 	// upstream that has crashed wait for the end of the lease.
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -11,7 +11,7 @@
 )
 
 var testLimits = Limits{
-	LivenessTimeout: 600 * time.Millisecond, LeaseDuration: 800 * time.Millisecond, ShortLeaseDuration: 800 * time.Millisecond, MaxLeaseDuration: time.Second, StopRetryInterval: 60 * time.Millisecond,
+	LivenessTimeout: 600 * time.Millisecond, ContactExpiry: 1274 * time.Millisecond, LeaseDuration: 800 * time.Millisecond, ShortLeaseDuration: 800 * time.Millisecond, MaxLeaseDuration: time.Second, StopRetryInterval: 60 * time.Millisecond,
 	MaxStopPending: 240 * time.Millisecond, StallTimeout: 200 * time.Millisecond,
 	LoadReportInterval: 10 * time.Millisecond, HeartbeatInterval: time.Hour,
 }
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -109,6 +109,14 @@
 	return d
 }
 
+// contact returns the time of the latest contact of the entry: it had received the echoed stamp,
+// or had sent the first task after an idle time.
+func (s *session) contact() time.Duration { return max(s.echoed, s.resumedAt-maxWakeDelay) }
+
+// maxWakeDelay is the longest time from the sending of the first task after an idle time to its
+// arrival, which its latest start bounds: 150 ms, the drift of the clocks, and a margin.
+const maxWakeDelay = 250 * time.Millisecond
+
 func (r *Runner) closeUnresponsive(now time.Duration, s *session) {
 	r.logDecision(Decision{Event: "entry-silent", Reason: string(s.peer), Age: now - s.echoed})
 	r.closeSession(now, s, "entry-silent")
--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -86,14 +86,42 @@
 // leaseMargin is added to the end of a lease for the time until the runs have ended.
 const leaseMargin = 50 * time.Millisecond
 
-// extendLease begins a lease, unless a longer one is left, and returns when it ends. After a
-// failed poll it is not extended: the upstream may have crashed. A call that arrives then
+// contactExpiry returns when the first run for an entry must have ended if there is no further
+// contact with that entry. It returns false if there is no run.
+func (r *Runner) contactExpiry() (expiry time.Duration, ok bool) {
+	for _, t := range r.tasks {
+		if t.state == stateWaiting || t.state == stateStopped {
+			continue
+		}
+		if e := t.session.contact() + r.limits.ContactExpiry; !ok || e < expiry {
+			expiry, ok = e, true
+		}
+	}
+	return expiry, ok
+}
+
+// longestLease returns the duration of a lease that begins now. It may be negative: no lease is
+// short enough then for a run whose entry has had no contact.
+func (r *Runner) longestLease(now time.Duration) time.Duration {
+	d := r.leaseDuration(now)
+	if expiry, ok := r.contactExpiry(); ok {
+		d = min(d, (expiry-now-leaseMargin)*clockSkewDivisor/(clockSkewDivisor+1))
+	}
+	return d
+}
+
+// extendLease begins a lease, unless a longer one is left, and returns when it ends; 0 if none
+// may begin. After a failed poll it is not extended: the upstream may have crashed. A call that arrives then
 // still keeps the runs until the time by which they count as ended.
 func (r *Runner) extendLease(now time.Duration) (until time.Duration) {
 	if r.failedPolls > 0 && (r.silent || r.lease.until > now) {
 		return r.lease.until
 	}
-	l := newLease(now, r.leaseDuration(now))
+	d := r.longestLease(now)
+	if d <= 0 {
+		return 0
+	}
+	l := newLease(now, d)
 	if l.until > r.lease.until {
 		r.lease = l
 	}
@@ -226,6 +254,10 @@
 }
 
 func (r *Runner) mayStart(t *task, st messenger.RunnerState) bool {
+	if r.lease.expires > t.session.contact()+r.limits.ContactExpiry {
+		// The run would not have ended in time if the entry had no contact any more.
+		return false
+	}
 	if st == messenger.RunnerProbing && !t.AllowSuspect && len(r.tasks)-len(r.waiting) >= probeTasks {
 		return false
 	}
