Count the contact of an entry up to the stop of its run

Cause: a withdrawal that was delayed on a slow link, and whose stop is not answered, left the run up to 240 ms and a renewed lease, which the entry's later contact allowed: the contact shows nothing about a job that the entry has given up before.

Change: for a run that is being stopped, the latest contact before the stop counts.

Callers see no difference while stops are answered.

Evidence: the script late-withdraw.

--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -93,7 +93,11 @@
 		if t.state == stateWaiting || t.state == stateStopped {
 			continue
 		}
-		if e := t.session.contact() + r.limits.ContactExpiry; !ok || e < expiry {
+		contact := t.session.contact()
+		if t.state == stateStopping {
+			contact = t.lastContact
+		}
+		if e := contact + r.limits.ContactExpiry; !ok || e < expiry {
 			expiry, ok = e, true
 		}
 	}
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -294,6 +294,7 @@
 	t.kind = kind
 	t.state = stateStopping
 	t.stoppedAt = now
+	t.lastContact = t.session.contact()
 	r.sendStop(now, t)
 }
 
