Expect the longest lease of every upstream that has restarted

Cause: the longest lease counted from the first list of a new incarnation only if the lease of the earlier one had not expired. A poll of that time may be carried out seconds late, before the first list, and asks for the longest lease then as well. Runs of the new incarnation went on after the agent had taken their lease as expired.

Change: the longest lease counts from each first list of an incarnation but the first.

Callers see tasks of an upstream that crashes again within 1.07 s of its return wait up to 0.2 s longer for their end; leases are long then anyway, since polls have failed.

Evidence: the script restarted-after-lease; without the change the lease of a run started at 3 s has expired at 3.9 s, with it at 4.08 s.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -95,6 +95,8 @@
 	upstream  *Announcement // upstream is the latest announcement of the incarnation, or nil.
 	// answered is set once the upstream has listed its runs in this incarnation.
 	answered bool
+	// restarted is set if the runner has known an earlier incarnation.
+	restarted bool
 	// listed is set once the upstream has listed its runs to this process. Until then runs of
 	// an earlier process may be left, at the latest until earlierLease has expired.
 	listed       bool
@@ -282,6 +284,7 @@
 	for _, t := range r.tasks {
 		t.earlier, t.kind = true, cmp.Or(t.kind, kind)
 	}
+	r.restarted = r.incarnation != (Incarnation{})
 	r.incarnation, r.learnedAt = l, now
 	r.distrustLease(now)
 	r.lastEnd = 0
@@ -294,9 +297,9 @@
 
 // distrustLease records that the new incarnation may hold the longest lease: calls that were
 // sent before it was known asked for the end of a lease on the clock of the earlier one, which
-// is ahead.
+// is ahead. They may be carried out long after that lease has expired.
 func (r *Runner) distrustLease(now time.Duration) {
-	if now < r.lease.expires {
+	if r.restarted {
 		r.lease = newLease(now, r.limits.MaxLeaseDuration)
 	}
 }
