Ignore a late frame on an earlier connection of an agent

Cause: an entry takes the first frame on a new connection of an agent as proof that its earlier runs there have ended. A connection that the agent has accepted and given up again, after 650 ms without an echo, counted as new when its first frame arrived late, after the agent had accepted a later one: the kernel repeats lost data of a closed connection for up to 2 s. The tasks of the later connection were started elsewhere at once while they ran on, whether that connection was still in use or had ended. The same holds for a connection of an earlier process of the agent.

Change: a connection knows when its handshake began. An agent's connection that was opened before the latest one of the instance that was registered is closed.

Callers see tasks run once that ran twice at the same time, when the link of an agent is cut or loses packets, and is back.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -82,13 +82,16 @@
 	agents   map[messenger.Peer]*connector.Conn
 	// newAgents are the connections of agents that have not sent a frame yet, with the times
 	// at which they were accepted.
-	newAgents   map[*connector.Conn]time.Time
-	entries     map[messenger.Peer]*connector.Conn
-	waiters     map[uint64]chan<- assigner.Answer
-	document    []byte // document is the encoded catalogue in force.
-	directory   directory
-	announcedAt time.Time // announcedAt is when new entries were last announced.
-	versions    versionTracker
+	newAgents map[*connector.Conn]time.Time
+	// latestOpened has, by instance, when the latest connection that was registered was
+	// opened. It never decreases.
+	latestOpened map[string]time.Time
+	entries      map[messenger.Peer]*connector.Conn
+	waiters      map[uint64]chan<- assigner.Answer
+	document     []byte // document is the encoded catalogue in force.
+	directory    directory
+	announcedAt  time.Time // announcedAt is when new entries were last announced.
+	versions     versionTracker
 	// confirmedAt is when the platform or a peer last sent the version in force.
 	confirmedAt time.Time
 
@@ -104,16 +107,17 @@
 		return nil, &Error{Op: "start", Kind: KindListen, Err: err}
 	}
 	b := &Broker{
-		settings:  s,
-		peer:      messenger.Peer("entry-" + s.Instance + "-" + uuid.NewString()),
-		timers:    timer.New(),
-		listener:  l,
-		assigner:  assigner.New(s.Limits, s.DataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		agents:    make(map[messenger.Peer]*connector.Conn),
-		newAgents: make(map[*connector.Conn]time.Time),
-		entries:   make(map[messenger.Peer]*connector.Conn),
-		waiters:   make(map[uint64]chan<- assigner.Answer),
-		versions:  versionTracker{delay: s.ConfigRequestDelay, peers: make(map[messenger.Peer]uint64)},
+		settings:     s,
+		peer:         messenger.Peer("entry-" + s.Instance + "-" + uuid.NewString()),
+		timers:       timer.New(),
+		listener:     l,
+		assigner:     assigner.New(s.Limits, s.DataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		agents:       make(map[messenger.Peer]*connector.Conn),
+		newAgents:    make(map[*connector.Conn]time.Time),
+		latestOpened: make(map[string]time.Time),
+		entries:      make(map[messenger.Peer]*connector.Conn),
+		waiters:      make(map[uint64]chan<- assigner.Answer),
+		versions:     versionTracker{delay: s.ConfigRequestDelay, peers: make(map[messenger.Peer]uint64)},
 	}
 	b.background, b.stop = context.WithCancel(context.Background())
 	b.loop = controller.NewOnClock(timer.NewBootTimeClock(), b.flush)
--- a/internal/broker/peers.go
+++ b/internal/broker/peers.go
@@ -92,10 +92,17 @@
 
 // registerAgent registers a connection of an agent with its first frame. The agent has
 // accepted the connection only if nothing is left of earlier ones. The handshake does not
-// show that: the agent may have given the connection up meanwhile, or have ended.
+// show that: the agent may have given the connection up meanwhile, or have ended. Neither does
+// a frame that arrives after the agent has used a later connection.
 func (b *Broker) registerAgent(now time.Time, c *connector.Conn) {
 	h := c.Hello()
 	delete(b.newAgents, c)
+	if c.OpenedAt().Before(b.latestOpened[h.Instance]) {
+		b.settings.Journal.Line("agent-connection-stale").Str("peer", string(h.Peer)).Str("instance", h.Instance).Msg("")
+		c.Close()
+		return
+	}
+	b.latestOpened[h.Instance] = c.OpenedAt()
 	if old := b.agents[h.Peer]; old != nil {
 		old.Close()
 	}
--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -89,6 +89,7 @@
 	ws        *websocket.Conn
 	hello     messenger.Hello // hello is the peer's hello without the epochs; it does not change.
 	epochs    []uint64        // epochs are the epochs of the peer's hello, until TakeEpochs.
+	openedAt  time.Time       // openedAt is when the handshake began, before the peer could end it.
 	queue     *frameQueue
 	counts    *Counts
 	ctx       context.Context
@@ -107,6 +108,7 @@
 // of kind [KindDial] if the peer cannot be reached and [KindHandshake] if it
 // speaks another protocol.
 func Dial(ctx context.Context, url string, o Options) (*Conn, error) {
+	openedAt := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
 	ws, _, err := websocket.Dial(ctx, url, &websocket.DialOptions{
@@ -116,12 +118,13 @@
 	if err != nil {
 		return nil, &Error{Op: "dial", Kind: KindDial, Peer: url, Err: err}
 	}
-	return handshake(ctx, ws, o)
+	return handshake(ctx, ws, o, openedAt)
 }
 
 // Accept upgrades an HTTP request to a connection. If it returns an error, it has
 // answered the request.
 func Accept(w http.ResponseWriter, r *http.Request, o Options) (*Conn, error) {
+	openedAt := time.Now()
 	ws, err := websocket.Accept(smallBuffers{w}, r, &websocket.AcceptOptions{
 		CompressionMode: websocket.CompressionDisabled,
 	})
@@ -130,12 +133,12 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	defer cancel()
-	return handshake(ctx, ws, o)
+	return handshake(ctx, ws, o, openedAt)
 }
 
 // handshake exchanges hellos over a WebSocket and returns the connection. It closes the
 // WebSocket on error.
-func handshake(ctx context.Context, ws *websocket.Conn, o Options) (*Conn, error) {
+func handshake(ctx context.Context, ws *websocket.Conn, o Options, openedAt time.Time) (*Conn, error) {
 	ws.SetReadLimit(messenger.MaxMessageBytes)
 	hello := o.Hello()
 	peer, err := exchangeHello(ctx, ws, &hello, o.Counts)
@@ -147,13 +150,14 @@
 	peer.Epochs = nil
 	connCtx, cancel := context.WithCancel(context.Background())
 	return &Conn{
-		ws:     ws,
-		hello:  *peer,
-		epochs: epochs,
-		queue:  newFrameQueue(queueFrames),
-		counts: o.Counts,
-		ctx:    connCtx,
-		cancel: cancel,
+		ws:       ws,
+		hello:    *peer,
+		epochs:   epochs,
+		openedAt: openedAt,
+		queue:    newFrameQueue(queueFrames),
+		counts:   o.Counts,
+		ctx:      connCtx,
+		cancel:   cancel,
 	}, nil
 }
 
@@ -188,6 +192,10 @@
 // Hello returns the peer's hello without the epochs.
 func (c *Conn) Hello() messenger.Hello { return c.hello }
 
+// OpenedAt returns when this process began the handshake. Of two connections that a peer dials one
+// after the other, the later one has the later time, whichever handshake ends first.
+func (c *Conn) OpenedAt() time.Time { return c.openedAt }
+
 // TakeEpochs returns the epochs of the peer's hello and releases them. They are its
 // largest part, and callers need them only once.
 func (c *Conn) TakeEpochs() []uint64 {
