Take no lapse and no restart as the end of a start that was sent again

The agent, whose polls were unanswered, took the end of its lease as the proof, and run 2 started elsewhere while run 1 ran.

The start was sent again, since its first attempt had no answer within 50 ms, and a later attempt was acknowledged; the log has no "start-unanswered". An attempt without an answer may be executed later. At the same incarnation it changes nothing, but a new one has forgotten the run and the fencing token, and its lease is the longest one. The run counted as ended with the agent's lease, or with the first listing of the new incarnation.

A start counts as settled only when its first attempt was acknowledged. Otherwise the run is stopped when the lease lapses or the upstream restarts, as a start without an answer is, and ends when that stop was acknowledged and a later list does not contain it.

Not covered: a stop that the earlier incarnation acknowledged before it crashed.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -215,6 +215,9 @@
 	// the run, for the first time at acknowledgedAt.
 	acknowledged   bool
 	acknowledgedAt time.Duration
+	// settled is set once the start was acknowledged at its first attempt. An earlier attempt
+	// without an answer may still arrive, and be the first one at a later incarnation.
+	settled bool
 	// earlier is set if the upstream has restarted since. Whether the run has ended with the
 	// earlier incarnation is known with the first listing of the new one.
 	earlier    bool
--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -172,7 +172,10 @@
 		lost = true
 		// A start that was delayed in transit may still be executed. Its resources
 		// stay charged until a stop is acknowledged.
-		if !t.acknowledged && t.state != stateStopped {
+		if !t.settled && t.state != stateStopped {
+			if t.state == stateRunning {
+				r.stop(now, t, kind, "lease-lapsed")
+			}
 			continue
 		}
 		r.end(now, t, cmp.Or(t.kind, kind), messenger.ProofLeaseExpired)
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -35,6 +35,7 @@
 	switch a {
 	case AnswerStarted:
 		t.acknowledge(now)
+		t.settled = !retried
 		if t.state == stateStarting {
 			t.state = stateRunning
 		}
@@ -159,7 +160,7 @@
 			continue
 		}
 		t.earlier = false
-		if listed[t.Task] != t.Run && t.acknowledged && t.acknowledgedAt < l.RequestedAt {
+		if listed[t.Task] != t.Run && t.settled && t.acknowledgedAt < l.RequestedAt {
 			r.end(now, t, t.kind, messenger.ProofRestarted)
 			continue
 		}
