Stop a start without an answer again after a restart

A stop that the upstream acknowledged before it restarted says nothing about the new incarnation, which has forgotten it and may take a late attempt of the start. The first listing of the new incarnation, or the end of the lease, ended the run.

Such a task is stopped again at the new incarnation. The end of a lease does not end it.

--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -172,7 +172,7 @@
 		lost = true
 		// A start that was delayed in transit may still be executed. Its resources
 		// stay charged until a stop is acknowledged.
-		if !t.settled && t.state != stateStopped {
+		if !t.settled {
 			if t.state == stateRunning {
 				r.stop(now, t, kind, "lease-lapsed")
 			}
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -164,6 +164,13 @@
 			r.end(now, t, t.kind, messenger.ProofRestarted)
 			continue
 		}
+		if t.state == stateStopped && !t.settled {
+			// The earlier incarnation may have acknowledged the stop.
+			t.state = stateStopping
+			t.stoppedAt = now
+			r.sendStop(now, t)
+			continue
+		}
 		r.stop(now, t, t.kind, "restarted")
 	}
 }
