Use an upstream again when the lease of a start without an answer has expired

Cause: nothing is started, and no lease renewed, while a stop is overdue. An upstream that answers polls but not the stop of a start without an answer was used no more, although the lease had expired and the start, whose end of the lease is past, cannot be carried out.

Change: such a run counts as lapsed until the upstream restarts, and holds back neither starts nor leases. Its resources stay charged until the stop is acknowledged, as before.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -227,6 +227,9 @@
 	// settled is set once the start was acknowledged at its first attempt. An earlier attempt
 	// without an answer may still arrive, and be the first one at a later incarnation.
 	settled bool
+	// lapsed is set once the lease of a run that is not settled has expired. In this incarnation
+	// the run has ended, and cannot start again.
+	lapsed bool
 	// earlier is set if the upstream has restarted since. Whether the run has ended with the
 	// earlier incarnation is known with the first listing of the new one.
 	earlier    bool
@@ -285,7 +288,7 @@
 	kind := r.recordCrash(now, "restarted")
 	r.returnWaiting(now)
 	for _, t := range r.tasks {
-		t.earlier, t.kind = true, cmp.Or(t.kind, kind)
+		t.earlier, t.lapsed, t.kind = true, false, cmp.Or(t.kind, kind)
 	}
 	r.restarted = r.incarnation != (Incarnation{})
 	r.incarnation, r.learnedAt = l, now
--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -44,7 +44,7 @@
 // lease is not renewed then, by a poll or a start, so that the run ends with it.
 func (r *Runner) stopOverdue(now time.Duration) bool {
 	for _, t := range r.tasks {
-		if t.state == stateStopping && now-t.stoppedAt > r.limits.MaxStopPending {
+		if t.state == stateStopping && !t.lapsed && now-t.stoppedAt > r.limits.MaxStopPending {
 			return true
 		}
 	}
@@ -90,7 +90,7 @@
 // contact with that entry. It returns false if there is no run.
 func (r *Runner) contactExpiry() (expiry time.Duration, ok bool) {
 	for _, t := range r.tasks {
-		if t.state == stateWaiting || t.state == stateStopped {
+		if t.state == stateWaiting || t.state == stateStopped || t.lapsed {
 			continue
 		}
 		contact := t.session.contact()
@@ -214,6 +214,7 @@
 		// A start that was delayed in transit may still be executed. Its resources
 		// stay charged until a stop is acknowledged.
 		if !t.settled {
+			t.lapsed = true
 			if t.state == stateRunning {
 				r.stop(now, t, kind, "lease-lapsed")
 			}
