Start nothing while no lease is short enough for a run without contact

Cause: a start that was stopped, and is stopped again after a restart of its upstream, may belong to an entry whose latest contact is longer ago than its runs may go on. No lease is short enough then, but tasks were started with an expired one, and returned as refused.

--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -253,7 +253,7 @@
 		switch {
 		case now > t.StartBy || st == messenger.RunnerSuspect && !t.AllowSuspect:
 			r.end(now, t, messenger.EndReturned, messenger.ProofNotStarted)
-		case !overdue && r.mayStart(t, st):
+		case !overdue && r.mayStart(now, t, st):
 			r.start(now, t)
 		case now-t.arrivedAt > t.MaxWait:
 			r.end(now, t, messenger.EndReturned, messenger.ProofNotStarted)
@@ -261,9 +261,10 @@
 	}
 }
 
-func (r *Runner) mayStart(t *task, st messenger.RunnerState) bool {
-	if r.lease.expires > t.session.contact()+r.limits.ContactExpiry {
-		// The run would not have ended in time if the entry had no contact any more.
+func (r *Runner) mayStart(now time.Duration, t *task, st messenger.RunnerState) bool {
+	if r.lease.expires > t.session.contact()+r.limits.ContactExpiry || r.longestLease(now) <= 0 {
+		// This run, or another one, would not have ended in time if its entry had no contact
+		// any more.
 		return false
 	}
 	if st == messenger.RunnerProbing && !t.AllowSuspect && len(r.tasks)-len(r.waiting) >= probeTasks {
