Acknowledge no end of an upstream that may have restarted

Cause: a poll acknowledges the ends that were processed by the number of the latest one. An upstream that has restarted under its id numbers its ends from 1 again, so that the first poll that reached it made it forget ends that the agent had not seen. A run that had ended `done` there, of a start that was on its way at the restart, was started elsewhere again.

Change: a poll that follows a failed one, or for which no list of the incarnation has come yet, acknowledges nothing. A restart fails the poll that is being answered, if not the next one. Ends that were processed are skipped as before.

Evidence: the script ends-after-lost-poll; without the change the poll after a lost one acknowledges end 1.

--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -12,7 +12,9 @@
 // PollRequest asks the upstream for the list of its runs, and may renew the lease.
 type PollRequest struct {
 	Incarnation Incarnation
-	LastEnd     int64 // LastEnd is the number of the latest end that was processed.
+	// LastEnd is the number of the latest end that was processed, or 0 if a restarted upstream
+	// may answer. It lets the upstream forget the ends up to that one.
+	LastEnd int64
 	// LeaseUntil is the time to which the lease is to be extended; 0 does not renew it.
 	LeaseUntil time.Duration
 	// AtOnce asks for an answer without a wait, because nothing is known of the runs.
@@ -30,6 +32,10 @@
 	r.polledAt = now
 	r.leaseBeforePoll = r.lease
 	q := PollRequest{Incarnation: r.incarnation, LastEnd: r.lastEnd, AtOnce: !r.answered || r.failedPolls > 0}
+	if q.AtOnce {
+		// The upstream may have restarted, and number its ends from 1 again.
+		q.LastEnd = 0
+	}
 	if !r.listed || r.upstream == nil || len(r.orphans) > 0 {
 		return q
 	}
