Take only a first task after an idle time as a contact of its entry

Cause: any task that came after an idle time counted as a contact of 250 ms before. That holds for a task that its entry has sent as the first one, whose latest start bounds its delay. Another one is accepted as long as the entry's echo is recent, and may be as old as that: its run could go on for 1.6 s after the contact instead of 1.27 s.

--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -20,6 +20,9 @@
 	// idleSince is when the last task of the session ended; resumedAt is when a task
 	// came after an idle time.
 	idleSince, resumedAt time.Duration
+	// wokenAt is when the first task after an idle time came that the entry had sent as such, so
+	// that its latest start bounds its delay.
+	wokenAt time.Duration
 	reportDue            bool // reportDue is set if the load must be reported to the entry soon.
 	loadChanged          bool // loadChanged is set if the load has changed since the last report.
 	// reportedLoad is the resources in use or requested as known to the entry: the last
@@ -111,7 +114,7 @@
 
 // contact returns the time of the latest contact of the entry: it had received the echoed stamp,
 // or had sent the first task after an idle time.
-func (s *session) contact() time.Duration { return max(s.echoed, s.resumedAt-maxWakeDelay) }
+func (s *session) contact() time.Duration { return max(s.echoed, s.wokenAt-maxWakeDelay) }
 
 // maxWakeDelay is the longest time from the sending of the first task after an idle time to its
 // arrival, which its latest start bounds: 150 ms, the drift of the clocks, and a margin.
@@ -144,6 +147,9 @@
 	default:
 		if s.idleFor(now, r.limits.IdleThreshold/2) {
 			s.resumedAt = now
+			if l.First {
+				s.wokenAt = now
+			}
 		}
 		r.tasks[l.Task] = t
 		s.tasks++
