--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -192,8 +192,8 @@
 // Hello returns the peer's hello without the epochs.
 func (c *Conn) Hello() messenger.Hello { return c.hello }
 
-// OpenedAt returns when this process began the handshake. Of two connections that a peer dials one
-// after the other, the later one has the later time, whichever handshake ends first.
+// OpenedAt returns when this process began the handshake. Of two connections that a peer has
+// completed, the one that it dialled later has the later time.
 func (c *Conn) OpenedAt() time.Time { return c.openedAt }
 
 // TakeEpochs returns the epochs of the peer's hello and releases them. They are its
