--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -22,9 +22,9 @@
 	idleSince, resumedAt time.Duration
 	// wokenAt is when the first task after an idle time came that the entry had sent as such, so
 	// that its latest start bounds its delay.
-	wokenAt time.Duration
-	reportDue            bool // reportDue is set if the load must be reported to the entry soon.
-	loadChanged          bool // loadChanged is set if the load has changed since the last report.
+	wokenAt     time.Duration
+	reportDue   bool // reportDue is set if the load must be reported to the entry soon.
+	loadChanged bool // loadChanged is set if the load has changed since the last report.
 	// reportedLoad is the resources in use or requested as known to the entry: the last
 	// report and the entry's own launches since.
 	reportedLoad messenger.Resources
