Send the stops of orphans again at intervals

Cause: the stops of all orphans were sent at every event of an agent, and the answer to each is an event: n orphans caused n times n stops until a poll was answered. When the polls of a restarted agent were lost, its calls, connections and memory grew without a bound.

Change: the stops are sent again after StopRetryInterval, as those of tasks are. A run that becomes an orphan is stopped at once.

Evidence: the script orphan-stops, red before; launched-again, restarted-agent and restarted-unlisted expected a stop at each event, and now expect one an interval.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -119,6 +119,8 @@
 	waiting                []*task // waiting has the tasks that have not started, in order of urgency.
 	// orphans are runs that the upstream lists and that no session owns.
 	orphans map[messenger.TaskRef]uint64
+	// orphansRetryAt is when the orphans are stopped again. A new one is stopped at once.
+	orphansRetryAt time.Duration
 	// held are the launches of tasks of which an earlier run may go on here, as a task or an
 	// orphan. They are returned when that run has ended: the entry then launches the task
 	// elsewhere.
--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -239,6 +239,10 @@
 			r.sendStop(now, t)
 		}
 	}
+	if len(r.orphans) == 0 || now < r.orphansRetryAt {
+		return
+	}
+	r.orphansRetryAt = now + r.limits.StopRetryInterval
 	for _, ref := range slices.SortedFunc(maps.Keys(r.orphans), messenger.TaskRef.Compare) {
 		r.out.Stops = append(r.out.Stops, StopCall{Incarnation: r.incarnation, Task: ref, Run: r.orphans[ref]})
 	}
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -264,7 +264,9 @@
 			r.logDecision(Decision{Event: "stray-run", Task: run.Task, Run: run.Run})
 			r.requestReports()
 		}
-		r.orphans[run.Task] = max(r.orphans[run.Task], run.Run)
+		if r.orphans[run.Task] < run.Run {
+			r.orphans[run.Task], r.orphansRetryAt = run.Run, now
+		}
 		return
 	}
 	t.acknowledge(now)
