--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -220,7 +220,7 @@
 	stoppedAt time.Duration     // stoppedAt is when the first stop was sent, or acknowledged.
 	retryAt   time.Duration     // retryAt is when a stop is sent again.
 	// lastContact is the latest contact of the entry before the task was stopped. The entry may
-	// have given it up then, whatever contact it has later.
+	// have given the task up since, whatever contact it has later.
 	lastContact time.Duration
 	// acknowledged is set once the upstream has answered the start with success or has listed
 	// the run, for the first time at acknowledgedAt.
--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -121,8 +121,8 @@
 }
 
 // extendLease begins a lease, unless a longer one is left, and returns when it ends; 0 if none
-// may begin. After a failed poll it is not extended: the upstream may have crashed. A call that arrives then
-// still keeps the runs until the time by which they count as ended.
+// may begin. After a failed poll it is not extended: the upstream may have crashed. A call that
+// arrives then still keeps the runs until the time by which they count as ended.
 func (r *Runner) extendLease(now time.Duration) (until time.Duration) {
 	if r.failedPolls > 0 && (r.silent || r.lease.until > now) {
 		return r.lease.until
