Take declared run times as they are beyond the magnitudes with results

Callers of an entry that had run only short tasks got "overloaded: the queue is too long to meet the deadline" for jobs that would have ended in time.

Cause: the ratio of actual to declared run time, learned from tasks of 1 ms that took a few ms on a busy machine, was applied to tasks of 200 ms. The ratio is now used only for run times of a magnitude with enough results.

overhead.txtar fails before ("refused: overloaded retry-after=1.322s").

Left: the ratio is one for all magnitudes, so after 20 results of long tasks it is still part that of the short ones. The entries and agents of the users' platform don't use this estimate.

--- a/internal/placer/estimate.go
+++ b/internal/placer/estimate.go
@@ -2,25 +2,35 @@
 
 import (
 	"math"
+	"math/bits"
 	"time"
 )
 
 // estimate predicts the run time and memory of a service's tasks from earlier results.
 // Until there are minSamples results, the declared values are used. The expected run
 // time of a task is either its declared value times the mean ratio of actual to declared
-// run time, or the mean run time, whichever has had the smaller error.
+// run time, or the mean run time, whichever has had the smaller error. For a declared
+// value of a magnitude with fewer results, it is the declared value: an overhead that
+// doubles the run time of short tasks says nothing about long ones.
 type estimate struct {
-	minSamples      int
-	samples         int
-	mean            float64 // mean run time in seconds
-	ratio           float64 // mean logarithm of actual by declared run time
-	meanError       float64 // mean absolute error of mean, on a log scale
-	ratioError      float64 // mean absolute error of declared times ratio, on a log scale
-	meanMemory      float64 // mean peak in bytes; 0 if none was reported
-	memoryDeviation float64 // mean absolute deviation from meanMemory
-	peaks           int     // number of results with a memory peak
+	minSamples         int
+	samples            int
+	samplesByMagnitude [magnitudes]int // by the magnitude of the declared run time
+	mean               float64         // mean run time in seconds
+	ratio              float64         // mean logarithm of actual by declared run time
+	meanError          float64         // mean absolute error of mean, on a log scale
+	ratioError         float64         // mean absolute error of declared times ratio, on a log scale
+	meanMemory         float64         // mean peak in bytes; 0 if none was reported
+	memoryDeviation    float64         // mean absolute deviation from meanMemory
+	peaks              int             // number of results with a memory peak
 }
 
+// magnitude returns the number of bits of a run time in nanoseconds, halved.
+func magnitude(d time.Duration) int { return bits.Len64(uint64(d)) / 2 }
+
+// magnitudes is the number of values of magnitude.
+const magnitudes = 64/2 + 1
+
 const (
 	defaultRunTime = 300 * time.Millisecond
 	learnRate      = 0.02
@@ -35,6 +45,9 @@
 		}
 		return declared
 	}
+	if declared > 0 && e.samplesByMagnitude[magnitude(declared)] < e.minSamples {
+		return declared
+	}
 	if declared <= 0 || e.meanError < e.ratioError {
 		return seconds(e.mean)
 	}
@@ -94,6 +107,7 @@
 	if declared <= 0 {
 		return
 	}
+	e.samplesByMagnitude[magnitude(declared)]++
 	ratio := truth - math.Log(declared.Seconds())
 	e.ratioError += rate * (math.Abs(ratio-e.ratio) - e.ratioError)
 	e.ratio += rate * (ratio - e.ratio)
--- a/internal/placer/script_test.go
+++ b/internal/placer/script_test.go
@@ -54,6 +54,8 @@
 			Index: uint16(b.number(l, "task")), Kind: messenger.ResultKind(l.Arg("kind")),
 			Refusal: messenger.Refusal(l.Arg("refusal")), RunTime: b.duration(l, "took"),
 		})
+	case "results":
+		b.results(l)
 	case "drop":
 		b.p.Drop(submission(b.number(l, "job")))
 	case "wait":
@@ -79,6 +81,22 @@
 	}
 }
 
+// results runs jobs of one task, one after the other, at the only agent.
+func (b *scriptBench) results(l scripter.Line) {
+	for i := range b.number(l, "n") {
+		j := Job{
+			Submission: submission(1000 + i), Service: "print", Team: l.Arg("team"),
+			Tasks: []uint16{0}, Requirements: []Requirements{{RunTime: b.duration(l, "run")}},
+		}
+		if r := b.p.Enqueue(b.now, j); r.Reason != "" {
+			b.t.Fatalf("%v: refused: %s", l, r.Reason)
+		}
+		for _, a := range b.p.Dispatch(b.now) {
+			b.p.Ended(b.now, End{Agent: a.Agent, Submission: a.Submission, Kind: messenger.ResultDone, RunTime: b.duration(l, "took")})
+		}
+	}
+}
+
 // dispatch writes the assignments of one dispatch.
 func (b *scriptBench) dispatch() {
 	for _, a := range b.p.Dispatch(b.now) {
