Keep a queue hazardous when a further crash follows

Cause: each crash draws the conclusions anew. The evidence of the earlier crashes had decayed by the time of the new one (2.0 to 1.15, with 1.3 needed), and the new one counts only when its task has crashed another upstream. So a further crash could only lower the evidence. The highest evidence that a queue had at any crash of the last 20 s decides now; that is still the same whatever the order in which an entry learns of the crashes.

--- a/internal/assigner/crash.go
+++ b/internal/assigner/crash.go
@@ -105,8 +105,8 @@
 		r.hazardous, r.culprit = false, messenger.TaskRef{}
 	}
 	for {
-		queue, evidence := l.mostEvidence(recent, latest)
-		if evidence < minEvidence {
+		queue, most := l.mostEvidence(recent)
+		if most < minEvidence {
 			break
 		}
 		for _, r := range recent {
@@ -121,9 +121,11 @@
 	}
 }
 
-// mostEvidence returns the queue that is not known to be hazardous with the most evidence.
-func (l *crashLog) mostEvidence(recent []*crashRecord, latest time.Duration) (queue string, most float64) {
-	evidence := make(map[string]float64)
+// mostEvidence returns the queue that is not known to be hazardous whose evidence was the
+// highest at any time. The evidence decays between crashes, but a further crash must not
+// clear a queue that earlier ones have shown to be hazardous.
+func (l *crashLog) mostEvidence(recent []*crashRecord) (queue string, most float64) {
+	found := make(map[string]*evidence)
 	for _, r := range recent {
 		if r.hazardous {
 			continue
@@ -135,17 +137,36 @@
 			largest = max(largest, c.weight)
 		}
 		for _, c := range candidates {
-			evidence[c.Queue] += largest * c.weight / sum * math.Exp2(-float64(latest-r.at)/float64(evidenceHalfLife))
+			e := found[c.Queue]
+			if e == nil {
+				e = &evidence{}
+				found[c.Queue] = e
+			}
+			e.add(r.at, largest*c.weight/sum)
 		}
 	}
-	for name, e := range evidence {
-		if _, known := l.hazards[name]; !known && (e > most || e == most && name < queue) {
-			queue, most = name, e
+	for name, e := range found {
+		if _, known := l.hazards[name]; !known && (e.highest > most || e.highest == most && name < queue) {
+			queue, most = name, e.highest
 		}
 	}
 	return queue, most
 }
 
+// evidence is the evidence of crashes against a queue. It decays with evidenceHalfLife.
+type evidence struct {
+	sum     float64
+	at      time.Duration // time of the latest crash in sum
+	highest float64
+}
+
+// add adds the evidence of a crash that is not earlier than those before.
+func (e *evidence) add(at time.Duration, weight float64) {
+	e.sum = e.sum*math.Exp2(-float64(at-e.at)/float64(evidenceHalfLife)) + weight
+	e.at = at
+	e.highest = max(e.highest, e.sum)
+}
+
 // candidate is a run that is a likely cause of a crash.
 type candidate struct {
 	messenger.CrashedRun
