End a run whose start is acknowledged after its lease has expired

An agent that stands still while the answer to a start waits lets the lease lapse first: the task is still starting then and keeps its resources, since the start may arrive late. The answer then shows that it was carried out at its first attempt, and the task counted as running, though no lease was left whose end would show that the run has ended.

Such a run has ended with its lease, so it is reported as ended with that proof. A start that was sent again still isn't: an earlier attempt may arrive late.

--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -36,6 +37,10 @@
 	case AnswerStarted:
 		t.acknowledge(now)
 		t.settled = !retried
+		if t.settled && t.lapsed {
+			r.end(now, t, cmp.Or(t.kind, messenger.EndLost), messenger.ProofLeaseExpired)
+			return
+		}
 		if t.state == stateStarting {
 			t.state = stateRunning
 		}
