Count the longest lease of runs that an upstream lists to a new agent

When an agent and its upstream have both restarted, a call of the earlier agent that is carried out late by the new incarnation has the end of a lease on the earlier incarnation's clock, which is ahead, and so gets the longest lease. The agent counted the lease from its own start only.

The longest lease counts from the first list of this process, if it contains runs. That delays connections only if the upstream falls silent before it has acknowledged the stops of these runs.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -98,7 +98,8 @@
 	// restarted is set if the runner has known an earlier incarnation.
 	restarted bool
 	// listed is set once the upstream has listed its runs to this process. Until then runs of
-	// an earlier process may be left, at the latest until earlierLease has expired.
+	// an earlier process may be left, and those that it lists, at the latest until earlierLease
+	// has expired.
 	listed       bool
 	earlierLease lease
 	// silent is set while the upstream does not answer polls.
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -125,6 +125,11 @@
 		// lower number because the wall clock has been set back.
 		r.startIncarnation(now, l.Incarnation)
 	}
+	if !r.listed && len(l.Running) > 0 {
+		// A late call of an earlier process may have got the longest lease from an upstream that
+		// has restarted since.
+		r.earlierLease = newLease(now, r.limits.MaxLeaseDuration)
+	}
 	r.markAnswered(now)
 	r.recentListing = now-r.listedAt < recentListingAge
 	r.listedAt = now
