Give a resubmission that waits the deadlines of other jobs

Callers who submitted a job again to the same entry got no answer, beyond their timeout, while a run of the first submission did not end, as after a start that was sent again to an upstream that is gone.

Cause: such a resubmission is not among the assigner's jobs and its tasks are not pending until those runs have ended, and the checks of deadlines look at nothing else.

checkDeadlines now rejects it as soon as one of its tasks would end too late to be of use, by the condition of rejectTooLate, which is not later than the deadline. It stays a resubmission of the first one, which is kept until its runs have ended, so that nothing starts before. One that has its answer, or whose caller has left, is not answered again when a further resubmission replaces it: a caller who had left was answered "given-up resubmitted" until now, and one who was rejected would get a second answer.

resubmitted-held fails before: "answer 2: rejected too-late" is missing at 1061ms, and "answer 2: given-up resubmitted" comes at 2480ms, only because of a further resubmission. Other jobs that have started nothing are rejected when they would be too late, which is earlier, so the script expects it together with that of such a job (j2), at the millisecond, and the run number of what starts once the first run has ended.

resubmitted-again fails before: "answer 3: rejected too-late" is missing at 700ms, and "answer 4: given-up resubmitted" goes to a caller who has left. With the deadlines but not the check in supersede, both scripts show a second answer ("answer 2" and "answer 3: given-up resubmitted").

The tests of assigner, broker and replayer pass.

--- a/internal/assigner/job.go
+++ b/internal/assigner/job.go
@@ -83,7 +83,7 @@
 		old.answered = true
 		a.answer(now, old, OutcomeGivenUp, "resubmitted", 0)
 	}
-	if last := old.replacement; last != nil {
+	if last := old.replacement; last != nil && !last.answered {
 		last.answered = true
 		a.answer(now, last, OutcomeGivenUp, "resubmitted", 0)
 	}
@@ -323,17 +323,25 @@
 		if i < 0 {
 			return
 		}
-		j := a.pending[i].job
-		_, wait := a.outlook(now, j)
-		a.reject(now, j, reason, wait)
+		a.rejectWaiting(now, a.pending[i].job, reason)
 	}
 }
 
+// rejectWaiting rejects a job that has run nothing.
+func (a *Assigner) rejectWaiting(now time.Duration, j *job, reason string) {
+	_, wait := a.outlook(now, j)
+	a.reject(now, j, reason, wait)
+}
+
 // rejectTooLate rejects the jobs whose answer would come too late to be of use.
 func (a *Assigner) rejectTooLate(now time.Duration) {
-	a.rejectPending(now, "too-late", func(t *task) bool {
-		return now+a.startDelay(now, t.job)+t.expected > t.job.latestUseful
-	})
+	a.rejectPending(now, "too-late", func(t *task) bool { return a.tooLate(now, t) })
+}
+
+// tooLate reports whether the end of a task that has not started would come too late for
+// its job's answer to be of use.
+func (a *Assigner) tooLate(now time.Duration, t *task) bool {
+	return now+a.startDelay(now, t.job)+t.expected > t.job.latestUseful
 }
 
 // rejectDisplaced rejects the jobs that would be late while tasks that can still be in
@@ -350,16 +358,25 @@
 	}
 }
 
-// checkDeadlines abandons the jobs whose callers are about to time out.
+// checkDeadlines abandons the jobs whose callers are about to time out. It rejects the
+// resubmissions that wait for earlier runs and are too late: their tasks are not pending.
 func (a *Assigner) checkDeadlines(now time.Duration) {
-	var due []*job
+	var due, late []*job
 	for _, j := range a.jobs {
 		if !j.answered && now >= j.deadline {
 			due = append(due, j)
 		}
+		if r := j.replacement; r != nil && !r.answered && slices.ContainsFunc(r.tasks, func(t *task) bool { return a.tooLate(now, t) }) {
+			late = append(late, r)
+		}
 	}
-	slices.SortFunc(due, func(x, y *job) int { return cmp.Compare(x.Ticket, y.Ticket) })
+	byTicket := func(x, y *job) int { return cmp.Compare(x.Ticket, y.Ticket) }
+	slices.SortFunc(due, byTicket)
 	for _, j := range due {
 		a.abandon(now, j, "deadline", 0)
 	}
+	slices.SortFunc(late, byTicket)
+	for _, j := range late {
+		a.rejectWaiting(now, j, "too-late")
+	}
 }
