Log the age of a submission, and how the end of a listed run is known

The logs could not tell the hypotheses of docs/incidents/resubmitted.md apart: no line said how long before a launch, a caller's leaving or a resubmission its submission had arrived, and an end that the upstream lists looked like that of a program without proofs.

--- a/internal/assigner/agent.go
+++ b/internal/assigner/agent.go
@@ -129,7 +129,7 @@
 	})
 	for _, d := range due {
 		for _, t := range d.tasks {
-			a.logDecision(Decision{Event: "task-lost", Task: t.ref, Run: t.run, Instance: d.instance, Proof: d.proof})
+			a.logDecision(Decision{Event: "task-lost", Task: t.ref, Run: t.run, Instance: d.instance, Proof: d.proof.Name()})
 			t.avoid = append(t.avoid, d.instance)
 			t.lostAgents++
 			a.endRun(now, t, true)
@@ -265,7 +265,7 @@
 		t.avoid = append(t.avoid, g.instance)
 	}
 	if !j.answered {
-		a.logDecision(Decision{Event: "task-ended", Task: t.ref, Run: t.run, Instance: g.instance, Reason: string(e.Kind), Proof: e.Proof, Age: e.RunTime})
+		a.logDecision(Decision{Event: "task-ended", Task: t.ref, Run: t.run, Instance: g.instance, Reason: string(e.Kind), Proof: e.Proof.Name(), Age: e.RunTime})
 	}
 	ran := e.Kind.Ran() && (e.Kind != messenger.EndWithdrawn || e.Started)
 	a.endRun(now, t, ran)
--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -105,9 +105,10 @@
 	Run      uint64
 	Instance string // the agent's instance
 	Reason   string
-	Proof    messenger.Proof // how the end of a run is known
-	Wait     time.Duration   // time that the task is expected to wait at the agent
-	Age      time.Duration   // time since the agent's latest frame; for task-ended, the run time
+	Proof    string        // name of the proof by which the end of a run is known
+	Wait     time.Duration // time that the task is expected to wait at the agent
+	Age      time.Duration // time since the agent's latest frame; for task-ended, the run time
+	JobAge   time.Duration // time since the submission that the decision is about arrived; 0 if there is none
 }
 
 // Output holds the actions that the caller must perform.
--- a/internal/assigner/job.go
+++ b/internal/assigner/job.go
@@ -78,7 +78,7 @@
 // up on the first request, or that request has been answered.
 func (a *Assigner) supersede(now time.Duration, old, j *job) {
 	if !old.answered {
-		a.logDecision(Decision{Event: "job-resubmitted", Task: messenger.TaskRef{Job: j.ID}})
+		a.logDecision(Decision{Event: "job-resubmitted", Task: messenger.TaskRef{Job: j.ID}, Reason: old.progress(), JobAge: now - old.arrived})
 		a.drop(old)
 		old.answered = true
 		a.answer(now, old, OutcomeGivenUp, "resubmitted", 0)
@@ -179,7 +179,7 @@
 	for j := a.jobs[id]; j != nil; j = j.replacement {
 		if j.Ticket == ticket && !j.answered {
 			j.answered = true
-			a.logDecision(Decision{Event: "caller-left", Task: messenger.TaskRef{Job: id}})
+			a.logDecision(Decision{Event: "caller-left", Task: messenger.TaskRef{Job: id}, Reason: j.progress(), JobAge: now - j.arrived})
 			a.drop(j)
 			if a.jobs[id] == j {
 				a.forget(now, j)
@@ -189,6 +189,14 @@
 	}
 }
 
+// progress returns whether a task of the job was launched, for the log.
+func (j *job) progress() string {
+	if j.launched {
+		return "launched"
+	}
+	return "waiting"
+}
+
 // Cancel ends a job. It reports whether the job was known and had no answer yet.
 func (a *Assigner) Cancel(now time.Duration, id string) bool {
 	j := a.jobs[id]
--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -390,7 +390,7 @@
 		ExpectedRunTime: t.expected, Incarnation: g.load.Incarnation, Failures: t.failures, AllowSuspect: a.allowSuspect(&g.load),
 		Priority: j.Priority, Queue: j.Queue,
 	})
-	a.logDecision(Decision{Event: "task-launched", Task: t.ref, Run: t.run, Instance: g.instance, Wait: wait, Age: age})
+	a.logDecision(Decision{Event: "task-launched", Task: t.ref, Run: t.run, Instance: g.instance, Wait: wait, Age: age, JobAge: now - j.arrived})
 }
 
 // send adds the frames for the agents to the output.
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -343,7 +343,10 @@
 		e = e.Str("job", d.Task.Job).Int("step", d.Task.Step).Int("task", d.Task.Index).Uint64("run", d.Run)
 	}
 	if d.Proof != "" {
-		e = e.Str("proof", string(d.Proof))
+		e = e.Str("proof", d.Proof)
+	}
+	if d.JobAge > 0 {
+		e = e.Dur("job-age", d.JobAge)
 	}
 	e.Str("instance", d.Instance).Str("reason", d.Reason).Dur("wait", d.Wait).Dur("age", d.Age).Msg("")
 }
--- a/internal/messenger/ephemeral.go
+++ b/internal/messenger/ephemeral.go
@@ -130,6 +130,14 @@
 	ProofReconnected  Proof = "reconnected"   // The agent has accepted a new connection, which it does once the run has ended.
 )
 
+// Name returns the proof's name in logs.
+func (p Proof) Name() string {
+	if p == ProofListed {
+		return "listed"
+	}
+	return string(p)
+}
+
 // End reports to the entry that a task of an ephemeral job has ended at an agent.
 type End struct {
 	Task TaskRef `cbor:"1,keyasint"`
