Launch no task of a caller whose connection has ended

Callers saw a task of their job run twice at the same time, on an entry that reads a request late: it was paused, or the request was delayed. The caller has left by then and, 1.3 s after its break, submitted the job to another entry. The end of the connection is behind the request, so the entry launched the job, read the end and withdrew it: both runs have number 1, and the later one is stopped within milliseconds.

A break of which nothing reaches the entry's machine is another matter (TestUnnoticedBreak).

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -71,6 +71,9 @@
 	CallerTimeout    time.Duration // how long the caller waits for the answer
 	MaxAttempts      int           // number of failures of one task that fails the job
 	Ticket           uint64        // identifies the caller's request; unique for each request
+	// CallerGone reports whether the caller's connection is known to have ended, although
+	// [Assigner.CallerLeft] may not have been called yet. It does not block; nil means unknown.
+	CallerGone func() bool
 }
 
 // Outcome is the result with which a job is answered.
@@ -138,6 +141,7 @@
 	jobs          map[string]*job
 	pending       []*task // tasks that are ready and not scheduled
 	unscheduled   []*task // tasks for which the current pass found no capacity
+	gone          []*job  // jobs with tasks that the current pass did not launch because the caller has left
 	unsorted      bool    // whether pending must be sorted by urgency
 	departed      []departedAgent
 	queues        map[string]*queue
--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -33,6 +33,7 @@
 //	queue NAME                               sets the queue of the jobs that are submitted next
 //	log                                      prints decisions about crashes and hazards from then on
 //	leave ID TICKET                          ends the caller's connection
+//	gone TICKET                              ends it without telling the assigner
 //	cancel ID
 //	entries N                                sets the number of entries
 //	rests                                    enables idle heartbeats; must come first
@@ -43,6 +44,7 @@
 		s := &script{
 			t: t, assigner: New(testLimits, "dc-1", rand.New(rand.NewPCG(1, 1))),
 			incarnations: make(map[string]string), launchesSeen: make(map[string]uint64), connections: make(map[string]int),
+			gone: make(map[uint64]bool),
 		}
 		for _, l := range lines {
 			s.line(l)
@@ -60,7 +62,8 @@
 	launchesSeen map[string]uint64
 	connections  map[string]int
 	queue        string
-	logged       bool // logged is set if decisions about crashes and hazards are printed.
+	gone         map[uint64]bool // gone has the tickets of the callers whose connections have ended.
+	logged       bool            // logged is set if decisions about crashes and hazards are printed.
 }
 
 func (s *script) peer(instance string) messenger.Peer {
@@ -112,6 +115,8 @@
 		s.logged = true
 	case "leave":
 		s.assigner.CallerLeft(s.now, a[0], uint64(scripter.Number(s.t, a[1])))
+	case "gone":
+		s.gone[uint64(scripter.Number(s.t, a[0]))] = true
 	case "cancel":
 		fmt.Fprintf(&s.out, "known %v\n", s.assigner.Cancel(s.now, a[0]))
 	case "entries":
@@ -160,6 +165,7 @@
 	if len(a) > 6 {
 		j.Steps[0].Label = a[6]
 	}
+	j.CallerGone = func() bool { return s.gone[j.Ticket] }
 	s.assigner.Submit(s.now, j)
 }
 
--- a/internal/assigner/job.go
+++ b/internal/assigner/job.go
@@ -26,8 +26,11 @@
 	ran          bool // whether a task may have run
 	running      int  // number of tasks that may be running
 	answered     bool // an answered job is kept until none of its tasks may be running
-	baseRun      uint64
-	replacement  *job // resubmission of the same ID, admitted once this job is removed
+	// probedAt is when the caller's connection was last probed, and gone what that showed.
+	probedAt    time.Duration
+	gone        bool
+	baseRun     uint64
+	replacement *job // resubmission of the same ID, admitted once this job is removed
 }
 
 // state is the state of a task.
@@ -93,7 +96,7 @@
 }
 
 func (a *Assigner) newJob(now time.Duration, s Job) *job {
-	j := &job{Job: s, arrived: now, unfinished: make([]int, len(s.Steps))}
+	j := &job{Job: s, arrived: now, probedAt: -1, unfinished: make([]int, len(s.Steps))}
 	q := a.queue(s.Queue)
 	chain := make([]time.Duration, len(s.Steps))
 	for i := range s.Steps {
@@ -189,6 +192,24 @@
 	}
 }
 
+// callerGone reports whether the caller's connection has ended. It probes the connection once for
+// all tasks of a pass.
+func (j *job) callerGone(now time.Duration) bool {
+	if j.CallerGone != nil && j.probedAt != now {
+		j.probedAt, j.gone = now, j.CallerGone()
+	}
+	return j.gone
+}
+
+// dropGone drops the jobs whose callers were found to have left when a task was about to be
+// launched.
+func (a *Assigner) dropGone(now time.Duration) {
+	for _, j := range a.gone {
+		a.CallerLeft(now, j.ID, j.Ticket)
+	}
+	a.gone = a.gone[:0]
+}
+
 // progress returns whether a task of the job was launched, for the log.
 func (j *job) progress() string {
 	if j.launched {
--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -65,6 +65,7 @@
 	if late {
 		a.scheduleSelected(now, func(t *task) bool { return t.latestStart() < now })
 	}
+	a.dropGone(now)
 }
 
 // scheduleSelected launches the pending tasks that are selected. It reports whether any
@@ -88,6 +89,11 @@
 			a.unscheduled = append(a.unscheduled, t)
 			return false
 		}
+		if t.job.callerGone(now) {
+			// The caller may have submitted the job to another entry, which runs it.
+			a.gone = append(a.gone, t.job)
+			return false
+		}
 		a.launch(now, t, g, wait)
 		return true
 	})
