Recall a job that another entry has open before it is admitted again

Callers saw a task run twice when their connection broke and nothing of that reached the entry's machine: it ran the first submission on, and another entry the second one.

Entries now tell each other of the jobs that have been open for 400 ms, and an entry at which such a job is submitted recalls it from its owner, which gives it up and answers once it has no run by proof. No first launch waits for a message.

TestRecallBeforeAdmission has the owner accept, end, stay silent and leave.

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -118,6 +118,7 @@
 type Output struct {
 	Sends     []Send
 	Closes    []messenger.Peer // agents whose connections must be closed
+	Recalled  []string         // jobs that were recalled and have no runs any more
 	Crashed   []string         // queues of the runs that ended because their upstream crashed
 	Answers   []Answer
 	Decisions []Decision
--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -34,6 +34,10 @@
 //	log                                      prints decisions about crashes and hazards from then on
 //	leave ID TICKET                          ends the caller's connection
 //	gone TICKET                              ends it without telling the assigner
+//	submit-after ID TICKET TASKS CPU DECLARED  submits a job that may run at another entry
+//	ended-elsewhere ID
+//	recall ID                                prints whether the job may have runs
+//	open-jobs                                prints the jobs that arrived 400 ms ago, at most once in 4 s
 //	cancel ID
 //	entries N                                sets the number of entries
 //	rests                                    enables idle heartbeats; must come first
@@ -95,7 +99,15 @@
 			s.assigner.Receive(s.now, s.peer(instance), &messenger.Frame{Stamp: &messenger.Stamp{Clock: s.now}})
 		}
 	case "submit":
-		s.submit(a)
+		s.assigner.Submit(s.now, s.job(a))
+	case "submit-after":
+		s.assigner.SubmitAfter(s.now, s.job(a))
+	case "ended-elsewhere":
+		s.assigner.EndedElsewhere(s.now, a[0])
+	case "recall":
+		fmt.Fprintf(&s.out, "may run %v\n", s.assigner.Recall(s.now, a[0]))
+	case "open-jobs":
+		fmt.Fprintln(&s.out, s.assigner.OpenJobs(s.now, 400*time.Millisecond, 4*time.Second), s.assigner.ToldJobs())
 	case "end":
 		s.assigner.Receive(s.now, s.peer(a[0]), &messenger.Frame{Ends: []messenger.End{{
 			Task: s.task(a[1]), Run: uint64(scripter.Number(s.t, a[2])),
@@ -153,7 +165,8 @@
 	s.assigner.Receive(s.now, s.peer(a[0]), &messenger.Frame{Load: l, Stamp: &messenger.Stamp{Clock: s.now}})
 }
 
-func (s *script) submit(a []string) {
+// job returns the job that a line describes.
+func (s *script) job(a []string) Job {
 	j := Job{
 		ID: a[0], Queue: cmp.Or(s.queue, "q"), Service: "quote", SlowdownFactor: 1.6, LatencyAllowance: 60 * time.Millisecond,
 		CallerTimeout: 2 * time.Second, MaxAttempts: 2, Ticket: uint64(scripter.Number(s.t, a[1])),
@@ -166,7 +179,7 @@
 		j.Steps[0].Label = a[6]
 	}
 	j.CallerGone = func() bool { return s.gone[j.Ticket] }
-	s.assigner.Submit(s.now, j)
+	return j
 }
 
 func (s *script) print() {
@@ -184,6 +197,9 @@
 	for _, a := range out.Answers {
 		fmt.Fprintf(&s.out, "answer %d: %s %s\n", a.Ticket, a.Outcome, a.Reason)
 	}
+	for _, id := range out.Recalled {
+		fmt.Fprintf(&s.out, "recalled %s\n", id)
+	}
 	for _, d := range out.Decisions {
 		if s.logged && (d.Event == "crash-recorded" || strings.HasPrefix(d.Event, "queue-")) {
 			fmt.Fprintf(&s.out, "log %s %s %s\n", d.Event, d.Reason, d.Task.Job)
--- a/internal/assigner/job.go
+++ b/internal/assigner/job.go
@@ -29,6 +29,9 @@
 	// probedAt is when the caller's connection was last probed, and gone what that showed.
 	probedAt    time.Duration
 	gone        bool
+	toldAt      time.Duration // when the other entries were last told of the job; 0 if they were not
+	recalled    bool          // whether another entry waits until none of its tasks may be running
+	elsewhere   bool          // whether an earlier submission may run at another entry
 	baseRun     uint64
 	replacement *job // resubmission of the same ID, admitted once this job is removed
 }
@@ -80,16 +83,7 @@
 // supersede replaces a job by a resubmission of the same ID. Either the caller has given
 // up on the first request, or that request has been answered.
 func (a *Assigner) supersede(now time.Duration, old, j *job) {
-	if !old.answered {
-		a.logDecision(Decision{Event: "job-resubmitted", Task: messenger.TaskRef{Job: j.ID}, Reason: old.progress(), JobAge: now - old.arrived})
-		a.drop(old)
-		old.answered = true
-		a.answer(now, old, OutcomeGivenUp, "resubmitted", 0)
-	}
-	if last := old.replacement; last != nil && !last.answered {
-		last.answered = true
-		a.answer(now, last, OutcomeGivenUp, "resubmitted", 0)
-	}
+	a.giveUpSubmissions(now, old, "resubmitted")
 	j.baseRun = old.baseRun + runStep
 	old.replacement = j
 	a.forget(now, old)
@@ -325,6 +319,9 @@
 		return
 	}
 	delete(a.jobs, j.ID)
+	if j.recalled {
+		a.out.Recalled = append(a.out.Recalled, j.ID)
+	}
 	next := j.replacement
 	if next == nil || next.answered {
 		return
--- /dev/null
+++ b/internal/assigner/recall.go
@@ -0,0 +1,89 @@
+package assigner
+
+import (
+	"slices"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/messenger"
+)
+
+// SubmitAfter adds a job of which an earlier submission may run at another entry. It is admitted
+// once [Assigner.EndedElsewhere] is called, and until then has the deadlines of any waiting job.
+func (a *Assigner) SubmitAfter(now time.Duration, s Job) {
+	j := a.jobs[s.ID]
+	if j == nil {
+		j = &job{Job: Job{ID: s.ID}, answered: true}
+		a.jobs[s.ID] = j
+	}
+	if !j.elsewhere {
+		// The runs elsewhere count as one more task that may be running.
+		j.elsewhere = true
+		j.running++
+	}
+	a.Submit(now, s)
+}
+
+// EndedElsewhere applies the end of all runs that a submission at another entry has had, or of the
+// wait for it.
+func (a *Assigner) EndedElsewhere(now time.Duration, id string) {
+	j := a.jobs[id]
+	if j == nil || !j.elsewhere {
+		return
+	}
+	j.elsewhere = false
+	j.running--
+	a.forget(now, j)
+}
+
+// Recall ends a job because its caller has submitted it to another entry, and reports whether the
+// job may have runs here. If so, the job is in the output's Recalled once it has none.
+func (a *Assigner) Recall(now time.Duration, id string) bool {
+	j := a.jobs[id]
+	if j == nil {
+		return false
+	}
+	a.giveUpSubmissions(now, j, "resubmitted-elsewhere")
+	j.recalled = true
+	a.forget(now, j)
+	return true
+}
+
+// giveUpSubmissions answers the submissions of a job that have no answer yet, since its caller has
+// submitted it again, and drops its tasks.
+func (a *Assigner) giveUpSubmissions(now time.Duration, j *job, reason string) {
+	if !j.answered {
+		a.logDecision(Decision{Event: "job-resubmitted", Task: messenger.TaskRef{Job: j.ID}, Reason: j.progress(), JobAge: now - j.arrived})
+		a.drop(j)
+		j.answered = true
+		a.answer(now, j, OutcomeGivenUp, reason, 0)
+	}
+	if last := j.replacement; last != nil && !last.answered {
+		last.answered = true
+		a.answer(now, last, OutcomeGivenUp, reason, 0)
+	}
+}
+
+// OpenJobs returns the jobs, in order, that arrived at least minAge ago and may have runs here, and
+// that it has not returned within the last interval.
+func (a *Assigner) OpenJobs(now, minAge, interval time.Duration) (ids []string) {
+	for _, j := range a.jobs {
+		if now-j.arrived < minAge || j.elsewhere || j.toldAt > 0 && now-j.toldAt < interval {
+			continue
+		}
+		j.toldAt = now
+		ids = append(ids, j.ID)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// ToldJobs returns the jobs, in order, that OpenJobs has returned and that may have runs here.
+func (a *Assigner) ToldJobs() (ids []string) {
+	for _, j := range a.jobs {
+		if j.toldAt > 0 {
+			ids = append(ids, j.ID)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -27,6 +27,7 @@
 	"sardinelock.dev/sardinelock/internal/messenger"
 	"sardinelock.dev/sardinelock/internal/meter"
 	"sardinelock.dev/sardinelock/internal/timer"
+	"sardinelock.dev/sardinelock/internal/tracker"
 )
 
 const (
@@ -92,6 +93,9 @@
 	directory    directory
 	announcedAt  time.Time // announcedAt is when new entries were last announced.
 	versions     versionTracker
+	tracker      *tracker.Tracker
+	// recalledBy has the connections of the entries that wait for the runs of recalled jobs to end.
+	recalledBy map[string][]*connector.Conn
 	// confirmedAt is when the platform or a peer last sent the version in force.
 	confirmedAt time.Time
 
@@ -117,6 +121,8 @@
 		latestOpened: make(map[string]time.Time),
 		entries:      make(map[messenger.Peer]*connector.Conn),
 		waiters:      make(map[uint64]chan<- assigner.Answer),
+		tracker:      tracker.New(trackerLimits),
+		recalledBy:   make(map[string][]*connector.Conn),
 		versions:     versionTracker{delay: s.ConfigRequestDelay, peers: make(map[messenger.Peer]uint64)},
 	}
 	b.background, b.stop = context.WithCancel(context.Background())
@@ -171,6 +177,7 @@
 	b.timers.Subscribe(dialInterval, func(time.Time) { b.loop.Post(b.links.DialDue) })
 	b.timers.Subscribe(configCheckInterval, func(time.Time) { b.loop.Post(b.requestConfig) })
 	b.timers.Subscribe(silentCheckInterval, func(time.Time) { b.loop.Post(b.closeSilentAgents) })
+	b.timers.Subscribe(tellInterval, func(time.Time) { b.loop.Post(b.tellOpenJobs) })
 	b.timers.Subscribe(loadLogInterval, func(time.Time) { b.loop.Post(b.logLoad) })
 	err := g.Run()
 	b.stop()
@@ -227,7 +234,7 @@
 	answers := make(chan assigner.Answer, 1)
 	posted := b.loop.Post(func(now time.Time) {
 		b.waiters[j.Ticket] = answers
-		b.assigner.Submit(b.loop.Elapsed(now), j)
+		b.submit(now, j)
 	})
 	if !posted {
 		return assigner.Answer{}, &Error{Op: "submit", Kind: KindClosed, Err: context.Canceled}
@@ -300,6 +307,9 @@
 	for _, a := range out.Answers {
 		b.deliverAnswer(a)
 	}
+	for _, job := range out.Recalled {
+		b.answerRecalls(job)
+	}
 	for _, s := range out.Sends {
 		if conn := b.agents[s.To]; conn != nil {
 			conn.Send(s.Frame)
--- a/internal/broker/peers.go
+++ b/internal/broker/peers.go
@@ -50,6 +50,9 @@
 		b.links.Add(false, b.dialTargets([]netip.AddrPort{h.PeerAddr})...)
 		c.Send(routesFrame(b.directory.list(b.settings.PeerListen, b.links.Addresses())))
 		b.directory.connected(h.Peer, h.PeerAddr)
+		if told := b.assigner.ToldJobs(); len(told) > 0 {
+			c.Send(openJobsFrame(told))
+		}
 		b.versions.heard(h.Peer, h.ConfigVersion)
 	default:
 		return false
@@ -73,6 +76,7 @@
 		b.links.Reachable(now, b.dialTargets(connected)...)
 		b.links.Add(false, b.dialTargets(others)...)
 	}
+	b.receiveOpenJobs(now, c, f)
 	if f.Config == nil {
 		return
 	}
@@ -131,6 +135,7 @@
 		delete(b.entries, h.Peer)
 		b.directory.disconnected(h.Peer)
 		b.versions.gone(h.Peer)
+		b.endRecalls(now, "owner-gone", b.tracker.OwnerGone(h.Peer))
 		b.assigner.SetEntries(len(b.entries) + 1)
 		b.settings.Journal.Line("entry-disconnected").Str("peer", string(h.Peer)).Err(cause).Msg("")
 	}
--- /dev/null
+++ b/internal/broker/recalls.go
@@ -0,0 +1,122 @@
+package broker
+
+import (
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/assigner"
+	"sardinelock.dev/sardinelock/internal/connector"
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/tracker"
+)
+
+const (
+	// tellInterval is the interval at which the other entries are told of open jobs.
+	tellInterval = 200 * time.Millisecond
+	// tellAge is the age from which they are told of a job. Most jobs end before. Both together
+	// are half of the time after which a caller may submit a job again.
+	tellAge = 400 * time.Millisecond
+	// tellAgainInterval is the interval at which they are told of the same job again.
+	tellAgainInterval = 4 * time.Second
+)
+
+// trackerLimits are the limits of the directory of jobs that other entries have open. With 1,000
+// jobs a second that are open for longer than tellAge, 10 s make 10,000 records.
+var trackerLimits = tracker.Limits{
+	RecordLifetime: 10 * time.Second,
+	MaxRecords:     1 << 16,
+	AnswerTimeout:  150 * time.Millisecond,
+}
+
+// submit passes a job to the assigner. If another entry has the job open, the caller has submitted
+// it again, so the job is recalled from that entry and waits until it has no runs there.
+func (b *Broker) submit(now time.Time, j assigner.Job) {
+	elapsed := b.loop.Elapsed(now)
+	owner, ok := b.tracker.Owner(elapsed, j.ID)
+	conn := b.entries[owner]
+	if !ok || conn == nil {
+		b.assigner.Submit(elapsed, j)
+		return
+	}
+	b.logRecall("job-recall-sent", j.ID, owner, "")
+	b.tracker.Recall(elapsed, owner, j.ID)
+	b.assigner.SubmitAfter(elapsed, j)
+	sendRecall(conn, j.ID, messenger.RecallRequested)
+}
+
+// tellOpenJobs tells the other entries of the jobs that have become open for some time, and gives
+// up the recalls that were not accepted in time.
+func (b *Broker) tellOpenJobs(now time.Time) {
+	elapsed := b.loop.Elapsed(now)
+	b.endRecalls(now, "unanswered", b.tracker.Advance(elapsed))
+	open := b.assigner.OpenJobs(elapsed, tellAge, tellAgainInterval)
+	if len(open) == 0 {
+		return
+	}
+	f := openJobsFrame(open)
+	for _, c := range b.entries {
+		c.Send(f)
+	}
+}
+
+func openJobsFrame(ids []string) *messenger.Frame {
+	jobs := make([]messenger.OpenJob, len(ids))
+	for i, id := range ids {
+		jobs[i].Job = id
+	}
+	return &messenger.Frame{OpenJobs: jobs}
+}
+
+// receiveOpenJobs applies what another entry tells of its open jobs and of recalls.
+func (b *Broker) receiveOpenJobs(now time.Time, c *connector.Conn, f *messenger.Frame) {
+	elapsed, peer := b.loop.Elapsed(now), c.Hello().Peer
+	for _, j := range f.OpenJobs {
+		b.tracker.Opened(elapsed, peer, j.Job)
+	}
+	for _, r := range f.Recalls {
+		switch r.Step {
+		case messenger.RecallRequested:
+			b.acceptRecall(now, c, r.Job)
+		case messenger.RecallAccepted:
+			b.tracker.Accepted(peer, r.Job)
+		case messenger.RecallEnded:
+			if b.tracker.Ended(peer, r.Job) {
+				b.endRecalls(now, "ended", []string{r.Job})
+			}
+		}
+	}
+}
+
+// acceptRecall ends a job that its caller has submitted to another entry.
+func (b *Broker) acceptRecall(now time.Time, c *connector.Conn, job string) {
+	if !b.assigner.Recall(b.loop.Elapsed(now), job) {
+		sendRecall(c, job, messenger.RecallEnded)
+		return
+	}
+	b.recalledBy[job] = append(b.recalledBy[job], c)
+	sendRecall(c, job, messenger.RecallAccepted)
+}
+
+// answerRecalls tells the entries that have recalled a job that none of its tasks may be running.
+func (b *Broker) answerRecalls(job string) {
+	for _, c := range b.recalledBy[job] {
+		sendRecall(c, job, messenger.RecallEnded)
+	}
+	delete(b.recalledBy, job)
+}
+
+// endRecalls admits the jobs whose recalls have ended.
+func (b *Broker) endRecalls(now time.Time, reason string, jobs []string) {
+	for _, job := range jobs {
+		b.logRecall("job-recall-ended", job, "", reason)
+		b.meter.Recalled(reason)
+		b.assigner.EndedElsewhere(b.loop.Elapsed(now), job)
+	}
+}
+
+func sendRecall(c *connector.Conn, job string, step messenger.RecallStep) {
+	c.Send(&messenger.Frame{Recalls: []messenger.Recall{{Job: job, Step: step}}})
+}
+
+func (b *Broker) logRecall(event, job string, owner messenger.Peer, reason string) {
+	b.settings.Journal.Line(event).Str("job", job).Str("peer", string(owner)).Str("reason", reason).Msg("")
+}
--- /dev/null
+++ b/internal/broker/recalls_test.go
@@ -0,0 +1,102 @@
+package broker
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/assigner"
+	"sardinelock.dev/sardinelock/internal/connector"
+	"sardinelock.dev/sardinelock/internal/messenger"
+)
+
+// TestRecallBeforeAdmission submits a job that another entry has open, and checks when it is
+// admitted: not before that entry has no run of it, unless it does not answer or is gone.
+func TestRecallBeforeAdmission(t *testing.T) {
+	accept := messenger.Recall{Job: "j", Step: messenger.RecallAccepted}
+	end := messenger.Recall{Job: "j", Step: messenger.RecallEnded}
+	for _, test := range []struct {
+		name     string
+		answers  []messenger.Recall // answers are what the owner sends.
+		leave    bool               // leave is set if the owner then closes its connection.
+		admitted bool
+	}{
+		{"ended", []messenger.Recall{accept, end}, false, true},
+		{"ended at once", []messenger.Recall{end}, false, true},
+		{"accepted", []messenger.Recall{accept}, false, false},
+		{"unanswered", nil, false, true},
+		{"owner gone", []messenger.Recall{accept}, true, true},
+		{"another job", []messenger.Recall{accept, {Job: "other", Step: messenger.RecallEnded}}, false, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			w := newAgentWorld(t)
+			owner, recalls := w.dialEntry("entry-2")
+			owner.Send(openJobsFrame([]string{"j"}))
+			w.await("the open job", func() bool { return w.isOpen("j") })
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go func() {
+				_, _ = w.broker.Submit(ctx, assigner.Job{ID: "j", Service: "s", CallerTimeout: 5 * time.Second, SlowdownFactor: 1,
+					LatencyAllowance: 5 * time.Second, MaxAttempts: 1, Steps: []assigner.Step{{Count: 1, DeclaredRunTime: time.Millisecond}}})
+			}()
+			if r := <-recalls; r != (messenger.Recall{Job: "j", Step: messenger.RecallRequested}) {
+				t.Errorf("the owner received %v", r)
+			}
+			if w.broker.Outstanding() != 0 {
+				t.Error("the job was admitted before the owner's answer")
+			}
+			for _, a := range test.answers {
+				sendRecall(owner, a.Job, a.Step)
+			}
+			if test.leave {
+				owner.Close()
+			}
+			isAdmitted := func() bool { return w.broker.Outstanding() == 1 }
+			if test.admitted {
+				w.await("the admission", isAdmitted)
+				return
+			}
+			time.Sleep(trackerLimits.AnswerTimeout + 2*tellInterval)
+			if isAdmitted() {
+				t.Error("the job was admitted while the owner may have runs")
+			}
+		})
+	}
+}
+
+// TestRecallOfUnknownJob checks that an entry answers the recall of a job that it does not have.
+func TestRecallOfUnknownJob(t *testing.T) {
+	w := newAgentWorld(t)
+	c, recalls := w.dialEntry("entry-2")
+	sendRecall(c, "j", messenger.RecallRequested)
+	if r := <-recalls; r != (messenger.Recall{Job: "j", Step: messenger.RecallEnded}) {
+		t.Errorf("the answer is %v", r)
+	}
+}
+
+// dialEntry connects as another entry, and returns the recalls that it receives.
+func (w *agentWorld) dialEntry(peer messenger.Peer) (*connector.Conn, <-chan messenger.Recall) {
+	w.t.Helper()
+	hello := messenger.Hello{Version: messenger.ProtocolVersion, Peer: peer, Role: messenger.RoleEntry}
+	c, err := connector.Dial(w.context, "ws://"+w.broker.Addr().String()+connector.Path, connector.Options{
+		Hello: func() messenger.Hello { return hello }, Counts: new(connector.Counts),
+	})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	recalls := make(chan messenger.Recall, 16)
+	go func() {
+		_ = c.Run(func(f *messenger.Frame) {
+			for _, r := range f.Recalls {
+				recalls <- r
+			}
+		})
+	}()
+	return c, recalls
+}
+
+// isOpen reports whether the broker has a record of a job that another entry has open.
+func (w *agentWorld) isOpen(job string) (open bool) {
+	w.broker.loop.Call(func(now time.Time) { _, open = w.broker.tracker.Owner(w.broker.loop.Elapsed(now), job) })
+	return open
+}
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -62,6 +62,8 @@
 	Load                   *Load                  `cbor:"27,keyasint,omitempty"`
 	Stamp                  *Stamp                 `cbor:"28,keyasint,omitempty"`
 	Crashes                []Crash                `cbor:"29,keyasint,omitempty"`
+	OpenJobs               []OpenJob              `cbor:"30,keyasint,omitempty"`
+	Recalls                []Recall               `cbor:"31,keyasint,omitempty"`
 }
 
 // Hello is the first message in both directions of a connection.
--- a/internal/messenger/fuzz_test.go
+++ b/internal/messenger/fuzz_test.go
@@ -46,6 +46,8 @@
 		Load:                   &Load{Incarnation: "u", Service: "quote", State: RunnerReady, Labels: []string{"r1"}, LaunchesReceived: 3},
 		Stamp:                  &Stamp{Clock: time.Second, Echo: 2},
 		Crashes:                []Crash{{Upstream: "u#1", Age: time.Second, Runs: []CrashedRun{{Task: TaskRef{Job: "a"}, Queue: "q", RunTime: time.Second, Certain: true}}}},
+		OpenJobs:               []OpenJob{{Job: "a"}},
+		Recalls:                []Recall{{Job: "a", Step: RecallAccepted}},
 	}
 }
 
--- /dev/null
+++ b/internal/messenger/recall.go
@@ -0,0 +1,23 @@
+package messenger
+
+// OpenJob tells the other entries of an ephemeral job that the sender has had open for some time.
+type OpenJob struct {
+	Job string `cbor:"1,keyasint"`
+}
+
+// Recall is a message about the runs of an ephemeral job between an entry at which the job was
+// submitted again and the entry that has it open.
+type Recall struct {
+	Job  string     `cbor:"1,keyasint"`
+	Step RecallStep `cbor:"2,keyasint"`
+}
+
+// RecallStep is a step of a recall.
+type RecallStep string
+
+// The steps of a recall.
+const (
+	RecallRequested RecallStep = "requested" // The caller has submitted the job to the sender.
+	RecallAccepted  RecallStep = "accepted"  // The sender launches nothing more of the job, and ends its runs.
+	RecallEnded     RecallStep = "ended"     // The sender has no run of the job.
+)
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -43,11 +43,13 @@
 	verdicts         metric.Int64Counter
 	storeCalls       metric.Int64Counter
 	crashedRuns      metric.Int64Counter
+	recalls          metric.Int64Counter
 
 	answerOptions  optionCache[answerKey]
 	jobOptions     optionCache[answerKey]
 	verdictOptions optionCache[verdictKey]
 	queueOptions   optionCache[string]
+	recallOptions  optionCache[string]
 	requestOptions optionCache[requestKey]
 	storeOptions   optionCache[storeKey]
 }
@@ -127,6 +129,12 @@
 	m.crashedRuns.Add(context.Background(), 1, m.queueOptions.get(service, serviceAttributes).add...)
 }
 
+// Recalled records the end of a recall: a job that was submitted here while another entry had it
+// open.
+func (m *Meter) Recalled(outcome string) {
+	m.recalls.Add(context.Background(), 1, m.recallOptions.get(outcome, outcomeAttributes).add...)
+}
+
 // knownMethods are the HTTP methods with a series of their own. Any other method
 // counts as otherMethod, so that clients cannot create new series.
 var knownMethods = []string{
@@ -162,6 +170,7 @@
 	m.verdicts = r.counter("sardinelock.objective.events", "Answers by what they are for each objective of their service.")
 	m.storeCalls = r.counter("sardinelock.store.calls", "Tries of calls of the platform's services.")
 	m.crashedRuns = r.counter("sardinelock.task.crashes", "Runs of tasks that ended because their upstream crashed.")
+	m.recalls = r.counter("sardinelock.job.recalls", "Jobs that were submitted here while another entry had them open.")
 	r.observe(s)
 	return r.err
 }
--- a/internal/meter/options.go
+++ b/internal/meter/options.go
@@ -90,3 +90,7 @@
 func serviceAttributes(service string) []attribute.KeyValue {
 	return []attribute.KeyValue{attribute.String("service", service)}
 }
+
+func outcomeAttributes(outcome string) []attribute.KeyValue {
+	return []attribute.KeyValue{attribute.String("outcome", outcome)}
+}
--- /dev/null
+++ b/internal/tracker/tracker_test.go
@@ -0,0 +1,74 @@
+package tracker
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/messenger"
+	"sardinelock.dev/sardinelock/internal/scripter"
+)
+
+// TestScripts runs the scripts in testdata with room for two records.
+//
+//	at TIME              sets the time, and prints the jobs whose recalls were not accepted in time
+//	opened PEER JOB...   tells that an entry has jobs open
+//	owner JOB            prints the owner of a job
+//	recall PEER JOB      begins a recall
+//	accepted PEER JOB
+//	ended PEER JOB       prints whether that ends a recall
+//	gone PEER            ends a connection, and prints the jobs whose recalls end
+//	omitted              prints the number of jobs that were not recorded
+func TestScripts(t *testing.T) {
+	scripter.Run(t, "testdata/*.txtar", func(t *testing.T, lines []scripter.Line) string {
+		s := &script{t: t, tracker: New(Limits{RecordLifetime: 10 * time.Second, MaxRecords: 2, AnswerTimeout: 150 * time.Millisecond})}
+		for _, l := range lines {
+			s.line(l)
+		}
+		return s.out.String()
+	})
+}
+
+type script struct {
+	t       *testing.T
+	tracker *Tracker
+	now     time.Duration
+	out     strings.Builder
+}
+
+func (s *script) line(l scripter.Line) {
+	a := l.Args
+	peer := func() messenger.Peer { return messenger.Peer(a[0]) }
+	fmt.Fprintf(&s.out, "> %s %s\n", l.Verb, strings.Join(a, " "))
+	switch l.Verb {
+	case "at":
+		s.now = scripter.Duration(s.t, a[0])
+		s.print(s.tracker.Advance(s.now))
+	case "opened":
+		for _, job := range a[1:] {
+			s.tracker.Opened(s.now, peer(), job)
+		}
+	case "owner":
+		owner, ok := s.tracker.Owner(s.now, a[0])
+		fmt.Fprintln(&s.out, owner, ok)
+	case "recall":
+		s.tracker.Recall(s.now, peer(), a[1])
+	case "accepted":
+		s.tracker.Accepted(peer(), a[1])
+	case "ended":
+		fmt.Fprintln(&s.out, s.tracker.Ended(peer(), a[1]))
+	case "gone":
+		s.print(s.tracker.OwnerGone(peer()))
+	case "omitted":
+		fmt.Fprintln(&s.out, s.tracker.Omitted())
+	default:
+		s.t.Fatalf("line %d: unknown verb %q", l.Number, l.Verb)
+	}
+}
+
+func (s *script) print(jobs []string) {
+	if len(jobs) > 0 {
+		fmt.Fprintf(&s.out, "give up %s\n", strings.Join(jobs, " "))
+	}
+}
