--- a/cmd/sardinelock/cmd/platform.go
+++ b/cmd/sardinelock/cmd/platform.go
@@ -14,10 +14,14 @@
 		Use:   "platform",
 		Short: "Run a process on the users' platform",
 	}
-	c.AddCommand(
-		newPlatformRoleCommand("entry", "Run an entry on the users' platform", platform.RunEntry),
-		newPlatformRoleCommand("agent", "Run an agent on the users' platform", platform.RunAgent),
-	)
+	var announce netip.AddrPort
+	entry := newPlatformRoleCommand("entry", "Run an entry on the users' platform",
+		func(ctx context.Context, s platform.Settings, logLevel string) error {
+			s.PeerAnnounce = announce
+			return platform.RunEntry(ctx, s, logLevel)
+		})
+	entry.Flags().Var(addrFlag{&announce}, "announce-address", "address at which agents and other entries reach this one, if it listens at another, such as behind address translation")
+	c.AddCommand(entry, newPlatformRoleCommand("agent", "Run an agent on the users' platform", platform.RunAgent))
 	return c
 }
 
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -53,6 +53,8 @@
 	DataCentre string
 	// PeerListen is where agents and other entries connect.
 	PeerListen netip.AddrPort
+	// PeerAnnounce is the address at which they reach PeerListen. It is PeerListen if it is unset.
+	PeerAnnounce netip.AddrPort
 	// Entries are the peer addresses of some entries.
 	Entries []netip.AddrPort
 	Limits  assigner.Limits
@@ -106,6 +108,9 @@
 // New returns a broker that is bound to its address but does not serve yet. It
 // returns an error of kind [KindListen] if the address cannot be bound.
 func New(s Settings) (*Broker, error) {
+	if !s.PeerAnnounce.IsValid() {
+		s.PeerAnnounce = s.PeerListen
+	}
 	l, err := net.Listen("tcp", s.PeerListen.String())
 	if err != nil {
 		return nil, &Error{Op: "start", Kind: KindListen, Err: err}
@@ -158,7 +163,7 @@
 func (b *Broker) dialTargets(addrs []netip.AddrPort) []netip.AddrPort {
 	var targets []netip.AddrPort
 	for _, a := range addrs {
-		if b.settings.PeerListen.Compare(a) < 0 {
+		if b.settings.PeerAnnounce.Compare(a) < 0 {
 			targets = append(targets, a)
 		}
 	}
--- a/internal/broker/peers.go
+++ b/internal/broker/peers.go
@@ -17,7 +17,7 @@
 		Region:        b.settings.Region,
 		DataCentre:    b.settings.DataCentre,
 		Instance:      b.settings.Instance,
-		PeerAddr:      b.settings.PeerListen,
+		PeerAddr:      b.settings.PeerAnnounce,
 		ConfigVersion: b.version(),
 	}
 }
@@ -36,7 +36,7 @@
 	switch h.Role {
 	case messenger.RoleAgent:
 		b.newAgents[c] = now
-		c.Send(routesFrame(b.directory.list(b.settings.PeerListen, b.links.Addresses())))
+		c.Send(routesFrame(b.directory.list(b.settings.PeerAnnounce, b.links.Addresses())))
 	case messenger.RoleEntry:
 		if h.Peer == b.peer {
 			return false
@@ -48,7 +48,7 @@
 		b.assigner.SetEntries(len(b.entries) + 1)
 		b.settings.Journal.Line("entry-connected").Str("peer", string(h.Peer)).Msg("")
 		b.links.Add(false, b.dialTargets([]netip.AddrPort{h.PeerAddr})...)
-		c.Send(routesFrame(b.directory.list(b.settings.PeerListen, b.links.Addresses())))
+		c.Send(routesFrame(b.directory.list(b.settings.PeerAnnounce, b.links.Addresses())))
 		b.directory.connected(h.Peer, h.PeerAddr)
 		if told := b.assigner.ToldJobs(); len(told) > 0 {
 			c.Send(openJobsFrame(told))
