Answer for a resubmission that waits for the first submission's runs

A caller that cancelled a job which it had submitted twice got 410, and the job ran on; its GET got 410; and an entry that shut down meanwhile waited for no such job and answered it only when the runs had ended. The entry looked at the first submission alone, which was answered. It now takes the submission that has no answer. Such waits are longer since a job may be recalled from another entry.

Script resubmitted-open: before, the cancel printed known false and the job was launched again. resubmitted-held counts j1's resubmission among the jobs without an answer now, as Counts says: 2 jobs instead of 1; its answers are unchanged.

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -195,7 +195,7 @@
 // Counts returns the number of jobs without an answer and of pending tasks.
 func (a *Assigner) Counts() (jobs, pending int) {
 	for _, j := range a.jobs {
-		if !j.answered {
+		if j.unanswered() != nil {
 			jobs++
 		}
 	}
@@ -241,7 +241,7 @@
 func (a *Assigner) WaitingJobs(queue string) int {
 	n := 0
 	for _, j := range a.jobs {
-		if j.Queue == queue && !j.answered && !j.launched {
+		if open := j.unanswered(); open != nil && open.Queue == queue && !open.launched {
 			n++
 		}
 	}
--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -39,6 +39,7 @@
 //	recall ID                                prints whether the job may have runs
 //	open-jobs                                prints the jobs that arrived 400 ms ago, at most once in 4 s
 //	cancel ID
+//	state ID                                 prints whether the job is known, and whether it was launched
 //	entries N                                sets the number of entries
 //	rests                                    enables idle heartbeats; must come first
 //	close
@@ -131,6 +132,9 @@
 		s.gone[uint64(scripter.Number(s.t, a[0]))] = true
 	case "cancel":
 		fmt.Fprintf(&s.out, "known %v\n", s.assigner.Cancel(s.now, a[0]))
+	case "state":
+		known, launched := s.assigner.Known(a[0])
+		fmt.Fprintf(&s.out, "known %v, launched %v\n", known, launched)
 	case "entries":
 		s.assigner.SetEntries(int(scripter.Number(s.t, a[0])))
 	case "rests":
--- a/internal/assigner/job.go
+++ b/internal/assigner/job.go
@@ -212,10 +212,19 @@
 	return "waiting"
 }
 
+// unanswered returns the submission of the job that has no answer: the job itself, or the
+// resubmission that waits until the job is removed. It returns nil if there is none.
+func (j *job) unanswered() *job {
+	for j != nil && j.answered {
+		j = j.replacement
+	}
+	return j
+}
+
 // Cancel ends a job. It reports whether the job was known and had no answer yet.
 func (a *Assigner) Cancel(now time.Duration, id string) bool {
-	j := a.jobs[id]
-	if j == nil || j.answered {
+	j := a.jobs[id].unanswered()
+	if j == nil {
 		return false
 	}
 	a.finish(now, j, OutcomeCancelled, "cancelled", 0)
@@ -225,8 +234,8 @@
 // Known reports whether a job is known and has no answer yet, and whether any of its
 // tasks was launched.
 func (a *Assigner) Known(id string) (known, launched bool) {
-	j := a.jobs[id]
-	if j == nil || j.answered {
+	j := a.jobs[id].unanswered()
+	if j == nil {
 		return false, false
 	}
 	return true, j.launched
@@ -238,8 +247,8 @@
 // AbandonAll answers every job that has no answer yet, because the process shuts down.
 func (a *Assigner) AbandonAll(now time.Duration) {
 	for _, j := range a.sortedJobs() {
-		if !j.answered {
-			a.abandon(now, j, "shutting-down", 0)
+		if open := j.unanswered(); open != nil {
+			a.abandon(now, open, "shutting-down", 0)
 		}
 	}
 }
--- a/internal/broker/recalls_test.go
+++ b/internal/broker/recalls_test.go
@@ -42,7 +42,7 @@
 			if r := <-recalls; r != (messenger.Recall{Job: "j", Step: messenger.RecallRequested}) {
 				t.Errorf("the owner received %v", r)
 			}
-			if w.broker.Outstanding() != 0 {
+			if w.pending() != 0 {
 				t.Error("the job was admitted before the owner's answer")
 			}
 			for _, a := range test.answers {
@@ -51,7 +51,7 @@
 			if test.leave {
 				owner.Close()
 			}
-			isAdmitted := func() bool { return w.broker.Outstanding() == 1 }
+			isAdmitted := func() bool { return w.pending() == 1 }
 			if test.admitted {
 				w.await("the admission", isAdmitted)
 				return
@@ -95,6 +95,13 @@
 	return c, recalls
 }
 
+// pending returns the number of tasks that wait for an upstream, which only those of admitted jobs
+// do.
+func (w *agentWorld) pending() (n int) {
+	w.broker.loop.Call(func(time.Time) { _, n = w.broker.assigner.Counts() })
+	return n
+}
+
 // isOpen reports whether the broker has a record of a job that another entry has open.
 func (w *agentWorld) isOpen(job string) (open bool) {
 	w.broker.loop.Call(func(now time.Time) { _, open = w.broker.tracker.Owner(w.broker.loop.Elapsed(now), job) })
