Give up an unanswered recall when its time is over

The time was checked each 200 ms, with the list of open jobs, so a job waited for 150 to 350 ms for an entry that was paused. It is checked with the entry's other times, each 20 ms.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -178,7 +178,7 @@
 	g.Add(b.serve, func(error) { _ = b.server.Close() })
 	end, cancel := context.WithCancel(ctx)
 	g.Add(func() error { <-end.Done(); return nil }, func(error) { cancel() })
-	b.timers.Subscribe(tickInterval, func(time.Time) { b.loop.Post(func(time.Time) {}) })
+	b.timers.Subscribe(tickInterval, func(time.Time) { b.loop.Post(b.endUnanswered) })
 	b.timers.Subscribe(dialInterval, func(time.Time) { b.loop.Post(b.links.DialDue) })
 	b.timers.Subscribe(configCheckInterval, func(time.Time) { b.loop.Post(b.requestConfig) })
 	b.timers.Subscribe(silentCheckInterval, func(time.Time) { b.loop.Post(b.closeSilentAgents) })
--- a/internal/broker/recalls.go
+++ b/internal/broker/recalls.go
@@ -43,11 +43,15 @@
 	sendRecall(conn, j.ID, messenger.RecallRequested)
 }
 
-// tellOpenJobs tells the other entries of the jobs that have become open for some time, and gives
-// up the recalls that were not accepted in time.
+// endUnanswered admits the jobs whose recalls were not accepted in time.
+func (b *Broker) endUnanswered(now time.Time) {
+	b.endRecalls(now, "unanswered", b.tracker.Unanswered(b.loop.Elapsed(now)))
+}
+
+// tellOpenJobs tells the other entries of the jobs that have been open for tellAge.
 func (b *Broker) tellOpenJobs(now time.Time) {
 	elapsed := b.loop.Elapsed(now)
-	b.endRecalls(now, "unanswered", b.tracker.Advance(elapsed))
+	b.tracker.Expire(elapsed)
 	open := b.assigner.OpenJobs(elapsed, tellAge, tellAgainInterval)
 	if len(open) == 0 {
 		return
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -111,14 +111,17 @@
 	return t.endRecalls(func(r recall) bool { return r.owner == owner })
 }
 
-// Advance removes the records that have expired. It returns the jobs, in order, whose recalls were
-// not accepted in time.
-func (t *Tracker) Advance(now time.Duration) []string {
+// Expire removes the records that have expired.
+func (t *Tracker) Expire(now time.Duration) {
 	for job, r := range t.records {
 		if now >= r.expires {
 			delete(t.records, job)
 		}
 	}
+}
+
+// Unanswered ends the recalls that were not accepted in time, and returns their jobs in order.
+func (t *Tracker) Unanswered(now time.Duration) []string {
 	return t.endRecalls(func(r recall) bool { return !r.isAccepted && now >= r.answerBy })
 }
 
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -44,7 +44,8 @@
 	switch l.Verb {
 	case "at":
 		s.now = scripter.Duration(s.t, a[0])
-		s.print(s.tracker.Advance(s.now))
+		s.tracker.Expire(s.now)
+		s.print(s.tracker.Unanswered(s.now))
 	case "opened":
 		for _, job := range a[1:] {
 			s.tracker.Opened(s.now, peer(), job)
