Wait for the owner of a job that cannot be reached, and hold old jobs back after a cut

Callers saw a task run twice when their unnoticed break and a cut of the link between the two entries came together. Its records were dropped with the connection, too.

After the loss of another entry or a pause of its own, an entry launches nothing of a job older than the resubmission delay until recalls could have come.

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -40,6 +40,9 @@
 	// task for IdleThreshold, and its suspicion and liveness timeouts.
 	IdleHeartbeatInterval time.Duration
 	IdleThreshold         time.Duration
+	// ResubmitDelay is the shortest time after which a caller submits a job again; 0 if callers do
+	// not.
+	ResubmitDelay time.Duration
 	// AnswerMargin is the time before a caller's timeout at which its job is abandoned,
 	// so that the answer still reaches the caller.
 	AnswerMargin time.Duration
@@ -160,9 +163,13 @@
 	rejectingAt, rejectedAt time.Duration
 	firstJobAt              time.Duration // when the first job arrived; 0 if none has
 	closing                 bool
-	crashes                 crashLog
-	exposing                bool // whether upstreams were exposed to hazardous queues at the latest pass
-	out                     Output
+	// recallsUntil is until when recalls of jobs may come that were sent while this entry was
+	// paused or not connected to the sender.
+	recallsUntil time.Duration
+	advancedAt   time.Duration // when Advance was last called
+	crashes      crashLog
+	exposing     bool // whether upstreams were exposed to hazardous queues at the latest pass
+	out          Output
 }
 
 // departedAgent holds the tasks of a disconnected agent, which may still run.
@@ -291,6 +298,7 @@
 // Advance applies the timers that are due, schedules pending tasks, and returns the
 // actions to perform since the last call.
 func (a *Assigner) Advance(now time.Duration) Output {
+	a.noticePause(now)
 	a.checkAgents(now)
 	a.updateServing(now)
 	a.resolveDeparted(now)
--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -38,6 +38,8 @@
 //	ended-elsewhere ID
 //	recall ID                                prints whether the job may have runs
 //	open-jobs                                prints the jobs that arrived 400 ms ago, at most once in 4 s
+//	resubmit-delay TIME                      sets how soon callers submit again; must come first
+//	entry-lost                               ends the connection to another entry
 //	cancel ID
 //	state ID                                 prints whether the job is known, and whether it was launched
 //	entries N                                sets the number of entries
@@ -135,6 +137,12 @@
 	case "state":
 		known, launched := s.assigner.Known(a[0])
 		fmt.Fprintf(&s.out, "known %v, launched %v\n", known, launched)
+	case "resubmit-delay":
+		l := testLimits
+		l.ResubmitDelay = scripter.Duration(s.t, a[0])
+		s.assigner = New(l, "dc-1", rand.New(rand.NewPCG(1, 1)))
+	case "entry-lost":
+		s.assigner.EntryLost(s.now)
 	case "entries":
 		s.assigner.SetEntries(int(scripter.Number(s.t, a[0])))
 	case "rests":
--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -78,6 +78,9 @@
 			skipped = true
 			return false
 		}
+		if a.mayBeRecalled(now, t.job) {
+			return false
+		}
 		if failedAttempts >= maxFailedAttempts || slices.ContainsFunc(a.unscheduled, t.needsAtLeast) {
 			unscheduled.add(t)
 			return false
--- a/internal/assigner/recall.go
+++ b/internal/assigner/recall.go
@@ -87,3 +87,31 @@
 	slices.Sort(ids)
 	return ids
 }
+
+const (
+	// entryReturnTime is the time after the loss of the connection to an entry in which it may
+	// connect again and recall jobs, if it was not the entry that ended.
+	entryReturnTime = time.Second
+	// pauseThreshold is the shortest time between two calls of Advance, which are some 20 ms apart,
+	// that counts as a pause of this entry, and catchUpTime the time after it in which the messages
+	// that came meanwhile are read.
+	pauseThreshold = 200 * time.Millisecond
+	catchUpTime    = 100 * time.Millisecond
+)
+
+// EntryLost applies the end of the connection to another entry.
+func (a *Assigner) EntryLost(now time.Duration) { a.recallsUntil = now + entryReturnTime }
+
+// noticePause records a pause of this entry.
+func (a *Assigner) noticePause(now time.Duration) {
+	if now-a.advancedAt > pauseThreshold {
+		a.recallsUntil = max(a.recallsUntil, now+catchUpTime)
+	}
+	a.advancedAt = now
+}
+
+// mayBeRecalled reports whether a job may have been submitted to another entry while this one could
+// not be told of it. Nothing of such a job is launched, until its recall would have come.
+func (a *Assigner) mayBeRecalled(now time.Duration, j *job) bool {
+	return a.limits.ResubmitDelay > 0 && now < a.recallsUntil && now-j.arrived >= a.limits.ResubmitDelay
+}
--- a/internal/broker/agents_test.go
+++ b/internal/broker/agents_test.go
@@ -50,7 +50,7 @@
 	t.Cleanup(func() { j.Close() })
 	b, err := New(Settings{
 		Instance: "entry-1", PeerListen: netip.MustParseAddrPort("127.0.0.1:0"), Journal: j,
-		Limits: assigner.Limits{LivenessTimeout: time.Minute, SuspicionTimeout: time.Minute, HeartbeatInterval: time.Minute},
+		Limits: assigner.Limits{LivenessTimeout: time.Minute, SuspicionTimeout: time.Minute, HeartbeatInterval: time.Minute, ResubmitDelay: testResubmitDelay},
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -126,7 +126,7 @@
 		latestOpened: make(map[string]time.Time),
 		entries:      make(map[messenger.Peer]*connector.Conn),
 		waiters:      make(map[uint64]chan<- assigner.Answer),
-		tracker:      tracker.New(trackerLimits),
+		tracker:      tracker.New(s.trackerLimits()),
 		recalledBy:   make(map[string][]*connector.Conn),
 		versions:     versionTracker{delay: s.ConfigRequestDelay, peers: make(map[messenger.Peer]uint64)},
 	}
--- a/internal/broker/peers.go
+++ b/internal/broker/peers.go
@@ -50,6 +50,7 @@
 		b.links.Add(false, b.dialTargets([]netip.AddrPort{h.PeerAddr})...)
 		c.Send(routesFrame(b.directory.list(b.settings.PeerAnnounce, b.links.Addresses())))
 		b.directory.connected(h.Peer, h.PeerAddr)
+		b.resendRecalls(now, c)
 		if told := b.assigner.ToldJobs(); len(told) > 0 {
 			c.Send(openJobsFrame(told))
 		}
@@ -135,7 +136,8 @@
 		delete(b.entries, h.Peer)
 		b.directory.disconnected(h.Peer)
 		b.versions.gone(h.Peer)
-		b.endRecalls(now, "owner-gone", b.tracker.OwnerGone(h.Peer))
+		b.tracker.OwnerGone(b.loop.Elapsed(now), h.Peer)
+		b.assigner.EntryLost(b.loop.Elapsed(now))
 		b.assigner.SetEntries(len(b.entries) + 1)
 		b.settings.Journal.Line("entry-disconnected").Str("peer", string(h.Peer)).Err(cause).Msg("")
 	}
--- a/internal/broker/recalls.go
+++ b/internal/broker/recalls.go
@@ -19,12 +19,10 @@
 	tellAgainInterval = 4 * time.Second
 )
 
-// trackerLimits are the limits of the directory of jobs that other entries have open. With 1,000
-// jobs a second that are open for longer than tellAge, 10 s make 10,000 records.
-var trackerLimits = tracker.Limits{
-	RecordLifetime: 10 * time.Second,
-	MaxRecords:     1 << 16,
-	AnswerTimeout:  150 * time.Millisecond,
+// trackerLimits returns the limits of the directory of jobs that other entries have open. With
+// 1,000 jobs a second that are open for longer than tellAge, 10 s make 10,000 records.
+func (s *Settings) trackerLimits() tracker.Limits {
+	return tracker.Limits{RecordLifetime: 10 * time.Second, MaxRecords: 1 << 16, AnswerTimeout: s.Limits.ResubmitDelay}
 }
 
 // submit passes a job to the assigner. If another entry has the job open, the caller has submitted
@@ -32,15 +30,27 @@
 func (b *Broker) submit(now time.Time, j assigner.Job) {
 	elapsed := b.loop.Elapsed(now)
 	owner, ok := b.tracker.Owner(elapsed, j.ID)
-	conn := b.entries[owner]
-	if !ok || conn == nil {
+	if !ok {
 		b.assigner.Submit(elapsed, j)
 		return
 	}
-	b.logRecall("job-recall-sent", j.ID, owner, "")
+	b.logRecall("job-recalled", j.ID, owner, "")
 	b.tracker.Recall(elapsed, owner, j.ID)
 	b.assigner.SubmitAfter(elapsed, j)
-	sendRecall(conn, j.ID, messenger.RecallRequested)
+	// Without a connection, the recall is sent when the owner connects again.
+	if conn := b.entries[owner]; conn != nil {
+		sendRecall(conn, j.ID, messenger.RecallRequested)
+	}
+}
+
+// resendRecalls recalls from an entry that is back the jobs whose recalls it has not answered, if
+// they still have no answer here.
+func (b *Broker) resendRecalls(now time.Time, c *connector.Conn) {
+	for _, job := range b.tracker.OwnerBack(b.loop.Elapsed(now), c.Hello().Peer) {
+		if known, _ := b.assigner.Known(job); known {
+			sendRecall(c, job, messenger.RecallRequested)
+		}
+	}
 }
 
 // endUnanswered admits the jobs whose recalls were not accepted in time.
--- a/internal/broker/recalls_test.go
+++ b/internal/broker/recalls_test.go
@@ -10,6 +10,9 @@
 	"sardinelock.dev/sardinelock/internal/messenger"
 )
 
+// testResubmitDelay is how soon callers submit again in the tests.
+const testResubmitDelay = 200 * time.Millisecond
+
 // TestRecallBeforeAdmission submits a job that another entry has open, and checks when it is
 // admitted: not before that entry has no run of it, unless it does not answer or is gone.
 func TestRecallBeforeAdmission(t *testing.T) {
@@ -26,6 +29,7 @@
 		{"accepted", []messenger.Recall{accept}, false, false},
 		{"unanswered", nil, false, true},
 		{"owner gone", []messenger.Recall{accept}, true, true},
+		{"owner gone without an answer", nil, true, true},
 		{"another job", []messenger.Recall{accept, {Job: "other", Step: messenger.RecallEnded}}, false, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -56,7 +60,7 @@
 				w.await("the admission", isAdmitted)
 				return
 			}
-			time.Sleep(trackerLimits.AnswerTimeout + 2*tellInterval)
+			time.Sleep(2 * testResubmitDelay)
 			if isAdmitted() {
 				t.Error("the job was admitted while the owner may have runs")
 			}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -13,6 +13,7 @@
 package tracker
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -26,8 +27,8 @@
 	RecordLifetime time.Duration
 	// MaxRecords is the largest number of records. Jobs beyond it are not recorded.
 	MaxRecords int
-	// AnswerTimeout is how long an entry may take to accept a recall. One that does not is
-	// paused or cut off, and its runs end without contact.
+	// AnswerTimeout is how long an entry may take to accept a recall, or to connect again. The
+	// runs of one that is paused, has ended or is cut off from the agents have ended by then.
 	AnswerTimeout time.Duration
 }
 
@@ -36,6 +37,9 @@
 	limits  Limits
 	records map[string]record
 	recalls map[string]recall
+	// overdue has the recalls that were given up: the owner may launch tasks of the job once it is
+	// back.
+	overdue map[string]record
 	omitted uint64 // omitted counts the jobs that were not recorded because of MaxRecords.
 }
 
@@ -54,7 +58,7 @@
 
 // New returns an empty tracker.
 func New(l Limits) *Tracker {
-	return &Tracker{limits: l, records: make(map[string]record), recalls: make(map[string]recall)}
+	return &Tracker{limits: l, records: make(map[string]record), recalls: make(map[string]recall), overdue: make(map[string]record)}
 }
 
 // Opened records that an entry has a job open.
@@ -90,8 +94,10 @@
 
 // Ended applies the end of all runs of a job at its owner. It reports whether that ends a recall.
 func (t *Tracker) Ended(owner messenger.Peer, job string) bool {
-	if t.records[job].owner == owner {
-		delete(t.records, job)
+	for _, records := range []map[string]record{t.records, t.overdue} {
+		if records[job].owner == owner {
+			delete(records, job)
+		}
 	}
 	if r, ok := t.recalls[job]; !ok || r.owner != owner {
 		return false
@@ -100,36 +106,54 @@
 	return true
 }
 
-// OwnerGone applies the end of the connection to an entry. It returns the jobs, in order, whose
-// recalls end without an answer.
-func (t *Tracker) OwnerGone(owner messenger.Peer) []string {
+// OwnerGone applies the end of the connection to an entry. Its recalls and records remain for the
+// time in which it may connect again.
+func (t *Tracker) OwnerGone(now time.Duration, owner messenger.Peer) {
+	until := now + t.limits.AnswerTimeout
 	for job, r := range t.records {
 		if r.owner == owner {
-			delete(t.records, job)
+			r.expires = min(r.expires, until)
+			t.records[job] = r
+		}
+	}
+	for job, r := range t.recalls {
+		if r.owner == owner {
+			t.recalls[job] = recall{owner: owner, answerBy: until}
 		}
 	}
-	return t.endRecalls(func(r recall) bool { return r.owner == owner })
 }
 
-// Expire removes the records that have expired.
-func (t *Tracker) Expire(now time.Duration) {
-	for job, r := range t.records {
-		if now >= r.expires {
-			delete(t.records, job)
+// OwnerBack applies a new connection to an entry. It returns the jobs, in order, to recall from it:
+// those whose recalls have not ended, also if they were given up.
+func (t *Tracker) OwnerBack(now time.Duration, owner messenger.Peer) (jobs []string) {
+	for job, r := range t.recalls {
+		if r.owner == owner {
+			t.recalls[job] = recall{owner: owner, answerBy: now + t.limits.AnswerTimeout}
+			jobs = append(jobs, job)
+		}
+	}
+	for job, r := range t.overdue {
+		if r.owner == owner {
+			jobs = append(jobs, job)
 		}
 	}
+	slices.Sort(jobs)
+	return slices.Compact(jobs)
 }
 
-// Unanswered ends the recalls that were not accepted in time, and returns their jobs in order.
-func (t *Tracker) Unanswered(now time.Duration) []string {
-	return t.endRecalls(func(r recall) bool { return !r.isAccepted && now >= r.answerBy })
+// Expire removes the records and the overdue recalls that have expired.
+func (t *Tracker) Expire(now time.Duration) {
+	expired := func(_ string, r record) bool { return now >= r.expires }
+	maps.DeleteFunc(t.records, expired)
+	maps.DeleteFunc(t.overdue, expired)
 }
 
-// endRecalls ends the recalls that are selected and returns their jobs in order.
-func (t *Tracker) endRecalls(selected func(recall) bool) (jobs []string) {
+// Unanswered gives up the recalls that were not accepted in time, and returns their jobs in order.
+func (t *Tracker) Unanswered(now time.Duration) (jobs []string) {
 	for job, r := range t.recalls {
-		if selected(r) {
+		if !r.isAccepted && now >= r.answerBy {
 			delete(t.recalls, job)
+			t.overdue[job] = record{owner: r.owner, expires: now + t.limits.RecordLifetime}
 			jobs = append(jobs, job)
 		}
 	}
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -18,7 +18,8 @@
 //	recall PEER JOB      begins a recall
 //	accepted PEER JOB
 //	ended PEER JOB       prints whether that ends a recall
-//	gone PEER            ends a connection, and prints the jobs whose recalls end
+//	gone PEER            ends a connection
+//	back PEER            begins another one, and prints the jobs to recall
 //	omitted              prints the number of jobs that were not recorded
 func TestScripts(t *testing.T) {
 	scripter.Run(t, "testdata/*.txtar", func(t *testing.T, lines []scripter.Line) string {
@@ -60,7 +61,9 @@
 	case "ended":
 		fmt.Fprintln(&s.out, s.tracker.Ended(peer(), a[1]))
 	case "gone":
-		s.print(s.tracker.OwnerGone(peer()))
+		s.tracker.OwnerGone(s.now, peer())
+	case "back":
+		fmt.Fprintln(&s.out, s.tracker.OwnerBack(s.now, peer()))
 	case "omitted":
 		fmt.Fprintln(&s.out, s.tracker.Omitted())
 	default:
