--- a/internal/assigner/recall.go
+++ b/internal/assigner/recall.go
@@ -12,6 +12,7 @@
 func (a *Assigner) SubmitAfter(now time.Duration, s Job) {
 	j := a.jobs[s.ID]
 	if j == nil {
+		// The earlier submission is represented by a job without tasks.
 		j = &job{Job: Job{ID: s.ID}, answered: true}
 		a.jobs[s.ID] = j
 	}
--- a/internal/broker/peers.go
+++ b/internal/broker/peers.go
@@ -77,7 +77,7 @@
 		b.links.Reachable(now, b.dialTargets(connected)...)
 		b.links.Add(false, b.dialTargets(others)...)
 	}
-	b.receiveOpenJobs(now, c, f)
+	b.receiveRecalls(now, c, f)
 	if f.Config == nil {
 		return
 	}
--- a/internal/broker/recalls.go
+++ b/internal/broker/recalls.go
@@ -80,8 +80,8 @@
 	return &messenger.Frame{OpenJobs: jobs}
 }
 
-// receiveOpenJobs applies what another entry tells of its open jobs and of recalls.
-func (b *Broker) receiveOpenJobs(now time.Time, c *connector.Conn, f *messenger.Frame) {
+// receiveRecalls applies what another entry tells of its open jobs and of recalls.
+func (b *Broker) receiveRecalls(now time.Time, c *connector.Conn, f *messenger.Frame) {
 	elapsed, peer := b.loop.Elapsed(now), c.Hello().Peer
 	for _, j := range f.OpenJobs {
 		b.tracker.Opened(elapsed, peer, j.Job)
