--- a/internal/broker/recalls_test.go
+++ b/internal/broker/recalls_test.go
@@ -1,7 +1,6 @@
 package broker
 
 import (
-	"context"
 	"testing"
 	"time"
 
@@ -37,16 +36,11 @@
 			owner, recalls := w.dialEntry("entry-2")
 			owner.Send(openJobsFrame([]string{"j"}))
 			w.await("the open job", func() bool { return w.isOpen("j") })
-			ctx, cancel := context.WithCancel(t.Context())
-			defer cancel()
-			go func() {
-				_, _ = w.broker.Submit(ctx, assigner.Job{ID: "j", Service: "s", CallerTimeout: 5 * time.Second, SlowdownFactor: 1,
-					LatencyAllowance: 5 * time.Second, MaxAttempts: 1, Steps: []assigner.Step{{Count: 1, DeclaredRunTime: time.Millisecond}}})
-			}()
+			w.submit("j")
 			if r := <-recalls; r != (messenger.Recall{Job: "j", Step: messenger.RecallRequested}) {
 				t.Errorf("the owner received %v", r)
 			}
-			if w.pending() != 0 {
+			if w.isAdmitted() {
 				t.Error("the job was admitted before the owner's answer")
 			}
 			for _, a := range test.answers {
@@ -55,19 +49,34 @@
 			if test.leave {
 				owner.Close()
 			}
-			isAdmitted := func() bool { return w.pending() == 1 }
-			if test.admitted {
-				w.await("the admission", isAdmitted)
-				return
-			}
-			time.Sleep(2 * testResubmitDelay)
-			if isAdmitted() {
-				t.Error("the job was admitted while the owner may have runs")
-			}
+			w.checkAdmission(test.admitted)
 		})
 	}
 }
 
+// checkAdmission checks whether the job is admitted.
+func (w *agentWorld) checkAdmission(want bool) {
+	w.t.Helper()
+	if want {
+		w.await("the admission", w.isAdmitted)
+		return
+	}
+	time.Sleep(2 * testResubmitDelay)
+	if w.isAdmitted() {
+		w.t.Error("the job was admitted while the owner may have runs")
+	}
+}
+
+// submit submits a job of one task, whose caller stays until the test ends.
+func (w *agentWorld) submit(id string) {
+	go func() {
+		_, _ = w.broker.Submit(w.t.Context(), assigner.Job{
+			ID: id, Service: "s", CallerTimeout: 5 * time.Second, SlowdownFactor: 1, LatencyAllowance: 5 * time.Second, MaxAttempts: 1,
+			Steps: []assigner.Step{{Count: 1, DeclaredRunTime: time.Millisecond}},
+		})
+	}()
+}
+
 // TestRecallOfUnknownJob checks that an entry answers the recall of a job that it does not have.
 func TestRecallOfUnknownJob(t *testing.T) {
 	w := newAgentWorld(t)
@@ -99,11 +108,13 @@
 	return c, recalls
 }
 
-// pending returns the number of tasks that wait for an upstream, which only those of admitted jobs
-// do.
-func (w *agentWorld) pending() (n int) {
-	w.broker.loop.Call(func(time.Time) { _, n = w.broker.assigner.Counts() })
-	return n
+// isAdmitted reports whether a task waits for an upstream, which only those of admitted jobs do.
+func (w *agentWorld) isAdmitted() (admitted bool) {
+	w.broker.loop.Call(func(time.Time) {
+		_, pending := w.broker.assigner.Counts()
+		admitted = pending == 1
+	})
+	return admitted
 }
 
 // isOpen reports whether the broker has a record of a job that another entry has open.
