Let agents pass on messages between entries that have no connection

A frame can carry messages for another entry, with the address at which that accepts peers. The agent passes each on to the connected entry with that address, drops it if there is none, and keeps nothing. Processes of earlier versions ignore the new key.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -112,7 +112,8 @@
 	// The fields below belong to the control thread.
 	runner            *runner.Runner
 	conns             map[messenger.Peer]*connector.Conn
-	disconnectedSince time.Time // disconnectedSince is when an entry was last connected or a look-up last began.
+	relays            []arrivedRelay // relays are those to pass on at the next flush.
+	disconnectedSince time.Time      // disconnectedSince is when an entry was last connected or a look-up last began.
 	discovering       bool
 
 	background context.Context
@@ -292,6 +293,7 @@
 			conn.Close()
 		}
 	}
+	k.passOnRelays()
 	for _, d := range out.Decisions {
 		k.logDecision(d)
 	}
@@ -367,6 +369,7 @@
 		k.links.Add(false, others...)
 	}
 	k.runner.Receive(k.loop.Elapsed(now), peer, f)
+	k.receiveRelays(peer, f.Relays)
 }
 
 func (k *Keeper) removeConn(now time.Time, c *connector.Conn, cause error) {
--- a/internal/messenger/fuzz_test.go
+++ b/internal/messenger/fuzz_test.go
@@ -48,6 +48,7 @@
 		Crashes:                []Crash{{Upstream: "u#1", Age: time.Second, Runs: []CrashedRun{{Task: TaskRef{Job: "a"}, Queue: "q", RunTime: time.Second, Certain: true}}}},
 		OpenJobs:               []OpenJob{{Job: "a"}},
 		Recalls:                []Recall{{Job: "a", Step: RecallAccepted}},
+		Relays:                 []Relay{{From: "entry-0", To: netip.MustParseAddrPort("127.0.0.1:1"), Message: []byte{0xa0}}},
 	}
 }
 
