Tell open jobs and recalls through agents while two entries have no connection

Callers saw one task run twice at the same time: two entries had lost their connection to each other and both reached agents, so the entry with the second submission had no record of the job, or its recall didn't reach the first one. The second submission started beside the first.

An entry now sends what the other one must know through three agents, every 0.2 s, for 10 s after the connection ended, the address became known or the other was heard: all jobs that have been open for 0.4 s, and all recalls that have not ended. A message may be lost or come twice, so each is repeated, and a recall that was accepted before is only confirmed again. Messages to an entry go through one function, on the connection or through agents or both.

--- a/internal/broker/agents_test.go
+++ b/internal/broker/agents_test.go
@@ -64,6 +64,12 @@
 
 // dial connects as an agent process, and returns once the entry has completed the handshake.
 func (w *agentWorld) dial(peer messenger.Peer) *connector.Conn {
+	w.t.Helper()
+	return w.dialHandling(peer, func(*messenger.Frame) {})
+}
+
+// dialHandling is like dial, and passes the entry's frames on.
+func (w *agentWorld) dialHandling(peer messenger.Peer, handle func(*messenger.Frame)) *connector.Conn {
 	w.t.Helper()
 	hello := messenger.Hello{Version: messenger.ProtocolVersion, Peer: peer, Role: messenger.RoleAgent, Instance: "side-1"}
 	before := w.accepted()
@@ -73,7 +79,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	go func() { _ = c.Run(func(*messenger.Frame) {}) }()
+	go func() { _ = c.Run(handle) }()
 	w.await("the handshake", func() bool { return w.accepted() == before+1 })
 	return c
 }
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -96,8 +97,12 @@
 	announcedAt  time.Time // announcedAt is when new entries were last announced.
 	versions     versionTracker
 	tracker      *tracker.Tracker
-	// recalledBy has the connections of the entries that wait for the runs of recalled jobs to end.
-	recalledBy map[string][]*connector.Conn
+	// recalledBy has the entries that wait for the runs of recalled jobs to end.
+	recalledBy map[string][]messenger.Peer
+	relays     relayTargets
+	// nextRelayed is the first of the jobs that the next message through agents tells of, if there
+	// are too many for one.
+	nextRelayed string
 	// confirmedAt is when the platform or a peer last sent the version in force.
 	confirmedAt time.Time
 
@@ -127,11 +132,13 @@
 		entries:      make(map[messenger.Peer]*connector.Conn),
 		waiters:      make(map[uint64]chan<- assigner.Answer),
 		tracker:      tracker.New(s.trackerLimits()),
-		recalledBy:   make(map[string][]*connector.Conn),
+		recalledBy:   make(map[string][]messenger.Peer),
+		relays:       newRelayTargets(),
 		versions:     versionTracker{delay: s.ConfigRequestDelay, peers: make(map[messenger.Peer]uint64)},
 	}
 	b.background, b.stop = context.WithCancel(context.Background())
 	b.loop = controller.NewOnClock(timer.NewBootTimeClock(), b.flush)
+	b.entriesKnown(b.loop.Now(), s.Entries)
 	identity := meter.Identity{Role: string(messenger.RoleEntry), Peer: string(b.peer), Region: s.Region, DataCentre: s.DataCentre}
 	if b.meter, err = meter.New(identity, meter.Sources{Traffic: &b.counts, Busy: b.loop.Busy, Entry: b.entryState}); err != nil {
 		_ = l.Close()
@@ -291,7 +298,12 @@
 
 // AddEntries adds peer addresses of entries.
 func (b *Broker) AddEntries(entries []netip.AddrPort) {
-	b.loop.Post(func(time.Time) { b.links.Add(false, b.dialTargets(entries)...) })
+	b.loop.Post(func(now time.Time) {
+		known := b.links.Addresses()
+		added := slices.DeleteFunc(b.dialTargets(entries), func(a netip.AddrPort) bool { return slices.Contains(known, a) })
+		b.entriesKnown(now, added)
+		b.links.Add(false, added...)
+	})
 }
 
 // Offer applies a catalogue from the platform if it is newer than the one in force.
--- a/internal/broker/peers.go
+++ b/internal/broker/peers.go
@@ -50,6 +50,9 @@
 		b.links.Add(false, b.dialTargets([]netip.AddrPort{h.PeerAddr})...)
 		c.Send(routesFrame(b.directory.list(b.settings.PeerAnnounce, b.links.Addresses())))
 		b.directory.connected(h.Peer, h.PeerAddr)
+		if b.relays.connected(h.Peer, h.PeerAddr) {
+			b.logRelayEnd(h.PeerAddr, "connected")
+		}
 		b.resendRecalls(now, c)
 		if told := b.assigner.ToldJobs(); len(told) > 0 {
 			c.Send(openJobsFrame(told))
@@ -69,15 +72,17 @@
 		}
 		if b.agents[h.Peer] == c {
 			b.assigner.Receive(b.loop.Elapsed(now), h.Peer, f)
+			b.receiveRelays(now, h.Peer, f.Relays)
 		}
 		return
 	}
 	if f.Routes != nil {
 		connected, others := f.Routes.Addresses()
+		b.entriesKnown(now, connected)
 		b.links.Reachable(now, b.dialTargets(connected)...)
 		b.links.Add(false, b.dialTargets(others)...)
 	}
-	b.receiveRecalls(now, c, f)
+	b.receiveRecalls(now, h.Peer, f)
 	if f.Config == nil {
 		return
 	}
@@ -136,6 +141,9 @@
 		delete(b.entries, h.Peer)
 		b.directory.disconnected(h.Peer)
 		b.versions.gone(h.Peer)
+		if !b.isConnectedTo(h.PeerAddr) {
+			b.relays.disconnected(b.loop.Elapsed(now), h.Peer)
+		}
 		b.tracker.OwnerGone(b.loop.Elapsed(now), h.Peer)
 		b.assigner.EntryLost(b.loop.Elapsed(now))
 		b.assigner.SetEntries(len(b.entries) + 1)
--- a/internal/broker/recalls.go
+++ b/internal/broker/recalls.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"slices"
 	"time"
 
 	"sardinelock.dev/sardinelock/internal/assigner"
@@ -37,10 +38,8 @@
 	b.logRecall("job-recalled", j.ID, owner, "")
 	b.tracker.Recall(elapsed, owner, j.ID)
 	b.assigner.SubmitAfter(elapsed, j)
-	// Without a connection, the recall is sent when the owner connects again.
-	if conn := b.entries[owner]; conn != nil {
-		sendRecall(conn, j.ID, messenger.RecallRequested)
-	}
+	// The recall is sent again when the owner connects again, and through agents until then.
+	b.sendToEntry(owner, recallFrame(j.ID, messenger.RecallRequested))
 }
 
 // resendRecalls recalls from an entry that is back the jobs whose recalls it has not answered, if
@@ -62,14 +61,13 @@
 func (b *Broker) tellOpenJobs(now time.Time) {
 	elapsed := b.loop.Elapsed(now)
 	b.tracker.Expire(elapsed)
-	open := b.assigner.OpenJobs(elapsed, tellAge, tellAgainInterval)
-	if len(open) == 0 {
-		return
-	}
-	f := openJobsFrame(open)
-	for _, c := range b.entries {
-		c.Send(f)
+	if open := b.assigner.OpenJobs(elapsed, tellAge, tellAgainInterval); len(open) > 0 {
+		f := openJobsFrame(open)
+		for _, c := range b.entries {
+			c.Send(f)
+		}
 	}
+	b.relayOpenJobs(now)
 }
 
 func openJobsFrame(ids []string) *messenger.Frame {
@@ -81,15 +79,15 @@
 }
 
 // receiveRecalls applies what another entry tells of its open jobs and of recalls.
-func (b *Broker) receiveRecalls(now time.Time, c *connector.Conn, f *messenger.Frame) {
-	elapsed, peer := b.loop.Elapsed(now), c.Hello().Peer
+func (b *Broker) receiveRecalls(now time.Time, peer messenger.Peer, f *messenger.Frame) {
+	elapsed := b.loop.Elapsed(now)
 	for _, j := range f.OpenJobs {
 		b.tracker.Opened(elapsed, peer, j.Job)
 	}
 	for _, r := range f.Recalls {
 		switch r.Step {
 		case messenger.RecallRequested:
-			b.acceptRecall(now, c, r.Job)
+			b.acceptRecall(now, peer, r.Job)
 		case messenger.RecallAccepted:
 			b.tracker.Accepted(peer, r.Job)
 		case messenger.RecallEnded:
@@ -101,19 +99,22 @@
 }
 
 // acceptRecall ends a job that its caller has submitted to another entry.
-func (b *Broker) acceptRecall(now time.Time, c *connector.Conn, job string) {
-	if !b.assigner.Recall(b.loop.Elapsed(now), job) {
-		sendRecall(c, job, messenger.RecallEnded)
+func (b *Broker) acceptRecall(now time.Time, peer messenger.Peer, job string) {
+	isRepeated := slices.Contains(b.recalledBy[job], peer)
+	if !isRepeated && !b.assigner.Recall(b.loop.Elapsed(now), job) {
+		b.sendToEntry(peer, recallFrame(job, messenger.RecallEnded))
 		return
 	}
-	b.recalledBy[job] = append(b.recalledBy[job], c)
-	sendRecall(c, job, messenger.RecallAccepted)
+	if !isRepeated {
+		b.recalledBy[job] = append(b.recalledBy[job], peer)
+	}
+	b.sendToEntry(peer, recallFrame(job, messenger.RecallAccepted))
 }
 
 // answerRecalls tells the entries that have recalled a job that none of its tasks may be running.
 func (b *Broker) answerRecalls(job string) {
-	for _, c := range b.recalledBy[job] {
-		sendRecall(c, job, messenger.RecallEnded)
+	for _, peer := range b.recalledBy[job] {
+		b.sendToEntry(peer, recallFrame(job, messenger.RecallEnded))
 	}
 	delete(b.recalledBy, job)
 }
@@ -128,7 +129,11 @@
 }
 
 func sendRecall(c *connector.Conn, job string, step messenger.RecallStep) {
-	c.Send(&messenger.Frame{Recalls: []messenger.Recall{{Job: job, Step: step}}})
+	c.Send(recallFrame(job, step))
+}
+
+func recallFrame(job string, step messenger.RecallStep) *messenger.Frame {
+	return &messenger.Frame{Recalls: []messenger.Recall{{Job: job, Step: step}}}
 }
 
 func (b *Broker) logRecall(event, job string, owner messenger.Peer, reason string) {
--- a/internal/broker/recalls_test.go
+++ b/internal/broker/recalls_test.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -90,7 +91,13 @@
 // dialEntry connects as another entry, and returns the recalls that it receives.
 func (w *agentWorld) dialEntry(peer messenger.Peer) (*connector.Conn, <-chan messenger.Recall) {
 	w.t.Helper()
-	hello := messenger.Hello{Version: messenger.ProtocolVersion, Peer: peer, Role: messenger.RoleEntry}
+	return w.dialEntryAt(peer, netip.AddrPort{})
+}
+
+// dialEntryAt is like dialEntry for an entry that accepts peers at an address.
+func (w *agentWorld) dialEntryAt(peer messenger.Peer, addr netip.AddrPort) (*connector.Conn, <-chan messenger.Recall) {
+	w.t.Helper()
+	hello := messenger.Hello{Version: messenger.ProtocolVersion, Peer: peer, Role: messenger.RoleEntry, PeerAddr: addr}
 	c, err := connector.Dial(w.context, "ws://"+w.broker.Addr().String()+connector.Path, connector.Options{
 		Hello: func() messenger.Hello { return hello }, Counts: new(connector.Counts),
 	})
--- /dev/null
+++ b/internal/broker/relays_test.go
@@ -0,0 +1,179 @@
+package broker
+
+import (
+	"bytes"
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/connector"
+	"sardinelock.dev/sardinelock/internal/messenger"
+)
+
+var cutEntryAddr = netip.MustParseAddrPort("127.0.0.9:9")
+
+// TestRecallThroughAgent submits a job that an entry without a connection has open. What that entry tells
+// and answers comes through an agent.
+func TestRecallThroughAgent(t *testing.T) {
+	w := newAgentWorld(t)
+	agent, relays := w.dialRelayingAgent()
+	w.send(agent)
+	agent.Send(w.relayFrame(openJobsFrame([]string{"j"})))
+	w.await("the open job", func() bool { return w.isOpen("j") })
+	w.submit("j")
+	// The recall is repeated until it ends, also after it was accepted.
+	requested := messenger.Recall{Job: "j", Step: messenger.RecallRequested}
+	w.awaitRecall(relays, requested)
+	w.awaitRecall(relays, requested)
+	agent.Send(w.relayFrame(recallFrame("j", messenger.RecallAccepted)))
+	for range 3 {
+		w.awaitRecall(relays, requested)
+	}
+	if w.isAdmitted() {
+		t.Error("the job was admitted before the owner's answer")
+	}
+	agent.Send(w.relayFrame(recallFrame("j", messenger.RecallEnded)))
+	w.await("the admission", w.isAdmitted)
+}
+
+// TestRecallOfRelayedJob recalls a job of this entry through an agent, twice.
+func TestRecallOfRelayedJob(t *testing.T) {
+	w := newAgentWorld(t)
+	agent, relays := w.dialRelayingAgent()
+	w.send(agent)
+	// The entry without a connection is known, so that it is told of the job.
+	agent.Send(w.relayFrame(openJobsFrame([]string{"other"})))
+	w.submit("j")
+	w.awaitRelay(relays, func(f *messenger.Frame) bool { return slices.Contains(f.OpenJobs, messenger.OpenJob{Job: "j"}) })
+	for range 2 {
+		agent.Send(w.relayFrame(recallFrame("j", messenger.RecallRequested)))
+		w.awaitRecall(relays, messenger.Recall{Job: "j", Step: messenger.RecallEnded})
+	}
+	if w.isAdmitted() {
+		t.Error("the job may still be launched")
+	}
+}
+
+// TestNoRelayWhileConnected checks that nothing goes through agents to an entry that is connected, that its
+// messages go through agents once its connection has ended, and that they don't when it is back.
+func TestNoRelayWhileConnected(t *testing.T) {
+	w := newAgentWorld(t)
+	agent, relays := w.dialRelayingAgent()
+	w.send(agent)
+	entry, _ := w.dialEntryAt("entry-2", cutEntryAddr)
+	w.submit("j")
+	expectNone := func() {
+		t.Helper()
+		select {
+		case r := <-relays:
+			t.Errorf("a message to %v went through an agent", r.To)
+		case <-time.After(tellAge + 3*tellInterval):
+		}
+	}
+	expectNone()
+	entry.Close()
+	w.awaitRelay(relays, func(f *messenger.Frame) bool { return slices.Contains(f.OpenJobs, messenger.OpenJob{Job: "j"}) })
+	w.dialEntryAt("entry-2", cutEntryAddr)
+	w.await("the connection", func() bool { return w.relayTargetCount() == 0 })
+	for len(relays) > 0 {
+		<-relays
+	}
+	expectNone()
+}
+
+// TestRelayedJobsAreBounded checks that each message has a bounded number of jobs, and that all jobs are
+// told of in turn.
+func TestRelayedJobsAreBounded(t *testing.T) {
+	const jobs = 2*maxRelayedJobs + 10
+	w := newAgentWorld(t)
+	agent, relays := w.dialRelayingAgent()
+	w.send(agent)
+	agent.Send(w.relayFrame(openJobsFrame([]string{"other"})))
+	for i := range jobs {
+		w.submit(fmt.Sprintf("j%04d", i))
+	}
+	told := make(map[string]bool)
+	w.awaitRelay(relays, func(f *messenger.Frame) bool {
+		if len(f.OpenJobs) > maxRelayedJobs {
+			t.Errorf("a message has %d jobs", len(f.OpenJobs))
+		}
+		for _, j := range f.OpenJobs {
+			told[j.Job] = true
+		}
+		return len(told) == jobs
+	})
+}
+
+// TestRelayToAnotherAddress checks that a message for another entry is ignored.
+func TestRelayToAnotherAddress(t *testing.T) {
+	w := newAgentWorld(t)
+	agent, _ := w.dialRelayingAgent()
+	w.send(agent)
+	other := w.relayFrame(openJobsFrame([]string{"i"}))
+	other.Relays[0].To = cutEntryAddr
+	agent.Send(other)
+	agent.Send(w.relayFrame(openJobsFrame([]string{"j"})))
+	w.await("the open job", func() bool { return w.isOpen("j") })
+	if w.isOpen("i") {
+		t.Error("a message for another entry was applied")
+	}
+}
+
+// relayFrame returns a frame in which an agent passes on a message of the entry without a connection.
+func (w *agentWorld) relayFrame(f *messenger.Frame) *messenger.Frame {
+	w.t.Helper()
+	var message bytes.Buffer
+	if err := messenger.Append(&message, f); err != nil {
+		w.t.Fatal(err)
+	}
+	return &messenger.Frame{Relays: []messenger.Relay{{
+		From: "entry-2", ReplyTo: cutEntryAddr, To: w.broker.settings.PeerAnnounce, Message: message.Bytes(),
+	}}}
+}
+
+// dialRelayingAgent connects as an agent, and returns the messages to the entry without a connection that
+// it is to pass on.
+func (w *agentWorld) dialRelayingAgent() (*connector.Conn, <-chan messenger.Relay) {
+	w.t.Helper()
+	relays := make(chan messenger.Relay, 1024)
+	c := w.dialHandling("agent-1", func(f *messenger.Frame) {
+		for _, r := range f.Relays {
+			if r.To == cutEntryAddr {
+				relays <- r
+			}
+		}
+	})
+	return c, relays
+}
+
+// awaitRelay waits for a message that holds.
+func (w *agentWorld) awaitRelay(relays <-chan messenger.Relay, holds func(*messenger.Frame) bool) {
+	w.t.Helper()
+	timeout := time.After(5 * time.Second)
+	for found := false; !found; {
+		select {
+		case r := <-relays:
+			if r.ReplyTo != w.broker.settings.PeerAnnounce || r.From != w.broker.peer {
+				w.t.Errorf("a message is from %v at %v", r.From, r.ReplyTo)
+			}
+			if err := messenger.Decode(r.Message, func(f *messenger.Frame) { found = found || holds(f) }); err != nil {
+				w.t.Fatal(err)
+			}
+		case <-timeout:
+			w.t.Fatal("no such message within 5 s")
+		}
+	}
+}
+
+func (w *agentWorld) awaitRecall(relays <-chan messenger.Relay, want messenger.Recall) {
+	w.t.Helper()
+	w.awaitRelay(relays, func(f *messenger.Frame) bool { return slices.Contains(f.Recalls, want) })
+}
+
+// relayTargetCount returns the number of entries that are sent messages through agents.
+func (w *agentWorld) relayTargetCount() (n int) {
+	w.broker.loop.Call(func(time.Time) { n = len(w.broker.relays.list()) })
+	return n
+}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -141,6 +141,23 @@
 	return slices.Compact(jobs)
 }
 
+// NotEnded returns, by owner and in order, the jobs whose recalls have not ended, also if they were
+// given up.
+func (t *Tracker) NotEnded() map[messenger.Peer][]string {
+	jobs := make(map[messenger.Peer][]string)
+	for job, r := range t.recalls {
+		jobs[r.owner] = append(jobs[r.owner], job)
+	}
+	for job, r := range t.overdue {
+		jobs[r.owner] = append(jobs[r.owner], job)
+	}
+	for owner, ids := range jobs {
+		slices.Sort(ids)
+		jobs[owner] = slices.Compact(ids)
+	}
+	return jobs
+}
+
 // Expire removes the records and the overdue recalls that have expired.
 func (t *Tracker) Expire(now time.Duration) {
 	expired := func(_ string, r record) bool { return now >= r.expires }
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -20,6 +20,7 @@
 //	ended PEER JOB       prints whether that ends a recall
 //	gone PEER            ends a connection
 //	back PEER            begins another one, and prints the jobs to recall
+//	not-ended PEER       prints the jobs whose recalls from an entry have not ended
 //	omitted              prints the number of jobs that were not recorded
 func TestScripts(t *testing.T) {
 	scripter.Run(t, "testdata/*.txtar", func(t *testing.T, lines []scripter.Line) string {
@@ -64,6 +65,8 @@
 		s.tracker.OwnerGone(s.now, peer())
 	case "back":
 		fmt.Fprintln(&s.out, s.tracker.OwnerBack(s.now, peer()))
+	case "not-ended":
+		fmt.Fprintln(&s.out, s.tracker.NotEnded()[peer()])
 	case "omitted":
 		fmt.Fprintln(&s.out, s.tracker.Omitted())
 	default:
