Tell how long ago the latest data of a connection arrived

An entry that was paused, whose reader is starved or that accepts a connection late cannot tell from a request how long it has been waiting. Linux keeps the time of the latest data of a connection (TCP_INFO); it counts from the arrival in the kernel, also before the connection is accepted. prober returns its age in milliseconds, or that it is unknown.

TestDataAge reads data 200 ms after it was written, twice on one connection, with the age exact to 20 ms.

--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -1,4 +1,5 @@
-// Package prober tells whether the other side of a TCP connection has ended it.
+// Package prober tells what this machine's kernel knows of a TCP connection: whether the other side
+// has ended it, and when its latest data came.
 //
 // A server that was paused, or whose requests were delayed, may read a request long after its
 // client has left. The end of the connection is known to the kernel by then, but the server reads
@@ -9,6 +10,7 @@
 	"context"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -26,14 +28,10 @@
 // cannot be determined. It may be called at any time, also while the connection is read or after
 // it was closed.
 func Ended(ctx context.Context) func() bool {
-	c, ok := ctx.Value(connKey{}).(syscall.Conn)
+	raw, ok := rawConn(ctx)
 	if !ok {
 		return func() bool { return false }
 	}
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return func() bool { return false }
-	}
 	return func() (ended bool) {
 		err := raw.Control(func(fd uintptr) { ended = hungUp(int(fd)) })
 		// Control fails only on a connection that this process has closed.
@@ -48,3 +46,29 @@
 	n, err := unix.Poll(p, 0)
 	return err == nil && n > 0 && p[0].Revents&events != 0
 }
+
+// DataAge returns the time since the latest data of the context's connection reached this machine,
+// whether it was read or not. It is exact to some milliseconds. ok is false if it cannot be
+// determined.
+func DataAge(ctx context.Context) (age time.Duration, ok bool) {
+	raw, ok := rawConn(ctx)
+	if !ok {
+		return 0, false
+	}
+	var info *unix.TCPInfo
+	var failure error
+	if err := raw.Control(func(fd uintptr) { info, failure = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) }); err != nil || failure != nil {
+		return 0, false
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond, true
+}
+
+// rawConn returns the context's connection for calls of the kernel.
+func rawConn(ctx context.Context) (raw syscall.RawConn, ok bool) {
+	c, ok := ctx.Value(connKey{}).(syscall.Conn)
+	if !ok {
+		return nil, false
+	}
+	raw, err := c.SyscallConn()
+	return raw, err == nil
+}
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -55,6 +55,44 @@
 	}
 }
 
+// TestDataAge checks that the age of a connection's data counts from its arrival, not from the time
+// at which it is read, and that later data resets it.
+func TestDataAge(t *testing.T) {
+	const unread, tolerance = 200 * time.Millisecond, 20 * time.Millisecond
+	client, server := connect(t)
+	ctx := WithConn(t.Context(), server)
+	for range 2 {
+		before := time.Now()
+		if _, err := client.Write([]byte("x")); err != nil {
+			t.Fatal(err)
+		}
+		arrived := time.Now()
+		time.Sleep(unread)
+		if n, err := server.Read(make([]byte, 2)); n != 1 || err != nil {
+			t.Fatalf("read %d bytes: %v", n, err)
+		}
+		atLeast := time.Since(arrived) - tolerance
+		age, ok := DataAge(ctx)
+		if atMost := time.Since(before) + tolerance; !ok || age < atLeast || age > atMost {
+			t.Errorf("age %v, %v, want %v to %v", age, ok, atLeast, atMost)
+		}
+	}
+}
+
+// TestUnknownDataAge checks that the age is unknown without a connection and after its end.
+func TestUnknownDataAge(t *testing.T) {
+	if age, ok := DataAge(context.Background()); ok {
+		t.Errorf("age %v of a context without a connection", age)
+	}
+	_, server := connect(t)
+	if err := server.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if age, ok := DataAge(WithConn(t.Context(), server)); ok {
+		t.Errorf("age %v of a closed connection", age)
+	}
+}
+
 // connect returns both sides of a connection.
 func connect(t *testing.T) (client, server *net.TCPConn) {
 	t.Helper()
