Count the deadlines of a job from the arrival of its request

An entry that was paused, or is short of processor time, reads a request late and gave its job the whole of the caller's timeout and of the objective from then on: it ran jobs whose callers had timed out, and waited for capacity longer than a caller does.

The script read-late (a job unread for 300 ms, one for 79 ms, one that is too late when it is read) fails with the time of the read in place of that of the arrival.

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -74,6 +74,10 @@
 	CallerTimeout    time.Duration // how long the caller waits for the answer
 	MaxAttempts      int           // number of failures of one task that fails the job
 	Ticket           uint64        // identifies the caller's request; unique for each request
+	// Unread is for how long the request has been at this machine, at least, when the job is
+	// submitted. UnreadKnown is whether it is known and not only a lower bound.
+	Unread      time.Duration
+	UnreadKnown bool
 	// CallerGone reports whether the caller's connection is known to have ended, although
 	// [Assigner.CallerLeft] may not have been called yet. It does not block; nil means unknown.
 	CallerGone func() bool
--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -33,6 +33,7 @@
 //	queue NAME                               sets the queue of the jobs that are submitted next
 //	log                                      prints decisions about crashes and hazards from then on
 //	leave ID TICKET                          ends the caller's connection
+//	unread TIME                              sets how long the next submitted job has been unread
 //	gone TICKET                              ends it without telling the assigner
 //	submit-after ID TICKET TASKS CPU DECLARED  submits a job that may run at another entry
 //	ended-elsewhere ID
@@ -69,6 +70,7 @@
 	launchesSeen map[string]uint64
 	connections  map[string]int
 	queue        string
+	unread       time.Duration
 	gone         map[uint64]bool // gone has the tickets of the callers whose connections have ended.
 	logged       bool            // logged is set if decisions about crashes and hazards are printed.
 }
@@ -124,6 +126,8 @@
 			c.Runs = append(c.Runs, messenger.CrashedRun{Task: s.task(parts[0]), Queue: parts[1], RunTime: scripter.Duration(s.t, parts[2]), Certain: l.Verb == "crash"})
 		}
 		s.assigner.Receive(s.now, s.peer(a[0]), &messenger.Frame{Crashes: []messenger.Crash{c}})
+	case "unread":
+		s.unread = scripter.Duration(s.t, a[0])
 	case "queue":
 		s.queue = a[0]
 	case "log":
@@ -191,6 +195,8 @@
 		j.Steps[0].Label = a[6]
 	}
 	j.CallerGone = func() bool { return s.gone[j.Ticket] }
+	j.Unread, j.UnreadKnown = s.unread, s.unread > 0
+	s.unread = 0
 	return j
 }
 
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -237,7 +237,9 @@
 func (b *Broker) Submit(ctx context.Context, j assigner.Job) (assigner.Answer, error) {
 	j.Ticket = b.tickets.Add(1)
 	answers := make(chan assigner.Answer, 1)
+	received := b.loop.Now()
 	posted := b.loop.Post(func(now time.Time) {
+		j.Unread += now.Sub(received)
 		b.waiters[j.Ticket] = answers
 		b.submit(now, j)
 	})
