Ask the other entries about a request that was read late

A caller whose connection breaks submits its job again, to any entry.

A job whose request has been at this machine for 80 ms, or is read after a pause, is now held like one that is recalled, and all other entries are asked whether they have it. One that has it answers with its age; any other remembers who asked, so that a later submission is recalled from there. Whichever entry reads first, one of the two learns of the other before it launches. The submission here is taken for the later one only if it came half of 1.27 s after the other: callers wait for 1.3 s, so one that came at the same time is the first, read late, and is given up. Without an answer in 1.27 s, also of an entry whose connection has just ended, the job is admitted, as after an unanswered recall.

TestInquiryBeforeAdmission (10 cases) and TestInquiryOfReturningEntry fail if nothing is asked. Promptly read requests wait for no message (TestPromptRequestWaitsForNoMessage).

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -171,6 +171,8 @@
 	// paused or not connected to the sender.
 	recallsUntil time.Duration
 	advancedAt   time.Duration // when Advance was last called
+	pausedAt     time.Duration // when the latest pause of this entry began
+	catchUpUntil time.Duration // until when requests may be read that came during that pause
 	crashes      crashLog
 	exposing     bool // whether upstreams were exposed to hazardous queues at the latest pass
 	out          Output
--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -34,6 +34,8 @@
 //	log                                      prints decisions about crashes and hazards from then on
 //	leave ID TICKET                          ends the caller's connection
 //	unread TIME                              sets how long the next submitted job has been unread
+//	read TIME                                sets the time, and prints whether a request that is read before Advance is called is late
+//	age ID                                   prints the age of the latest submission
 //	gone TICKET                              ends it without telling the assigner
 //	submit-after ID TICKET TASKS CPU DECLARED  submits a job that may run at another entry
 //	ended-elsewhere ID
@@ -128,6 +130,13 @@
 		s.assigner.Receive(s.now, s.peer(a[0]), &messenger.Frame{Crashes: []messenger.Crash{c}})
 	case "unread":
 		s.unread = scripter.Duration(s.t, a[0])
+	case "read":
+		s.now = scripter.Duration(s.t, a[0])
+		late := s.assigner.ReadLate(s.now, &Job{Unread: s.unread, UnreadKnown: s.unread > 0})
+		s.unread = 0
+		fmt.Fprintf(&s.out, "late %v\n", late)
+	case "age":
+		fmt.Fprintln(&s.out, fmt.Sprint(s.assigner.SubmissionAge(s.now, a[0])))
 	case "queue":
 		s.queue = a[0]
 	case "log":
--- a/internal/assigner/job.go
+++ b/internal/assigner/job.go
@@ -15,6 +15,7 @@
 type job struct {
 	Job
 	arrived      time.Duration // when the request reached this machine
+	earliest     time.Duration // when that was at the earliest
 	expected     time.Duration // expected run time of the longest chain of steps
 	objective    time.Duration // latest time at which an answer is in time
 	latestUseful time.Duration // time after which an answer is of no use
@@ -90,7 +91,7 @@
 }
 
 func (a *Assigner) newJob(now time.Duration, s Job) *job {
-	j := &job{Job: s, arrived: s.arrival(now), probedAt: -1, unfinished: make([]int, len(s.Steps))}
+	j := &job{Job: s, arrived: s.arrival(now), earliest: a.earliestArrival(now, &s), probedAt: -1, unfinished: make([]int, len(s.Steps))}
 	q := a.queue(s.Queue)
 	chain := make([]time.Duration, len(s.Steps))
 	for i := range s.Steps {
@@ -121,18 +122,6 @@
 	return j
 }
 
-// lateReadThreshold is the shortest time between a request's arrival and its submission that counts
-// as a late read.
-const lateReadThreshold = 80 * time.Millisecond
-
-// arrival returns when the request of a job that is submitted now reached this machine.
-func (s *Job) arrival(now time.Duration) time.Duration {
-	if s.Unread < lateReadThreshold {
-		return now
-	}
-	return max(0, now-s.Unread)
-}
-
 // lateFactor is the number of objectives after which an answer is of no use. Up to that
 // time, the service-level agreement counts it as late.
 const lateFactor = 3
--- a/internal/assigner/recall.go
+++ b/internal/assigner/recall.go
@@ -106,7 +106,11 @@
 // noticePause records a pause of this entry.
 func (a *Assigner) noticePause(now time.Duration) {
 	if now-a.advancedAt > pauseThreshold {
-		a.recallsUntil = max(a.recallsUntil, now+catchUpTime)
+		if a.advancedAt >= a.catchUpUntil {
+			a.pausedAt = a.advancedAt
+		}
+		a.catchUpUntil = now + catchUpTime
+		a.recallsUntil = max(a.recallsUntil, a.catchUpUntil)
 	}
 	a.advancedAt = now
 }
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -98,6 +98,7 @@
 	tracker      *tracker.Tracker
 	// recalledBy has the connections of the entries that wait for the runs of recalled jobs to end.
 	recalledBy map[string][]*connector.Conn
+	inquired   []string // inquired has the jobs whose inquiries are sent with the next flush.
 	// confirmedAt is when the platform or a peer last sent the version in force.
 	confirmedAt time.Time
 
@@ -328,6 +329,7 @@
 			conn.Close()
 		}
 	}
+	b.sendInquiries()
 	b.announceEntries(now)
 }
 
--- a/internal/broker/peers.go
+++ b/internal/broker/peers.go
@@ -51,6 +51,7 @@
 		c.Send(routesFrame(b.directory.list(b.settings.PeerAnnounce, b.links.Addresses())))
 		b.directory.connected(h.Peer, h.PeerAddr)
 		b.resendRecalls(now, c)
+		b.resendInquiries(now, h.Peer)
 		if told := b.assigner.ToldJobs(); len(told) > 0 {
 			c.Send(openJobsFrame(told))
 		}
@@ -78,6 +79,7 @@
 		b.links.Add(false, b.dialTargets(others)...)
 	}
 	b.receiveRecalls(now, c, f)
+	b.receiveInquiries(now, h.Peer, f.Inquiries)
 	if f.Config == nil {
 		return
 	}
--- a/internal/broker/recalls.go
+++ b/internal/broker/recalls.go
@@ -26,20 +26,29 @@
 }
 
 // submit passes a job to the assigner. If another entry has the job open, the caller has submitted
-// it again, so the job is recalled from that entry and waits until it has no runs there.
+// it again, so the job is recalled from that entry and waits until it has no runs there. If the
+// request was read late, its caller may have submitted the job to another entry since, so all are asked.
 func (b *Broker) submit(now time.Time, j assigner.Job) {
 	elapsed := b.loop.Elapsed(now)
+	if b.assigner.ReadLate(elapsed, &j) && b.inquire(elapsed, j) {
+		return
+	}
 	owner, ok := b.tracker.Owner(elapsed, j.ID)
 	if !ok {
 		b.assigner.Submit(elapsed, j)
 		return
 	}
-	b.logRecall("job-recalled", j.ID, owner, "")
-	b.tracker.Recall(elapsed, owner, j.ID)
 	b.assigner.SubmitAfter(elapsed, j)
+	b.recall(now, owner, j.ID)
+}
+
+// recall recalls a job that is held here from the entry that has it open.
+func (b *Broker) recall(now time.Time, owner messenger.Peer, job string) {
+	b.logRecall("job-recalled", job, owner, "")
+	b.tracker.Recall(b.loop.Elapsed(now), owner, job)
 	// Without a connection, the recall is sent when the owner connects again.
 	if conn := b.entries[owner]; conn != nil {
-		sendRecall(conn, j.ID, messenger.RecallRequested)
+		sendRecall(conn, job, messenger.RecallRequested)
 	}
 }
 
@@ -53,9 +62,11 @@
 	}
 }
 
-// endUnanswered admits the jobs whose recalls were not accepted in time.
+// endUnanswered admits the jobs whose recalls were not accepted, or whose inquiries were not answered,
+// in time.
 func (b *Broker) endUnanswered(now time.Time) {
 	b.endRecalls(now, "unanswered", b.tracker.Unanswered(b.loop.Elapsed(now)))
+	b.endInquiries(now)
 }
 
 // tellOpenJobs tells the other entries of the jobs that have been open for tellAge.
@@ -123,7 +134,7 @@
 	for _, job := range jobs {
 		b.logRecall("job-recall-ended", job, "", reason)
 		b.meter.Recalled(reason)
-		b.assigner.EndedElsewhere(b.loop.Elapsed(now), job)
+		b.release(now, job)
 	}
 }
 
--- a/internal/broker/recalls_test.go
+++ b/internal/broker/recalls_test.go
@@ -69,12 +69,14 @@
 
 // submit submits a job of one task, whose caller stays until the test ends.
 func (w *agentWorld) submit(id string) {
-	go func() {
-		_, _ = w.broker.Submit(w.t.Context(), assigner.Job{
-			ID: id, Service: "s", CallerTimeout: 5 * time.Second, SlowdownFactor: 1, LatencyAllowance: 5 * time.Second, MaxAttempts: 1,
-			Steps: []assigner.Step{{Count: 1, DeclaredRunTime: time.Millisecond}},
-		})
-	}()
+	go func() { _, _ = w.broker.Submit(w.t.Context(), testJob(id)) }()
+}
+
+func testJob(id string) assigner.Job {
+	return assigner.Job{
+		ID: id, Service: "s", CallerTimeout: 5 * time.Second, SlowdownFactor: 1, LatencyAllowance: 5 * time.Second, MaxAttempts: 1,
+		Steps: []assigner.Step{{Count: 1, DeclaredRunTime: time.Millisecond}},
+	}
 }
 
 // TestRecallOfUnknownJob checks that an entry answers the recall of a job that it does not have.
@@ -89,6 +91,18 @@
 
 // dialEntry connects as another entry, and returns the recalls that it receives.
 func (w *agentWorld) dialEntry(peer messenger.Peer) (*connector.Conn, <-chan messenger.Recall) {
+	w.t.Helper()
+	recalls := make(chan messenger.Recall, 16)
+	c := w.dialAsEntry(peer, func(f *messenger.Frame) {
+		for _, r := range f.Recalls {
+			recalls <- r
+		}
+	})
+	return c, recalls
+}
+
+// dialAsEntry connects as another entry, which passes what it receives to the function.
+func (w *agentWorld) dialAsEntry(peer messenger.Peer, receive func(*messenger.Frame)) *connector.Conn {
 	w.t.Helper()
 	hello := messenger.Hello{Version: messenger.ProtocolVersion, Peer: peer, Role: messenger.RoleEntry}
 	c, err := connector.Dial(w.context, "ws://"+w.broker.Addr().String()+connector.Path, connector.Options{
@@ -97,15 +111,8 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	recalls := make(chan messenger.Recall, 16)
-	go func() {
-		_ = c.Run(func(f *messenger.Frame) {
-			for _, r := range f.Recalls {
-				recalls <- r
-			}
-		})
-	}()
-	return c, recalls
+	go func() { _ = c.Run(receive) }()
+	return c
 }
 
 // isAdmitted reports whether a task waits for an upstream, which only those of admitted jobs do.
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -64,6 +64,7 @@
 	Crashes                []Crash                `cbor:"29,keyasint,omitempty"`
 	OpenJobs               []OpenJob              `cbor:"30,keyasint,omitempty"`
 	Recalls                []Recall               `cbor:"31,keyasint,omitempty"`
+	Inquiries              []Inquiry              `cbor:"33,keyasint,omitempty"`
 }
 
 // Hello is the first message in both directions of a connection.
--- a/internal/messenger/fuzz_test.go
+++ b/internal/messenger/fuzz_test.go
@@ -48,6 +48,7 @@
 		Crashes:                []Crash{{Upstream: "u#1", Age: time.Second, Runs: []CrashedRun{{Task: TaskRef{Job: "a"}, Queue: "q", RunTime: time.Second, Certain: true}}}},
 		OpenJobs:               []OpenJob{{Job: "a"}},
 		Recalls:                []Recall{{Job: "a", Step: RecallAccepted}},
+		Inquiries:              []Inquiry{{Job: "a", Step: InquiryOpen, Age: time.Second, IsHeld: true}},
 	}
 }
 
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -44,6 +44,7 @@
 	storeCalls       metric.Int64Counter
 	crashedRuns      metric.Int64Counter
 	recalls          metric.Int64Counter
+	inquiries        metric.Int64Counter
 
 	answerOptions  optionCache[answerKey]
 	jobOptions     optionCache[answerKey]
@@ -135,6 +136,12 @@
 	m.recalls.Add(context.Background(), 1, m.recallOptions.get(outcome, outcomeAttributes).add...)
 }
 
+// Inquired records the end of an inquiry: the other entries were asked about a job whose request was
+// read late.
+func (m *Meter) Inquired(outcome string) {
+	m.inquiries.Add(context.Background(), 1, m.recallOptions.get(outcome, outcomeAttributes).add...)
+}
+
 // knownMethods are the HTTP methods with a series of their own. Any other method
 // counts as otherMethod, so that clients cannot create new series.
 var knownMethods = []string{
@@ -171,6 +178,7 @@
 	m.storeCalls = r.counter("sardinelock.store.calls", "Tries of calls of the platform's services.")
 	m.crashedRuns = r.counter("sardinelock.task.crashes", "Runs of tasks that ended because their upstream crashed.")
 	m.recalls = r.counter("sardinelock.job.recalls", "Jobs that were submitted here while another entry had them open.")
+	m.inquiries = r.counter("sardinelock.job.inquiries", "Jobs whose requests were read late, and about which the other entries were asked.")
 	r.observe(s)
 	return r.err
 }
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -63,6 +63,7 @@
 	m.StoreCall("read", "unavailable")
 	m.Crashed("quote")
 	m.Recalled("ended")
+	m.Inquired("unanswered")
 	want := []string{
 		`http_server_request_duration_seconds_count{http_request_method="POST",http_response_status_code="502",http_route="/v1/services/{service}/jobs"} 1`,
 		`http_server_request_duration_seconds_count{http_request_method="_OTHER",http_response_status_code="405",http_route=""} 2`,
@@ -77,6 +78,7 @@
 		`sardinelock_job_answers_total{outcome="failed",reason="task-failed",service="quote"} 1`,
 		`sardinelock_job_duration_seconds_bucket{outcome="failed",service="quote",le="0.25"} 0`,
 		`sardinelock_job_duration_seconds_bucket{outcome="failed",service="quote",le="0.5"} 1`,
+		`sardinelock_job_inquiries_total{outcome="unanswered"} 1`,
 		`sardinelock_job_queue_time_seconds_sum{service="quote"} 0.02`,
 		`sardinelock_job_recalls_total{outcome="ended"} 1`,
 		`sardinelock_jobs{state="answered"} 3`,
@@ -94,7 +96,7 @@
 	}
 	got := scrape(t, m, "http_server_request_duration_seconds_count", "sardinelock_certificate", "sardinelock_config",
 		"sardinelock_control", "sardinelock_draining", "sardinelock_job_answers", `sardinelock_job_duration_seconds_bucket{outcome="failed",service="quote",le="0.25"}`,
-		`sardinelock_job_duration_seconds_bucket{outcome="failed",service="quote",le="0.5"}`, "sardinelock_job_queue_time_seconds_sum", "sardinelock_job_recalls",
+		`sardinelock_job_duration_seconds_bucket{outcome="failed",service="quote",le="0.5"}`, "sardinelock_job_queue_time_seconds_sum", "sardinelock_job_recalls", "sardinelock_job_inquiries",
 		"sardinelock_jobs", "sardinelock_objective", "sardinelock_partition", `sardinelock_peer_bytes_total{type="start"}`,
 		`sardinelock_peer_messages_total{type="start"}`, "sardinelock_store", "sardinelock_task")
 	if diff := cmp.Diff(want, got); diff != "" {
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -3,7 +3,8 @@
 // A caller whose connection breaks submits its job again, to any entry, and the entry that has the
 // job open may not notice the break. Entries tell each other of the jobs that have been open for
 // some time, which is before a caller submits again, so that a second submission recalls the
-// first one before it starts.
+// first one before it starts. An entry that has read a request late asks the others whether they have
+// the job: nothing of it may be told yet.
 //
 // The directory is an aid: where it has no record, since an entry has just started, is cut off or
 // has reached a limit, the time after which callers submit again separates the submissions.
@@ -27,7 +28,8 @@
 	RecordLifetime time.Duration
 	// MaxRecords is the largest number of records. Jobs beyond it are not recorded.
 	MaxRecords int
-	// AnswerTimeout is how long an entry may take to accept a recall, or to connect again. The
+	// AnswerTimeout is how long an entry may take to accept a recall, to answer an inquiry, or to
+	// connect again, and the shortest time after which a caller submits a job again. The
 	// runs of one that is paused, has ended or is cut off from the agents have ended by then.
 	AnswerTimeout time.Duration
 }
@@ -39,7 +41,10 @@
 	recalls map[string]recall
 	// overdue has the recalls that were given up: the owner may launch tasks of the job once it is
 	// back.
-	overdue map[string]record
+	overdue   map[string]record
+	inquiries map[string]inquiry
+	// lost has the entries whose connections have ended within AnswerTimeout, with the times.
+	lost    map[messenger.Peer]time.Duration
 	omitted uint64 // omitted counts the jobs that were not recorded because of MaxRecords.
 }
 
@@ -58,7 +63,10 @@
 
 // New returns an empty tracker.
 func New(l Limits) *Tracker {
-	return &Tracker{limits: l, records: make(map[string]record), recalls: make(map[string]recall), overdue: make(map[string]record)}
+	return &Tracker{
+		limits: l, records: make(map[string]record), recalls: make(map[string]recall), overdue: make(map[string]record),
+		inquiries: make(map[string]inquiry), lost: make(map[messenger.Peer]time.Duration),
+	}
 }
 
 // Opened records that an entry has a job open.
@@ -110,6 +118,7 @@
 // time in which it may connect again.
 func (t *Tracker) OwnerGone(now time.Duration, owner messenger.Peer) {
 	until := now + t.limits.AnswerTimeout
+	t.lost[owner] = now
 	for job, r := range t.records {
 		if r.owner == owner {
 			r.expires = min(r.expires, until)
@@ -141,11 +150,12 @@
 	return slices.Compact(jobs)
 }
 
-// Expire removes the records and the overdue recalls that have expired.
+// Expire removes the records, the overdue recalls and the lost entries that have expired.
 func (t *Tracker) Expire(now time.Duration) {
 	expired := func(_ string, r record) bool { return now >= r.expires }
 	maps.DeleteFunc(t.records, expired)
 	maps.DeleteFunc(t.overdue, expired)
+	maps.DeleteFunc(t.lost, func(_ messenger.Peer, at time.Duration) bool { return now >= at+t.limits.AnswerTimeout })
 }
 
 // Unanswered gives up the recalls that were not accepted in time, and returns their jobs in order.
