Merge the inquiries about requests that were read late

Inquiries, their answers and the relays between entries without a connection are joined: an entry also asks, through agents, the entries that it has heard of in that way, and the recorded owner of the job, and waits for their answers. An entry that is heard at an address ends the use of an earlier incarnation's name there.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -103,6 +103,7 @@
 	// nextRelayed is the first of the jobs that the next message through agents tells of, if there
 	// are too many for one.
 	nextRelayed string
+	inquired    []string // inquired has the jobs whose inquiries are sent with the next flush.
 	// confirmedAt is when the platform or a peer last sent the version in force.
 	confirmedAt time.Time
 
@@ -244,7 +245,9 @@
 func (b *Broker) Submit(ctx context.Context, j assigner.Job) (assigner.Answer, error) {
 	j.Ticket = b.tickets.Add(1)
 	answers := make(chan assigner.Answer, 1)
+	received := b.loop.Now()
 	posted := b.loop.Post(func(now time.Time) {
+		j.Unread += now.Sub(received)
 		b.waiters[j.Ticket] = answers
 		b.submit(now, j)
 	})
@@ -338,6 +341,7 @@
 			conn.Close()
 		}
 	}
+	b.sendInquiries()
 	b.announceEntries(now)
 }
 
--- a/internal/broker/peers.go
+++ b/internal/broker/peers.go
@@ -54,6 +54,7 @@
 			b.logRelayEnd(h.PeerAddr, "connected")
 		}
 		b.resendRecalls(now, c)
+		b.resendInquiries(now, h.Peer)
 		if told := b.assigner.ToldJobs(); len(told) > 0 {
 			c.Send(openJobsFrame(told))
 		}
@@ -82,7 +83,7 @@
 		b.links.Reachable(now, b.dialTargets(connected)...)
 		b.links.Add(false, b.dialTargets(others)...)
 	}
-	b.receiveRecalls(now, h.Peer, f)
+	b.receiveJobs(now, h.Peer, f)
 	if f.Config == nil {
 		return
 	}
--- a/internal/broker/recalls_test.go
+++ b/internal/broker/recalls_test.go
@@ -70,12 +70,14 @@
 
 // submit submits a job of one task, whose caller stays until the test ends.
 func (w *agentWorld) submit(id string) {
-	go func() {
-		_, _ = w.broker.Submit(w.t.Context(), assigner.Job{
-			ID: id, Service: "s", CallerTimeout: 5 * time.Second, SlowdownFactor: 1, LatencyAllowance: 5 * time.Second, MaxAttempts: 1,
-			Steps: []assigner.Step{{Count: 1, DeclaredRunTime: time.Millisecond}},
-		})
-	}()
+	go func() { _, _ = w.broker.Submit(w.t.Context(), testJob(id)) }()
+}
+
+func testJob(id string) assigner.Job {
+	return assigner.Job{
+		ID: id, Service: "s", CallerTimeout: 5 * time.Second, SlowdownFactor: 1, LatencyAllowance: 5 * time.Second, MaxAttempts: 1,
+		Steps: []assigner.Step{{Count: 1, DeclaredRunTime: time.Millisecond}},
+	}
 }
 
 // TestRecallOfUnknownJob checks that an entry answers the recall of a job that it does not have.
@@ -91,11 +93,18 @@
 // dialEntry connects as another entry, and returns the recalls that it receives.
 func (w *agentWorld) dialEntry(peer messenger.Peer) (*connector.Conn, <-chan messenger.Recall) {
 	w.t.Helper()
-	return w.dialEntryAt(peer, netip.AddrPort{})
+	recalls := make(chan messenger.Recall, 16)
+	c := w.dialAsEntry(peer, netip.AddrPort{}, func(f *messenger.Frame) {
+		for _, r := range f.Recalls {
+			recalls <- r
+		}
+	})
+	return c, recalls
 }
 
-// dialEntryAt is like dialEntry for an entry that accepts peers at an address.
-func (w *agentWorld) dialEntryAt(peer messenger.Peer, addr netip.AddrPort) (*connector.Conn, <-chan messenger.Recall) {
+// dialAsEntry connects as another entry, which accepts peers at the address and passes what it receives
+// to the function.
+func (w *agentWorld) dialAsEntry(peer messenger.Peer, addr netip.AddrPort, receive func(*messenger.Frame)) *connector.Conn {
 	w.t.Helper()
 	hello := messenger.Hello{Version: messenger.ProtocolVersion, Peer: peer, Role: messenger.RoleEntry, PeerAddr: addr}
 	c, err := connector.Dial(w.context, "ws://"+w.broker.Addr().String()+connector.Path, connector.Options{
@@ -104,15 +113,8 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	recalls := make(chan messenger.Recall, 16)
-	go func() {
-		_ = c.Run(func(f *messenger.Frame) {
-			for _, r := range f.Recalls {
-				recalls <- r
-			}
-		})
-	}()
-	return c, recalls
+	go func() { _ = c.Run(receive) }()
+	return c
 }
 
 // isAdmitted reports whether a task waits for an upstream, which only those of admitted jobs do.
--- a/internal/broker/relay_targets.go
+++ b/internal/broker/relay_targets.go
@@ -66,6 +66,8 @@
 // heard applies that a message of an entry came through an agent. isConnected is set if that entry
 // has a connection here.
 func (r *relayTargets) heard(now time.Duration, peer messenger.Peer, addr netip.AddrPort, via messenger.Peer, isConnected bool) {
+	// An earlier incarnation at the address has ended.
+	maps.DeleteFunc(r.addrs, func(_ messenger.Peer, a netip.AddrPort) bool { return a == addr })
 	r.addrs[peer] = addr
 	lasts := relayTime
 	if isConnected {
@@ -114,6 +116,17 @@
 	return t.via, isFirst
 }
 
+// reached returns the entries, in order, whose messages come through agents.
+func (r *relayTargets) reached() (peers []messenger.Peer) {
+	for peer, addr := range r.addrs {
+		if r.targets[addr].via != "" {
+			peers = append(peers, peer)
+		}
+	}
+	slices.Sort(peers)
+	return peers
+}
+
 // addrOf returns the address of an entry if it is a target.
 func (r *relayTargets) addrOf(peer messenger.Peer) (addr netip.AddrPort, ok bool) {
 	addr, ok = r.addrs[peer]
--- a/internal/broker/relay_targets_test.go
+++ b/internal/broker/relay_targets_test.go
@@ -19,6 +19,7 @@
 //	disconnected PEER              its connection ends
 //	heard PEER ADDR AGENT WHETHER  a message comes through an agent; true if the entry has a connection here
 //	address PEER                   prints an entry's address if it is a target
+//	reached                        prints the entries whose messages come through agents
 func TestRelayTargets(t *testing.T) {
 	scripter.Run(t, "testdata/relays-*.txtar", func(t *testing.T, lines []scripter.Line) string {
 		s := &relayScript{targets: newRelayTargets(), entries: make(map[messenger.Peer]bool)}
@@ -38,7 +39,10 @@
 }
 
 func (s *relayScript) line(t *testing.T, l scripter.Line) {
-	peer := messenger.Peer(l.Args[0])
+	var peer messenger.Peer
+	if len(l.Args) > 0 {
+		peer = messenger.Peer(l.Args[0])
+	}
 	switch l.Verb {
 	case "at":
 		s.now = scripter.Duration(t, l.Args[0])
@@ -56,6 +60,8 @@
 	case "address":
 		addr, ok := s.targets.addrOf(peer)
 		fmt.Fprintln(&s.out, addr, ok)
+	case "reached":
+		fmt.Fprintln(&s.out, s.targets.reached())
 	default:
 		t.Fatalf("line %d: unknown verb %q", l.Number, l.Verb)
 	}
--- a/internal/broker/relays.go
+++ b/internal/broker/relays.go
@@ -153,7 +153,7 @@
 		if !r.Connected || !isConnected {
 			b.relays.heard(b.loop.Elapsed(now), r.From, r.ReplyTo, via, isConnected)
 		}
-		err := messenger.Decode(r.Message, func(f *messenger.Frame) { b.receiveRecalls(now, r.From, f) })
+		err := messenger.Decode(r.Message, func(f *messenger.Frame) { b.receiveJobs(now, r.From, f) })
 		if err != nil {
 			b.settings.Journal.Line("relay-unreadable").Str("peer", string(r.From)).Err(err).Msg("")
 		}
--- a/internal/broker/relays_test.go
+++ b/internal/broker/relays_test.go
@@ -56,13 +56,30 @@
 	}
 }
 
+// TestInquiryThroughAgent submits a job whose request was read late. The entry that has a later submission
+// has no connection.
+func TestInquiryThroughAgent(t *testing.T) {
+	w := newAgentWorld(t)
+	agent, relays := w.dialRelayingAgent()
+	w.send(agent)
+	agent.Send(w.relayFrame(openJobsFrame([]string{"other"})))
+	w.await("the other entry", func() bool { return w.isOpen("other") })
+	answer := w.submitUnread("j", unread)
+	w.awaitRelay(relays, func(f *messenger.Frame) bool {
+		return slices.Contains(f.Inquiries, messenger.Inquiry{Job: "j", Step: messenger.InquiryRequested})
+	})
+	w.checkState(answer, jobHeld)
+	agent.Send(w.relayFrame(&messenger.Frame{Inquiries: []messenger.Inquiry{{Job: "j", Step: messenger.InquiryOpen}}}))
+	w.checkState(answer, jobGivenUp)
+}
+
 // TestNoRelayWhileConnected checks that nothing goes through agents to an entry that is connected, that its
 // messages go through agents once its connection has ended, and that they don't when it is back.
 func TestNoRelayWhileConnected(t *testing.T) {
 	w := newAgentWorld(t)
 	agent, relays := w.dialRelayingAgent()
 	w.send(agent)
-	entry, _ := w.dialEntryAt("entry-2", cutEntryAddr)
+	entry := w.dialAsEntry("entry-2", cutEntryAddr, func(*messenger.Frame) {})
 	w.submit("j")
 	expectNone := func() {
 		t.Helper()
@@ -75,7 +92,7 @@
 	expectNone()
 	entry.Close()
 	w.awaitRelay(relays, func(f *messenger.Frame) bool { return slices.Contains(f.OpenJobs, messenger.OpenJob{Job: "j"}) })
-	w.dialEntryAt("entry-2", cutEntryAddr)
+	w.dialAsEntry("entry-2", cutEntryAddr, func(*messenger.Frame) {})
 	w.await("the connection", func() bool { return w.relayTargetCount() == 0 })
 	for len(relays) > 0 {
 		<-relays
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -65,6 +65,7 @@
 	OpenJobs               []OpenJob              `cbor:"30,keyasint,omitempty"`
 	Recalls                []Recall               `cbor:"31,keyasint,omitempty"`
 	Relays                 []Relay                `cbor:"32,keyasint,omitempty"`
+	Inquiries              []Inquiry              `cbor:"33,keyasint,omitempty"`
 }
 
 // Hello is the first message in both directions of a connection.
