Return a held launch only when no run of its task is left

A launch of a task that still runs at the agent is held until that run has ended, since its entry starts the task elsewhere once it is returned. An agent may have two such runs: one that a session owns, and a stray one of an earlier launch, which a late start has begun. The end of either returned the launch, while the other went on: one task would run twice at the same time.

The launch is now held until neither is left. Script launched-again-stray: before, both launches were returned at 1.1 s, while run 2 of a and run 1 of b were still listed.

--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -175,8 +175,11 @@
 	}
 }
 
-// releaseHeld returns the launches of a task to their entries.
+// releaseHeld returns the launches of a task to their entries, unless another run of it goes on.
 func (r *Runner) releaseHeld(ref messenger.TaskRef) {
+	if r.tasks[ref] != nil || r.orphans[ref] != 0 {
+		return
+	}
 	for _, h := range r.held[ref] {
 		h.session.returnLaunch(ref, h.run)
 	}
