Stop a run again that a late announcement has hidden from its stop

A late announcement of an upstream that is gone, whose wall clock was ahead, makes an agent take it for the current one until the next list. A stop in between names that one, so the upstream that runs the task rejects it with 421, which counts as acknowledged: another incarnation has none of the runs. The next list shows that the run goes on, but it was not stopped again. Its end was not reported either, so its entry started nothing elsewhere; but the run outlived the contact of its entry, which bounds the lease of runs that are being stopped and not of stopped ones.

A stopped run that a later incarnation lists is now stopped again. Script stopped-at-other: before, no stop was sent after the list at 1.1 s.

--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -174,8 +174,9 @@
 			r.end(now, t, t.kind, messenger.ProofRestarted)
 			continue
 		}
-		if t.state == stateStopped && !t.settled {
-			// The earlier incarnation may have acknowledged the stop.
+		if t.state == stateStopped && (!t.settled || listed[t.Task] == t.Run) {
+			// The earlier incarnation may have acknowledged the stop, or this one may have rejected
+			// it as meant for another one.
 			t.state = stateStopping
 			t.stoppedAt = now
 			r.sendStop(now, t)
