Ask about requests from the time at which their callers may submit again

Beside busy processes (load 64 to 79) callers of a sound entry got 504 and 429: it read prompt requests after 80 ms, held them while it asked a paused entry, and gave some up, since the two submissions came in the same ms and nothing told which was the later.

The others are told of a job within 0.6 s of its reading and callers wait for 1.3 s, so only a request that is read half of that late can meet a second submission that nobody knows of. That is the threshold now, also for pauses; before, it was 80 ms and 200 ms.

--- a/internal/assigner/late.go
+++ b/internal/assigner/late.go
@@ -2,19 +2,21 @@
 
 import "time"
 
-// lateReadThreshold is the shortest time between a request's arrival and its submission that counts
-// as a late read.
-const lateReadThreshold = 80 * time.Millisecond
+// unreadThreshold is the shortest time between a request's arrival and its submission from which the
+// job's deadlines count from its arrival.
+const unreadThreshold = 80 * time.Millisecond
 
-// ReadLate reports whether the request of a job that is submitted now was read late. After a pause of
-// this entry every request counts as read late: the kernel may not tell, and the clock by which it
-// does stands still while the machine is suspended.
+// ReadLate reports whether the request of a job that is submitted now was read so late that its caller
+// may submit the job again before the other entries are told of it, which takes less than half of
+// ResubmitDelay. After a pause of that length every request counts as read late: the kernel may not
+// tell, and the clock by which it does stands still while the machine is suspended.
 func (a *Assigner) ReadLate(now time.Duration, s *Job) bool {
-	if a.limits.ResubmitDelay == 0 {
+	least := a.limits.ResubmitDelay / 2
+	if least == 0 {
 		return false
 	}
-	_, paused := a.pause(now)
-	return paused || s.Unread >= lateReadThreshold
+	since, paused := a.pause(now)
+	return s.Unread >= least || paused && now-since >= least
 }
 
 // pause returns the beginning of the latest pause of this entry, and whether requests that came during
@@ -29,7 +31,7 @@
 
 // arrival returns when the request of a job that is submitted now reached this machine.
 func (s *Job) arrival(now time.Duration) time.Duration {
-	if s.Unread < lateReadThreshold {
+	if s.Unread < unreadThreshold {
 		return now
 	}
 	return max(0, now-s.Unread)
