Recall an earlier submission that an entry launches again after it was cut off

Callers saw one task run twice at the same time: an entry was cut off from its agents and from the other entries for more than 1 s, which no message can cross. The job was submitted to another entry, which had no record and launched it. When its agents were back, the first entry launched the job again, more than 1.3 s old: the hold after the loss of an entry was over.

Such a hold now also begins for 1 s with the first agent that is back, if there was none and an entry was lost within 10 s, and for 0.3 s with a connection to an entry. Entries tell the ages of their jobs. One that has a later submission of the same job recalls the earlier one when it is told of it, so that it is given up within the hold.

--- a/internal/assigner/agent.go
+++ b/internal/assigner/agent.go
@@ -63,6 +63,7 @@
 // AgentUp applies the connection of an agent. The agent has stopped all earlier runs for
 // this entry before it connects.
 func (a *Assigner) AgentUp(now time.Duration, peer messenger.Peer, instance, dataCentre string) {
+	a.noticeReturn(now)
 	if old := a.agents[peer]; old != nil {
 		a.AgentDown(now, peer)
 	}
--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -166,6 +166,7 @@
 	// recallsUntil is until when recalls of jobs may come that were sent while this entry was
 	// paused or not connected to the sender.
 	recallsUntil time.Duration
+	entryLostAt  time.Duration // when the connection to another entry last ended; 0 if none has
 	advancedAt   time.Duration // when Advance was last called
 	crashes      crashLog
 	exposing     bool // whether upstreams were exposed to hazardous queues at the latest pass
--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -40,6 +40,8 @@
 //	open-jobs                                prints the jobs that arrived 400 ms ago, at most once in 4 s
 //	resubmit-delay TIME                      sets how soon callers submit again; must come first
 //	entry-lost                               ends the connection to another entry
+//	entry-back                               begins a connection to another entry
+//	age ID                                   prints the age of the latest submission, and whether it has no answer
 //	cancel ID
 //	state ID                                 prints whether the job is known, and whether it was launched
 //	entries N                                sets the number of entries
@@ -143,6 +145,11 @@
 		s.assigner = New(l, "dc-1", rand.New(rand.NewPCG(1, 1)))
 	case "entry-lost":
 		s.assigner.EntryLost(s.now)
+	case "entry-back":
+		s.assigner.EntryBack(s.now)
+	case "age":
+		age, open := s.assigner.Age(s.now, a[0])
+		fmt.Fprintln(&s.out, age, open)
 	case "entries":
 		s.assigner.SetEntries(int(scripter.Number(s.t, a[0])))
 	case "rests":
--- a/internal/assigner/recall.go
+++ b/internal/assigner/recall.go
@@ -93,6 +93,12 @@
 	// entryReturnTime is the time after the loss of the connection to an entry in which it may
 	// connect again and recall jobs, if it was not the entry that ended.
 	entryReturnTime = time.Second
+	// entryBackTime is the time after another entry has connected in which it recalls the jobs that it
+	// is told of then.
+	entryBackTime = 300 * time.Millisecond
+	// cutOffMemory is how long after the loss of an entry this one counts as cut off when it has
+	// no agent either.
+	cutOffMemory = 10 * time.Second
 	// pauseThreshold is the shortest time between two calls of Advance, which are some 20 ms apart,
 	// that counts as a pause of this entry, and catchUpTime the time after it in which the messages
 	// that came meanwhile are read.
@@ -101,7 +107,36 @@
 )
 
 // EntryLost applies the end of the connection to another entry.
-func (a *Assigner) EntryLost(now time.Duration) { a.recallsUntil = now + entryReturnTime }
+func (a *Assigner) EntryLost(now time.Duration) {
+	a.entryLostAt = now
+	a.recallsUntil = now + entryReturnTime
+}
+
+// EntryBack applies a new connection to another entry.
+func (a *Assigner) EntryBack(now time.Duration) {
+	a.recallsUntil = max(a.recallsUntil, now+entryBackTime)
+}
+
+// noticeReturn applies that an agent connects. If it is the first one after the loss of an entry, this
+// entry was cut off, and recalls of its jobs may come only now.
+func (a *Assigner) noticeReturn(now time.Duration) {
+	if len(a.agents) == 0 && a.entryLostAt > 0 && now-a.entryLostAt < cutOffMemory {
+		a.recallsUntil = max(a.recallsUntil, now+entryReturnTime)
+	}
+}
+
+// Age returns the time since the latest submission of a job arrived. It reports whether that has no
+// answer yet.
+func (a *Assigner) Age(now time.Duration, id string) (age time.Duration, open bool) {
+	j := a.jobs[id]
+	if j == nil {
+		return 0, false
+	}
+	if j.replacement != nil {
+		j = j.replacement
+	}
+	return now - j.arrived, !j.answered
+}
 
 // noticePause records a pause of this entry.
 func (a *Assigner) noticePause(now time.Duration) {
--- a/internal/broker/peers.go
+++ b/internal/broker/peers.go
@@ -53,9 +53,10 @@
 		if b.relays.connected(h.Peer, h.PeerAddr) {
 			b.logRelayEnd(h.PeerAddr, "connected")
 		}
+		b.assigner.EntryBack(b.loop.Elapsed(now))
 		b.resendRecalls(now, c)
 		if told := b.assigner.ToldJobs(); len(told) > 0 {
-			c.Send(openJobsFrame(told))
+			c.Send(b.agedJobsFrame(b.loop.Elapsed(now), told))
 		}
 		b.versions.heard(h.Peer, h.ConfigVersion)
 	default:
--- a/internal/broker/recalls.go
+++ b/internal/broker/recalls.go
@@ -62,7 +62,7 @@
 	elapsed := b.loop.Elapsed(now)
 	b.tracker.Expire(elapsed)
 	if open := b.assigner.OpenJobs(elapsed, tellAge, tellAgainInterval); len(open) > 0 {
-		f := openJobsFrame(open)
+		f := b.agedJobsFrame(elapsed, open)
 		for _, c := range b.entries {
 			c.Send(f)
 		}
@@ -78,11 +78,34 @@
 	return &messenger.Frame{OpenJobs: jobs}
 }
 
+// agedJobsFrame is like openJobsFrame, with the ages of the jobs.
+func (b *Broker) agedJobsFrame(elapsed time.Duration, ids []string) *messenger.Frame {
+	f := openJobsFrame(ids)
+	for i := range f.OpenJobs {
+		f.OpenJobs[i].Age, _ = b.assigner.Age(elapsed, f.OpenJobs[i].Job)
+	}
+	return f
+}
+
+// recallEarlier recalls a job that another entry tells of, if it was submitted here later. It has been
+// launched here, since the other entry was cut off and could not tell of it before.
+func (b *Broker) recallEarlier(elapsed time.Duration, owner messenger.Peer, told messenger.OpenJob) {
+	age, open := b.assigner.Age(elapsed, told.Job)
+	// The ages of two submissions differ by the resubmission delay, less the time that the message took.
+	if !open || told.Age-age < b.settings.Limits.ResubmitDelay/2 || b.tracker.IsRecalled(told.Job) {
+		return
+	}
+	b.logRecall("job-recalled", told.Job, owner, "submitted-later")
+	b.tracker.Recall(elapsed, owner, told.Job)
+	b.sendToEntry(owner, recallFrame(told.Job, messenger.RecallRequested))
+}
+
 // receiveRecalls applies what another entry tells of its open jobs and of recalls.
 func (b *Broker) receiveRecalls(now time.Time, peer messenger.Peer, f *messenger.Frame) {
 	elapsed := b.loop.Elapsed(now)
 	for _, j := range f.OpenJobs {
 		b.tracker.Opened(elapsed, peer, j.Job)
+		b.recallEarlier(elapsed, peer, j)
 	}
 	for _, r := range f.Recalls {
 		switch r.Step {
--- a/internal/broker/relays.go
+++ b/internal/broker/relays.go
@@ -105,7 +105,7 @@
 	recalls := b.recallsByAddr()
 	for _, addr := range targets {
 		if len(told) > 0 || len(recalls[addr]) > 0 {
-			f := openJobsFrame(told)
+			f := b.agedJobsFrame(b.loop.Elapsed(now), told)
 			f.Recalls = recalls[addr]
 			b.relay(addr, f)
 		}
--- a/internal/broker/relays_test.go
+++ b/internal/broker/relays_test.go
@@ -46,7 +46,7 @@
 	// The entry without a connection is known, so that it is told of the job.
 	agent.Send(w.relayFrame(openJobsFrame([]string{"other"})))
 	w.submit("j")
-	w.awaitRelay(relays, func(f *messenger.Frame) bool { return slices.Contains(f.OpenJobs, messenger.OpenJob{Job: "j"}) })
+	w.awaitRelay(relays, tellsOfJob)
 	for range 2 {
 		agent.Send(w.relayFrame(recallFrame("j", messenger.RecallRequested)))
 		w.awaitRecall(relays, messenger.Recall{Job: "j", Step: messenger.RecallEnded})
@@ -74,7 +74,7 @@
 	}
 	expectNone()
 	entry.Close()
-	w.awaitRelay(relays, func(f *messenger.Frame) bool { return slices.Contains(f.OpenJobs, messenger.OpenJob{Job: "j"}) })
+	w.awaitRelay(relays, tellsOfJob)
 	w.dialEntryAt("entry-2", cutEntryAddr)
 	w.await("the connection", func() bool { return w.relayTargetCount() == 0 })
 	for len(relays) > 0 {
@@ -172,8 +172,53 @@
 	w.awaitRelay(relays, func(f *messenger.Frame) bool { return slices.Contains(f.Recalls, want) })
 }
 
+// tellsOfJob reports whether a message tells that the job j has been open for tellAge.
+func tellsOfJob(f *messenger.Frame) bool {
+	return slices.ContainsFunc(f.OpenJobs, func(j messenger.OpenJob) bool { return j.Job == "j" && j.Age >= tellAge })
+}
+
 // relayTargetCount returns the number of entries that are sent messages through agents.
 func (w *agentWorld) relayTargetCount() (n int) {
 	w.broker.loop.Call(func(time.Time) { n = len(w.broker.relays.list()) })
 	return n
 }
+
+// TestRecallOfEarlierSubmission has another entry tell of a job that was submitted here as well. Only an
+// earlier submission is recalled.
+func TestRecallOfEarlierSubmission(t *testing.T) {
+	w := newAgentWorld(t)
+	owner, recalls := w.dialEntry("entry-2")
+	w.submit("j")
+	w.await("the job", func() bool { known, _ := w.broker.Status("j"); return known })
+	tell := func(age time.Duration) {
+		owner.Send(&messenger.Frame{OpenJobs: []messenger.OpenJob{{Job: "j", Age: age}}})
+	}
+	tell(0)
+	tell(time.Millisecond)
+	select {
+	case r := <-recalls:
+		t.Errorf("a later submission was recalled: %v", r)
+	case <-time.After(testResubmitDelay / 4):
+	}
+	tell(10 * time.Second)
+	if r := w.nextRecall(recalls); r != (messenger.Recall{Job: "j", Step: messenger.RecallRequested}) {
+		t.Errorf("the owner received %v", r)
+	}
+	tell(10 * time.Second)
+	sendRecall(owner, "j", messenger.RecallEnded)
+	sendRecall(owner, "k", messenger.RecallRequested)
+	if r := w.nextRecall(recalls); r.Job != "k" {
+		t.Errorf("the owner received %v", r)
+	}
+}
+
+// nextRecall returns what an entry receives next about recalls.
+func (w *agentWorld) nextRecall(recalls <-chan messenger.Recall) (r messenger.Recall) {
+	w.t.Helper()
+	select {
+	case r = <-recalls:
+	case <-time.After(5 * time.Second):
+		w.t.Error("nothing about recalls within 5 s")
+	}
+	return r
+}
--- a/internal/messenger/recall.go
+++ b/internal/messenger/recall.go
@@ -1,8 +1,12 @@
 package messenger
 
+import "time"
+
 // OpenJob tells the other entries of an ephemeral job that the sender has had open for some time.
 type OpenJob struct {
 	Job string `cbor:"1,keyasint"`
+	// Age is the time since the latest submission of the job arrived; 0 if the sender doesn't tell.
+	Age time.Duration `cbor:"2,keyasint,omitempty"`
 }
 
 // Recall is a message about the runs of an ephemeral job between an entry at which the job was
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -84,6 +84,13 @@
 	t.recalls[job] = recall{owner: owner, answerBy: now + t.limits.AnswerTimeout}
 }
 
+// IsRecalled reports whether a job has a recall that has not ended, also if it was given up.
+func (t *Tracker) IsRecalled(job string) bool {
+	_, waits := t.recalls[job]
+	_, isOverdue := t.overdue[job]
+	return waits || isOverdue
+}
+
 // Accepted applies the owner's acceptance of a recall.
 func (t *Tracker) Accepted(owner messenger.Peer, job string) {
 	if r, ok := t.recalls[job]; ok && r.owner == owner {
