--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -170,6 +170,7 @@
 	// recallsUntil is until when recalls of jobs may come that were sent while this entry was
 	// paused or not connected to the sender.
 	recallsUntil time.Duration
+	entryLostAt  time.Duration // when the connection to another entry last ended; 0 if none has
 	advancedAt   time.Duration // when Advance was last called
 	pausedAt     time.Duration // when the latest pause of this entry began
 	catchUpUntil time.Duration // until when requests may be read that came during that pause
--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -35,7 +35,7 @@
 //	leave ID TICKET                          ends the caller's connection
 //	unread TIME                              sets how long the next submitted job has been unread
 //	read TIME                                sets the time, and prints whether a request that is read before Advance is called is late
-//	age ID                                   prints the age of the latest submission
+//	age ID                                   prints the age of the latest submission, and whether the job is known
 //	gone TICKET                              ends it without telling the assigner
 //	submit-after ID TICKET TASKS CPU DECLARED  submits a job that may run at another entry
 //	ended-elsewhere ID
@@ -43,6 +43,7 @@
 //	open-jobs                                prints the jobs that arrived 400 ms ago, at most once in 4 s
 //	resubmit-delay TIME                      sets how soon callers submit again; must come first
 //	entry-lost                               ends the connection to another entry
+//	entry-back                               begins a connection to another entry
 //	cancel ID
 //	state ID                                 prints whether the job is known, and whether it was launched
 //	entries N                                sets the number of entries
@@ -156,6 +157,8 @@
 		s.assigner = New(l, "dc-1", rand.New(rand.NewPCG(1, 1)))
 	case "entry-lost":
 		s.assigner.EntryLost(s.now)
+	case "entry-back":
+		s.assigner.EntryBack(s.now)
 	case "entries":
 		s.assigner.SetEntries(int(scripter.Number(s.t, a[0])))
 	case "rests":
