Keep apart several runs of one task that an upstream lists

An upstream may list two runs of a task: it rejects a lower run only once a higher one was stopped there or has ended, so a late start begins one beside the other. The runner kept one run for each task of a listing, the last, and one stray run, the highest.

Listed runs and strays are now kept by task and run.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -119,7 +119,7 @@
 	tasks                  map[messenger.TaskRef]*task
 	waiting                []*task // waiting has the tasks that have not started, in order of urgency.
 	// orphans are runs that the upstream lists and that no session owns.
-	orphans map[messenger.TaskRef]uint64
+	orphans map[listedRun]bool
 	// orphansRetryAt is when the orphans are stopped again. A new one is stopped at once.
 	orphansRetryAt time.Duration
 	// held are the launches of tasks of which an earlier run may go on here, as a task or an
@@ -152,7 +152,7 @@
 		earlierLease: newLease(now, l.MaxLeaseDuration),
 		sessions:     make(map[messenger.Peer]*session),
 		tasks:        make(map[messenger.TaskRef]*task),
-		orphans:      make(map[messenger.TaskRef]uint64),
+		orphans:      make(map[listedRun]bool),
 		held:         make(map[messenger.TaskRef][]heldLaunch),
 		health:       newHealth(),
 	}
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -134,7 +134,7 @@
 	}
 	st := r.State(now)
 	switch {
-	case r.tasks[l.Task] != nil, r.orphans[l.Task] != 0:
+	case r.tasks[l.Task] != nil, r.hasOrphan(l.Task):
 		r.hold(now, s, l)
 	case now > l.StartBy, !l.First && now-max(s.echoed, s.resumedAt) > r.limits.LivenessTimeout:
 		refuse("delayed")
@@ -177,7 +177,7 @@
 
 // releaseHeld returns the launches of a task to their entries, unless another run of it goes on.
 func (r *Runner) releaseHeld(ref messenger.TaskRef) {
-	if r.tasks[ref] != nil || r.orphans[ref] != 0 {
+	if r.tasks[ref] != nil || r.hasOrphan(ref) {
 		return
 	}
 	for _, h := range r.held[ref] {
@@ -193,14 +193,24 @@
 	}
 }
 
-func (r *Runner) removeOrphan(ref messenger.TaskRef) {
-	delete(r.orphans, ref)
-	r.releaseHeld(ref)
+// hasOrphan reports whether a run of a task is an orphan.
+func (r *Runner) hasOrphan(ref messenger.TaskRef) bool {
+	for o := range r.orphans {
+		if o.task == ref {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Runner) removeOrphan(o listedRun) {
+	delete(r.orphans, o)
+	r.releaseHeld(o.task)
 }
 
 func (r *Runner) clearOrphans() {
-	for ref := range r.orphans {
-		r.removeOrphan(ref)
+	for o := range r.orphans {
+		r.removeOrphan(o)
 	}
 }
 
--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -243,8 +243,8 @@
 		return
 	}
 	r.orphansRetryAt = now + r.limits.StopRetryInterval
-	for _, ref := range slices.SortedFunc(maps.Keys(r.orphans), messenger.TaskRef.Compare) {
-		r.out.Stops = append(r.out.Stops, StopCall{Incarnation: r.incarnation, Task: ref, Run: r.orphans[ref]})
+	for _, o := range slices.SortedFunc(maps.Keys(r.orphans), compareListedRuns) {
+		r.out.Stops = append(r.out.Stops, StopCall{Incarnation: r.incarnation, Task: o.task, Run: o.run})
 	}
 }
 
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -73,7 +73,7 @@
 
 // Stopped applies the result of a stop: whether the upstream has acknowledged it.
 func (r *Runner) Stopped(now time.Duration, c StopCall, acknowledged bool) {
-	if run, ok := r.orphans[c.Task]; ok && run == c.Run {
+	if r.orphans[listedRun{c.Task, c.Run}] {
 		// The next listing shows whether the run has ended.
 		return
 	}
@@ -102,6 +102,17 @@
 	Kind   messenger.EndKind
 }
 
+// listedRun identifies a run. An upstream may list several runs of a task: a late start begins one
+// beside a higher run.
+type listedRun struct {
+	task messenger.TaskRef
+	run  uint64
+}
+
+func compareListedRuns(a, b listedRun) int {
+	return cmp.Or(a.task.Compare(b.task), cmp.Compare(a.run, b.run))
+}
+
 // Listing is the upstream's answer to a poll: its current and ended runs.
 type Listing struct {
 	Incarnation Incarnation
@@ -140,10 +151,10 @@
 		r.lastEnd = e.Number
 		r.applyEnd(now, e)
 	}
-	listed := make(map[messenger.TaskRef]uint64, len(l.Running))
+	listed := make(map[listedRun]bool, len(l.Running))
 	sample := slowdownSample{}
 	for _, run := range l.Running {
-		listed[run.Task] = run.Run
+		listed[listedRun{run.Task, run.Run}] = true
 		r.applyProgress(now, run)
 		if t := r.tasks[run.Task]; t != nil && t.Run == run.Run && t.state == stateRunning {
 			sample.add(now-t.startedAt, run.Percent, t.ExpectedRunTime)
@@ -156,7 +167,7 @@
 	r.endEarlierRuns(now, l, listed)
 	for _, t := range r.sortedTasks() {
 		// A stopped run that is missing from a listing requested afterwards has ended.
-		if t.state == stateStopped && listed[t.Task] != t.Run && t.stoppedAt < l.RequestedAt {
+		if t.state == stateStopped && !listed[listedRun{t.Task, t.Run}] && t.stoppedAt < l.RequestedAt {
 			r.end(now, t, t.kind, messenger.ProofStopped)
 		}
 	}
@@ -164,17 +175,17 @@
 
 // endEarlierRuns ends the runs of an earlier incarnation of the upstream. A run that the new
 // one lists, or whose start may still reach it, is stopped there.
-func (r *Runner) endEarlierRuns(now time.Duration, l Listing, listed map[messenger.TaskRef]uint64) {
+func (r *Runner) endEarlierRuns(now time.Duration, l Listing, listed map[listedRun]bool) {
 	for _, t := range r.sortedTasks() {
 		if !t.earlier {
 			continue
 		}
 		t.earlier = false
-		if listed[t.Task] != t.Run && t.settled && t.acknowledgedAt < l.RequestedAt {
+		if !listed[listedRun{t.Task, t.Run}] && t.settled && t.acknowledgedAt < l.RequestedAt {
 			r.end(now, t, t.kind, messenger.ProofRestarted)
 			continue
 		}
-		if t.state == stateStopped && (!t.settled || listed[t.Task] == t.Run) {
+		if t.state == stateStopped && (!t.settled || listed[listedRun{t.Task, t.Run}]) {
 			// The earlier incarnation may have acknowledged the stop, or this one may have rejected
 			// it as meant for another one.
 			t.state = stateStopping
@@ -209,13 +220,13 @@
 	r.requestReports()
 }
 
-func (r *Runner) removeOrphans(listed map[messenger.TaskRef]uint64) {
+func (r *Runner) removeOrphans(listed map[listedRun]bool) {
 	if len(r.orphans) == 0 {
 		return
 	}
-	for ref, run := range r.orphans {
-		if listed[ref] != run {
-			r.removeOrphan(ref)
+	for run := range r.orphans {
+		if !listed[run] {
+			r.removeOrphan(run)
 		}
 	}
 	if len(r.orphans) == 0 {
@@ -225,8 +236,8 @@
 }
 
 func (r *Runner) applyEnd(now time.Duration, e RunEnd) {
-	if r.orphans[e.Task] == e.Run {
-		r.removeOrphan(e.Task)
+	if run := (listedRun{e.Task, e.Run}); r.orphans[run] {
+		r.removeOrphan(run)
 	}
 	t := r.tasks[e.Task]
 	if t == nil || t.Run != e.Run || t.state == stateWaiting {
@@ -271,12 +282,10 @@
 func (r *Runner) applyProgress(now time.Duration, run Run) {
 	t := r.tasks[run.Task]
 	if t == nil || t.Run != run.Run || t.state == stateWaiting {
-		if r.orphans[run.Task] == 0 {
+		if orphan := (listedRun{run.Task, run.Run}); !r.orphans[orphan] {
 			r.logDecision(Decision{Event: "stray-run", Task: run.Task, Run: run.Run})
 			r.requestReports()
-		}
-		if r.orphans[run.Task] < run.Run {
-			r.orphans[run.Task], r.orphansRetryAt = run.Run, now
+			r.orphans[orphan], r.orphansRetryAt = true, now
 		}
 		return
 	}
