Wait for the recorded owner, and end recalls whose owner is gone

Five faults that the review of relays and inquiries found, none seen by callers: an answer that came after the end of an inquiry was dropped, so that an entry that had been paused for longer went on beside the job here; an inquiry replaced the record of a third entry that has the job open; a job that was read late didn't wait for its recorded owner if that had no connection; a recall that was accepted through an agent never ended if its owner did; and a message with thousands of recalls was larger than agents pass on.

TestLateInquiryAnswer, TestInquiryKeepsOwner, TestInquiryOfUnconnectedOwner, TestAcceptedRecallFromEarlierIncarnation and TestRelayedRecallsAreBounded guard these; each fails with its part of the change taken out.

--- a/internal/broker/inquiries.go
+++ b/internal/broker/inquiries.go
@@ -78,7 +78,10 @@
 	elapsed := b.loop.Elapsed(now)
 	age, open := b.assigner.SubmissionAge(elapsed, job)
 	if !open {
-		b.tracker.Opened(elapsed, peer, job)
+		// The record of a third entry, which has the job open, is kept.
+		if _, recorded := b.tracker.Owner(elapsed, job); !recorded {
+			b.tracker.Opened(elapsed, peer, job)
+		}
 		return messenger.Inquiry{Job: job, Step: messenger.InquiryUnknown}
 	}
 	return messenger.Inquiry{Job: job, Step: messenger.InquiryOpen, Age: age, IsHeld: b.tracker.Inquiring(job)}
@@ -88,10 +91,13 @@
 // submissions is the later one: if that is the one here, the job is recalled from the other entry, and
 // if not, the caller of the one here has left, and it is given up.
 func (b *Broker) applyAnswer(now time.Time, peer messenger.Peer, q messenger.Inquiry) {
+	elapsed := b.loop.Elapsed(now)
 	if !b.tracker.InquiryAnswered(peer, q.Job) {
+		if q.Step == messenger.InquiryOpen {
+			b.recallEarlier(elapsed, peer, messenger.OpenJob{Job: q.Job, Age: q.Age})
+		}
 		return
 	}
-	elapsed := b.loop.Elapsed(now)
 	if known, _ := b.assigner.Known(q.Job); known && q.Step == messenger.InquiryOpen {
 		age, _ := b.assigner.SubmissionAge(elapsed, q.Job)
 		if !b.tracker.IsResubmission(b.peer, age, peer, q) {
--- a/internal/broker/inquiries_test.go
+++ b/internal/broker/inquiries_test.go
@@ -156,6 +156,48 @@
 	}
 }
 
+// TestLateInquiryAnswer checks that an entry whose answer comes after the inquiry's end, with an earlier
+// submission, is sent a recall.
+func TestLateInquiryAnswer(t *testing.T) {
+	w := newAgentWorld(t)
+	c, inbox := w.dialInquirer("entry-2")
+	answer := w.submitUnread("j", unread)
+	expect(t, inbox, inquiriesFrame([]string{"j"}))
+	w.checkState(answer, jobAdmitted)
+	c.Send(&messenger.Frame{Inquiries: []messenger.Inquiry{{Job: "j", Step: messenger.InquiryOpen, Age: 10 * time.Second}}})
+	expect(t, inbox, &messenger.Frame{Recalls: []messenger.Recall{{Job: "j", Step: messenger.RecallRequested}}})
+}
+
+// TestInquiryKeepsOwner checks that an inquiry of one entry does not replace the record of another one, which
+// has the job open.
+func TestInquiryKeepsOwner(t *testing.T) {
+	w := newAgentWorld(t)
+	c, inbox := w.dialInquirer("entry-2")
+	third, _ := w.dialInquirer("entry-3")
+	third.Send(openJobsFrame([]string{"j"}))
+	w.await("the open job", func() bool { return w.isOpen("j") })
+	c.Send(inquiriesFrame([]string{"j"}))
+	expect(t, inbox, &messenger.Frame{Inquiries: []messenger.Inquiry{{Job: "j", Step: messenger.InquiryUnknown}}})
+	w.broker.loop.Call(func(now time.Time) {
+		if owner, _ := w.broker.tracker.Owner(w.broker.loop.Elapsed(now), "j"); owner != "entry-3" {
+			t.Errorf("the owner is %s", owner)
+		}
+	})
+}
+
+// TestInquiryOfUnconnectedOwner checks that a job whose request was read late waits for the entry that is
+// recorded as its owner, also without a connection to it.
+func TestInquiryOfUnconnectedOwner(t *testing.T) {
+	w := newAgentWorld(t)
+	c, inbox := w.dialInquirer("entry-2")
+	w.broker.loop.Call(func(now time.Time) { w.broker.tracker.Opened(w.broker.loop.Elapsed(now), "entry-3", "j") })
+	answer := w.submitUnread("j", unread)
+	expect(t, inbox, inquiriesFrame([]string{"j"}))
+	c.Send(&messenger.Frame{Inquiries: []messenger.Inquiry{{Job: "j", Step: messenger.InquiryUnknown}}})
+	time.Sleep(testResubmitDelay / 2)
+	w.checkState(answer, jobHeld)
+}
+
 // dialInquirer connects as another entry, and returns the inquiries and recalls that it receives.
 func (w *agentWorld) dialInquirer(peer messenger.Peer) (*connector.Conn, <-chan *messenger.Frame) {
 	w.t.Helper()
--- a/internal/broker/relay_targets.go
+++ b/internal/broker/relay_targets.go
@@ -64,10 +64,9 @@
 }
 
 // heard applies that a message of an entry came through an agent. isConnected is set if that entry
-// has a connection here.
-func (r *relayTargets) heard(now time.Duration, peer messenger.Peer, addr netip.AddrPort, via messenger.Peer, isConnected bool) {
-	// An earlier incarnation at the address has ended.
-	maps.DeleteFunc(r.addrs, func(_ messenger.Peer, a netip.AddrPort) bool { return a == addr })
+// has a connection here. It returns the earlier incarnations at the address, which have ended.
+func (r *relayTargets) heard(now time.Duration, peer messenger.Peer, addr netip.AddrPort, via messenger.Peer, isConnected bool) (ended []messenger.Peer) {
+	ended = r.remove(func(p messenger.Peer, a netip.AddrPort) bool { return a == addr && p != peer })
 	r.addrs[peer] = addr
 	lasts := relayTime
 	if isConnected {
@@ -76,6 +75,19 @@
 	t := r.targets[addr]
 	t.until, t.via = max(t.until, now+lasts), via
 	r.targets[addr] = t
+	return ended
+}
+
+// remove removes the addresses of the entries for which holds returns true, and returns these in order.
+func (r *relayTargets) remove(holds func(messenger.Peer, netip.AddrPort) bool) (removed []messenger.Peer) {
+	for peer, addr := range r.addrs {
+		if holds(peer, addr) {
+			delete(r.addrs, peer)
+			removed = append(removed, peer)
+		}
+	}
+	slices.Sort(removed)
+	return removed
 }
 
 // expire removes the targets whose time is over, and returns, in order, those that were used.
@@ -93,9 +105,10 @@
 	return ended
 }
 
-// forget removes the addresses of the entries that have no connection and are no target.
-func (r *relayTargets) forget(hasConnection func(messenger.Peer) bool) {
-	maps.DeleteFunc(r.addrs, func(peer messenger.Peer, addr netip.AddrPort) bool {
+// forget removes the addresses of the entries that have no connection and are no target, and returns
+// these entries in order.
+func (r *relayTargets) forget(hasConnection func(messenger.Peer) bool) []messenger.Peer {
+	return r.remove(func(peer messenger.Peer, addr netip.AddrPort) bool {
 		_, isTarget := r.targets[addr]
 		return !isTarget && !hasConnection(peer)
 	})
--- a/internal/broker/relay_targets_test.go
+++ b/internal/broker/relay_targets_test.go
@@ -56,7 +56,7 @@
 		delete(s.entries, peer)
 		s.targets.disconnected(s.now, peer)
 	case "heard":
-		s.targets.heard(s.now, peer, netip.MustParseAddrPort(l.Args[1]), messenger.Peer(l.Args[2]), l.Args[3] == "true")
+		s.gone(s.targets.heard(s.now, peer, netip.MustParseAddrPort(l.Args[1]), messenger.Peer(l.Args[2]), l.Args[3] == "true"))
 	case "address":
 		addr, ok := s.targets.addrOf(peer)
 		fmt.Fprintln(&s.out, addr, ok)
@@ -71,9 +71,15 @@
 	for _, addr := range s.targets.expire(s.now) {
 		fmt.Fprintln(&s.out, addr, "ends")
 	}
-	s.targets.forget(func(peer messenger.Peer) bool { return s.entries[peer] })
+	s.gone(s.targets.forget(func(peer messenger.Peer) bool { return s.entries[peer] }))
 	for _, addr := range s.targets.list() {
 		via, isFirst := s.targets.use(addr)
 		fmt.Fprintf(&s.out, "%v via %q, first: %v\n", addr, via, isFirst)
 	}
 }
+
+func (s *relayScript) gone(peers []messenger.Peer) {
+	for _, peer := range peers {
+		fmt.Fprintln(&s.out, peer, "is gone")
+	}
+}
--- a/internal/broker/relays.go
+++ b/internal/broker/relays.go
@@ -19,6 +19,8 @@
 	// maxRelayedJobs bounds the open jobs in one message through an agent. Of more jobs, the next ones
 	// follow in the next message.
 	maxRelayedJobs = 1024
+	// maxRelayedRecalls bounds the recalls in it. Together they take less than agents pass on.
+	maxRelayedRecalls = 512
 )
 
 // sendToEntry sends a message to another entry: on its connection, and through agents if that entry
@@ -96,7 +98,7 @@
 	for _, addr := range b.relays.expire(b.loop.Elapsed(now)) {
 		b.logRelayEnd(addr, "time-over")
 	}
-	b.relays.forget(func(peer messenger.Peer) bool { return b.entries[peer] != nil })
+	b.entriesGone(now, b.relays.forget(func(peer messenger.Peer) bool { return b.entries[peer] != nil }))
 	targets := b.relays.list()
 	if len(targets) == 0 {
 		return
@@ -135,7 +137,7 @@
 			continue
 		}
 		for _, job := range jobs {
-			if known, _ := b.assigner.Known(job); known {
+			if known, _ := b.assigner.Known(job); known && len(recalls[addr]) < maxRelayedRecalls {
 				recalls[addr] = append(recalls[addr], messenger.Recall{Job: job, Step: messenger.RecallRequested})
 			}
 		}
@@ -151,7 +153,7 @@
 		}
 		isConnected := b.entries[r.From] != nil
 		if !r.Connected || !isConnected {
-			b.relays.heard(b.loop.Elapsed(now), r.From, r.ReplyTo, via, isConnected)
+			b.entriesGone(now, b.relays.heard(b.loop.Elapsed(now), r.From, r.ReplyTo, via, isConnected))
 		}
 		err := messenger.Decode(r.Message, func(f *messenger.Frame) { b.receiveJobs(now, r.From, f) })
 		if err != nil {
@@ -160,6 +162,14 @@
 	}
 }
 
+// entriesGone applies that nothing more is heard of entries through agents. A recall that one of them
+// has accepted would never end.
+func (b *Broker) entriesGone(now time.Time, peers []messenger.Peer) {
+	for _, peer := range peers {
+		b.tracker.OwnerGone(b.loop.Elapsed(now), peer)
+	}
+}
+
 func (b *Broker) logRelayEnd(addr netip.AddrPort, reason string) {
 	b.settings.Journal.Line("entry-relay-ended").Str("address", addr.String()).Str("reason", reason).Msg("")
 }
--- a/internal/broker/relays_test.go
+++ b/internal/broker/relays_test.go
@@ -56,6 +56,52 @@
 	}
 }
 
+// TestAcceptedRecallFromEarlierIncarnation recalls a job through an agent from an entry that accepts and
+// then ends. Only a message of its next incarnation shows that.
+func TestAcceptedRecallFromEarlierIncarnation(t *testing.T) {
+	w := newAgentWorld(t)
+	agent, relays := w.dialRelayingAgent()
+	w.send(agent)
+	agent.Send(w.relayFrame(openJobsFrame([]string{"j"})))
+	w.await("the open job", func() bool { return w.isOpen("j") })
+	w.submit("j")
+	w.awaitRecall(relays, messenger.Recall{Job: "j", Step: messenger.RecallRequested})
+	agent.Send(w.relayFrame(recallFrame("j", messenger.RecallAccepted)))
+	w.checkAdmission(false)
+	next := w.relayFrame(openJobsFrame([]string{"other"}))
+	next.Relays[0].From = "entry-2-restarted"
+	agent.Send(next)
+	w.checkAdmission(true)
+}
+
+// TestRelayedRecallsAreBounded checks that a message with many recalls is not larger than agents pass on.
+func TestRelayedRecallsAreBounded(t *testing.T) {
+	const jobs, maxBytes = 3000, 64 << 10
+	w := newAgentWorld(t)
+	agent, relays := w.dialRelayingAgent()
+	w.send(agent)
+	ids := make([]string, jobs)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("%016x", i)
+	}
+	agent.Send(w.relayFrame(openJobsFrame(ids)))
+	w.await("the open jobs", func() bool { return w.isOpen(ids[jobs-1]) })
+	for _, id := range ids {
+		w.submit(id)
+	}
+	end := time.After(time.Second)
+	for {
+		select {
+		case r := <-relays:
+			if len(r.Message) > maxBytes {
+				t.Fatalf("a message has %d bytes", len(r.Message))
+			}
+		case <-end:
+			return
+		}
+	}
+}
+
 // TestInquiryThroughAgent submits a job whose request was read late. The entry that has a later submission
 // has no connection.
 func TestInquiryThroughAgent(t *testing.T) {
