Send recalls from one place, and derive those to repeat from the open ones

Read again, the change had three copies: recallEarlier did what recall does, with a reason; OwnerBack collected the jobs that NotEnded returns for an owner; and each test of relays sent the agent's first frame itself. Behaviour and assertions are the same.

--- a/internal/broker/inquiries.go
+++ b/internal/broker/inquiries.go
@@ -106,7 +106,7 @@
 			b.inquiryEnded(now, q.Job, peer, "resubmitted-elsewhere")
 			return
 		}
-		b.recall(now, peer, q.Job)
+		b.recall(elapsed, peer, q.Job, "")
 	}
 	if b.tracker.EndIfAnswered(q.Job) {
 		b.inquiryEnded(now, q.Job, "", "answered")
--- a/internal/broker/recalls.go
+++ b/internal/broker/recalls.go
@@ -40,13 +40,13 @@
 		return
 	}
 	b.assigner.SubmitAfter(elapsed, j)
-	b.recall(now, owner, j.ID)
+	b.recall(elapsed, owner, j.ID, "")
 }
 
-// recall recalls a job that is held here from the entry that has it open.
-func (b *Broker) recall(now time.Time, owner messenger.Peer, job string) {
-	b.logRecall("job-recalled", job, owner, "")
-	b.tracker.Recall(b.loop.Elapsed(now), owner, job)
+// recall recalls a job from the entry that has an earlier submission of it open.
+func (b *Broker) recall(elapsed time.Duration, owner messenger.Peer, job, reason string) {
+	b.logRecall("job-recalled", job, owner, reason)
+	b.tracker.Recall(elapsed, owner, job)
 	// The recall is sent again when the owner connects again, and through agents until then.
 	b.sendToEntry(owner, recallFrame(job, messenger.RecallRequested))
 }
@@ -113,9 +113,7 @@
 	if !open || told.Age-age < b.settings.Limits.ResubmitDelay/2 || b.tracker.IsRecalled(told.Job) {
 		return
 	}
-	b.logRecall("job-recalled", told.Job, owner, "submitted-later")
-	b.tracker.Recall(elapsed, owner, told.Job)
-	b.sendToEntry(owner, recallFrame(told.Job, messenger.RecallRequested))
+	b.recall(elapsed, owner, told.Job, "submitted-later")
 }
 
 // receiveRecalls applies what another entry tells of its open jobs and of recalls.
--- a/internal/broker/relays_test.go
+++ b/internal/broker/relays_test.go
@@ -19,7 +19,6 @@
 func TestRecallThroughAgent(t *testing.T) {
 	w := newAgentWorld(t)
 	agent, relays := w.dialRelayingAgent()
-	w.send(agent)
 	agent.Send(w.relayFrame(openJobsFrame([]string{"j"})))
 	w.await("the open job", func() bool { return w.isOpen("j") })
 	w.submit("j")
@@ -42,7 +41,6 @@
 func TestRecallOfRelayedJob(t *testing.T) {
 	w := newAgentWorld(t)
 	agent, relays := w.dialRelayingAgent()
-	w.send(agent)
 	// The entry without a connection is known, so that it is told of the job.
 	agent.Send(w.relayFrame(openJobsFrame([]string{"other"})))
 	w.submit("j")
@@ -61,7 +59,6 @@
 func TestAcceptedRecallFromEarlierIncarnation(t *testing.T) {
 	w := newAgentWorld(t)
 	agent, relays := w.dialRelayingAgent()
-	w.send(agent)
 	agent.Send(w.relayFrame(openJobsFrame([]string{"j"})))
 	w.await("the open job", func() bool { return w.isOpen("j") })
 	w.submit("j")
@@ -79,7 +76,6 @@
 	const jobs, maxBytes = 3000, 64 << 10
 	w := newAgentWorld(t)
 	agent, relays := w.dialRelayingAgent()
-	w.send(agent)
 	ids := make([]string, jobs)
 	for i := range ids {
 		ids[i] = fmt.Sprintf("%016x", i)
@@ -107,7 +103,6 @@
 func TestInquiryThroughAgent(t *testing.T) {
 	w := newAgentWorld(t)
 	agent, relays := w.dialRelayingAgent()
-	w.send(agent)
 	agent.Send(w.relayFrame(openJobsFrame([]string{"other"})))
 	w.await("the other entry", func() bool { return w.isOpen("other") })
 	answer := w.submitUnread("j", unread)
@@ -123,8 +118,7 @@
 // messages go through agents once its connection has ended, and that they don't when it is back.
 func TestNoRelayWhileConnected(t *testing.T) {
 	w := newAgentWorld(t)
-	agent, relays := w.dialRelayingAgent()
-	w.send(agent)
+	_, relays := w.dialRelayingAgent()
 	entry := w.dialAsEntry("entry-2", cutEntryAddr, func(*messenger.Frame) {})
 	w.submit("j")
 	expectNone := func() {
@@ -152,7 +146,6 @@
 	const jobs = 2*maxRelayedJobs + 10
 	w := newAgentWorld(t)
 	agent, relays := w.dialRelayingAgent()
-	w.send(agent)
 	agent.Send(w.relayFrame(openJobsFrame([]string{"other"})))
 	for i := range jobs {
 		w.submit(fmt.Sprintf("j%04d", i))
@@ -173,7 +166,6 @@
 func TestRelayToAnotherAddress(t *testing.T) {
 	w := newAgentWorld(t)
 	agent, _ := w.dialRelayingAgent()
-	w.send(agent)
 	other := w.relayFrame(openJobsFrame([]string{"i"}))
 	other.Relays[0].To = cutEntryAddr
 	agent.Send(other)
@@ -196,7 +188,7 @@
 	}}}
 }
 
-// dialRelayingAgent connects as an agent, and returns the messages to the entry without a connection that
+// dialRelayingAgent connects as an agent, which has sent its first frame, and returns the messages to the entry without a connection that
 // it is to pass on.
 func (w *agentWorld) dialRelayingAgent() (*connector.Conn, <-chan messenger.Relay) {
 	w.t.Helper()
@@ -208,6 +200,7 @@
 			}
 		}
 	})
+	w.send(c)
 	return c, relays
 }
 
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -145,16 +145,9 @@
 	for job, r := range t.recalls {
 		if r.owner == owner {
 			t.recalls[job] = recall{owner: owner, answerBy: now + t.limits.AnswerTimeout}
-			jobs = append(jobs, job)
 		}
 	}
-	for job, r := range t.overdue {
-		if r.owner == owner {
-			jobs = append(jobs, job)
-		}
-	}
-	slices.Sort(jobs)
-	return slices.Compact(jobs)
+	return t.NotEnded()[owner]
 }
 
 // NotEnded returns, by owner and in order, the jobs whose recalls have not ended, also if they were
