Show that a cancelled job is run when its request is repeated (case 6)

Nothing remembers a cancelled job once its runs have ended, so a repeated request that arrives seconds after the answers is taken for a new job.

--- /dev/null
+++ b/review/standin-2/cases.go
@@ -0,0 +1,307 @@
+package main
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	cancelMs      = 3 * time.Second
+	stopTimeout   = 50 * time.Millisecond
+	callDeadline  = 1500 * time.Millisecond
+	minOwnEnds    = 3 // ends by themselves of a machine's process that count as a fault
+	minOwnMachine = 2 // machines of which they do
+)
+
+// fixed returns a choice of always the same entry, as the platform's hash of a client is.
+func fixed(m *machine) func() *machine { return func() *machine { return m } }
+
+// playCount hands in one job that can never be done, beside ordinary jobs.
+func playCount(rec *record, trouble bool) (verdict, error) {
+	return with(rec, 3, 3, []map[string]any{route(1500)}, func(g *rig) (verdict, error) {
+		var wg sync.WaitGroup
+		end := time.Now().Add(45 * time.Second)
+		var mu sync.Mutex
+		served, unanswered := 0, 0
+		others := g.newClient("shop", 8, func() *machine { in := g.balance(); return in[rand.IntN(len(in))] })
+		wg.Go(func() {
+			for time.Now().Before(end) {
+				wg.Go(func() {
+					r := others.call("POST", newJobID(), jobBody(60, step{Count: 4, CPU: 1600, MemMb: 64, EstRuntimeMs: 60}), callDeadline)
+					mu.Lock()
+					defer mu.Unlock()
+					if r.status == 0 {
+						unanswered++
+					} else {
+						served++
+					}
+				})
+				time.Sleep(200 * time.Millisecond)
+			}
+		})
+		time.Sleep(time.Second)
+		wg.Go(func() { sendUntilAnswered(g, trouble, end) })
+		wg.Wait()
+		machines, ends := 0, 0
+		for _, m := range g.machines() {
+			m.mu.Lock()
+			if m.ownEnds >= minOwnEnds {
+				machines++
+			}
+			ends += m.ownEnds
+			m.mu.Unlock()
+		}
+		return verdict{machines >= minOwnMachine, fmt.Sprintf(
+			"%d processes ended by themselves; on %d of %d machines three times or more (a fault from %d on); of the other clients' jobs %d were answered, %d got no answer",
+			ends, machines, len(g.machines()), minOwnMachine, served, unanswered)}, nil
+	})
+}
+
+// sendUntilAnswered hands in one job, and again after no answer, a broken connection, 502 or 504, at
+// the next node in rotation.
+func sendUntilAnswered(g *rig, trouble bool, end time.Time) {
+	id := newJobID()
+	steps := []step{{Count: 1, CPU: 1600, MemMb: 64, EstRuntimeMs: 60}, {Count: 4, CPU: 1600, MemMb: 64, EstRuntimeMs: 60}}
+	if trouble {
+		steps[1].Count = math.MaxInt
+	}
+	for attempt := 0; time.Now().Before(end); attempt++ {
+		in := g.balance()
+		c := g.newClient("bulk", 1, fixed(in[attempt%len(in)]))
+		r := c.call("POST", id, jobBody(60, steps...), callDeadline)
+		c.http.CloseIdleConnections()
+		if r.status != 0 && r.status != 502 && r.status != 504 {
+			return
+		}
+		time.Sleep(resubmit)
+	}
+}
+
+// playLateRepeat cancels a job, and its request arrives a second time seconds after the answers.
+func playLateRepeat(rec *record, trouble bool) (verdict, error) {
+	return with(rec, 3, 3, []map[string]any{route(1500)}, func(g *rig) (verdict, error) {
+		c := g.newClient("shop", 4, fixed(g.entries[0]))
+		id := newJobID()
+		body := jobBody(900, step{Count: 4, CPU: 1600, MemMb: 64, EstRuntimeMs: 900})
+		answered := make(chan result, 1)
+		go func() { answered <- c.call("POST", id, body, callDeadline) }()
+		time.Sleep(300 * time.Millisecond)
+		cancel := c.call("DELETE", id, nil, callDeadline)
+		first := <-answered
+		if cancel.status != 200 || first.status != 200 {
+			return verdict{}, fmt.Errorf("%w: the cancel was answered %v, the job %v", errCannotRun, cancel, first)
+		}
+		time.Sleep(cancelMs + 2*time.Second)
+		if trouble {
+			c.call("POST", id, body, callDeadline)
+		}
+		time.Sleep(2 * time.Second)
+		return judgeCancelled(rec, id, cancel), nil
+	})
+}
+
+// playCancel cancels a long job by a request that reaches another node than the job's.
+func playCancel(rec *record, trouble bool) (verdict, error) {
+	const deadline = 15 * time.Second
+	return with(rec, 3, 3, []map[string]any{route(15000)}, func(g *rig) (verdict, error) {
+		c := g.newClient("shop", 4, fixed(g.entries[0]))
+		other := g.entries[0]
+		if trouble {
+			other = g.entries[1]
+		}
+		back := g.newClient("back-office", 4, fixed(other))
+		id := newJobID()
+		body := jobBody(4500, step{Count: 1, CPU: 1600, MemMb: 64, EstRuntimeMs: 4500}, step{Count: 2, CPU: 1600, MemMb: 64, EstRuntimeMs: 4500, After: []int{0}})
+		answered := make(chan result, 1)
+		go func() { answered <- c.call("POST", id, body, deadline) }()
+		time.Sleep(700 * time.Millisecond)
+		cancel := back.call("DELETE", id, nil, callDeadline)
+		if cancel.status != 200 && cancel.status != 410 {
+			return verdict{}, fmt.Errorf("%w: the cancel was answered %v", errCannotRun, cancel)
+		}
+		<-answered
+		time.Sleep(500 * time.Millisecond)
+		return judgeCancelled(rec, id, cancel), nil
+	})
+}
+
+// judgeCancelled tells whether a task of a cancelled job began, or ran on, later than allowed after
+// the acknowledgement of the cancel.
+func judgeCancelled(rec *record, id string, cancel result) verdict {
+	limit := cancel.got + cancelMs
+	begun, ranOn := 0, 0
+	runs := rec.runsOf(id)
+	for _, r := range runs {
+		switch {
+		case r.began > limit:
+			begun++
+		case r.how == "" || r.ended > limit+stopTimeout:
+			ranOn++
+		}
+	}
+	return verdict{begun+ranOn > 0, fmt.Sprintf(
+		"the cancel was answered %v at %.3f s; of %d runs %d began later than cancel_ms after that and %d ran on longer than StopTimeoutMs beyond it",
+		cancel, cancel.got.Seconds(), len(runs), begun, ranOn)}
+}
+
+// playDrain stops the entries in turn while clients use their open connections.
+func playDrain(rec *record, trouble bool) (verdict, error) {
+	const (
+		rolls    = 9
+		interval = 20 * time.Millisecond // between two jobs
+		clients  = 200                   // each uses its one connection every 4 s
+		taskMs   = 60
+	)
+	return with(rec, 3, 3, []map[string]any{route(1500)}, func(g *rig) (verdict, error) {
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		var sent []drainRequest
+		done := make(chan struct{})
+		var open []*client
+		for i := range clients {
+			open = append(open, g.newClient(fmt.Sprintf("shop-%d", i), 1, func() *machine {
+				in := g.balance()
+				return in[i%len(in)]
+			}))
+		}
+		wg.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-done:
+					return
+				case <-time.After(interval):
+				}
+				wg.Go(func() {
+					id := newJobID()
+					r := open[i%len(open)].call("POST", id, jobBody(taskMs, step{Count: 1, CPU: 1600, MemMb: 64, EstRuntimeMs: taskMs}), callDeadline)
+					mu.Lock()
+					defer mu.Unlock()
+					sent = append(sent, drainRequest{id, r})
+				})
+			}
+		})
+		time.Sleep(4 * time.Second)
+		var terms []time.Duration
+		for i := range rolls {
+			if !trouble {
+				time.Sleep(3 * time.Second)
+				continue
+			}
+			terms = append(terms, rec.at())
+			g.terminate(g.entries[i%len(g.entries)])
+			waitRotation(g)
+			time.Sleep(1500 * time.Millisecond)
+		}
+		close(done)
+		wg.Wait()
+		return judgeCut(rec, sent, terms), nil
+	})
+}
+
+// waitRotation waits until all entries are in rotation again.
+func waitRotation(g *rig) {
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline) && len(g.rotation()) < len(g.entries); {
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+type drainRequest struct {
+	id string
+	result
+}
+
+// judgeCut counts the requests that ended without a complete answer, before their deadline, after a
+// task of theirs had begun at an executor.
+func judgeCut(rec *record, sent []drainRequest, terms []time.Duration) verdict {
+	cut, refused, examples := 0, 0, ""
+	for _, s := range sent {
+		if s.status != 0 {
+			if s.status != 200 {
+				refused++
+			}
+			continue
+		}
+		runs := rec.runsOf(s.id)
+		begun := slices.ContainsFunc(runs, func(r runRecord) bool { return r.began < s.got })
+		planned := slices.ContainsFunc(terms, func(t time.Duration) bool { return s.got >= t && s.got <= t+(graceS+1)*time.Second })
+		if begun && planned && s.got-s.sent < callDeadline {
+			cut++
+			if cut <= 3 {
+				examples += fmt.Sprintf("; job %s, sent at %.3f s, cut at %.3f s", s.id, s.sent.Seconds(), s.got.Seconds())
+			}
+		}
+	}
+	return verdict{cut > 0, fmt.Sprintf("%d SIGTERMs, %d requests, %d not served, %d cut off without an answer after a task of theirs had begun%s",
+		len(terms), len(sent), refused, cut, examples)}
+}
+
+const configApply = 2 * time.Second // ConfigApplyMs
+
+// playMove moves the platform's store to another address: the settings files of all machines change,
+// and each process gets SIGHUP. Then the operator drops a route.
+func playMove(rec *record, trouble bool) (verdict, error) {
+	const stretch = 5 * time.Second // MaxStretchMs
+	dropped := route(1500)
+	dropped["Name"], dropped["PathPrefix"] = "r-73d3zji", "/pufi791/"
+	return with(rec, 3, 3, []map[string]any{route(1500), dropped}, func(g *rig) (verdict, error) {
+		if trouble {
+			if err := g.moveStore(); err != nil {
+				return verdict{}, err
+			}
+		}
+		for _, m := range g.machines() {
+			rec.linef("platform: SIGHUP to %s", m.name)
+			m.signal(syscall.SIGHUP)
+		}
+		time.Sleep(5 * time.Second)
+		g.closeOldStore()
+		time.Sleep(5 * time.Second)
+		g.putConfig(2, []map[string]any{route(1500)})
+		acknowledged := rec.at()
+		rec.linef("operator: version 2, without the route /pufi791/, is acknowledged")
+		time.Sleep(configApply + stretch + time.Second)
+		stale, all := 0, 0
+		for _, m := range g.entries {
+			c := g.newClient("shop", 2, fixed(m))
+			c.prefix = "/pufi791/"
+			id := newJobID()
+			r := c.call("POST", id, jobBody(60, step{Count: 1, CPU: 1600, MemMb: 64, EstRuntimeMs: 60}), callDeadline)
+			if all++; r.status == 200 && len(rec.runsOf(id)) > 0 {
+				stale++
+			}
+		}
+		return verdict{stale > 0, fmt.Sprintf("version 2 was acknowledged at %.3f s; of %d jobs that were sent on the dropped route from %.3f s on, %d ran",
+			acknowledged.Seconds(), all, (acknowledged + configApply + stretch + time.Second).Seconds(), stale)}, nil
+	})
+}
+
+// playEstimate hands in jobs whose declared run time is far too short, and then ordinary ones.
+func playEstimate(rec *record, trouble bool) (verdict, error) {
+	return with(rec, 3, 3, []map[string]any{route(1500)}, func(g *rig) (verdict, error) {
+		declared := 900.0
+		if trouble {
+			declared = 1
+		}
+		for i, m := range g.entries {
+			c := g.newClient(fmt.Sprintf("bulk-%d", i), 2, fixed(m))
+			c.call("POST", newJobID(), jobBody(900, step{Count: 4, CPU: 1600, MemMb: 64, EstRuntimeMs: declared}), callDeadline)
+		}
+		c := g.newClient("shop", 4, func() *machine { return g.entries[rand.IntN(3)] })
+		served, refused := 0, 0
+		for range 60 {
+			if r := c.call("POST", newJobID(), jobBody(300, step{Count: 1, CPU: 1600, MemMb: 64, EstRuntimeMs: 300}), callDeadline); r.status == 200 {
+				served++
+			} else {
+				refused++
+			}
+			c.http.CloseIdleConnections()
+			time.Sleep(200 * time.Millisecond)
+		}
+		return verdict{served*4 < served+refused, fmt.Sprintf("%d served, %d not", served, refused)}, nil
+	})
+}
