--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -280,28 +280,51 @@
 	})
 }
 
-// playEstimate hands in jobs whose declared run time is far too short, and then ordinary ones.
+const recoverTime = 12 * time.Second // RecoverS
+
+// playEstimate kills all processes, as a final fault does, hands in one job at each entry whose declared run
+// time is far too short, and then ordinary ones.
 func playEstimate(rec *record, trouble bool) (verdict, error) {
 	return with(rec, 3, 3, []map[string]any{route(1500)}, func(g *rig) (verdict, error) {
-		declared := 900.0
-		if trouble {
-			declared = 1
+		c := g.newClient("shop", 1, func() *machine { in := g.balance(); return in[rand.IntN(len(in))] })
+		before, _ := sendProofs(c, 5*time.Second)
+		for _, m := range g.machines() {
+			rec.linef("platform: %s is killed", m.name)
+			m.kill()
 		}
-		for i, m := range g.entries {
-			c := g.newClient(fmt.Sprintf("bulk-%d", i), 2, fixed(m))
-			c.call("POST", newJobID(), jobBody(900, step{Count: 4, CPU: 1600, MemMb: 64, EstRuntimeMs: declared}), callDeadline)
+		if err := g.waitReady(); err != nil {
+			return verdict{}, err
 		}
-		c := g.newClient("shop", 4, func() *machine { return g.entries[rand.IntN(3)] })
-		served, refused := 0, 0
-		for range 60 {
-			if r := c.call("POST", newJobID(), jobBody(300, step{Count: 1, CPU: 1600, MemMb: 64, EstRuntimeMs: 300}), callDeadline); r.status == 200 {
-				served++
-			} else {
-				refused++
+		back := time.Now()
+		for i, m := range g.entries {
+			declared := 900.0
+			if trouble {
+				declared = 50
 			}
-			c.http.CloseIdleConnections()
-			time.Sleep(200 * time.Millisecond)
+			bulk := g.newClient(fmt.Sprintf("bulk-%d", i), 1, fixed(m))
+			bulk.call("POST", newJobID(), proof(declared), callDeadline)
 		}
-		return verdict{served*4 < served+refused, fmt.Sprintf("%d served, %d not", served, refused)}, nil
+		sendProofs(c, time.Until(back.Add(recoverTime)))
+		served, all := sendProofs(c, 12*time.Second)
+		return verdict{before > 0 && 4*served < all, fmt.Sprintf(
+			"%d jobs were served before the final fault; of the %d that were sent later than RecoverS after the machines were back, %d were served", before, all, served)}, nil
 	})
 }
+
+// proof returns the body of a job like the users' "proof", four tasks of 0.9 s, with a declared run time.
+func proof(declared float64) []byte {
+	return jobBody(900, step{Count: 4, CPU: 1600, MemMb: 64, EstRuntimeMs: declared})
+}
+
+// sendProofs hands in jobs one after the other, whose declared run times are off by up to 0.4, and
+// returns how many were served.
+func sendProofs(c *client, d time.Duration) (served, all int) {
+	for end := time.Now().Add(d); time.Now().Before(end); all++ {
+		if r := c.call("POST", newJobID(), proof(900*(0.6+0.8*rand.Float64())), callDeadline); r.status == 200 {
+			served++
+		}
+		c.http.CloseIdleConnections()
+		time.Sleep(200 * time.Millisecond)
+	}
+	return served, all
+}
--- a/review/standin-2/rig.go
+++ b/review/standin-2/rig.go
@@ -175,14 +175,18 @@
 		}
 	}
 	go g.probe()
-	deadline := time.Now().Add(20 * time.Second)
-	for time.Now().Before(deadline) {
+	return g.waitReady()
+}
+
+// waitReady waits until every entry is in rotation, and 2 s more.
+func (g *rig) waitReady() error {
+	time.Sleep(2 * time.Second)
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
 		if len(g.rotation()) == len(g.entries) {
 			time.Sleep(2 * time.Second)
 			g.record.linef("platform: all %d entries are ready", len(g.entries))
 			return nil
 		}
-		time.Sleep(50 * time.Millisecond)
 	}
 	return fmt.Errorf("%w: the entries were not ready after 20 s", errCannotRun)
 }
@@ -301,6 +305,14 @@
 	_ = m.process.Signal(s)
 }
 
+// kill ends the process of a machine as a disruption.
+func (m *machine) kill() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.terminated = true
+	_ = m.process.Kill()
+}
+
 // terminate sends SIGTERM and, after GraceS, SIGKILL. It returns when the process has ended.
 func (g *rig) terminate(m *machine) {
 	m.mu.Lock()
