--- a/review/standin-2/executor.go
+++ b/review/standin-2/executor.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -44,6 +46,10 @@
 	highest  map[string]uint64 // highest run of each task that was stopped or has ended
 	change   chan struct{}
 	draining bool
+	// down is set while the executor is crashed: it answers nothing and announces nothing.
+	down bool
+	// lateUntil is until when half of the orders get no answer and are carried out late.
+	lateUntil time.Time
 }
 
 func newExecutor(id, service, control, address, zone string, rec *record) *executor {
@@ -74,6 +80,10 @@
 
 func (e *executor) announce(client *http.Client) bool {
 	e.mu.Lock()
+	if e.down {
+		e.mu.Unlock()
+		return false
+	}
 	e.seq++
 	state := "ready"
 	if e.draining {
@@ -118,6 +128,13 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.down {
+		e.leaveUnanswered(r)
+	}
+	if time.Now().Before(e.lateUntil) && rand.IntN(2) == 0 {
+		e.carryOutLate(r, o)
+		e.leaveUnanswered(r)
+	}
 	if want := r.Header.Get("X-Expected-Instance"); want != "" && want != e.id {
 		e.reply(w, http.StatusMisdirectedRequest, nil)
 		return
@@ -132,11 +149,7 @@
 	case "/api/run-start":
 		e.serveStart(w, o)
 	case "/api/run-stop":
-		e.highest[o.Task] = max(e.highest[o.Task], o.RunID)
-		if t := e.runs[o.Task]; t != nil && t.id <= o.RunID {
-			e.end(t, "stopped")
-		}
-		e.reply(w, http.StatusOK, map[string]any{})
+		e.serveStop(w, o)
 	case "/api/hold":
 		e.serveHold(w, o)
 	default:
@@ -169,6 +182,14 @@
 	e.reply(w, http.StatusOK, map[string]any{})
 }
 
+func (e *executor) serveStop(w http.ResponseWriter, o order) {
+	e.highest[o.Task] = max(e.highest[o.Task], o.RunID)
+	if t := e.runs[o.Task]; t != nil && t.id <= o.RunID {
+		e.end(t, "stopped")
+	}
+	e.reply(w, http.StatusOK, map[string]any{})
+}
+
 func (e *executor) serveHold(w http.ResponseWriter, o order) {
 	e.extend(o.DeadlineMs)
 	left := e.ended[:0]
@@ -178,6 +199,7 @@
 		}
 	}
 	e.ended = left
+	born := e.born
 	if len(e.ended) == 0 && o.WaitMs > 0 {
 		change := e.change
 		e.mu.Unlock()
@@ -186,6 +208,9 @@
 		case <-time.After(time.Duration(min(o.WaitMs, 2000)) * time.Millisecond):
 		}
 		e.mu.Lock()
+		if e.down || e.born != born {
+			panic(http.ErrAbortHandler)
+		}
 	}
 	running := [][]any{}
 	for _, t := range e.runs {
@@ -194,6 +219,66 @@
 	e.reply(w, http.StatusOK, map[string]any{"born": e.born.UnixMilli(), "Running": running, "Ended": e.ended})
 }
 
+// leaveUnanswered ends a call without an answer, once its caller has given it up.
+func (e *executor) leaveUnanswered(r *http.Request) {
+	e.mu.Unlock()
+	<-r.Context().Done()
+	e.mu.Lock()
+	panic(http.ErrAbortHandler)
+}
+
+// carryOutLate carries out an order 2 to 12 s later, at whatever incarnation has the id then.
+func (e *executor) carryOutLate(r *http.Request, o order) {
+	path, wanted := r.URL.Path, r.Header.Get("X-Expected-Instance")
+	time.AfterFunc(2*time.Second+rand.N(10*time.Second), func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.down || wanted != "" && wanted != e.id {
+			return
+		}
+		e.lapse()
+		if o.FencingToken < e.fence {
+			return
+		}
+		e.fence = o.FencingToken
+		o.WaitMs = 0
+		switch path {
+		case "/api/run-start":
+			e.record.linef("executor %s: the start of %s, run %d, arrives late", e.id, o.Task, o.RunID)
+			e.serveStart(httptest.NewRecorder(), o)
+		case "/api/run-stop":
+			e.serveStop(httptest.NewRecorder(), o)
+		case "/api/hold":
+			e.serveHold(httptest.NewRecorder(), o)
+		}
+	})
+}
+
+// crash ends all runs. The executor is silent for the time and then starts again under its id.
+func (e *executor) crash(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return
+	}
+	e.record.linef("executor %s: crashes", e.id)
+	for _, t := range e.runs {
+		t.timer.Stop()
+		delete(e.runs, t.task)
+		e.record.ended(e.id, t.task, t.id, "crashed")
+	}
+	e.down = true
+	time.AfterFunc(d, func() {
+		e.mu.Lock()
+		e.born, e.seq, e.fence, e.lease, e.ended, e.lastEnd = time.Now(), 0, 0, 0, nil, 0
+		e.highest = make(map[string]uint64)
+		e.down = false
+		e.record.linef("executor %s: has started again", e.id)
+		e.mu.Unlock()
+		e.announce(&http.Client{Timeout: time.Second})
+	})
+}
+
 // extend extends the lease, for maxLease at most. It never shortens.
 func (e *executor) extend(deadlineMs int64) {
 	until := min(time.Duration(deadlineMs)*time.Millisecond, e.clock()+maxLease)
@@ -201,10 +286,13 @@
 		return
 	}
 	e.lease = until
+	born := e.born
 	time.AfterFunc(until-e.clock(), func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		e.lapse()
+		if e.born == born {
+			e.lapse()
+		}
 	})
 }
 
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,12 +19,11 @@
 
 // cases are the cases by name. Each is told whether to cause the disruption.
 var cases = map[string]func(rec *record, trouble bool) (verdict, error){
-	"count":       playCount,
-	"late-repeat": playLateRepeat,
-	"cancel":      playCancel,
-	"drain":       playDrain,
-	"estimate":    playEstimate,
-	"move":        playMove,
+	"count":      playCount,
+	"late-start": playLateStart,
+	"drain":      playDrain,
+	"estimate":   playEstimate,
+	"move":       playMove,
 }
 
 func main() { os.Exit(play()) }
