Report an upstream as ready again once its last stray run is listed as ended

Callers: the capacity of an upstream was left unused after a stray run there, and a task that may run nowhere else waited until its job was given up.

Cause: Runner.Listed applies the ends first, which removes a stray run whose end is listed. removeOrphans then found no stray run, and so neither logged strays-gone nor requested reports. The entries were told with the next other change of the load, or never. An upstream lists the end of a stopped run, so this is the usual way; only a stray run that vanished from the list was reported.

Change: removeOrphan requests the reports, whatever shows that the last stray run is gone.

The script stray-listed-end had no load report before the change. Six other scripts show the added decision strays-gone and are otherwise unchanged.

--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -206,6 +206,10 @@
 func (r *Runner) removeOrphan(o listedRun) {
 	delete(r.orphans, o)
 	r.releaseHeld(o.task)
+	if len(r.orphans) == 0 {
+		r.logDecision(Decision{Event: "strays-gone"})
+		r.requestReports()
+	}
 }
 
 func (r *Runner) clearOrphans() {
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -221,18 +221,11 @@
 }
 
 func (r *Runner) removeOrphans(listed map[listedRun]bool) {
-	if len(r.orphans) == 0 {
-		return
-	}
 	for run := range r.orphans {
 		if !listed[run] {
 			r.removeOrphan(run)
 		}
 	}
-	if len(r.orphans) == 0 {
-		r.logDecision(Decision{Event: "strays-gone"})
-		r.requestReports()
-	}
 }
 
 func (r *Runner) applyEnd(now time.Duration, e RunEnd) {
