Launch a task with an outstanding start at no other upstream

A start without an answer may be carried out after the upstream has started again under its id, and until the first call with a raised token nothing there refuses it. The run was ended by a stop, a lease or a restart, its entry launched the task at another upstream, and the first one ran it again after its next restart.

Change: an agent reports each start that it sends again, or whose run ends before the answer, to every entry, in the frame with the end at the latest, and for a minute to entries that connect. Entries launch such a task only at that upstream until its id changes; the agent there has always kept two runs of a task apart. A job is given up when the task could end only too late to be of use. The same record covers a lost agent and a submission at another entry.

--- a/internal/assigner/agent.go
+++ b/internal/assigner/agent.go
@@ -214,6 +214,9 @@
 	for i := range f.Crashes {
 		a.recordCrash(now, &f.Crashes[i])
 	}
+	for i := range f.OutstandingStarts {
+		a.recordOutstanding(now, g, &f.OutstandingStarts[i])
+	}
 	for i := range f.Ends {
 		a.applyEnd(now, g, &f.Ends[i])
 	}
@@ -227,6 +230,9 @@
 	a.observeOutage(now, g, l.State)
 	if !g.loadKnown || g.load.State != l.State || g.load.Incarnation != l.Incarnation {
 		a.logDecision(Decision{Event: "upstream-state", Instance: g.instance, Reason: string(l.State)})
+		if id := messenger.UpstreamID(l.Incarnation); id != "" {
+			a.outstanding.removeReplaced(g.instance, id)
+		}
 	}
 	if l.State == messenger.RunnerAbsent && l.Capacity == (messenger.Resources{}) {
 		l.Capacity = g.load.Capacity
@@ -259,6 +265,8 @@
 		j.baseRun += runStep
 	case messenger.EndReturned:
 		t.returns++
+	case messenger.EndRefused:
+		t.heldUntil = now + minAgentWait
 	case messenger.EndCrashed:
 		a.out.Crashed = append(a.out.Crashed, j.Queue)
 	}
--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -175,6 +175,7 @@
 	pausedAt     time.Duration // when the latest pause of this entry began
 	catchUpUntil time.Duration // until when requests may be read that came during that pause
 	crashes      crashLog
+	outstanding  outstandingStarts
 	exposing     bool // whether upstreams were exposed to hazardous queues at the latest pass
 	out          Output
 }
@@ -200,6 +201,8 @@
 		entries:    1,
 		meanRun:    defaultRun,
 		crashes:    newCrashLog(),
+
+		outstanding: newOutstandingStarts(),
 	}
 }
 
--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -28,6 +28,8 @@
 //	beat INSTANCE...                         delivers a heartbeat: a frame with only a stamp
 //	submit ID TICKET TASKS CPU DECLARED [PRIORITY [LABEL]]
 //	end INSTANCE ID/INDEX RUN KIND
+//	outstanding INSTANCE ID/INDEX            reports a start without an answer at its upstream
+//	replace INSTANCE ID                      gives its upstream another ID, which the next load report tells
 //	crash INSTANCE INCARNATION ID/INDEX[:QUEUE[:RUN-TIME]]...  reports that an upstream crashed under tasks
 //	crash-uncertain ...                      the same, not certain for the runs
 //	queue NAME                               sets the queue of the jobs that are submitted next
@@ -121,6 +123,12 @@
 			Task: s.task(a[1]), Run: uint64(scripter.Number(s.t, a[2])),
 			Kind: messenger.EndKind(a[3]), RunTime: 100 * time.Millisecond, Started: true,
 		}}})
+	case "outstanding":
+		s.assigner.Receive(s.now, s.peer(a[0]), &messenger.Frame{OutstandingStarts: []messenger.OutstandingStart{{
+			Task: s.task(a[1]), Upstream: messenger.UpstreamID(s.incarnations[a[0]]),
+		}}})
+	case "replace":
+		s.incarnations[a[0]] = messenger.IncarnationName(a[1], 1)
 	case "crash", "crash-uncertain":
 		c := messenger.Crash{Upstream: a[1]}
 		for _, name := range a[2:] {
--- a/internal/assigner/exposure.go
+++ b/internal/assigner/exposure.go
@@ -252,11 +252,15 @@
 	for {
 		i := slices.IndexFunc(a.pending, func(t *task) bool {
 			j := t.job
-			return (t.hazardous || t.suspicion != nil) && j.running == 0 && j.ran && now+a.startDelay(now, j)+t.expected > j.latestUseful
+			return (t.hazardous || t.suspicion != nil || len(t.outstanding) > 0) && j.running == 0 && j.ran && now+a.startDelay(now, j)+t.expected > j.latestUseful
 		})
 		if i < 0 {
 			return
 		}
-		a.abandon(now, a.pending[i].job, "confined", 0)
+		reason := "confined"
+		if len(a.pending[i].outstanding) > 0 {
+			reason = "start-outstanding"
+		}
+		a.abandon(now, a.pending[i].job, reason, 0)
 	}
 }
--- a/internal/assigner/job.go
+++ b/internal/assigner/job.go
@@ -69,6 +69,12 @@
 	// suspectsPerUpstream is the number of tasks with the same suspicion that may run at one
 	// upstream.
 	suspectsPerUpstream int
+	// outstanding has the starts of the task, as of the latest pass, that upstreams may still
+	// carry out. The task is launched only where all of these are.
+	outstanding []*outstandingStart
+	// heldUntil is until when a task with outstanding starts is not launched again after the
+	// upstream has refused it.
+	heldUntil time.Duration
 }
 
 // Submit adds a job. Its answer may be in the next output.
--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -58,6 +58,7 @@
 	}
 	for _, t := range a.pending {
 		a.updateSuspicion(now, t)
+		t.outstanding = a.outstanding.of(now, t.ref)
 	}
 	late, unscheduled := a.scheduleSelected(now, func(t *task) bool { return t.latestStart() >= now })
 	a.lacksCapacity = unscheduled.others > 0 && a.serving
@@ -88,6 +89,9 @@
 		g, wait := a.choose(now, t)
 		if g == nil {
 			unscheduled.add(t)
+			if len(t.outstanding) > 0 {
+				return false
+			}
 			failedAttempts++
 			a.unscheduled = append(a.unscheduled, t)
 			return false
@@ -104,12 +108,12 @@
 }
 
 // unscheduledTasks counts tasks for which a pass found no capacity. Tasks that are under
-// suspicion are left out, since these wait for more than capacity.
+// suspicion or have outstanding starts are left out, since these wait for more than capacity.
 type unscheduledTasks struct{ hazardous, others int }
 
 func (u *unscheduledTasks) add(t *task) {
 	switch {
-	case t.suspicion != nil:
+	case t.suspicion != nil || len(t.outstanding) > 0:
 	case t.hazardous:
 		u.hazardous++
 	default:
@@ -185,7 +189,9 @@
 	switch {
 	case !g.loadKnown || a.suspect(now, g) || l.Service != t.job.Service:
 		return false
-	case !t.allowedBesideHazards(g):
+	case !t.allowedBesideHazards(g) || !t.allowedBesideOutstanding(g):
+		return false
+	case len(t.outstanding) > 0 && now < t.heldUntil:
 		return false
 	case a.allowSuspect(l):
 	case l.State == messenger.RunnerProbing:
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -303,6 +303,9 @@
 	a := runner.AnswerNone
 	attempts := 0
 	for ; attempts < maxStartAttempts && a == runner.AnswerNone; attempts++ {
+		if attempts == 1 {
+			k.loop.Post(func(now time.Time) { k.runner.Repeated(k.loop.Elapsed(now), c) })
+		}
 		ctx, cancel := context.WithTimeout(k.background, callTimeout)
 		a = k.settings.Driver.Start(ctx, c, k.remaining(c.LeaseUntil))
 		cancel()
--- a/internal/messenger/ephemeral.go
+++ b/internal/messenger/ephemeral.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -162,6 +164,18 @@
 	Runs []CrashedRun  `cbor:"3,keyasint,omitempty"`
 }
 
+// OutstandingStart reports that an attempt to start a task has had no answer. The upstream may
+// carry it out seconds later, and also after a restart under its ID, with which it has forgotten
+// that the run was stopped. An agent sends it to every entry, also to those that connect later,
+// and not after the end of the run.
+type OutstandingStart struct {
+	Task TaskRef `cbor:"1,keyasint"`
+	// Upstream is the ID of the upstream, which a restart need not change.
+	Upstream string `cbor:"2,keyasint"`
+	// Age is the time since the attempt was sent, when the message is built.
+	Age time.Duration `cbor:"3,keyasint,omitempty"`
+}
+
 // CrashedRun is a run that had not ended when its upstream crashed.
 type CrashedRun struct {
 	Task  TaskRef `cbor:"1,keyasint"`
@@ -173,6 +187,17 @@
 	Certain bool `cbor:"4,keyasint,omitempty"`
 }
 
+// IncarnationName returns the name of one start of an upstream: its ID and a number.
+func IncarnationName(id string, number int64) string {
+	return id + "#" + strconv.FormatInt(number, 36)
+}
+
+// UpstreamID returns the ID of the upstream of which the name is that of an incarnation. It is
+// empty if the ID is not known yet.
+func UpstreamID(incarnation string) string {
+	return incarnation[:max(0, strings.LastIndexByte(incarnation, '#'))]
+}
+
 // RunnerState is the state of the upstream that an agent runs tasks on.
 type RunnerState string
 
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -66,6 +66,7 @@
 	Recalls                []Recall               `cbor:"31,keyasint,omitempty"`
 	Relays                 []Relay                `cbor:"32,keyasint,omitempty"`
 	Inquiries              []Inquiry              `cbor:"33,keyasint,omitempty"`
+	OutstandingStarts      []OutstandingStart     `cbor:"34,keyasint,omitempty"`
 }
 
 // Hello is the first message in both directions of a connection.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -16,7 +16,6 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
 	"time"
 
 	"sardinelock.dev/sardinelock/internal/messenger"
@@ -68,7 +67,7 @@
 }
 
 // String returns the name of the incarnation in messages to entries.
-func (l Incarnation) String() string { return l.ID + "#" + strconv.FormatInt(l.Number, 36) }
+func (l Incarnation) String() string { return messenger.IncarnationName(l.ID, l.Number) }
 
 // matches reports whether two values may denote the same incarnation. A listing does
 // not name the upstream, so an empty ID matches any.
@@ -138,6 +137,8 @@
 	outages    int
 	lastOutage time.Duration
 	crashes    crashLog
+	// outstanding has the recent starts without an answer.
+	outstanding []outstandingStart
 	// countedJobs has the jobs whose failures were counted most recently.
 	countedJobs [8]string
 	nextCounted int
@@ -218,6 +219,7 @@
 	kind      messenger.EndKind // kind is the kind of end that is reported if the task is stopped.
 	arrivedAt time.Duration     // arrivedAt is when the launch was received.
 	startedAt time.Duration     // startedAt is when the start was sent.
+	upstream  string            // upstream is the ID of the upstream to which the start was sent.
 	stoppedAt time.Duration     // stoppedAt is when the first stop was sent, or acknowledged.
 	retryAt   time.Duration     // retryAt is when a stop is sent again.
 	// lastContact is the latest contact of the entry before the task was stopped. The entry may
@@ -230,6 +232,11 @@
 	// settled is set once the start was acknowledged at its first attempt. An earlier attempt
 	// without an answer may still arrive, and be the first one at a later incarnation.
 	settled bool
+	// repeated is set once the start was sent again. resolved is set once the upstream has answered
+	// the start, or has listed the run, and it was sent only once.
+	repeated, resolved bool
+	// reported is set once the entries are told of the start as an outstanding one.
+	reported bool
 	// lapsed is set once the lease of a run that is not settled has expired. In this incarnation
 	// the run has ended, and cannot start again.
 	lapsed bool
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -28,6 +28,7 @@
 //	rests                                   sets the idle limits; must be the first line
 //	short-leases                            sets short leases; must be the first line
 //	withdraw ENTRY ECHO JOB RUN
+//	repeat JOB RUN                          a start without an answer is about to be sent again
 //	answer JOB RUN ANSWER [again]           answers a start; again if it was a retry
 //	stopped JOB RUN true|false              answers a stop
 //	list BORN [running JOB:RUN:PERCENT]... [ended NUMBER:JOB:RUN:KIND]...
@@ -82,6 +83,8 @@
 		s.receive(l)
 	case "answer":
 		s.runner.Started(s.now, StartCall{Task: task0(a[0]), Run: uint64(scripter.Number(s.t, a[1]))}, Answer(a[2]), len(a) > 3)
+	case "repeat":
+		s.runner.Repeated(s.now, StartCall{Task: task0(a[0]), Run: uint64(scripter.Number(s.t, a[1]))})
 	case "stopped":
 		s.runner.Stopped(s.now, StopCall{Task: task0(a[0]), Run: uint64(scripter.Number(s.t, a[1]))}, a[2] == "true")
 	case "list":
@@ -158,7 +161,11 @@
 	s.runner.Listed(s.now, l)
 }
 
+// printEnds prints the ends in a frame, and the starts without an answer.
 func (s *script) printEnds(send Send) {
+	for _, m := range send.Frame.OutstandingStarts {
+		fmt.Fprintf(&s.out, "outstanding to %s: %s at %s since %v\n", send.To, m.Task.Job, m.Upstream, m.Age)
+	}
 	for _, e := range send.Frame.Ends {
 		fmt.Fprintf(&s.out, "end to %s: %s run %d %s", send.To, e.Task.Job, e.Run, e.Kind)
 		if e.Proof != messenger.ProofListed {
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -15,8 +15,9 @@
 	entryStamp       time.Duration // entryStamp is the latest stamp of the entry.
 	launchesReceived uint64        // launchesReceived counts the launches received on the connection.
 	ends             []messenger.End
-	crashes          []*crash // crashes have not been reported to the entry.
-	tasks            int      // tasks counts the tasks that the session owns.
+	crashes          []*crash           // crashes have not been reported to the entry.
+	outstanding      []outstandingStart // outstanding have not been reported to the entry.
+	tasks            int                // tasks counts the tasks that the session owns.
 	// idleSince is when the last task of the session ended; resumedAt is when a task
 	// came after an idle time.
 	idleSince, resumedAt time.Duration
@@ -34,7 +35,7 @@
 
 // EntryUp begins the session of an entry.
 func (r *Runner) EntryUp(now time.Duration, peer messenger.Peer) {
-	r.sessions[peer] = &session{peer: peer, echoed: now, idleSince: now - r.limits.IdleThreshold, reportDue: true, crashes: r.crashes.recentAt(now)}
+	r.sessions[peer] = &session{peer: peer, echoed: now, idleSince: now - r.limits.IdleThreshold, reportDue: true, crashes: r.crashes.recentAt(now), outstanding: r.recentOutstanding(now)}
 }
 
 // EntryDown ends the session of an entry and stops its tasks.
--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -287,7 +287,7 @@
 	i := slices.Index(r.waiting, t)
 	r.waiting = slices.Delete(r.waiting, i, i+1)
 	t.state = stateStarting
-	t.startedAt = now
+	t.startedAt, t.upstream = now, r.incarnation.ID
 	r.used = r.used.Add(t.Resources)
 	r.startedAt = now
 	r.out.Starts = append(r.out.Starts, StartCall{
@@ -311,10 +311,12 @@
 			continue
 		}
 		f := &messenger.Frame{Ends: s.ends, Crashes: crashMessages(now, s.crashes), Stamp: &messenger.Stamp{Clock: now, Echo: s.entryStamp}}
+		f.OutstandingStarts = outstandingMessages(now, s.outstanding)
 		if s.reportDue || s.loadChanged {
 			f.Load = r.load(now, s)
 			s.reportedLoad = f.Load.Used.Add(f.Load.Queued)
 		}
+		s.outstanding = nil
 		s.ends, s.crashes, s.reportDue, s.loadChanged, s.sentAt = nil, nil, false, false, now
 		r.out.Sends = append(r.out.Sends, Send{To: peer, Frame: f})
 	}
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -33,6 +33,7 @@
 	if t == nil || t.Run != c.Run || t.state == stateWaiting {
 		return
 	}
+	t.resolved = t.resolved || !retried && a != AnswerNone
 	switch a {
 	case AnswerStarted:
 		t.acknowledge(now)
@@ -236,6 +237,7 @@
 	if t == nil || t.Run != e.Run || t.state == stateWaiting {
 		return
 	}
+	t.resolved = t.resolved || !t.repeated
 	kind := e.Kind
 	switch {
 	case kind == messenger.EndDone:
@@ -283,6 +285,7 @@
 		return
 	}
 	t.acknowledge(now)
+	t.resolved = t.resolved || !t.repeated
 	if t.state == stateStarting {
 		t.state = stateRunning
 	}
@@ -330,6 +333,9 @@
 // then, so an end needs a proof.
 func (r *Runner) end(now time.Duration, t *task, kind messenger.EndKind, proof messenger.Proof) {
 	delete(r.tasks, t.Task)
+	if t.state != stateWaiting && !t.resolved {
+		r.recordOutstanding(now, t)
+	}
 	t.session.tasks--
 	t.session.idleSince = now
 	e := messenger.End{Task: t.Task, Run: t.Run, Kind: kind, Started: t.state != stateWaiting, Proof: proof}
