Log for how long a restarted upstream may have carried out late calls

How long an upstream that has started again knew no fencing token, and how many starts without an answer could reach it then, was logged by nothing, so that hypotheses about late starts could not be told apart.

Adds the decision upstream-fenced with the upstream's clock at its first list with the raised token, and with the number of outstanding starts.

--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"sardinelock.dev/sardinelock/internal/messenger"
@@ -121,6 +122,9 @@
 	Ended       []RunEnd
 	// RequestedAt is when the poll was sent.
 	RequestedAt time.Duration
+	// Clock is the time from the start of the incarnation to its answer. By then it rejects the
+	// calls to earlier incarnations that are carried out late.
+	Clock time.Duration
 }
 
 // recentListingAge is the longest time since the previous listing at which an end is
@@ -142,7 +146,7 @@
 		// has restarted since.
 		r.earlierLease = newLease(now, r.limits.MaxLeaseDuration)
 	}
-	r.markAnswered(now)
+	r.markAnswered(now, l.Clock)
 	r.recentListing = now-r.listedAt < recentListingAge
 	r.listedAt = now
 	for _, e := range l.Ended {
@@ -198,8 +202,8 @@
 	}
 }
 
-// markAnswered records that the upstream has answered a poll.
-func (r *Runner) markAnswered(now time.Duration) {
+// markAnswered records that the upstream has answered a poll when its clock was at the given time.
+func (r *Runner) markAnswered(now, clock time.Duration) {
 	if r.failedPolls > 0 {
 		r.longLeaseUntil = now + longLeaseTime
 	}
@@ -208,6 +212,9 @@
 	r.listed = true
 	if !r.answered {
 		r.distrustLease(now)
+		if r.restarted {
+			r.logDecision(Decision{Event: "upstream-fenced", Reason: strconv.Itoa(len(r.recentOutstanding(now))), Age: clock})
+		}
 	}
 	if r.answered && !r.silent {
 		return
