--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -53,10 +53,11 @@
 	return messenger.EndCrashed
 }
 
-// crashedRuns returns the runs that end with a crash at the given time.
+// crashedRuns returns the runs that end with a crash at the given time. Those that ended with an
+// earlier incarnation, although their end has no proof yet, are left out.
 func (r *Runner) crashedRuns(at time.Duration) (runs []messenger.CrashedRun) {
 	for _, t := range r.sortedTasks() {
-		if t.state == stateWaiting {
+		if t.state == stateWaiting || !t.incarnation.matches(r.incarnation) {
 			continue
 		}
 		run := t.crashed(at)
--- a/internal/runner/outstanding.go
+++ b/internal/runner/outstanding.go
@@ -40,8 +40,8 @@
 		return
 	}
 	t.reported = true
-	r.logDecision(Decision{Event: "start-outstanding", Task: t.Task, Run: t.Run, Reason: t.upstream, Age: now - t.startedAt})
-	s := outstandingStart{task: t.Task, upstream: t.upstream, sentAt: t.startedAt}
+	r.logDecision(Decision{Event: "start-outstanding", Task: t.Task, Run: t.Run, Reason: t.incarnation.ID, Age: now - t.startedAt})
+	s := outstandingStart{task: t.Task, upstream: t.incarnation.ID, sentAt: t.startedAt}
 	r.outstanding = append(r.outstanding[max(0, len(r.outstanding)+1-maxOutstanding):], s)
 	for _, to := range r.sessions {
 		to.outstanding = append(to.outstanding, s)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -219,7 +219,8 @@
 	kind      messenger.EndKind // kind is the kind of end that is reported if the task is stopped.
 	arrivedAt time.Duration     // arrivedAt is when the launch was received.
 	startedAt time.Duration     // startedAt is when the start was sent.
-	upstream  string            // upstream is the ID of the upstream to which the start was sent.
+	// incarnation is the one to which the start was sent, or a later one that has listed the run.
+	incarnation Incarnation
 	stoppedAt time.Duration     // stoppedAt is when the first stop was sent, or acknowledged.
 	retryAt   time.Duration     // retryAt is when a stop is sent again.
 	// lastContact is the latest contact of the entry before the task was stopped. The entry may
--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -287,7 +287,7 @@
 	i := slices.Index(r.waiting, t)
 	r.waiting = slices.Delete(r.waiting, i, i+1)
 	t.state = stateStarting
-	t.startedAt, t.upstream = now, r.incarnation.ID
+	t.startedAt, t.incarnation = now, r.incarnation
 	r.used = r.used.Add(t.Resources)
 	r.startedAt = now
 	r.out.Starts = append(r.out.Starts, StartCall{
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -292,6 +292,7 @@
 		return
 	}
 	t.acknowledge(now)
+	t.incarnation.Number = r.incarnation.Number
 	t.resolved = t.resolved || !t.repeated
 	if t.state == stateStarting {
 		t.state = stateRunning
