Tell agents of a new entry before their first frame has come, too

Callers: an entry could be left without some of its agents for as long as it ran, and without any it was not ready.

Cause: an agent is sent the list of entries at its handshake, and counts as connected from its first frame on. Entries that connected between the two were announced to connected agents only, so the agent never dialled them. All processes of a deployment start within 0.3 s, so that the two coincide.

Change: announcements also go to connections whose first frame has not come.

--- a/internal/broker/directory_test.go
+++ b/internal/broker/directory_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
@@ -66,3 +67,30 @@
 		})
 	}
 }
+
+// TestNewAgentIsToldOfEntries checks that an agent that has not sent its first frame yet is told of
+// an entry that connects. It would not dial that entry.
+func TestNewAgentIsToldOfEntries(t *testing.T) {
+	w := newAgentWorld(t)
+	told := make(chan netip.AddrPort, 16)
+	w.dialHandling("agent-1", func(f *messenger.Frame) {
+		if f.Routes != nil {
+			for _, e := range f.Routes.Entries {
+				told <- e.Addr
+			}
+		}
+	})
+	want := netip.MustParseAddrPort("127.0.0.9:9")
+	w.dialAsEntry("entry-2", want, func(*messenger.Frame) {})
+	timeout := time.After(5 * time.Second)
+	for {
+		select {
+		case addr := <-told:
+			if addr == want {
+				return
+			}
+		case <-timeout:
+			t.Fatal("the agent was not told of the entry in 5 s")
+		}
+	}
+}
--- a/internal/broker/peers.go
+++ b/internal/broker/peers.go
@@ -188,7 +188,8 @@
 	}
 }
 
-// announceEntries sends the addresses of newly connected entries to all agents and entries.
+// announceEntries sends the addresses of newly connected entries to all agents and entries, also
+// to agents whose first frame has not come: they were sent the list of entries before.
 func (b *Broker) announceEntries(now time.Time) {
 	if now.Sub(b.announcedAt) < announceInterval {
 		return
@@ -202,6 +203,9 @@
 	for _, c := range b.agents {
 		c.Send(f)
 	}
+	for c := range b.newAgents {
+		c.Send(f)
+	}
 	for _, c := range b.entries {
 		c.Send(f)
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -221,8 +221,8 @@
 	startedAt time.Duration     // startedAt is when the start was sent.
 	// incarnation is the one to which the start was sent, or a later one that has listed the run.
 	incarnation Incarnation
-	stoppedAt time.Duration     // stoppedAt is when the first stop was sent, or acknowledged.
-	retryAt   time.Duration     // retryAt is when a stop is sent again.
+	stoppedAt   time.Duration // stoppedAt is when the first stop was sent, or acknowledged.
+	retryAt     time.Duration // retryAt is when a stop is sent again.
 	// lastContact is the latest contact of the entry before the task was stopped. The entry may
 	// have given the task up since, whatever contact it has later.
 	lastContact time.Duration
