Report no outstanding start at an upstream that has been replaced

Callers: a task could wait for the instance whose upstream had been replaced, although any other may run it.

Cause: the run of a start without an answer may end after the upstream at the instance has got another ID. The report then came after the load report by which entries forget the starts at the earlier one.

Change: such a start is not reported. Found by reading.

--- a/internal/runner/outstanding.go
+++ b/internal/runner/outstanding.go
@@ -34,9 +34,10 @@
 }
 
 // recordOutstanding records that the start of a task may still be carried out. The entries are
-// told with the next frame, which is not after that with the end of the run.
+// told with the next frame, which is not after that with the end of the run. A start at an upstream
+// that has been replaced is not outstanding.
 func (r *Runner) recordOutstanding(now time.Duration, t *task) {
-	if t.reported {
+	if t.reported || r.isReplaced(t.incarnation.ID) {
 		return
 	}
 	t.reported = true
@@ -48,11 +49,16 @@
 	}
 }
 
-// recentOutstanding returns the outstanding starts to report to an entry that has connected. Those
-// at an upstream with another ID are left out, since the present one rejects them.
+// isReplaced reports whether the upstream with the ID has been replaced by one with another ID, which
+// rejects calls that are meant for it.
+func (r *Runner) isReplaced(upstream string) bool {
+	return r.incarnation.ID != "" && r.incarnation.ID != upstream
+}
+
+// recentOutstanding returns the outstanding starts to report to an entry that has connected.
 func (r *Runner) recentOutstanding(now time.Duration) []outstandingStart {
 	return slices.DeleteFunc(slices.Clone(r.outstanding), func(s outstandingStart) bool {
-		return now-s.sentAt > outstandingMemory || r.incarnation.ID != "" && s.upstream != r.incarnation.ID
+		return now-s.sentAt > outstandingMemory || r.isReplaced(s.upstream)
 	})
 }
 
