--- a/internal/assigner/agent.go
+++ b/internal/assigner/agent.go
@@ -253,7 +253,7 @@
 	t.agent = nil
 	switch e.Kind {
 	case messenger.EndDone:
-		a.queue(j.Queue).learn(t.step.DeclaredRunTime, e.RunTime)
+		a.queue(j.Queue).learn(now, t.step.DeclaredRunTime, e.RunTime)
 		a.meanRun += time.Duration(learnWeight * float64(e.RunTime-a.meanRun))
 		a.completeTask(now, t)
 		return
--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -28,6 +28,7 @@
 //	beat INSTANCE...                         delivers a heartbeat: a frame with only a stamp
 //	submit ID TICKET TASKS CPU DECLARED [PRIORITY [LABEL]]
 //	end INSTANCE ID/INDEX RUN KIND
+//	end-all INSTANCE ID TASKS RUN            reports that all tasks of a job are done
 //	outstanding INSTANCE ID/INDEX            reports a start without an answer at its upstream
 //	replace INSTANCE ID                      gives its upstream another ID, which the next load report tells
 //	crash INSTANCE INCARNATION ID/INDEX[:QUEUE[:RUN-TIME]]...  reports that an upstream crashed under tasks
@@ -119,10 +120,11 @@
 	case "open-jobs":
 		fmt.Fprintln(&s.out, s.assigner.OpenJobs(s.now, 400*time.Millisecond, 4*time.Second), s.assigner.ToldJobs())
 	case "end":
-		s.assigner.Receive(s.now, s.peer(a[0]), &messenger.Frame{Ends: []messenger.End{{
-			Task: s.task(a[1]), Run: uint64(scripter.Number(s.t, a[2])),
-			Kind: messenger.EndKind(a[3]), RunTime: 100 * time.Millisecond, Started: true,
-		}}})
+		s.end(a[0], a[1], uint64(scripter.Number(s.t, a[2])), messenger.EndKind(a[3]))
+	case "end-all":
+		for i := range scripter.Number(s.t, a[2]) {
+			s.end(a[0], fmt.Sprintf("%s/%d", a[1], i), uint64(scripter.Number(s.t, a[3])), messenger.EndDone)
+		}
 	case "outstanding":
 		s.assigner.Receive(s.now, s.peer(a[0]), &messenger.Frame{OutstandingStarts: []messenger.OutstandingStart{{
 			Task: s.task(a[1]), Upstream: messenger.UpstreamID(s.incarnations[a[0]]),
@@ -183,6 +185,13 @@
 	s.print()
 }
 
+// end reports the end of a run after 100 ms.
+func (s *script) end(instance, task string, run uint64, kind messenger.EndKind) {
+	s.assigner.Receive(s.now, s.peer(instance), &messenger.Frame{Ends: []messenger.End{{
+		Task: s.task(task), Run: run, Kind: kind, RunTime: 100 * time.Millisecond, Started: true,
+	}}})
+}
+
 func (s *script) load(a []string) {
 	if a[1] == "empty" {
 		l := &messenger.Load{Incarnation: s.incarnations[a[0]], Service: "quote", State: messenger.RunnerReady}
--- a/internal/assigner/job.go
+++ b/internal/assigner/job.go
@@ -98,36 +98,48 @@
 
 func (a *Assigner) newJob(now time.Duration, s Job) *job {
 	j := &job{Job: s, arrived: s.arrival(now), earliest: a.earliestArrival(now, &s), probedAt: -1, unfinished: make([]int, len(s.Steps))}
-	q := a.queue(s.Queue)
-	chain := make([]time.Duration, len(s.Steps))
 	for i := range s.Steps {
 		step := &s.Steps[i]
-		expected := q.expect(step.DeclaredRunTime)
-		var before time.Duration
-		for _, b := range step.After {
-			before = max(before, chain[b])
-		}
-		chain[i] = before + expected
-		j.expected = max(j.expected, chain[i])
 		j.unfinished[i] = step.Count
 		for n := range step.Count {
-			j.tasks = append(j.tasks, &task{
-				job: j, ref: messenger.TaskRef{Job: s.ID, Step: i, Index: n}, step: step,
-				state: stateBlocked, expected: expected,
-			})
+			j.tasks = append(j.tasks, &task{job: j, ref: messenger.TaskRef{Job: s.ID, Step: i, Index: n}, step: step, state: stateBlocked})
 		}
 	}
+	q := a.queue(s.Queue)
 	q.addDemand(now, &s)
 	if a.firstJobAt == 0 {
 		a.firstJobAt = now
 	}
-	objective := time.Duration(s.SlowdownFactor*float64(j.expected)) + s.LatencyAllowance
-	j.objective = j.arrived + objective
 	j.deadline = j.arrived + s.CallerTimeout - a.limits.AnswerMargin
-	j.latestUseful = min(j.deadline, j.arrived+lateFactor*objective)
+	j.estimate(q.expect)
 	return j
 }
 
+// estimate sets the times that follow from the run times of tasks, which the function returns for
+// declared ones.
+func (j *job) estimate(expect func(declared time.Duration) time.Duration) {
+	for _, t := range j.tasks {
+		t.expected = expect(t.step.DeclaredRunTime)
+	}
+	j.expected = j.longestChain(expect)
+	objective := time.Duration(j.SlowdownFactor*float64(j.expected)) + j.LatencyAllowance
+	j.objective = j.arrived + objective
+	j.latestUseful = min(j.deadline, j.arrived+lateFactor*objective)
+}
+
+// longestChain returns the run time of the longest chain of steps.
+func (j *job) longestChain(expect func(declared time.Duration) time.Duration) (longest time.Duration) {
+	chain := make([]time.Duration, len(j.Steps))
+	for i := range j.Steps {
+		for _, b := range j.Steps[i].After {
+			chain[i] = max(chain[i], chain[b])
+		}
+		chain[i] += expect(j.Steps[i].DeclaredRunTime)
+		longest = max(longest, chain[i])
+	}
+	return longest
+}
+
 // lateFactor is the number of objectives after which an answer is of no use. Up to that
 // time, the service-level agreement counts it as late.
 const lateFactor = 3
@@ -145,16 +157,22 @@
 		return
 	}
 	fitting, wait := a.outlook(now, j)
+	isLate := func() bool { return now+wait+j.expected > j.latestUseful }
+	if isLate() {
+		a.checkEstimate(now, j, wait)
+	}
 	switch {
 	case !fitting:
 		a.reject(now, j, "fits-no-upstream", 0)
-	case now+wait+j.expected > j.latestUseful && !a.settling(now):
+	case isLate() && !a.settling(now):
 		reason := "overload"
 		switch {
 		case a.outage(now) > 0:
 			reason = "no-upstream"
 		case a.crashes.hazardous(now, j.Queue):
 			reason = "confined"
+		case now+j.expected > j.latestUseful:
+			reason = "too-late"
 		}
 		a.reject(now, j, reason, wait)
 	}
