--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -20,6 +20,7 @@
 	"github.com/oklog/run"
 
 	"sardinelock.dev/sardinelock/internal/assigner"
+	"sardinelock.dev/sardinelock/internal/canceller"
 	"sardinelock.dev/sardinelock/internal/cataloguer"
 	"sardinelock.dev/sardinelock/internal/connector"
 	"sardinelock.dev/sardinelock/internal/controller"
@@ -103,7 +104,10 @@
 	// nextRelayed is the first of the jobs that the next message through agents tells of, if there
 	// are too many for one.
 	nextRelayed string
-	inquired    []string // inquired has the jobs whose inquiries are sent with the next flush.
+	canceller   *canceller.Canceller
+	// cancelWaiters has the callers that wait for the end of a cancel, by job.
+	cancelWaiters map[string][]chan<- canceller.Outcome
+	inquired      []string // inquired has the jobs whose inquiries are sent with the next flush.
 	// confirmedAt is when the platform or a peer last sent the version in force.
 	confirmedAt time.Time
 
@@ -135,7 +139,10 @@
 		tracker:      tracker.New(s.trackerLimits()),
 		recalledBy:   make(map[string][]messenger.Peer),
 		relays:       newRelayTargets(),
-		versions:     versionTracker{delay: s.ConfigRequestDelay, peers: make(map[messenger.Peer]uint64)},
+		canceller:    canceller.New(canceller.Limits{RecordLifetime: cancelMemory, MaxRecords: maxCancels, AnswerTimeout: cancelAnswerTimeout}),
+
+		cancelWaiters: make(map[string][]chan<- canceller.Outcome),
+		versions:      versionTracker{delay: s.ConfigRequestDelay, peers: make(map[messenger.Peer]uint64)},
 	}
 	b.background, b.stop = context.WithCancel(context.Background())
 	b.loop = controller.NewOnClock(timer.NewBootTimeClock(), b.flush)
@@ -266,12 +273,6 @@
 	}
 }
 
-// Cancel ends a job and reports whether it is known.
-func (b *Broker) Cancel(id string) (known bool) {
-	b.loop.Call(func(now time.Time) { known = b.assigner.Cancel(b.loop.Elapsed(now), id) })
-	return known
-}
-
 // Status reports whether a job is known, which it is until it has an answer, and whether
 // any of its tasks was launched.
 func (b *Broker) Status(id string) (known, launched bool) {
--- a/internal/broker/peers.go
+++ b/internal/broker/peers.go
@@ -59,6 +59,7 @@
 		if told := b.assigner.ToldJobs(); len(told) > 0 {
 			c.Send(b.agedJobsFrame(b.loop.Elapsed(now), told))
 		}
+		b.tellCancels(now, c)
 		b.versions.heard(h.Peer, h.ConfigVersion)
 	default:
 		return false
@@ -143,6 +144,7 @@
 		delete(b.entries, h.Peer)
 		b.directory.disconnected(h.Peer)
 		b.versions.gone(h.Peer)
+		b.canceller.EntryLost(h.Peer)
 		if !b.isConnectedTo(h.PeerAddr) {
 			b.relays.disconnected(b.loop.Elapsed(now), h.Peer)
 		}
--- a/internal/broker/recalls.go
+++ b/internal/broker/recalls.go
@@ -31,6 +31,10 @@
 // request was read late, its caller may have submitted the job to another entry since, so all are asked.
 func (b *Broker) submit(now time.Time, j assigner.Job) {
 	elapsed := b.loop.Elapsed(now)
+	if b.canceller.IsCancelled(elapsed, j.ID) {
+		b.deliverAnswer(assigner.Answer{Ticket: j.Ticket, Job: j.ID, Queue: j.Queue, Outcome: assigner.OutcomeCancelled, Reason: "cancelled-before"})
+		return
+	}
 	if b.assigner.ReadLate(elapsed, &j) && b.inquire(elapsed, j) {
 		return
 	}
@@ -66,6 +70,7 @@
 func (b *Broker) endUnanswered(now time.Time) {
 	b.endRecalls(now, "unanswered", b.tracker.Unanswered(b.loop.Elapsed(now)))
 	b.endInquiries(now)
+	b.endCancels(now)
 }
 
 // tellOpenJobs tells the other entries of the jobs that have been open for tellAge.
@@ -93,6 +98,7 @@
 func (b *Broker) receiveJobs(now time.Time, peer messenger.Peer, f *messenger.Frame) {
 	b.receiveRecalls(now, peer, f)
 	b.receiveInquiries(now, peer, f.Inquiries)
+	b.receiveCancellations(now, peer, f.Cancellations)
 }
 
 // agedJobsFrame is like openJobsFrame, with the ages of the jobs.
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -67,6 +67,7 @@
 	Relays                 []Relay                `cbor:"32,keyasint,omitempty"`
 	Inquiries              []Inquiry              `cbor:"33,keyasint,omitempty"`
 	OutstandingStarts      []OutstandingStart     `cbor:"34,keyasint,omitempty"`
+	Cancellations          []Cancellation         `cbor:"35,keyasint,omitempty"`
 }
 
 // Hello is the first message in both directions of a connection.
--- a/internal/messenger/fuzz_test.go
+++ b/internal/messenger/fuzz_test.go
@@ -51,6 +51,7 @@
 		Relays:                 []Relay{{From: "entry-0", To: netip.MustParseAddrPort("127.0.0.1:1"), Message: []byte{0xa0}}},
 		Inquiries:              []Inquiry{{Job: "a", Step: InquiryOpen, Age: time.Second, IsHeld: true}},
 		OutstandingStarts:      []OutstandingStart{{Task: TaskRef{Job: "a"}, Upstream: "u", Age: time.Second}},
+		Cancellations:          []Cancellation{{Job: "a", Step: CancellationAsked, Age: time.Second}},
 	}
 }
 
