--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -192,16 +192,15 @@
 // over equal upstreams and the retries of callers over time.
 func New(l Limits, dataCentre string, random *rand.Rand) *Assigner {
 	return &Assigner{
-		limits:     l,
-		dataCentre: dataCentre,
-		random:     random,
-		agents:     make(map[messenger.Peer]*agent),
-		jobs:       make(map[string]*job),
-		queues:     make(map[string]*queue),
-		entries:    1,
-		meanRun:    defaultRun,
-		crashes:    newCrashLog(),
-
+		limits:      l,
+		dataCentre:  dataCentre,
+		random:      random,
+		agents:      make(map[messenger.Peer]*agent),
+		jobs:        make(map[string]*job),
+		queues:      make(map[string]*queue),
+		entries:     1,
+		meanRun:     defaultRun,
+		crashes:     newCrashLog(),
 		outstanding: newOutstandingStarts(),
 	}
 }
--- /dev/null
+++ b/internal/assigner/estimate.go
@@ -0,0 +1,58 @@
+package assigner
+
+import (
+	"time"
+
+	"sardinelock.dev/sardinelock/internal/messenger"
+)
+
+// estimate sets the times that follow from the run times of tasks, which the function returns for
+// declared ones.
+func (j *job) estimate(expect func(declared time.Duration) time.Duration) {
+	for _, t := range j.tasks {
+		t.expected = expect(t.step.DeclaredRunTime)
+	}
+	j.expected = j.longestChain(expect)
+	objective := time.Duration(j.SlowdownFactor*float64(j.expected)) + j.LatencyAllowance
+	j.objective = j.arrived + objective
+	j.latestUseful = min(j.deadline, j.arrived+lateFactor*objective)
+}
+
+// longestChain returns the run time of the longest chain of steps.
+func (j *job) longestChain(expect func(declared time.Duration) time.Duration) (longest time.Duration) {
+	chain := make([]time.Duration, len(j.Steps))
+	for i := range j.Steps {
+		for _, b := range j.Steps[i].After {
+			chain[i] = max(chain[i], chain[b])
+		}
+		chain[i] += expect(j.Steps[i].DeclaredRunTime)
+		longest = max(longest, chain[i])
+	}
+	return longest
+}
+
+const (
+	// estimateCheckInterval is the shortest time between two jobs of a queue that are admitted to
+	// check its estimate.
+	estimateCheckInterval = time.Second
+	// doubtfulFactor is the ratio of estimate to declaration from which an estimate is checked
+	// although tasks of the queue have ended recently.
+	doubtfulFactor = 2
+)
+
+// checkEstimate takes the declared run times of a job that would be rejected, if the estimate of its
+// queue alone makes it too late and may be wrong: no task of the queue has ended recently, or the
+// estimate is far from the declaration. A rejected job has no results from which the estimate could
+// become right again.
+func (a *Assigner) checkEstimate(now time.Duration, j *job, wait time.Duration) {
+	q := a.queue(j.Queue)
+	declared := j.longestChain(func(d time.Duration) time.Duration { return d })
+	isConfirmed := q.resultAt > 0 && now-q.resultAt < estimateCheckInterval && j.expected < doubtfulFactor*declared
+	isChecked := q.checkedAt > 0 && now-q.checkedAt < estimateCheckInterval
+	if isConfirmed || isChecked || declared >= j.expected || now+wait+declared > j.deadline {
+		return
+	}
+	q.checkedAt = now
+	a.logDecision(Decision{Event: "estimate-checked", Task: messenger.TaskRef{Job: j.ID}, Reason: j.Queue, Wait: j.expected, Age: declared, JobAge: now - j.arrived})
+	j.estimate(func(d time.Duration) time.Duration { return d })
+}
--- a/internal/assigner/job.go
+++ b/internal/assigner/job.go
@@ -115,31 +115,6 @@
 	return j
 }
 
-// estimate sets the times that follow from the run times of tasks, which the function returns for
-// declared ones.
-func (j *job) estimate(expect func(declared time.Duration) time.Duration) {
-	for _, t := range j.tasks {
-		t.expected = expect(t.step.DeclaredRunTime)
-	}
-	j.expected = j.longestChain(expect)
-	objective := time.Duration(j.SlowdownFactor*float64(j.expected)) + j.LatencyAllowance
-	j.objective = j.arrived + objective
-	j.latestUseful = min(j.deadline, j.arrived+lateFactor*objective)
-}
-
-// longestChain returns the run time of the longest chain of steps.
-func (j *job) longestChain(expect func(declared time.Duration) time.Duration) (longest time.Duration) {
-	chain := make([]time.Duration, len(j.Steps))
-	for i := range j.Steps {
-		for _, b := range j.Steps[i].After {
-			chain[i] = max(chain[i], chain[b])
-		}
-		chain[i] += expect(j.Steps[i].DeclaredRunTime)
-		longest = max(longest, chain[i])
-	}
-	return longest
-}
-
 // lateFactor is the number of objectives after which an answer is of no use. Up to that
 // time, the service-level agreement counts it as late.
 const lateFactor = 3
--- a/internal/assigner/queue.go
+++ b/internal/assigner/queue.go
@@ -1,10 +1,6 @@
 package assigner
 
-import (
-	"time"
-
-	"sardinelock.dev/sardinelock/internal/messenger"
-)
+import "time"
 
 // queue holds the run time estimates of a kind of job.
 type queue struct {
@@ -65,29 +61,3 @@
 		q.ratio += learnWeight * (min(float64(took)/float64(declared), maxRatio) - q.ratio)
 	}
 }
-
-const (
-	// estimateCheckInterval is the shortest time between two jobs of a queue that are admitted to
-	// check its estimate.
-	estimateCheckInterval = time.Second
-	// doubtfulFactor is the ratio of estimate to declaration from which an estimate is checked
-	// although tasks of the queue have ended recently.
-	doubtfulFactor = 2
-)
-
-// checkEstimate takes the declared run times of a job that would be rejected, if the estimate of its
-// queue alone makes it too late and may be wrong: no task of the queue has ended recently, or the
-// estimate is far from the declaration. A rejected job has no results from which the estimate could
-// become right again.
-func (a *Assigner) checkEstimate(now time.Duration, j *job, wait time.Duration) {
-	q := a.queue(j.Queue)
-	declared := j.longestChain(func(d time.Duration) time.Duration { return d })
-	isConfirmed := q.resultAt > 0 && now-q.resultAt < estimateCheckInterval && j.expected < doubtfulFactor*declared
-	isChecked := q.checkedAt > 0 && now-q.checkedAt < estimateCheckInterval
-	if isConfirmed || isChecked || declared >= j.expected || now+wait+declared > j.deadline {
-		return
-	}
-	q.checkedAt = now
-	a.logDecision(Decision{Event: "estimate-checked", Task: messenger.TaskRef{Job: j.ID}, Reason: j.Queue, Wait: j.expected, Age: declared, JobAge: now - j.arrived})
-	j.estimate(func(d time.Duration) time.Duration { return d })
-}
