Bound the bodies and connections that callers make an entry hold

Callers saw: entries ended one after the other, and their jobs got no answer, while a client opened connections and sent parts of bodies that it announced as longer. Each entry kept what had arrived of every body until it exceeded MemoryMb and was killed.

Cause: the frontend read bodies with io.ReadAll, without a time limit and without a bound on all of them. The server also read on for missing parts of a body before it wrote the answer, so that a request with a stalled body was not even refused.

Change: internal/receiver reserves memory for a body before it reads more of it. Answers do not wait for missing parts of a body, whatever the method; the connection is closed after them.

TestStalledBodies failed before (both cases), and passes. golang.org/x/sync is new for its weighted semaphore.

--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -23,6 +23,12 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
+// Conn returns the context's connection, or nil if there is none.
+func Conn(ctx context.Context) net.Conn {
+	c, _ := ctx.Value(connKey{}).(net.Conn)
+	return c
+}
+
 // Ended returns a function that reports whether the other side of the context's connection has
 // ended it, as far as this machine's kernel knows. It does not block, and reports false if that
 // cannot be determined. It may be called at any time, also while the connection is read or after
--- /dev/null
+++ b/internal/receiver/body.go
@@ -0,0 +1,242 @@
+package receiver
+
+import (
+	"container/list"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// firstBuffer is the size of the first buffer of a body, in bytes.
+	firstBuffer = 4 << 10
+	// maxBodyDivisor bounds a single body, as a divisor of the memory for all bodies. While its buffer
+	// grows, it takes up to 1.5 times its size.
+	maxBodyDivisor = 4
+	// smallBody is the size of a buffer up to which a body is cut off only after all larger ones.
+	smallBody = 16 << 10
+	// progressBytes is how much of a body must arrive to count as progress.
+	progressBytes = 4 << 10
+)
+
+var (
+	errTooLarge  = errors.New("the body is too large")
+	errTooSlow   = errors.New("the body did not arrive in time")
+	errDisplaced = errors.New("the body was cut off for others that arrived faster")
+)
+
+// Body is the received body of a request.
+type Body struct {
+	receiver *Receiver
+	cut      context.CancelCauseFunc
+	in       *list.List    // in is the list of the receiver that has the body; nil once the body is received or cut off.
+	element  *list.Element // element is that of the list.
+	isCut    bool
+	reserved int64 // reserved is the memory that the body holds.
+	wants    int64 // wants is the memory that the body waits for; 0 once it is cut off.
+	progress int   // progress is how much has arrived since the last progress of progressBytes.
+	data     []byte
+}
+
+// Bytes returns the body, which is valid until Release.
+func (b *Body) Bytes() []byte { return b.data }
+
+// Release returns the memory of the body.
+func (b *Body) Release() {
+	b.data = nil
+	b.receiver.release(b, b.reserved)
+}
+
+// Receive reads the body of a request, which may have the given size and take the given time. The body
+// must be released. The errors are of the kinds [KindTooLarge], [KindTimeout], [KindOverload] and, if
+// the caller ended the connection, [KindBroken].
+func (r *Receiver) Receive(w http.ResponseWriter, req *http.Request, limit int64, timeout time.Duration) (*Body, error) {
+	const op = "receive"
+	limit = min(limit, r.limits.MaxBytes/maxBodyDivisor)
+	if req.ContentLength > limit {
+		return nil, &Error{Op: op, Kind: KindTooLarge, Err: errTooLarge}
+	}
+	ctx, cut := context.WithCancelCause(req.Context())
+	defer cut(nil)
+	b := &Body{receiver: r, cut: cut}
+	timer := time.AfterFunc(timeout, func() { cut(errTooSlow) })
+	defer timer.Stop()
+	disarm := context.AfterFunc(ctx, func() { abortReads(w) })
+	r.begin(b)
+	err := b.read(ctx, req, limit)
+	r.end(b)
+	if !disarm() {
+		// The connection cannot be read any more, also if the whole body has just arrived.
+		if in, ok := req.Body.(*incoming); ok {
+			in.received = false
+		}
+		err = context.Cause(ctx)
+	}
+	if err != nil {
+		b.Release()
+		return nil, &Error{Op: op, Kind: kindOf(err), Err: err}
+	}
+	return b, nil
+}
+
+func kindOf(err error) Kind {
+	switch err {
+	case errTooLarge:
+		return KindTooLarge
+	case errTooSlow:
+		return KindTimeout
+	case errDisplaced:
+		return KindOverload
+	}
+	return KindBroken
+}
+
+// read reads the body to its end.
+func (b *Body) read(ctx context.Context, req *http.Request, limit int64) error {
+	for {
+		if len(b.data) == cap(b.data) {
+			if err := b.grow(ctx, req.ContentLength, limit); err != nil {
+				return err
+			}
+		}
+		n, err := req.Body.Read(b.data[len(b.data):cap(b.data)])
+		b.data = b.data[:len(b.data)+n]
+		if b.progress += n; b.progress >= progressBytes {
+			b.progress = 0
+			b.receiver.progressed(b)
+		}
+		switch {
+		case int64(len(b.data)) > limit:
+			return errTooLarge
+		case err == io.EOF:
+			return nil
+		case err != nil:
+			return err
+		}
+	}
+}
+
+// grow doubles the buffer, up to the announced length or one byte beyond the limit.
+func (b *Body) grow(ctx context.Context, length, limit int64) error {
+	most := limit + 1
+	if length >= 0 && int64(len(b.data)) < length {
+		most = length
+	}
+	old := int64(cap(b.data))
+	size := min(max(2*old, firstBuffer), most)
+	if err := b.receiver.reserve(ctx, b, size); err != nil {
+		return err
+	}
+	data := make([]byte, len(b.data), size)
+	copy(data, b.data)
+	b.data = data
+	b.receiver.release(b, old)
+	return nil
+}
+
+// begin adds a body to those that may be cut off.
+func (r *Receiver) begin(b *Body) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.move(b, &r.small)
+}
+
+// progressed notes that more of a body has arrived.
+func (r *Receiver) progressed(b *Body) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if b.in == nil {
+		return
+	}
+	if cap(b.data) > smallBody {
+		r.move(b, &r.large)
+		return
+	}
+	r.move(b, &r.small)
+}
+
+// end removes a body from those that may be cut off.
+func (r *Receiver) end(b *Body) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.move(b, nil)
+}
+
+// move moves a body to the end of a list, or removes it from its list if the new one is nil.
+func (r *Receiver) move(b *Body, to *list.List) {
+	if b.in != nil {
+		b.in.Remove(b.element)
+	}
+	if b.in = to; to != nil {
+		b.element = to.PushBack(b)
+	}
+}
+
+// reserve reserves memory for a body. If there is too little, it cuts off bodies, possibly this one, and
+// waits until their memory is released.
+func (r *Receiver) reserve(ctx context.Context, b *Body, size int64) error {
+	if !r.memory.TryAcquire(size) {
+		r.wait(b, size)
+		if err := r.memory.Acquire(ctx, size); err != nil {
+			r.take(b, 0)
+			return context.Cause(ctx)
+		}
+	}
+	r.take(b, size)
+	return nil
+}
+
+// wait notes that a body waits for memory, and cuts off bodies until there will be enough: the large ones
+// before the small ones, and each kind in the order of the latest progress.
+func (r *Receiver) wait(b *Body, size int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if b.isCut {
+		return
+	}
+	b.wants = size
+	r.wanted += size
+	for _, bodies := range []*list.List{&r.large, &r.small} {
+		for bodies.Len() > 0 && r.limits.MaxBytes-r.held+r.leaving < r.wanted {
+			r.cutOff(bodies.Front().Value.(*Body))
+		}
+	}
+}
+
+// cutOff ends the reading of a body.
+func (r *Receiver) cutOff(b *Body) {
+	r.move(b, nil)
+	b.isCut = true
+	r.leaving += b.reserved
+	r.wanted -= b.wants
+	b.wants = 0
+	b.cut(errDisplaced)
+}
+
+// take notes that a body waits no longer and has got memory.
+func (r *Receiver) take(b *Body, size int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.wanted -= b.wants
+	b.wants = 0
+	b.reserved += size
+	r.held += size
+	if b.isCut {
+		r.leaving += size
+	}
+}
+
+// release returns memory of a body.
+func (r *Receiver) release(b *Body, size int64) {
+	r.mu.Lock()
+	b.reserved -= size
+	r.held -= size
+	if b.isCut {
+		r.leaving -= size
+	}
+	r.mu.Unlock()
+	r.memory.Release(size)
+}
