Schedule tasks that can wait for long after those that are late

Cause: tasks that can still be in time come before those that are late, and a late job is rejected while any of the former lacks capacity. Both also held for tasks that could wait for hours.

Change: a task that can wait for three seconds or more and still be in time comes after those that are late, and does not displace their jobs.

--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -35,6 +35,7 @@
 //	crash-uncertain ...                      the same, not certain for the runs
 //	queue NAME                               sets the queue of the jobs that are submitted next
 //	log                                      prints decisions about crashes and hazards from then on
+//	timeout TIME                             sets how long the callers of the next jobs wait, 2 s at first
 //	leave ID TICKET                          ends the caller's connection
 //	unread TIME                              sets how long the next submitted job has been unread
 //	read TIME                                sets the time, and prints whether a request that is read before Advance is called is late
@@ -58,7 +59,7 @@
 		s := &script{
 			t: t, assigner: New(testLimits, "dc-1", rand.New(rand.NewPCG(1, 1))),
 			incarnations: make(map[string]string), launchesSeen: make(map[string]uint64), connections: make(map[string]int),
-			gone: make(map[uint64]bool),
+			gone: make(map[uint64]bool), timeout: 2 * time.Second,
 		}
 		for _, l := range lines {
 			s.line(l)
@@ -76,6 +77,7 @@
 	launchesSeen map[string]uint64
 	connections  map[string]int
 	queue        string
+	timeout      time.Duration // timeout is how long the callers of the next jobs wait.
 	unread       time.Duration
 	gone         map[uint64]bool // gone has the tickets of the callers whose connections have ended.
 	logged       bool            // logged is set if decisions about crashes and hazards are printed.
@@ -150,6 +152,8 @@
 		fmt.Fprintln(&s.out, fmt.Sprint(s.assigner.SubmissionAge(s.now, a[0])))
 	case "queue":
 		s.queue = a[0]
+	case "timeout":
+		s.timeout = scripter.Duration(s.t, a[0])
 	case "log":
 		s.logged = true
 	case "leave":
@@ -214,7 +218,7 @@
 func (s *script) job(a []string) Job {
 	j := Job{
 		ID: a[0], Queue: cmp.Or(s.queue, "q"), Service: "quote", SlowdownFactor: 1.6, LatencyAllowance: 60 * time.Millisecond,
-		CallerTimeout: 2 * time.Second, MaxAttempts: 2, Ticket: uint64(scripter.Number(s.t, a[1])),
+		CallerTimeout: s.timeout, MaxAttempts: 2, Ticket: uint64(scripter.Number(s.t, a[1])),
 		Steps: []Step{{Count: int(scripter.Number(s.t, a[2])), Resources: messenger.Resources{MilliCPU: scripter.Number(s.t, a[3])}, DeclaredRunTime: scripter.Duration(s.t, a[4])}},
 	}
 	if len(a) > 5 {
--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -43,8 +43,18 @@
 // latestStart returns the latest start with which the job meets its objective.
 func (t *task) latestStart() time.Duration { return t.job.objective - t.expected }
 
+// distantSlack is the time for which a task can wait and still be in time, from which it is
+// scheduled after tasks that are late.
+const distantSlack = 3 * time.Second
+
+// isUrgent reports whether a task can still be in time, but cannot wait for long.
+func (t *task) isUrgent(now time.Duration) bool {
+	latest := t.latestStart()
+	return latest >= now && latest < now+distantSlack
+}
+
 // schedule launches the pending tasks, the most urgent first. Tasks that can no longer be
-// in time come after those that can.
+// in time come after those that can, unless the latter can wait for long.
 func (a *Assigner) schedule(now time.Duration) {
 	a.lacksCapacity, a.lacksExposed = false, false
 	if len(a.pending) == 0 {
@@ -60,17 +70,20 @@
 		a.updateSuspicion(now, t)
 		t.outstanding = a.outstanding.of(now, t.ref)
 	}
-	late, unscheduled := a.scheduleSelected(now, func(t *task) bool { return t.latestStart() >= now })
+	others, unscheduled := a.scheduleSelected(now, func(t *task) bool { return t.isUrgent(now) })
 	a.lacksCapacity = unscheduled.others > 0 && a.serving
 	a.lacksExposed = unscheduled.hazardous > 0 && a.serving
-	if late {
-		a.scheduleSelected(now, func(t *task) bool { return t.latestStart() < now })
+	if others {
+		distant, _ := a.scheduleSelected(now, func(t *task) bool { return t.latestStart() < now })
+		if distant {
+			a.scheduleSelected(now, func(t *task) bool { return !t.isUrgent(now) && t.latestStart() >= now })
+		}
 	}
 	a.dropGone(now)
 }
 
 // scheduleSelected launches the pending tasks that are selected. It reports whether any
-// was not selected, and for how many of the others there was no capacity.
+// was not selected, and for how many of the selected ones there was no capacity.
 func (a *Assigner) scheduleSelected(now time.Duration, selected func(*task) bool) (skipped bool, unscheduled unscheduledTasks) {
 	failedAttempts := 0
 	a.unscheduled = a.unscheduled[:0]
