Bound the memory of the jobs that wait at an entry

Cause: a job is refused if it would be too late. Such jobs never are, so that an entry kept one for each connection: 216 kB for 1,000 tasks, up to 1 MB with lists and names.

Beyond it, jobs that have run nothing are rejected (429), the least urgent ones first. An answered job keeps only the tasks that may be running.

TestHoardedJobs and the script held failed before.

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -46,6 +46,8 @@
 	// AnswerMargin is the time before a caller's timeout at which its job is abandoned,
 	// so that the answer still reaches the caller.
 	AnswerMargin time.Duration
+	// MaxHeldBytes bounds the memory of the jobs without an answer, in bytes; 0 sets no limit.
+	MaxHeldBytes int64
 	// CrossDataCentreLatency is the added latency to an upstream in another data centre.
 	CrossDataCentreLatency time.Duration
 }
@@ -147,6 +149,7 @@
 	exposureOrder []*agent // the same agents, in the order in which they are exposed to hazards
 	spareCPU      []int64  // spare CPU of each agent in order, in thousandths of a core
 	jobs          map[string]*job
+	held          int64   // memory of the submissions without an answer, in bytes
 	pending       []*task // tasks that are ready and not scheduled
 	unscheduled   []*task // tasks for which the current pass found no capacity
 	gone          []*job  // jobs with tasks that the current pass did not launch because the caller has left
--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -46,6 +46,7 @@
 //	recall ID                                prints whether the job may have runs
 //	open-jobs                                prints the jobs that arrived 400 ms ago, at most once in 4 s
 //	resubmit-delay TIME                      sets how soon callers submit again; must come first
+//	max-held BYTES                           bounds the memory of jobs without an answer; must come first
 //	entry-lost                               ends the connection to another entry
 //	entry-back                               begins a connection to another entry
 //	cancel ID
@@ -169,6 +170,10 @@
 		l := testLimits
 		l.ResubmitDelay = scripter.Duration(s.t, a[0])
 		s.assigner = New(l, "dc-1", rand.New(rand.NewPCG(1, 1)))
+	case "max-held":
+		l := testLimits
+		l.MaxHeldBytes = scripter.Number(s.t, a[0])
+		s.assigner = New(l, "dc-1", rand.New(rand.NewPCG(1, 1)))
 	case "entry-lost":
 		s.assigner.EntryLost(s.now)
 	case "entry-back":
--- a/internal/assigner/job.go
+++ b/internal/assigner/job.go
@@ -34,7 +34,8 @@
 	recalled    bool          // whether another entry waits until none of its tasks may be running
 	elsewhere   bool          // whether an earlier submission may run at another entry
 	baseRun     uint64
-	replacement *job // resubmission of the same ID, admitted once this job is removed
+	replacement *job  // resubmission of the same ID, admitted once this job is removed
+	size        int64 // memory that the job takes; part of Assigner.held until the job is answered
 }
 
 // state is the state of a task.
@@ -82,9 +83,10 @@
 	j := a.newJob(now, s)
 	if old := a.jobs[s.ID]; old != nil {
 		a.supersede(now, old, j)
-		return
+	} else {
+		a.admit(now, j)
 	}
-	a.admit(now, j)
+	a.rejectExcess(now)
 }
 
 // supersede replaces a job by a resubmission of the same ID. Either the caller has given
@@ -97,7 +99,8 @@
 }
 
 func (a *Assigner) newJob(now time.Duration, s Job) *job {
-	j := &job{Job: s, arrived: s.arrival(now), earliest: a.earliestArrival(now, &s), probedAt: -1, unfinished: make([]int, len(s.Steps))}
+	j := &job{Job: s, arrived: s.arrival(now), earliest: a.earliestArrival(now, &s), probedAt: -1, unfinished: make([]int, len(s.Steps)), size: s.size()}
+	a.held += j.size
 	for i := range s.Steps {
 		step := &s.Steps[i]
 		j.unfinished[i] = step.Count
@@ -175,7 +178,7 @@
 func (a *Assigner) CallerLeft(now time.Duration, id string, ticket uint64) {
 	for j := a.jobs[id]; j != nil; j = j.replacement {
 		if j.Ticket == ticket && !j.answered {
-			j.answered = true
+			a.setAnswered(j)
 			a.logDecision(Decision{Event: "caller-left", Task: messenger.TaskRef{Job: id}, Reason: j.progress(), JobAge: now - j.arrived})
 			a.drop(j)
 			if a.jobs[id] == j {
@@ -289,12 +292,17 @@
 
 // finish answers a job and drops its remaining tasks.
 func (a *Assigner) finish(now time.Duration, j *job, o Outcome, reason string, retryAfter time.Duration) {
-	j.answered = true
+	a.setAnswered(j)
 	a.answer(now, j, o, reason, retryAfter)
 	a.drop(j)
 	a.forget(now, j)
 }
 
+func (a *Assigner) setAnswered(j *job) {
+	j.answered = true
+	a.held -= j.size
+}
+
 func (a *Assigner) answer(now time.Duration, j *job, o Outcome, reason string, retryAfter time.Duration) {
 	waited := now - j.arrived
 	if j.launched {
@@ -319,6 +327,7 @@
 		}
 	}
 	a.pending = slices.DeleteFunc(a.pending, func(t *task) bool { return t.job == j })
+	j.tasks = slices.DeleteFunc(j.tasks, func(t *task) bool { return t.state == stateDropped })
 }
 
 // forget removes an answered job once none of its tasks may be running, and admits its
--- a/internal/assigner/recall.go
+++ b/internal/assigner/recall.go
@@ -55,11 +55,11 @@
 	if !j.answered {
 		a.logDecision(Decision{Event: "job-resubmitted", Task: messenger.TaskRef{Job: j.ID}, Reason: j.progress(), JobAge: now - j.arrived})
 		a.drop(j)
-		j.answered = true
+		a.setAnswered(j)
 		a.answer(now, j, OutcomeGivenUp, reason, 0)
 	}
 	if last := j.replacement; last != nil && !last.answered {
-		last.answered = true
+		a.setAnswered(last)
 		a.answer(now, last, OutcomeGivenUp, reason, 0)
 	}
 }
