--- a/internal/assigner/estimate.go
+++ b/internal/assigner/estimate.go
@@ -6,6 +6,10 @@
 	"sardinelock.dev/sardinelock/internal/messenger"
 )
 
+// maxObjective bounds the latency objective of a job, so that times computed from it stay within a
+// duration. It is longer than any caller waits.
+const maxObjective = 60 * 24 * time.Hour
+
 // estimate sets the times that follow from the run times of tasks, which the function returns for
 // declared ones.
 func (j *job) estimate(expect func(declared time.Duration) time.Duration) {
@@ -13,7 +17,7 @@
 		t.expected = expect(t.step.DeclaredRunTime)
 	}
 	j.expected = j.longestChain(expect)
-	objective := time.Duration(j.SlowdownFactor*float64(j.expected)) + j.LatencyAllowance
+	objective := time.Duration(min(j.SlowdownFactor*float64(j.expected)+float64(j.LatencyAllowance), float64(maxObjective)))
 	j.objective = j.arrived + objective
 	j.latestUseful = min(j.deadline, j.arrived+lateFactor*objective)
 }
