Reject jobs at once that a limit at each upstream makes too long

Callers saw: a job of 1,000 tasks of 60 ms, of which one may run at each of three upstreams, was accepted and ended with 504 after the 1.5 s that its caller waits, 1,376 times of 1,450; it takes 20 s.

Cause: the time that a job takes was that of its longest chain of steps, as if the tasks of a step could always run at the same time.

Change: a step whose tasks may not all run at once counts for several run times when a job is admitted. A job that takes longer than its caller waits on free upstreams is refused with 429.

--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -35,6 +35,7 @@
 //	crash-uncertain ...                      the same, not certain for the runs
 //	queue NAME                               sets the queue of the jobs that are submitted next
 //	log                                      prints decisions about crashes and hazards from then on
+//	max-per-upstream N                       bounds the tasks of the next jobs at one upstream; 0 sets no limit
 //	timeout TIME                             sets how long the callers of the next jobs wait, 2 s at first
 //	leave ID TICKET                          ends the caller's connection
 //	unread TIME                              sets how long the next submitted job has been unread
@@ -78,10 +79,12 @@
 	launchesSeen map[string]uint64
 	connections  map[string]int
 	queue        string
-	timeout      time.Duration // timeout is how long the callers of the next jobs wait.
-	unread       time.Duration
-	gone         map[uint64]bool // gone has the tickets of the callers whose connections have ended.
-	logged       bool            // logged is set if decisions about crashes and hazards are printed.
+	// maxPerUpstream bounds the tasks of the next jobs at one upstream; 0 sets no limit.
+	maxPerUpstream int
+	timeout        time.Duration // timeout is how long the callers of the next jobs wait.
+	unread         time.Duration
+	gone           map[uint64]bool // gone has the tickets of the callers whose connections have ended.
+	logged         bool            // logged is set if decisions about crashes and hazards are printed.
 }
 
 func (s *script) peer(instance string) messenger.Peer {
@@ -153,6 +156,8 @@
 		fmt.Fprintln(&s.out, fmt.Sprint(s.assigner.SubmissionAge(s.now, a[0])))
 	case "queue":
 		s.queue = a[0]
+	case "max-per-upstream":
+		s.maxPerUpstream = int(scripter.Number(s.t, a[0]))
 	case "timeout":
 		s.timeout = scripter.Duration(s.t, a[0])
 	case "log":
@@ -224,7 +229,7 @@
 	j := Job{
 		ID: a[0], Queue: cmp.Or(s.queue, "q"), Service: "quote", SlowdownFactor: 1.6, LatencyAllowance: 60 * time.Millisecond,
 		CallerTimeout: s.timeout, MaxAttempts: 2, Ticket: uint64(scripter.Number(s.t, a[1])),
-		Steps: []Step{{Count: int(scripter.Number(s.t, a[2])), Resources: messenger.Resources{MilliCPU: scripter.Number(s.t, a[3])}, DeclaredRunTime: scripter.Duration(s.t, a[4])}},
+		Steps: []Step{{Count: int(scripter.Number(s.t, a[2])), Resources: messenger.Resources{MilliCPU: scripter.Number(s.t, a[3])}, DeclaredRunTime: scripter.Duration(s.t, a[4]), MaxPerUpstream: s.maxPerUpstream}},
 	}
 	if len(a) > 5 {
 		j.Priority = int(scripter.Number(s.t, a[5]))
--- a/internal/assigner/estimate.go
+++ b/internal/assigner/estimate.go
@@ -16,25 +16,52 @@
 	for _, t := range j.tasks {
 		t.expected = expect(t.step.DeclaredRunTime)
 	}
-	j.expected = j.longestChain(expect)
+	j.expected = j.longestChain(func(s *Step) time.Duration { return expect(s.DeclaredRunTime) })
 	objective := time.Duration(min(j.SlowdownFactor*float64(j.expected)+float64(j.LatencyAllowance), float64(maxObjective)))
 	j.objective = j.arrived + objective
 	j.latestUseful = min(j.deadline, j.arrived+lateFactor*objective)
 }
 
-// longestChain returns the run time of the longest chain of steps.
-func (j *job) longestChain(expect func(declared time.Duration) time.Duration) (longest time.Duration) {
+// longestChain returns the time of the longest chain of steps, given that of each.
+func (j *job) longestChain(duration func(*Step) time.Duration) (longest time.Duration) {
 	chain := make([]time.Duration, len(j.Steps))
 	for i := range j.Steps {
 		for _, b := range j.Steps[i].After {
 			chain[i] = max(chain[i], chain[b])
 		}
-		chain[i] += expect(j.Steps[i].DeclaredRunTime)
+		chain[i] += duration(&j.Steps[i])
 		longest = max(longest, chain[i])
 	}
 	return longest
 }
 
+// leastTime returns the least time that the job takes if all its upstreams are free. A step takes several
+// run times if its tasks may not all run at once.
+func (a *Assigner) leastTime(j *job) time.Duration {
+	expect := a.queue(j.Queue).expect
+	return j.longestChain(func(s *Step) time.Duration {
+		once := min(s.DeclaredRunTime, expect(s.DeclaredRunTime))
+		return time.Duration(a.rounds(j, s)) * once
+	})
+}
+
+// rounds returns how many tasks of a step at least run one after the other, because only
+// MaxPerUpstream of them may run at each upstream.
+func (a *Assigner) rounds(j *job, s *Step) int {
+	if s.MaxPerUpstream == 0 {
+		return 1
+	}
+	upstreams := 0
+	for _, g := range a.order {
+		if g.loadKnown && g.load.Service == j.Service && s.matches(&g.load) {
+			upstreams++
+		}
+	}
+	// The division comes first, since the product may overflow.
+	perUpstream := (s.Count + max(1, upstreams) - 1) / max(1, upstreams)
+	return (perUpstream-1)/s.MaxPerUpstream + 1
+}
+
 const (
 	// estimateCheckInterval is the shortest time between two jobs of a queue that are admitted to
 	// check its estimate.
@@ -50,7 +77,7 @@
 // become right again.
 func (a *Assigner) checkEstimate(now time.Duration, j *job, wait time.Duration) {
 	q := a.queue(j.Queue)
-	declared := j.longestChain(func(d time.Duration) time.Duration { return d })
+	declared := j.longestChain(func(s *Step) time.Duration { return s.DeclaredRunTime })
 	isConfirmed := q.resultAt > 0 && now-q.resultAt < estimateCheckInterval && j.expected < doubtfulFactor*declared
 	isChecked := q.checkedAt > 0 && now-q.checkedAt < estimateCheckInterval
 	if isConfirmed || isChecked || declared >= j.expected || now+wait+declared > j.deadline {
--- a/internal/assigner/job.go
+++ b/internal/assigner/job.go
@@ -142,6 +142,8 @@
 	switch {
 	case !fitting:
 		a.reject(now, j, "fits-no-upstream", 0)
+	case now+a.leastTime(j) > j.deadline && !a.settling(now):
+		a.reject(now, j, "too-late", 0)
 	case isLate() && !a.settling(now):
 		reason := "overload"
 		switch {
