Keep tasks with a limit at each upstream from blocking others

Callers saw: while tasks of one job waited for their turn at an upstream (MaxPerServer), other jobs of the same service were not started although all upstreams had room, or were refused as "overload".

Cause: a task that finds no upstream stands for all that need at least as much, and sixteen such tasks for all that come after them, whatever the reason. And the tasks that wait for their turn counted as work that is ahead of others, all at once.

Change: a task with a limit stands for those of its own step, has attempts of its own, and does not show a lack of capacity. Of tasks that run one after the other, one counts as work ahead.

--- a/internal/assigner/job.go
+++ b/internal/assigner/job.go
@@ -54,6 +54,7 @@
 	job      *job
 	ref      messenger.TaskRef
 	step     *Step
+	rounds   int // number of tasks of the step that run one after the other, at the submission; at least 1
 	state    state
 	run      uint64
 	failures int
@@ -104,8 +105,9 @@
 	for i := range s.Steps {
 		step := &s.Steps[i]
 		j.unfinished[i] = step.Count
+		rounds := a.rounds(j, step)
 		for n := range step.Count {
-			j.tasks = append(j.tasks, &task{job: j, ref: messenger.TaskRef{Job: s.ID, Step: i, Index: n}, step: step, state: stateBlocked})
+			j.tasks = append(j.tasks, &task{job: j, ref: messenger.TaskRef{Job: s.ID, Step: i, Index: n}, step: step, rounds: rounds, state: stateBlocked})
 		}
 	}
 	q := a.queue(s.Queue)
--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -85,7 +85,7 @@
 // scheduleSelected launches the pending tasks that are selected. It reports whether any
 // was not selected, and for how many of the selected ones there was no capacity.
 func (a *Assigner) scheduleSelected(now time.Duration, selected func(*task) bool) (skipped bool, unscheduled unscheduledTasks) {
-	failedAttempts := 0
+	failedAttempts, failedLimited := 0, 0
 	a.unscheduled = a.unscheduled[:0]
 	a.pending = slices.DeleteFunc(a.pending, func(t *task) bool {
 		if !selected(t) {
@@ -95,7 +95,11 @@
 		if a.mayBeRecalled(now, t.job) {
 			return false
 		}
-		if failedAttempts >= maxFailedAttempts || slices.ContainsFunc(a.unscheduled, t.needsAtLeast) {
+		failed := &failedAttempts
+		if t.step.MaxPerUpstream > 0 {
+			failed = &failedLimited
+		}
+		if *failed >= maxFailedAttempts || slices.ContainsFunc(a.unscheduled, t.needsAtLeast) {
 			unscheduled.add(t)
 			return false
 		}
@@ -105,7 +109,7 @@
 			if len(t.outstanding) > 0 {
 				return false
 			}
-			failedAttempts++
+			*failed++
 			a.unscheduled = append(a.unscheduled, t)
 			return false
 		}
@@ -121,12 +125,13 @@
 }
 
 // unscheduledTasks counts tasks for which a pass found no capacity. Tasks that are under
-// suspicion or have outstanding starts are left out, since these wait for more than capacity.
+// suspicion, have outstanding starts or a limit at each upstream are left out, since these may wait for
+// more than capacity.
 type unscheduledTasks struct{ hazardous, others int }
 
 func (u *unscheduledTasks) add(t *task) {
 	switch {
-	case t.suspicion != nil || len(t.outstanding) > 0:
+	case t.suspicion != nil || len(t.outstanding) > 0 || t.step.MaxPerUpstream > 0:
 	case t.hazardous:
 		u.hazardous++
 	default:
@@ -135,14 +140,16 @@
 }
 
 // maxFailedAttempts bounds the failed attempts to schedule a task in one pass. Each is for
-// a task that needs less than those before it, or other upstreams.
+// a task that needs less than those before it, or other upstreams. The tasks that have a limit at each
+// upstream have attempts of their own, since these fail although there is capacity.
 const maxFailedAttempts = 16
 
 // needsAtLeast reports whether a task needs the same upstreams as another task and at
-// least as many resources.
+// least as many resources. A limit at each upstream is one more need, which only tasks of the same step
+// share.
 func (t *task) needsAtLeast(o *task) bool {
 	return t.job.Service == o.job.Service && t.step.Label == o.step.Label && o.step.Resources.Fits(t.step.Resources) &&
-		(t.hazardous || !o.hazardous) && t.suspicion == o.suspicion
+		(t.hazardous || !o.hazardous) && t.suspicion == o.suspicion && (o.step.MaxPerUpstream == 0 || t.step == o.step)
 }
 
 // maxCandidates bounds the number of upstreams with free capacity that are compared for a
@@ -352,12 +359,14 @@
 		return false, 0
 	}
 	for _, t := range a.pending {
+		// Of tasks that run one after the other, one at a time needs its capacity.
+		need := t.step.Resources.Scale(1 / float64(t.rounds))
 		if t.job == j {
-			used = used.Add(t.step.Resources)
+			used = used.Add(need)
 		} else if t.latestStart() >= now && t.before(j) && t.hazardous == hazardous {
 			// Each other entry is assumed to have as much work waiting.
 			for range a.entries {
-				used = used.Add(t.step.Resources)
+				used = used.Add(need)
 			}
 		}
 	}
