--- a/internal/assigner/agent.go
+++ b/internal/assigner/agent.go
@@ -27,12 +27,23 @@
 	sent         uint64             // number of launches on the connection
 	unreported   []unreportedLaunch // launches that the reported load does not include yet
 	tasks        map[messenger.TaskRef]*task
+	limited      map[*Step]int // number of tasks here of each step that has a limit at each upstream
 	launches     []messenger.Launch
 	withdraws    []messenger.Withdraw
 	exposed      bool          // whether tasks of hazardous queues may be launched at the agent
 	absentSince  time.Duration // when the upstream became absent; 0 if it is not
 }
 
+// countLimited changes the number of tasks of a step at the agent, if the step has a limit.
+func (g *agent) countLimited(s *Step, change int) {
+	if s.MaxPerUpstream == 0 {
+		return
+	}
+	if g.limited[s] += change; g.limited[s] == 0 {
+		delete(g.limited, s)
+	}
+}
+
 // spareCPU returns the capacity that is not occupied, in thousandths of a core.
 func (g *agent) spareCPU() int64 { return g.load.Capacity.MilliCPU - g.occupied().MilliCPU }
 
@@ -81,7 +92,7 @@
 	a.resolveDeparted(now)
 	g := &agent{
 		peer: peer, instance: instance, dataCentre: dataCentre, lastReceived: now, lastSent: now,
-		idleSince: now - a.limits.IdleThreshold, tasks: make(map[messenger.TaskRef]*task),
+		idleSince: now - a.limits.IdleThreshold, tasks: make(map[messenger.TaskRef]*task), limited: make(map[*Step]int),
 	}
 	a.agents[peer] = g
 	a.order = append(a.order, g)
@@ -251,6 +262,7 @@
 	g.idleSince = now
 	j := t.job
 	t.agent = nil
+	g.countLimited(t.step, -1)
 	switch e.Kind {
 	case messenger.EndDone:
 		a.queue(j.Queue).learn(now, t.step.DeclaredRunTime, e.RunTime)
--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -265,16 +265,7 @@
 
 func (t *task) belowUpstreamLimit(g *agent) bool {
 	most := t.step.MaxPerUpstream
-	if most == 0 {
-		return true
-	}
-	n := 0
-	for _, other := range t.job.tasks {
-		if other.ref.Step == t.ref.Step && other.agent == g {
-			n++
-		}
-	}
-	return n < most
+	return most == 0 || g.limited[t.step] < most
 }
 
 // cost returns the cost of running the task at an upstream, as a time: its slowness, its
@@ -412,6 +403,7 @@
 		startWithin = min(startWithin, firstStartWindow)
 	}
 	t.state, t.agent = stateLaunched, g
+	g.countLimited(t.step, 1)
 	j.running++
 	g.tasks[t.ref] = t
 	g.unreported = append(g.unreported, unreportedLaunch{sequence: g.sent, resources: t.step.Resources})
