Forget cancels of unknown jobs first

Callers saw: a job that was cancelled ran and was answered "completed" when its request came again 8 s later at another entry, while other connections cancelled ids that no entry knew.

Cause: an entry remembers 65,536 cancels and forgot the oldest first, whether any entry had had the job or not. Each entry tells the others of all cancels, so that a few seconds of such requests made all forget.

Change: the cancels of jobs that an entry had are kept apart from the others, in a number of their own, and an entry that finds out from another one that it had the job tells all. What a burst of cancels sends to an entry goes out in one frame, so that it cannot fill the queue of a connection.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -107,6 +107,8 @@
 	canceller   *canceller.Canceller
 	// cancelWaiters has the callers that wait for the end of a cancel, by job.
 	cancelWaiters map[string][]chan<- canceller.Outcome
+	// cancellations has the messages about cancels that are sent with the next flush.
+	cancellations map[*connector.Conn][]messenger.Cancellation
 	inquired      []string // inquired has the jobs whose inquiries are sent with the next flush.
 	// confirmedAt is when the platform or a peer last sent the version in force.
 	confirmedAt time.Time
@@ -139,8 +141,9 @@
 		tracker:       tracker.New(s.trackerLimits()),
 		recalledBy:    make(map[string][]messenger.Peer),
 		relays:        newRelayTargets(),
-		canceller:     canceller.New(canceller.Limits{RecordLifetime: cancelMemory, MaxRecords: maxCancels, AnswerTimeout: cancelAnswerTimeout}),
+		canceller:     canceller.New(canceller.Limits{RecordLifetime: cancelMemory, MaxFound: maxFoundCancels, MaxUnknown: maxUnknownCancels, AnswerTimeout: cancelAnswerTimeout}),
 		cancelWaiters: make(map[string][]chan<- canceller.Outcome),
+		cancellations: make(map[*connector.Conn][]messenger.Cancellation),
 		versions:      versionTracker{delay: s.ConfigRequestDelay, peers: make(map[messenger.Peer]uint64)},
 	}
 	b.background, b.stop = context.WithCancel(context.Background())
@@ -342,6 +345,7 @@
 		}
 	}
 	b.sendInquiries()
+	b.sendCancellations()
 	b.announceEntries(now)
 }
 
--- a/internal/broker/cancels.go
+++ b/internal/broker/cancels.go
@@ -12,9 +12,11 @@
 )
 
 const (
-	// cancelMemory is how long a cancelled job is remembered, and maxCancels how many are.
-	cancelMemory = time.Minute
-	maxCancels   = 1 << 16
+	// cancelMemory is how long a cancelled job is remembered. maxFoundCancels and maxUnknownCancels are
+	// how many are: of jobs that an entry had, and of others.
+	cancelMemory      = time.Minute
+	maxFoundCancels   = 1 << 17
+	maxUnknownCancels = 1 << 15
 	// cancelAnswerTimeout is how long the other entries may take to answer whether they have a job.
 	cancelAnswerTimeout = time.Second
 	// maxToldCancels bounds the cancels that an entry is told of when it connects.
@@ -40,10 +42,11 @@
 // cancel ends a job here, or asks the other entries for it. All are told in either case.
 func (b *Broker) cancel(now time.Time, job string, outcomes chan<- canceller.Outcome) {
 	elapsed := b.loop.Elapsed(now)
-	b.canceller.Record(elapsed, job, 0)
-	message := messenger.Cancellation{Job: job, Step: messenger.CancellationTold}
+	found := b.assigner.Cancel(elapsed, job)
+	b.canceller.Record(elapsed, job, 0, found)
+	message := messenger.Cancellation{Job: job, Step: messenger.CancellationTold, IsFound: found}
 	switch {
-	case b.assigner.Cancel(elapsed, job):
+	case found:
 		outcomes <- canceller.OutcomeCancelled
 	case len(b.entries) == 0:
 		outcomes <- canceller.OutcomeUnknown
@@ -52,52 +55,72 @@
 		b.cancelWaiters[job] = append(b.cancelWaiters[job], outcomes)
 		b.canceller.Ask(elapsed, job, slices.Collect(maps.Keys(b.entries)))
 	}
+	b.queueCancellation(message)
+}
+
+// queueCancellation sends a message to the connected entries with the next flush.
+func (b *Broker) queueCancellation(m messenger.Cancellation) {
 	for _, c := range b.entries {
-		sendCancellations(c, message)
+		b.cancellations[c] = append(b.cancellations[c], m)
 	}
 }
 
-func sendCancellations(c *connector.Conn, cancellations ...messenger.Cancellation) {
-	c.Send(&messenger.Frame{Cancellations: cancellations})
+// sendCancellations sends the queued messages, in one frame for each entry.
+func (b *Broker) sendCancellations() {
+	for c, messages := range b.cancellations {
+		c.Send(&messenger.Frame{Cancellations: messages})
+	}
+	clear(b.cancellations)
 }
 
 // tellCancels tells an entry that has connected of the latest cancels.
 func (b *Broker) tellCancels(now time.Time, c *connector.Conn) {
 	if recent := b.canceller.Recent(b.loop.Elapsed(now), maxToldCancels); len(recent) > 0 {
-		sendCancellations(c, recent...)
+		c.Send(&messenger.Frame{Cancellations: recent})
 	}
 }
 
 // receiveCancellations applies the cancels of another entry, and its answers.
 func (b *Broker) receiveCancellations(now time.Time, peer messenger.Peer, cancellations []messenger.Cancellation) {
+	if len(cancellations) == 0 {
+		return
+	}
 	elapsed := b.loop.Elapsed(now)
+	answers := new(messenger.Frame)
 	for _, m := range cancellations {
 		switch m.Step {
 		case messenger.CancellationFound, messenger.CancellationUnknown:
 			b.canceller.Answered(peer, m.Job, m.Step == messenger.CancellationFound)
 		case messenger.CancellationTold, messenger.CancellationAsked:
-			b.canceller.Record(elapsed, m.Job, m.Age)
 			found := b.assigner.Cancel(elapsed, m.Job)
+			b.canceller.Record(elapsed, m.Job, m.Age, found || m.IsFound)
 			if m.Step == messenger.CancellationAsked {
-				b.sendToEntry(peer, answerFrame(m.Job, found))
+				answers.Cancellations = append(answers.Cancellations, cancelAnswer(m.Job, found))
 			}
 		}
 	}
+	if len(answers.Cancellations) > 0 {
+		b.sendToEntry(peer, answers)
+	}
 	b.endCancels(now)
 }
 
-// answerFrame returns the answer to the question whether this entry had a job.
-func answerFrame(job string, found bool) *messenger.Frame {
-	m := messenger.Cancellation{Job: job, Step: messenger.CancellationUnknown}
+// cancelAnswer returns the answer to the question whether this entry had a job.
+func cancelAnswer(job string, found bool) messenger.Cancellation {
 	if found {
-		m.Step = messenger.CancellationFound
+		return messenger.Cancellation{Job: job, Step: messenger.CancellationFound}
 	}
-	return &messenger.Frame{Cancellations: []messenger.Cancellation{m}}
+	return messenger.Cancellation{Job: job, Step: messenger.CancellationUnknown}
 }
 
-// endCancels answers the callers whose cancels have ended.
+// endCancels answers the callers whose cancels have ended. If an entry had the job, the others are told.
 func (b *Broker) endCancels(now time.Time) {
-	for _, r := range b.canceller.Take(b.loop.Elapsed(now)) {
+	elapsed := b.loop.Elapsed(now)
+	for _, r := range b.canceller.Take(elapsed) {
+		if r.Outcome == canceller.OutcomeCancelled {
+			b.canceller.Record(elapsed, r.Job, 0, true)
+			b.queueCancellation(messenger.Cancellation{Job: r.Job, Step: messenger.CancellationTold, IsFound: true})
+		}
 		b.settings.Journal.Line("cancel-ended").Str("job", r.Job).Str("reason", string(r.Outcome)).Msg("")
 		for _, outcomes := range b.cancelWaiters[r.Job] {
 			outcomes <- r.Outcome
--- a/internal/broker/cancels_test.go
+++ b/internal/broker/cancels_test.go
@@ -84,3 +84,31 @@
 		}
 	}
 }
+
+// TestCancelFoundElsewhereIsTold checks that all entries learn that a cancelled job was found, since they
+// forget the cancels of unknown jobs first.
+func TestCancelFoundElsewhereIsTold(t *testing.T) {
+	w := newAgentWorld(t)
+	w.dialAnswering(messenger.CancellationFound)
+	received := make(chan messenger.Cancellation, 8)
+	w.dialAsEntry("entry-3", netip.AddrPort{}, func(f *messenger.Frame) {
+		for _, m := range f.Cancellations {
+			received <- m
+		}
+	})
+	w.await("the third entry", func() (connected bool) {
+		w.broker.loop.Call(func(time.Time) { connected = len(w.broker.entries) == 2 })
+		return connected
+	})
+	if _, err := w.broker.Cancel(context.Background(), "00000000000000ab"); err != nil {
+		t.Fatal(err)
+	}
+	got := []messenger.Cancellation{<-received, <-received}
+	want := []messenger.Cancellation{
+		{Job: "00000000000000ab", Step: messenger.CancellationAsked},
+		{Job: "00000000000000ab", Step: messenger.CancellationTold, IsFound: true},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("messages (-want +got):\n%s", diff)
+	}
+}
--- a/internal/canceller/canceller.go
+++ b/internal/canceller/canceller.go
@@ -22,24 +22,28 @@
 	// RecordLifetime is how long a cancel is remembered. It is longer than requests arrive again
 	// after the cancel of their job.
 	RecordLifetime time.Duration
-	// MaxRecords is the largest number of cancels that are remembered, the latest ones.
-	MaxRecords int
+	// MaxFound and MaxUnknown are the largest numbers of cancels that are remembered, the latest ones:
+	// of jobs that an entry had, and of others. Anyone can cancel any number of jobs that no entry has.
+	MaxFound, MaxUnknown int
 	// AnswerTimeout is how long the other entries may take to answer.
 	AnswerTimeout time.Duration
 }
 
 // Canceller is the state of one entry.
 type Canceller struct {
-	limits  Limits
-	records []record // records are ordered by the time at which they were added.
-	expiry  map[string]time.Duration
-	asked   map[string]*question
+	limits Limits
+	// found and unknown are the cancels of jobs that an entry had and of others, ordered by the time at
+	// which they were added.
+	found, unknown []record
+	latest         map[string]record // latest has the record of each job that expires last.
+	asked          map[string]*question
 }
 
 // record is a cancel that is remembered.
 type record struct {
 	job         string
 	cancelledAt time.Duration
+	isFound     bool
 }
 
 // question is a cancel that waits for the answers of other entries.
@@ -68,40 +72,55 @@
 
 // New returns a canceller that knows of no cancel.
 func New(l Limits) *Canceller {
-	return &Canceller{limits: l, expiry: make(map[string]time.Duration), asked: make(map[string]*question)}
+	return &Canceller{limits: l, latest: make(map[string]record), asked: make(map[string]*question)}
 }
 
-// Record remembers that a job was cancelled the given time ago.
-func (c *Canceller) Record(now time.Duration, job string, age time.Duration) {
-	r := record{job: job, cancelledAt: now - age}
-	if c.expires(r) <= max(now, c.expiry[job]) {
+// Record remembers that a job was cancelled the given time ago, and whether an entry had it.
+func (c *Canceller) Record(now time.Duration, job string, age time.Duration, isFound bool) {
+	r := record{job: job, cancelledAt: now - age, isFound: isFound}
+	known, isKnown := c.latest[job]
+	if isKnown {
+		r.cancelledAt = max(r.cancelledAt, known.cancelledAt)
+		r.isFound = r.isFound || known.isFound
+	}
+	if now >= c.expires(r) || isKnown && r == known {
 		return
 	}
-	for len(c.records) > 0 && (now >= c.expires(c.records[0]) || len(c.records) >= c.limits.MaxRecords) {
-		c.removeOldest()
+	records, most := &c.unknown, c.limits.MaxUnknown
+	if r.isFound {
+		records, most = &c.found, c.limits.MaxFound
+	}
+	for len(*records) > 0 && (now >= c.expires((*records)[0]) || len(*records) >= most) {
+		c.remove((*records)[0])
+		*records = (*records)[1:]
 	}
-	c.records = append(c.records, r)
-	c.expiry[job] = c.expires(r)
+	*records = append(*records, r)
+	c.latest[job] = r
 }
 
 func (c *Canceller) expires(r record) time.Duration { return r.cancelledAt + c.limits.RecordLifetime }
 
-func (c *Canceller) removeOldest() {
-	oldest := c.records[0]
-	c.records = c.records[1:]
-	if c.expiry[oldest.job] == c.expires(oldest) {
-		delete(c.expiry, oldest.job)
+// remove forgets a cancel, unless there is a later one of the same job.
+func (c *Canceller) remove(r record) {
+	if c.latest[r.job] == r {
+		delete(c.latest, r.job)
 	}
 }
 
 // IsCancelled reports whether a job was cancelled.
-func (c *Canceller) IsCancelled(now time.Duration, job string) bool { return now < c.expiry[job] }
+func (c *Canceller) IsCancelled(now time.Duration, job string) bool {
+	r, ok := c.latest[job]
+	return ok && now < c.expires(r)
+}
 
-// Recent returns the latest cancels, at most the given number, with the times since then.
+// Recent returns the latest cancels, at most the given number, with the times since then. Those of jobs
+// that an entry had come first.
 func (c *Canceller) Recent(now time.Duration, most int) (cancels []messenger.Cancellation) {
-	for _, r := range c.records[max(0, len(c.records)-most):] {
-		if now < c.expires(r) {
-			cancels = append(cancels, messenger.Cancellation{Job: r.job, Step: messenger.CancellationTold, Age: now - r.cancelledAt})
+	for _, records := range [][]record{c.found, c.unknown} {
+		for _, r := range records[max(0, len(records)+len(cancels)-most):] {
+			if now < c.expires(r) {
+				cancels = append(cancels, messenger.Cancellation{Job: r.job, Step: messenger.CancellationTold, Age: now - r.cancelledAt, IsFound: r.isFound})
+			}
 		}
 	}
 	return cancels
--- a/internal/canceller/canceller_test.go
+++ b/internal/canceller/canceller_test.go
@@ -14,7 +14,8 @@
 // questions that have ended after it.
 //
 //	at TIME               sets the time
-//	record JOB [AGE]      a job was cancelled
+//	record JOB [AGE]      a job was cancelled that no entry is known to have had
+//	record-found JOB [AGE]    the same for one that an entry had
 //	cancelled JOB         prints whether a job was cancelled
 //	recent N              prints the latest cancels
 //	ask JOB ENTRY...      asks other entries for a job
@@ -22,7 +23,7 @@
 //	lost ENTRY            the connection to an entry has ended
 func TestScripts(t *testing.T) {
 	scripter.Run(t, "testdata/*.txtar", func(t *testing.T, lines []scripter.Line) string {
-		s := &script{t: t, canceller: New(Limits{RecordLifetime: 10 * time.Second, MaxRecords: 3, AnswerTimeout: time.Second})}
+		s := &script{t: t, canceller: New(Limits{RecordLifetime: 10 * time.Second, MaxFound: 3, MaxUnknown: 3, AnswerTimeout: time.Second})}
 		for _, l := range lines {
 			s.line(l)
 		}
@@ -43,12 +44,12 @@
 	switch l.Verb {
 	case "at":
 		s.now = scripter.Duration(s.t, a[0])
-	case "record":
+	case "record", "record-found":
 		age := time.Duration(0)
 		if len(a) > 1 {
 			age = scripter.Duration(s.t, a[1])
 		}
-		s.canceller.Record(s.now, a[0], age)
+		s.canceller.Record(s.now, a[0], age, l.Verb == "record-found")
 	case "cancelled":
 		fmt.Fprintln(&s.out, s.canceller.IsCancelled(s.now, a[0]))
 	case "recent":
--- a/internal/messenger/cancellation.go
+++ b/internal/messenger/cancellation.go
@@ -9,6 +9,8 @@
 	Step CancellationStep `cbor:"2,keyasint"`
 	// Age is the time since the cancel, when the message is built.
 	Age time.Duration `cbor:"3,keyasint,omitempty"`
+	// IsFound is set if an entry is known to have had the job.
+	IsFound bool `cbor:"4,keyasint,omitempty"`
 }
 
 // CancellationStep is the step of a [Cancellation].
