Bound the ratio that a far too long declaration teaches

Callers saw: after jobs that declared hours for tasks of milliseconds, other jobs of the queue that had to wait were refused as "too-late", although their answer would still have been of use.

Sixty tasks with a ratio near 0 made the estimates, and the objectives that follow from them, less than half of what the other jobs declared.

Change: a single ratio counts as 0.25 at least.

--- a/internal/assigner/queue.go
+++ b/internal/assigner/queue.go
@@ -5,7 +5,7 @@
 // queue holds the run time estimates of a kind of job.
 type queue struct {
 	// ratio is the mean ratio of actual to declared run time. A single ratio counts as maxRatio at
-	// most, so that a far too short declaration has little weight.
+	// most and minRatio at least, so that a declaration that is far off has little weight.
 	ratio float64
 	// mean is the mean run time of tasks in seconds; 0 if none has ended yet.
 	mean float64
@@ -24,8 +24,12 @@
 // most of an average.
 const learnWeight = 0.05
 
-// maxRatio is the largest ratio of actual to declared run time that is learned.
-const maxRatio = 4
+// minRatio and maxRatio are the least and the largest ratio of actual to declared run time that are
+// learned.
+const (
+	minRatio = 0.25
+	maxRatio = 4
+)
 
 func (a *Assigner) queue(name string) *queue {
 	q := a.queues[name]
@@ -58,6 +62,6 @@
 	}
 	q.mean += learnWeight * (took.Seconds() - q.mean)
 	if declared > 0 {
-		q.ratio += learnWeight * (min(float64(took)/float64(declared), maxRatio) - q.ratio)
+		q.ratio += learnWeight * (max(minRatio, min(float64(took)/float64(declared), maxRatio)) - q.ratio)
 	}
 }
