Let calls to an upstream wait before their time begins

A job of many small tasks can make an agent start some hundred of them at once. All calls to the upstream share 24 connections and have 50 ms each, which began while they waited for a connection. So starts could end "without an answer" that were never sent, which binds their tasks to that upstream for a minute, and polls could fail, after which the upstream counts as silent and its leases end. The agents of the users' deployments have 0.24 of a core, where some hundred calls take longer than that.

Change: starts and stops wait for their turn before their time begins, 18 and 4 at once, so that no call waits for a connection, and polls never wait.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -14,6 +14,7 @@
 
 	"github.com/google/uuid"
 	"github.com/oklog/run"
+	"golang.org/x/sync/semaphore"
 
 	"sardinelock.dev/sardinelock/internal/connector"
 	"sardinelock.dev/sardinelock/internal/controller"
@@ -37,6 +38,11 @@
 	// wait. The upstream is local and answers within a millisecond. A lost call is sent
 	// again; calls are idempotent.
 	callTimeout = 50 * time.Millisecond
+	// maxStartCalls and maxStopCalls bound the calls of a kind at the same time. Further ones wait,
+	// which does not count for callTimeout. Polls do not wait.
+	maxStartCalls = 18
+	maxStopCalls  = 4
+	maxPollCalls  = 2
 	// maxStartAttempts is how often a start is sent without an answer before the task is
 	// stopped.
 	maxStartAttempts = 4
@@ -59,6 +65,10 @@
 	finalFlushDelay = 50 * time.Millisecond
 )
 
+// MaxCalls is the largest number of calls to the upstream at the same time. A driver must not make a call
+// wait for another one.
+const MaxCalls = maxStartCalls + maxStopCalls + maxPollCalls
+
 // Driver calls the upstream. Its functions may be called on any goroutine.
 //
 // A lease is passed as a function that returns how much of it is left at that time. The
@@ -108,6 +118,8 @@
 	links    *linker.Linker
 	counts   connector.Counts
 	meter    *meter.Meter
+	// starts and stops have the calls that may be made at the same time.
+	starts, stops *semaphore.Weighted
 
 	// The fields below belong to the control thread.
 	runner            *runner.Runner
@@ -126,6 +138,8 @@
 		settings: s,
 		peer:     messenger.Peer("agent-" + s.Instance + "-" + uuid.NewString()),
 		timers:   timer.New(),
+		starts:   semaphore.NewWeighted(maxStartCalls),
+		stops:    semaphore.NewWeighted(maxStopCalls),
 		runner:   runner.New(0, s.Limits),
 		conns:    make(map[messenger.Peer]*connector.Conn),
 	}
@@ -306,13 +320,23 @@
 		if attempts == 1 {
 			k.loop.Post(func(now time.Time) { k.runner.Repeated(k.loop.Elapsed(now), c) })
 		}
-		ctx, cancel := context.WithTimeout(k.background, callTimeout)
-		a = k.settings.Driver.Start(ctx, c, k.remaining(c.LeaseUntil))
-		cancel()
+		k.call(k.starts, func(ctx context.Context) { a = k.settings.Driver.Start(ctx, c, k.remaining(c.LeaseUntil)) })
 	}
 	k.loop.Post(func(now time.Time) { k.runner.Started(k.loop.Elapsed(now), c, a, attempts > 1) })
 }
 
+// call makes a call once fewer than the largest number of its kind are being made. It makes none after
+// the end of the keeper.
+func (k *Keeper) call(kind *semaphore.Weighted, f func(context.Context)) {
+	if kind.Acquire(k.background, 1) != nil {
+		return
+	}
+	defer kind.Release(1)
+	ctx, cancel := context.WithTimeout(k.background, callTimeout)
+	defer cancel()
+	f(ctx)
+}
+
 // remaining returns a function that returns the time left until the given time on the
 // control thread's clock.
 func (k *Keeper) remaining(until time.Duration) func() time.Duration {
@@ -320,9 +344,8 @@
 }
 
 func (k *Keeper) stopTask(c runner.StopCall) {
-	ctx, cancel := context.WithTimeout(k.background, callTimeout)
-	defer cancel()
-	acknowledged := k.settings.Driver.Stop(ctx, c)
+	acknowledged := false
+	k.call(k.stops, func(ctx context.Context) { acknowledged = k.settings.Driver.Stop(ctx, c) })
 	k.loop.Post(func(now time.Time) { k.runner.Stopped(k.loop.Elapsed(now), c, acknowledged) })
 }
 
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"sardinelock.dev/sardinelock/internal/journaler"
 	"sardinelock.dev/sardinelock/internal/runner"
 )
@@ -40,3 +43,49 @@
 		})
 	}
 }
+
+// TestCallsWaitForTheirTurn guards against upstreams that are taken for silent because a job of many tasks
+// is started: the calls waited for each other until their time was over, and so did the polls.
+func TestCallsWaitForTheirTurn(t *testing.T) {
+	const (
+		calls    = 200
+		callTime = 5 * time.Millisecond
+	)
+	var mu sync.Mutex
+	now, most := make(map[string]int), make(map[string]int)
+	var late int
+	call := func(ctx context.Context, kind string) {
+		mu.Lock()
+		now[kind]++
+		most[kind] = max(most[kind], now[kind])
+		if deadline, ok := ctx.Deadline(); !ok || time.Until(deadline) < callTimeout/2 {
+			late++
+		}
+		mu.Unlock()
+		time.Sleep(callTime)
+		mu.Lock()
+		defer mu.Unlock()
+		now[kind]--
+	}
+	k := runKeeper(t)
+	k.settings.Driver.Start = func(ctx context.Context, _ runner.StartCall, _ func() time.Duration) runner.Answer {
+		call(ctx, "start")
+		return runner.AnswerStarted
+	}
+	k.settings.Driver.Stop = func(ctx context.Context, _ runner.StopCall) bool {
+		call(ctx, "stop")
+		return true
+	}
+	var wg sync.WaitGroup
+	for range calls {
+		wg.Go(func() { k.startTask(runner.StartCall{}) })
+		wg.Go(func() { k.stopTask(runner.StopCall{}) })
+	}
+	wg.Wait()
+	if diff := cmp.Diff(map[string]int{"start": maxStartCalls, "stop": maxStopCalls}, most); diff != "" {
+		t.Errorf("calls at the same time (-want +got):\n%s", diff)
+	}
+	if late > 0 {
+		t.Errorf("%d calls were made with less than half of their time", late)
+	}
+}
