Check what jobs hold after each event, and requests that expect 100

Tests only: the memory of jobs without an answer is zero exactly if there are none, after each line of each script of the assigner; a caller that sends Expect: 100-continue gets the leave to send, or the answer.

--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -269,7 +269,11 @@
 	for _, p := range out.Closes {
 		fmt.Fprintf(&s.out, "close %s\n", p)
 	}
-	if jobs, pending := s.assigner.Counts(); pending > 0 {
+	jobs, pending := s.assigner.Counts()
+	if pending > 0 {
 		fmt.Fprintf(&s.out, "%d jobs, %d tasks pending\n", jobs, pending)
 	}
+	if held := s.assigner.held; held < 0 || (held > 0) != (jobs > 0) {
+		s.t.Errorf("%d jobs without an answer hold %d bytes", jobs, held)
+	}
 }
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -100,7 +100,7 @@
 		return "no answer"
 	}
 	text, _ := io.ReadAll(resp.Body)
-	answer := fmt.Sprintf("%d %s", resp.StatusCode, strings.TrimSpace(string(text)))
+	answer := strings.TrimSpace(fmt.Sprintf("%d %s", resp.StatusCode, text))
 	if resp.Close {
 		answer += " (closed)"
 	}
@@ -226,6 +226,27 @@
 	}
 }
 
+// TestExpectContinue checks that a caller that waits for the leave to send its body gets it, or else the
+// answer at once.
+func TestExpectContinue(t *testing.T) {
+	s := newTestServer(t, Limits{MaxBytes: 4 * bodyLimit}, time.Second)
+	for path, want := range map[string][]string{
+		"/":        {"100", "200 10"},
+		"/ignored": {"200 ignored (closed)"},
+	} {
+		c := s.dial()
+		_, _ = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: test\r\nContent-Length: 10\r\nExpect: 100-continue\r\n\r\n", path)
+		got := []string{c.answer()}
+		if got[0] == "100" {
+			_, _ = io.WriteString(c, "0123456789")
+			got = append(got, c.answer())
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", path, diff)
+		}
+	}
+}
+
 // TestOldestConnIsReplaced checks that a connection beyond the limit is served, and that the one without
 // a request for the longest time is closed for it.
 func TestOldestConnIsReplaced(t *testing.T) {
