Count the tasks of a body before they are decoded

What a caller could do: end an entry of the product's own protocol with one request, which may have 32 MiB.

Cause: the number of tasks was checked after all of them had been decoded. A body of 3 MB with 1,048,576 empty tasks took 322 MB.

Change: the elements are counted in the text first; the answer is the same.

TestDecodedTasksMemory failed before, as above. Answering bodies from a common bound of memory was tried for this entry and left out: TestHostileClients expects 413 for each of eight bodies of more than 32 MiB that arrive at once, and some got 503.

--- a/internal/dispatcher/caller.go
+++ b/internal/dispatcher/caller.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"os"
@@ -14,6 +15,7 @@
 	"sardinelock.dev/sardinelock/internal/identifier"
 	"sardinelock.dev/sardinelock/internal/messenger"
 	"sardinelock.dev/sardinelock/internal/owner"
+	"sardinelock.dev/sardinelock/internal/receiver"
 	"sardinelock.dev/sardinelock/pkg/submitter"
 )
 
@@ -124,10 +126,10 @@
 func decodeJob(w http.ResponseWriter, r *http.Request, limits *configurer.Limits) (*submitter.Job, *submitter.Problem) {
 	// Some connections, such as those of tests, support no deadlines; then none is set.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(limits.BodyTimeout))
-	body := new(submitter.Job)
+	var body jobBody
 	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes))
 	dec.DisallowUnknownFields()
-	if err := dec.Decode(body); err != nil {
+	if err := dec.Decode(&body); err != nil {
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
 			return nil, &submitter.Problem{
@@ -149,7 +151,7 @@
 			Detail: "at byte " + strconv.FormatInt(dec.InputOffset(), 10) + ": " + err.Error(),
 		}
 	}
-	if n := len(body.Tasks); n < 1 || n > submitter.MaxTasks {
+	if n := body.Tasks.count; n < 1 || n > submitter.MaxTasks {
 		return nil, &submitter.Problem{
 			Status: http.StatusBadRequest,
 			Title:  "wrong number of tasks",
@@ -158,7 +160,34 @@
 	}
 	// The read deadline applies to the body only: the answer may take longer.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	return body, nil
+	body.Job.Tasks = body.Tasks.tasks
+	return &body.Job, nil
+}
+
+// jobBody is a job whose number of tasks is checked before they are decoded.
+type jobBody struct {
+	submitter.Job
+	Tasks taskList `json:"tasks"`
+}
+
+// taskList is the list of the tasks of a job. If there are more than [submitter.MaxTasks], only their
+// number is kept.
+type taskList struct {
+	count int
+	tasks []submitter.Task
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (l *taskList) UnmarshalJSON(b []byte) error {
+	*l = taskList{count: receiver.CountElements(b)}
+	if l.count > submitter.MaxTasks {
+		return nil
+	}
+	dec := json.NewDecoder(bytes.NewReader(b))
+	dec.DisallowUnknownFields()
+	err := dec.Decode(&l.tasks)
+	l.count = len(l.tasks)
+	return err
 }
 
 // submissionID returns the id that the caller has sent, or generates one: in the
--- a/internal/dispatcher/caller_test.go
+++ b/internal/dispatcher/caller_test.go
@@ -4,11 +4,14 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"sardinelock.dev/sardinelock/internal/configurer"
+	"sardinelock.dev/sardinelock/pkg/submitter"
 )
 
 // TestSlowBody checks that a body that is not complete within the timeout is answered
@@ -33,3 +36,23 @@
 		t.Errorf("status %d for a body that stalls", resp.StatusCode)
 	}
 }
+
+// TestDecodedTasksMemory guards against bodies of empty tasks: decoding them took a hundred times as much
+// memory as the body, which may have 32 MiB.
+func TestDecodedTasksMemory(t *testing.T) {
+	const tasks = 1 << 20
+	body := `{"tasks":[` + strings.Repeat("{},", tasks-1) + `{}]}`
+	r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(body))
+	config := configurer.Default()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, problem := decodeJob(httptest.NewRecorder(), r, &config.Limits)
+	runtime.ReadMemStats(&after)
+	if got, most := after.TotalAlloc-before.TotalAlloc, uint64(4*len(body)); got > most {
+		t.Errorf("decoding a body of %d bytes allocates %d, want %d at most", len(body), got, most)
+	}
+	want := "the job has " + strconv.Itoa(tasks) + " tasks; it must have 1 to " + strconv.Itoa(submitter.MaxTasks)
+	if problem == nil || problem.Detail != want {
+		t.Errorf("problem %+v, want %s", problem, want)
+	}
+}
