--- a/internal/assigner/estimate.go
+++ b/internal/assigner/estimate.go
@@ -73,8 +73,8 @@
 
 // checkEstimate takes the declared run times of a job that would be rejected, if the estimate of its
 // queue alone makes it too late and may be wrong: no task of the queue has ended recently, none has
-// ended that declared a similar run time, or the estimate is far from the declaration. A rejected job has no results from which the estimate could
-// become right again.
+// ended that declared a similar run time, or the estimate is far from the declaration. A rejected job has
+// no results from which the estimate could become right again.
 func (a *Assigner) checkEstimate(now time.Duration, j *job, wait time.Duration) {
 	q := a.queue(j.Queue)
 	declared := j.longestChain(func(s *Step) time.Duration { return s.DeclaredRunTime })
--- a/internal/assigner/held.go
+++ b/internal/assigner/held.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// jobBytes, stepBytes and taskBytes are the memory of a job, a step and a task, in bytes.
+// The memory of a job, a step, a task and the number of an earlier step, in bytes.
 const (
 	jobBytes   = 1024
 	stepBytes  = 128
--- a/internal/assigner/job.go
+++ b/internal/assigner/job.go
@@ -302,6 +302,7 @@
 	a.forget(now, j)
 }
 
+// setAnswered marks a job that had no answer as answered, so that its memory is no longer counted.
 func (a *Assigner) setAnswered(j *job) {
 	j.answered = true
 	a.held -= j.size
