Take back the ratio of run times by what is declared

Callers would have seen jobs refused as "too-late" or "overtaken" under load: the first result of a class of declared run times set its ratio alone. One job that declares 300 ms for 20 ms made the entry expect 47 ms of all that declare 300 ms, and jobs of 0.9 s that waited for 0.4 s were of no use to it.

--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -56,8 +56,11 @@
 //	rests                                    enables idle heartbeats; must come first
 //	close
 //	give-up
-func TestScripts(t *testing.T) {
-	scripter.Run(t, "testdata/*.txtar", func(t *testing.T, lines []scripter.Line) string {
+func TestScripts(t *testing.T) { runScripts(t, "testdata/*.txtar") }
+
+func runScripts(t *testing.T, files string) {
+	t.Helper()
+	scripter.Run(t, files, func(t *testing.T, lines []scripter.Line) string {
 		s := &script{
 			t: t, assigner: New(testLimits, "dc-1", rand.New(rand.NewPCG(1, 1))),
 			incarnations: make(map[string]string), launchesSeen: make(map[string]uint64), connections: make(map[string]int),
--- a/internal/assigner/estimate.go
+++ b/internal/assigner/estimate.go
@@ -72,13 +72,13 @@
 )
 
 // checkEstimate takes the declared run times of a job that would be rejected, if the estimate of its
-// queue alone makes it too late and may be wrong: no task of the queue has ended recently, none has
-// ended that declared a similar run time, or the estimate is far from the declaration. A rejected job has
-// no results from which the estimate could become right again.
+// queue alone makes it too late and may be wrong: no task of the queue has ended recently, or the
+// estimate is far from the declaration. A rejected job has no results from which the estimate could
+// become right again.
 func (a *Assigner) checkEstimate(now time.Duration, j *job, wait time.Duration) {
 	q := a.queue(j.Queue)
 	declared := j.longestChain(func(s *Step) time.Duration { return s.DeclaredRunTime })
-	isConfirmed := q.resultAt > 0 && now-q.resultAt < estimateCheckInterval && j.expected < doubtfulFactor*declared && q.knows(j)
+	isConfirmed := q.resultAt > 0 && now-q.resultAt < estimateCheckInterval && j.expected < doubtfulFactor*declared
 	isChecked := q.checkedAt > 0 && now-q.checkedAt < estimateCheckInterval
 	if isConfirmed || isChecked || declared >= j.expected || now+wait+declared > j.deadline {
 		return
--- a/internal/assigner/queue.go
+++ b/internal/assigner/queue.go
@@ -1,17 +1,12 @@
 package assigner
 
-import (
-	"math/bits"
-	"slices"
-	"time"
-)
+import "time"
 
 // queue holds the run time estimates of a kind of job.
 type queue struct {
-	// ratio is that of all tasks, and ratios has those of tasks with similar declared run times, so that
-	// wrong declarations do not change the estimates of tasks that declare something else.
-	ratio  runTimeRatio
-	ratios [declarationClasses]runTimeRatio
+	// ratio is the mean ratio of actual to declared run time. A single ratio counts as maxRatio at
+	// most and minRatio at least, so that a declaration that is far off has little weight.
+	ratio float64
 	// mean is the mean run time of tasks in seconds; 0 if none has ended yet.
 	mean float64
 	// service is that of the latest job.
@@ -39,7 +34,7 @@
 func (a *Assigner) queue(name string) *queue {
 	q := a.queues[name]
 	if q == nil {
-		q = &queue{ratio: runTimeRatio{mean: 1}}
+		q = &queue{ratio: 1}
 		a.queues[name] = q
 	}
 	return q
@@ -48,7 +43,7 @@
 // expect returns the expected run time of a task from its declared one. Declared run
 // times are inaccurate, so the mean of the queue has the same weight.
 func (q *queue) expect(declared time.Duration) time.Duration {
-	byRatio := time.Duration(float64(declared) * q.ratioOf(declared))
+	byRatio := time.Duration(float64(declared) * q.ratio)
 	if q.mean == 0 {
 		return byRatio
 	}
@@ -67,39 +62,6 @@
 	}
 	q.mean += learnWeight * (took.Seconds() - q.mean)
 	if declared > 0 {
-		ratio := max(minRatio, min(float64(took)/float64(declared), maxRatio))
-		q.ratio.mean += learnWeight * (ratio - q.ratio.mean)
-		class := &q.ratios[declarationClass(declared)]
-		class.results++
-		class.mean += max(learnWeight, 1/float64(class.results)) * (ratio - class.mean)
-	}
-}
-
-// runTimeRatio is the mean ratio of actual to declared run time. A single ratio counts as maxRatio at
-// most and minRatio at least, so that a declaration that is far off has little weight.
-type runTimeRatio struct {
-	mean    float64
-	results int // number of tasks
-}
-
-// declarationClasses is the number of classes of declared run times: up to 1 ms, and each twice as long.
-const declarationClasses = 32
-
-func declarationClass(declared time.Duration) int {
-	return min(bits.Len64(uint64(max(0, declared/time.Millisecond))), declarationClasses-1)
-}
-
-// knows reports whether tasks have ended that declared similar run times as those of the job.
-func (q *queue) knows(j *job) bool {
-	return !slices.ContainsFunc(j.Steps, func(s Step) bool {
-		return q.ratios[declarationClass(s.DeclaredRunTime)].results == 0
-	})
-}
-
-// ratioOf returns the ratio for a declared run time.
-func (q *queue) ratioOf(declared time.Duration) float64 {
-	if r := &q.ratios[declarationClass(declared)]; r.results > 0 {
-		return r.mean
+		q.ratio += learnWeight * (max(minRatio, min(float64(took)/float64(declared), maxRatio)) - q.ratio)
 	}
-	return q.ratio.mean
 }
