Compute what a waiting task counts for once

Clean-up without a change of behaviour, from reading the whole change again. The part of its resources that a task counts for as work ahead was computed anew for each waiting task at each admission; it is kept with the task. The latest start of a job was written twice, and the condition of the third pass of the schedule was longer than what it says. Receiver.Held was used by tests only and moves there.

--- a/internal/assigner/held.go
+++ b/internal/assigner/held.go
@@ -46,7 +46,10 @@
 	return last
 }
 
+// latestStart returns the latest start with which the job meets its objective.
+func (j *job) latestStart() time.Duration { return j.objective - j.expected }
+
 // compareUrgency returns a negative number if the job is scheduled before another one.
 func (j *job) compareUrgency(o *job) int {
-	return cmp.Or(cmp.Compare(j.Priority, o.Priority), cmp.Compare(j.objective-j.expected, o.objective-o.expected), cmp.Compare(j.Ticket, o.Ticket))
+	return cmp.Or(cmp.Compare(j.Priority, o.Priority), cmp.Compare(j.latestStart(), o.latestStart()), cmp.Compare(j.Ticket, o.Ticket))
 }
--- a/internal/assigner/job.go
+++ b/internal/assigner/job.go
@@ -51,10 +51,12 @@
 )
 
 type task struct {
-	job      *job
-	ref      messenger.TaskRef
-	step     *Step
-	rounds   int // number of tasks of the step that run one after the other, at the submission; at least 1
+	job  *job
+	ref  messenger.TaskRef
+	step *Step
+	// share is the part of its resources that the task counts for while it waits: of tasks that run one
+	// after the other, one at a time needs them.
+	share    messenger.Resources
 	state    state
 	run      uint64
 	failures int
@@ -105,9 +107,9 @@
 	for i := range s.Steps {
 		step := &s.Steps[i]
 		j.unfinished[i] = step.Count
-		rounds := a.rounds(j, step)
+		share := step.Resources.Scale(1 / float64(a.rounds(j, step)))
 		for n := range step.Count {
-			j.tasks = append(j.tasks, &task{job: j, ref: messenger.TaskRef{Job: s.ID, Step: i, Index: n}, step: step, rounds: rounds, state: stateBlocked})
+			j.tasks = append(j.tasks, &task{job: j, ref: messenger.TaskRef{Job: s.ID, Step: i, Index: n}, step: step, share: share, state: stateBlocked})
 		}
 	}
 	q := a.queue(s.Queue)
--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -76,7 +76,7 @@
 	if others {
 		distant, _ := a.scheduleSelected(now, func(t *task) bool { return t.latestStart() < now })
 		if distant {
-			a.scheduleSelected(now, func(t *task) bool { return !t.isUrgent(now) && t.latestStart() >= now })
+			a.scheduleSelected(now, func(t *task) bool { return t.latestStart() >= now+distantSlack })
 		}
 	}
 	a.dropGone(now)
@@ -255,7 +255,7 @@
 	if t.job.Priority != j.Priority {
 		return t.job.Priority < j.Priority
 	}
-	return t.latestStart() < j.objective-j.expected
+	return t.latestStart() < j.latestStart()
 }
 
 // matches reports whether an upstream has the label and the capacity for a step.
@@ -350,14 +350,12 @@
 		return false, 0
 	}
 	for _, t := range a.pending {
-		// Of tasks that run one after the other, one at a time needs its capacity.
-		need := t.step.Resources.Scale(1 / float64(t.rounds))
 		if t.job == j {
-			used = used.Add(need)
+			used = used.Add(t.share)
 		} else if t.latestStart() >= now && t.before(j) && t.hazardous == hazardous {
 			// Each other entry is assumed to have as much work waiting.
 			for range a.entries {
-				used = used.Add(need)
+				used = used.Add(t.share)
 			}
 		}
 	}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -52,13 +52,6 @@
 	return &Receiver{limits: l, memory: semaphore.NewWeighted(l.MaxBytes), conns: make(map[net.Conn]*list.Element)}
 }
 
-// Held returns the total size of the buffers of bodies, in bytes, and the number of open connections.
-func (r *Receiver) Held() (bytes int64, conns int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.held, len(r.conns)
-}
-
 // Wrap returns a handler whose answers do not wait for the bodies of their requests: if a part of the
 // body is missing when the answer begins, the connection is closed after the answer. The server must
 // call [Receiver.ConnState] and [prober.WithConn].
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -142,7 +142,7 @@
 		if most := largest(); most > memory {
 			t.Errorf("bodies held %d bytes, %d are allowed", most, memory)
 		}
-		if held, _ := s.receiver.Held(); held != 0 {
+		if held, _ := s.receiver.holds(); held != 0 {
 			t.Errorf("%d bytes are held in the end", held)
 		}
 	}
@@ -170,7 +170,7 @@
 				most <- seen
 				return
 			default:
-				held, _ := s.receiver.Held()
+				held, _ := s.receiver.holds()
 				seen = max(seen, held)
 			}
 		}
@@ -210,6 +210,13 @@
 	}
 }
 
+// holds returns the total size of the buffers of bodies, in bytes, and the number of open connections.
+func (r *Receiver) holds() (bytes int64, conns int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.held, len(r.conns)
+}
+
 // await waits until a condition on the receiver holds.
 func (s *testServer) await(what string, holds func() bool) {
 	s.t.Helper()
@@ -269,7 +276,7 @@
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("answers (-want +got):\n%s", diff)
 	}
-	if _, conns := s.receiver.Held(); conns != 3 {
+	if _, conns := s.receiver.holds(); conns != 3 {
 		t.Errorf("%d connections are open, want 3", conns)
 	}
 }
