Add the state of evacuated data centres and its messages

Nothing told a process that no new task may be started in a data centre.

The fuzz corpus has the new message.

--- a/internal/messenger/ephemeral.go
+++ b/internal/messenger/ephemeral.go
@@ -111,11 +111,12 @@
 	EndLost       EndKind = "lost"       // The lease expired, or the upstream left while the task ran.
 	EndCrashed    EndKind = "crashed"    // The upstream crashed while the task ran.
 	EndUnresolved EndKind = "unresolved" // It is unknown whether the task started; it no longer runs.
+	EndEvacuated  EndKind = "evacuated"  // The agent returned the task without starting it, because its data centre is being evacuated.
 )
 
 // Ran reports whether the task may have started.
 func (k EndKind) Ran() bool {
-	return k != EndReturned && k != EndRefused && k != EndStaleRun
+	return k != EndReturned && k != EndEvacuated && k != EndRefused && k != EndStaleRun
 }
 
 // Proof says how it is known that a run has ended. Nothing else ends a run: neither a refused
@@ -208,6 +209,9 @@
 	RunnerSuspect RunnerState = "suspect" // Tasks fail or stall there, so no task is started.
 	RunnerProbing RunnerState = "probing" // It was suspect; a few tasks are started to probe it.
 	RunnerLeaving RunnerState = "leaving"
+	// RunnerEvacuated means that no new task may be started in the upstream's data centre, or that the
+	// agent does not know yet whether it may.
+	RunnerEvacuated RunnerState = "evacuated"
 )
 
 // Load is an agent's report of the state and load of its upstream to every entry.
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -68,6 +68,7 @@
 	Inquiries              []Inquiry              `cbor:"33,keyasint,omitempty"`
 	OutstandingStarts      []OutstandingStart     `cbor:"34,keyasint,omitempty"`
 	Cancellations          []Cancellation         `cbor:"35,keyasint,omitempty"`
+	Evacuations            *Evacuations           `cbor:"36,keyasint,omitempty"`
 }
 
 // Hello is the first message in both directions of a connection.
--- a/internal/messenger/fuzz_test.go
+++ b/internal/messenger/fuzz_test.go
@@ -52,6 +52,7 @@
 		Inquiries:              []Inquiry{{Job: "a", Step: InquiryOpen, Age: time.Second, IsHeld: true}},
 		OutstandingStarts:      []OutstandingStart{{Task: TaskRef{Job: "a"}, Upstream: "u", Age: time.Second}},
 		Cancellations:          []Cancellation{{Job: "a", Step: CancellationAsked, Age: time.Second}},
+		Evacuations:            &Evacuations{Version: 7, DataCentres: []string{"dc-1"}, Age: time.Second},
 	}
 }
 
--- a/internal/messenger/kind.go
+++ b/internal/messenger/kind.go
@@ -9,7 +9,7 @@
 	"start", "result", "forward", "answer", "handover", "launch", "end",
 	"hello", "cancel", "cancel-ack", "capacity", "credit", "fence", "fenced",
 	"routes", "config", "settled", "query", "report", "admit", "moved", "expel", "bequest", "bequeathed", "contact",
-	"withdraw", "crash", "load", "stamp", "open-job", "recall", "relay", "inquiry", "outstanding-start", "cancellation", "other",
+	"withdraw", "crash", "load", "stamp", "open-job", "recall", "relay", "inquiry", "outstanding-start", "cancellation", "evacuations", "other",
 }
 
 // workKinds is the number of kinds at the head of [MessageKinds] that carry work.
@@ -32,6 +32,7 @@
 		len(f.Query), len(f.Reports), boolToInt(f.Admit != nil), len(f.Moved), boolToInt(f.Expel != nil), len(f.RecordTransfers), len(f.RecordTransferStatuses), boolToInt(f.Contact != nil),
 		len(f.Withdraws), len(f.Crashes), boolToInt(f.Load != nil), boolToInt(f.Stamp != nil),
 		len(f.OpenJobs), len(f.Recalls), len(f.Relays), len(f.Inquiries), len(f.OutstandingStarts), len(f.Cancellations),
+		boolToInt(f.Evacuations != nil),
 	}
 	if n.Leading() == len(n)-1 {
 		n[len(n)-1] = 1
