Start nothing at an upstream in an evacuated data centre

An agent returns what waits when its data centre is evacuated, refuses later launches with an end of its own kind, and reports the state "evacuated"; what runs goes on. One that has just started does so until an entry has told it what is evacuated. Afterwards load returns to a cold upstream step by step: the part of the capacity that must not be used yet counts as used, so that no entry sees it as free.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -83,6 +83,9 @@
 	Labels      []string
 	Leaving     bool
 	Sequence    int64 // Sequence grows with each announcement of an incarnation.
+	// ColdFor is how much longer tasks run slowly there, because the upstream has just started; 0 if it
+	// is warm.
+	ColdFor time.Duration
 }
 
 // Runner is the state of one agent.
@@ -110,6 +113,9 @@
 	longLeaseUntil time.Duration
 	// closing is set once the agent shuts down; no new task is accepted.
 	closing bool
+	// evacuation says whether tasks may be started as far as evacuations are concerned.
+	evacuation evacuation
+	warmUp     warmUp
 	// lease is the latest lease of the upstream's runs, and leaseBeforePoll what it was before
 	// the latest poll.
 	lease, leaseBeforePoll lease
@@ -265,6 +271,7 @@
 	u.Leaving = u.Leaving || known && r.upstream.Leaving
 	changed := !known || u.Leaving != r.upstream.Leaving || u.Capacity != r.upstream.Capacity || u.Service != r.upstream.Service
 	r.upstream = &u
+	r.warmUp.announced(now, u.ColdFor)
 	if changed {
 		r.logDecision(Decision{Event: "upstream-announced", Reason: string(r.State(now))})
 		if u.Leaving {
@@ -307,6 +314,7 @@
 	r.lastEnd = 0
 	r.answered = false
 	r.upstream = nil
+	r.warmUp = warmUp{}
 	r.health = newHealth()
 	r.clearOrphans()
 	r.requestReports()
@@ -322,9 +330,12 @@
 }
 
 // returnWaiting returns the tasks that have not started to their entries.
-func (r *Runner) returnWaiting(now time.Duration) {
+func (r *Runner) returnWaiting(now time.Duration) { r.returnWaitingAs(now, messenger.EndReturned) }
+
+// returnWaitingAs is like returnWaiting, with the kind of end that the entries are told.
+func (r *Runner) returnWaitingAs(now time.Duration, kind messenger.EndKind) {
 	for _, t := range slices.Clone(r.waiting) {
-		r.end(now, t, messenger.EndReturned, messenger.ProofNotStarted)
+		r.end(now, t, kind, messenger.ProofNotStarted)
 	}
 }
 
@@ -353,6 +364,8 @@
 		return messenger.RunnerAbsent
 	case r.upstream.Leaving || r.closing:
 		return messenger.RunnerLeaving
+	case r.evacuation == evacuationInForce:
+		return messenger.RunnerEvacuated
 	}
 	return r.health.state(now)
 }
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -21,6 +21,9 @@
 //
 //	at TIME                                 sets the time
 //	announce ID BORN SEQUENCE CPU [leaving] announces the upstream
+//	cold TIME                               sets for how long the next announcements say that it is cold
+//	await                                   starts nothing until it is known what is being evacuated
+//	evacuate, return                        begins and ends the evacuation of the data centre
 //	leave ID                                ends the upstream
 //	up|down ENTRY                           begins or ends a session
 //	launch ENTRY ECHO JOB RUN CPU URGENCY [START-BY [MAX-WAIT]]  launches the first task of a job
@@ -57,6 +60,7 @@
 	out    strings.Builder
 	loads  bool // loads is set if load reports are printed.
 	leases bool // leases is set if the ends of the leases of starts are printed.
+	cold   time.Duration
 }
 
 func (s *script) line(l scripter.Line) {
@@ -68,11 +72,17 @@
 	case "announce":
 		u := Announcement{
 			Incarnation: Incarnation{ID: a[0], Number: scripter.Number(s.t, a[1])}, Service: "quote", Sequence: scripter.Number(s.t, a[2]),
-			Capacity: messenger.Resources{MilliCPU: scripter.Number(s.t, a[3]), MemoryBytes: 1 << 30}, Leaving: len(a) > 4,
+			Capacity: messenger.Resources{MilliCPU: scripter.Number(s.t, a[3]), MemoryBytes: 1 << 30}, Leaving: len(a) > 4, ColdFor: s.cold,
 		}
 		if !s.runner.Announce(s.now, u) {
 			fmt.Fprintln(&s.out, "not taken")
 		}
+	case "cold":
+		s.cold = scripter.Duration(s.t, a[0])
+	case "await":
+		s.runner.AwaitEvacuations()
+	case "evacuate", "return":
+		s.runner.SetEvacuated(s.now, l.Verb == "evacuate")
 	case "leave":
 		s.runner.Leave(s.now, a[0])
 	case "up":
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -129,10 +129,11 @@
 
 func (r *Runner) launch(now time.Duration, s *session, l *messenger.Launch) {
 	t := &task{Launch: *l, session: s, state: stateWaiting, arrivedAt: now}
-	refuse := func(reason string) {
+	refuseAs := func(kind messenger.EndKind, reason string) {
 		r.logDecision(Decision{Event: "task-returned", Task: l.Task, Run: l.Run, Reason: reason, Age: now - s.echoed})
-		s.returnLaunch(l.Task, l.Run)
+		s.returnLaunch(l.Task, l.Run, kind)
 	}
+	refuse := func(reason string) { refuseAs(messenger.EndReturned, reason) }
 	st := r.State(now)
 	switch {
 	case r.tasks[l.Task] != nil, r.hasOrphan(l.Task):
@@ -141,6 +142,8 @@
 		refuse("delayed")
 	case l.Incarnation != r.incarnation.String() || r.upstream == nil || r.upstream.Service != l.Service:
 		refuse("other-upstream")
+	case r.evacuation != evacuationNone:
+		refuseAs(messenger.EndEvacuated, string(r.evacuation))
 	case st != messenger.RunnerReady && st != messenger.RunnerProbing && !(l.AllowSuspect && st == messenger.RunnerSuspect):
 		refuse(string(st))
 	case !l.Resources.Fits(r.upstream.Capacity):
@@ -182,15 +185,15 @@
 		return
 	}
 	for _, h := range r.held[ref] {
-		h.session.returnLaunch(ref, h.run)
+		h.session.returnLaunch(ref, h.run, messenger.EndReturned)
 	}
 	delete(r.held, ref)
 }
 
 // returnLaunch tells the entry that a launch was not started, unless the session has ended.
-func (s *session) returnLaunch(ref messenger.TaskRef, run uint64) {
+func (s *session) returnLaunch(ref messenger.TaskRef, run uint64, kind messenger.EndKind) {
 	if !s.closed {
-		s.ends = append(s.ends, messenger.End{Task: ref, Run: run, Kind: messenger.EndReturned, Proof: messenger.ProofNotStarted})
+		s.ends = append(s.ends, messenger.End{Task: ref, Run: run, Kind: kind, Proof: messenger.ProofNotStarted})
 	}
 }
 
--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -176,6 +176,7 @@
 	r.closeUnresponsiveSessions(now)
 	r.checkLease(now)
 	r.retryStops(now)
+	r.advanceWarmUp(now)
 	r.startWaiting(now)
 	r.report(now)
 	out := r.out
@@ -254,9 +255,13 @@
 		return
 	}
 	st := r.State(now)
-	if st == messenger.RunnerAbsent || st == messenger.RunnerLeaving {
+	switch {
+	case st == messenger.RunnerAbsent || st == messenger.RunnerLeaving:
 		r.returnWaiting(now)
 		return
+	case r.evacuation != evacuationNone:
+		r.returnWaitingAs(now, messenger.EndEvacuated)
+		return
 	}
 	overdue := r.stopOverdue(now)
 	for _, t := range slices.Clone(r.waiting) {
@@ -280,7 +285,7 @@
 	if st == messenger.RunnerProbing && !t.AllowSuspect && len(r.tasks)-len(r.waiting) >= probeTasks {
 		return false
 	}
-	return r.used.Add(t.Resources).Fits(r.upstream.Capacity)
+	return r.fits(now, t)
 }
 
 func (r *Runner) start(now time.Duration, t *task) {
@@ -302,7 +307,7 @@
 	for _, peer := range sortedPeers(r.sessions) {
 		s := r.sessions[peer]
 		since := now - s.sentAt
-		due := since >= reportEvery && (s.reportDue || s.loadChanged && r.reportOutdated(s))
+		due := since >= reportEvery && (s.reportDue || s.loadChanged && r.reportOutdated(now, s))
 		beatEvery := r.limits.HeartbeatInterval
 		if s.idleFor(now, r.limits.IdleThreshold) {
 			beatEvery = max(beatEvery, r.limits.IdleHeartbeatInterval)
@@ -331,11 +336,11 @@
 )
 
 // reportOutdated reports whether the load known to an entry is too inaccurate.
-func (r *Runner) reportOutdated(s *session) bool {
+func (r *Runner) reportOutdated(now time.Duration, s *session) bool {
 	if r.upstream == nil {
 		return true
 	}
-	occupied, c := r.used.Add(r.queued()), r.upstream.Capacity
+	occupied, c := r.used.Add(r.reserved(now)).Add(r.queued()), r.upstream.Capacity
 	d, free := occupied.Sub(s.reportedLoad), c.Sub(occupied)
 	return significant(d.MilliCPU, c.MilliCPU, free.MilliCPU) || significant(d.MemoryBytes, c.MemoryBytes, free.MemoryBytes) ||
 		significant(d.Accelerators, c.Accelerators, free.Accelerators)
@@ -359,7 +364,7 @@
 
 func (r *Runner) load(now time.Duration, s *session) *messenger.Load {
 	l := &messenger.Load{
-		Incarnation: r.incarnation.String(), State: r.State(now), Used: r.used, Queued: r.queued(), LaunchesReceived: s.launchesReceived, RelativeRunTimePercent: r.health.slowdownPercent(now),
+		Incarnation: r.incarnation.String(), State: r.State(now), Used: r.used.Add(r.reserved(now)), Queued: r.queued(), LaunchesReceived: s.launchesReceived, RelativeRunTimePercent: r.health.slowdownPercent(now),
 	}
 	if r.upstream != nil {
 		l.Service, l.Capacity, l.Labels = r.upstream.Service, r.upstream.Capacity, r.upstream.Labels
