Count the upstreams of evacuated data centres as gone

Placement, admission, estimates, limits at each upstream and the exposure to hazardous queues leave them out. Jobs that only they could run are answered at once, those that wait as well as new ones: rejected if nothing of them ran, given up otherwise. Running tasks go on. While an entry does not know what is evacuated, it launches nothing.

--- a/internal/assigner/agent.go
+++ b/internal/assigner/agent.go
@@ -32,6 +32,8 @@
 	withdraws    []messenger.Withdraw
 	exposed      bool          // whether tasks of hazardous queues may be launched at the agent
 	absentSince  time.Duration // when the upstream became absent; 0 if it is not
+	// evacuated is whether the data centre of the agent is being evacuated, as known to this entry.
+	evacuated bool
 }
 
 // countLimited changes the number of tasks of a step at the agent, if the step has a limit.
@@ -93,6 +95,7 @@
 	g := &agent{
 		peer: peer, instance: instance, dataCentre: dataCentre, lastReceived: now, lastSent: now,
 		idleSince: now - a.limits.IdleThreshold, tasks: make(map[messenger.TaskRef]*task), limited: make(map[*Step]int),
+		evacuated: slices.Contains(a.evacuated, dataCentre),
 	}
 	a.agents[peer] = g
 	a.order = append(a.order, g)
@@ -171,6 +174,9 @@
 		return
 	}
 	a.makePending(t)
+	if a.lostItsPlace(now, j) {
+		a.abandon(now, j, "evacuated", 0)
+	}
 }
 
 // checkAgents closes the connections of agents that exceed the liveness timeout.
--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -179,7 +179,9 @@
 	catchUpUntil time.Duration // until when requests may be read that came during that pause
 	crashes      crashLog
 	outstanding  outstandingStarts
-	exposing     bool // whether upstreams were exposed to hazardous queues at the latest pass
+	exposing     bool     // whether upstreams were exposed to hazardous queues at the latest pass
+	evacuated    []string // data centres that are being evacuated
+	holding      bool     // whether nothing may be launched, because it is not known what is evacuated
 	out          Output
 }
 
@@ -225,7 +227,7 @@
 // use or requested there.
 func (a *Assigner) Resources() (capacity, used messenger.Resources) {
 	for _, g := range a.order {
-		if g.loadKnown && g.load.State == messenger.RunnerReady {
+		if g.loadKnown && g.load.State == messenger.RunnerReady && !g.isEvacuated() {
 			capacity = capacity.Add(g.load.Capacity)
 			used = used.Add(g.occupied())
 		}
@@ -243,11 +245,15 @@
 func (a *Assigner) States() []StateCount {
 	counts := []StateCount{
 		{State: messenger.RunnerAbsent}, {State: messenger.RunnerReady}, {State: messenger.RunnerSuspect},
-		{State: messenger.RunnerProbing}, {State: messenger.RunnerLeaving},
+		{State: messenger.RunnerProbing}, {State: messenger.RunnerLeaving}, {State: messenger.RunnerEvacuated},
 	}
 	for _, g := range a.order {
+		state := g.load.State
+		if g.isEvacuated() {
+			state = messenger.RunnerEvacuated
+		}
 		for i := range counts {
-			if g.loadKnown && g.load.State == counts[i].State {
+			if g.loadKnown && state == counts[i].State {
 				counts[i].Count++
 			}
 		}
@@ -269,10 +275,7 @@
 
 // Serving reports whether an upstream of any service can run tasks.
 func (a *Assigner) Serving(now time.Duration) bool {
-	return slices.ContainsFunc(a.order, func(g *agent) bool {
-		ready := g.load.State == messenger.RunnerReady || g.load.State == messenger.RunnerProbing
-		return ready && !a.suspect(now, g)
-	})
+	return slices.ContainsFunc(a.order, func(g *agent) bool { return a.usable(now, g) })
 }
 
 // updateServing records when upstreams become usable and when the last becomes unusable.
--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -53,6 +53,9 @@
 //	cancel ID
 //	state ID                                 prints whether the job is known, and whether it was launched
 //	entries N                                sets the number of entries
+//	data-centre NAME                         sets the data centre of the agents that connect next, dc-1 at first
+//	evacuate [NAME...]                       sets the data centres that are being evacuated
+//	hold, resume                             holds launches, and ends that
 //	rests                                    enables idle heartbeats; must come first
 //	close
 //	give-up
@@ -64,7 +67,7 @@
 		s := &script{
 			t: t, assigner: New(testLimits, "dc-1", rand.New(rand.NewPCG(1, 1))),
 			incarnations: make(map[string]string), launchesSeen: make(map[string]uint64), connections: make(map[string]int),
-			gone: make(map[uint64]bool), timeout: 2 * time.Second,
+			gone: make(map[uint64]bool), timeout: 2 * time.Second, dataCentre: "dc-1",
 		}
 		for _, l := range lines {
 			s.line(l)
@@ -86,6 +89,7 @@
 	maxPerUpstream int
 	timeout        time.Duration // timeout is how long the callers of the next jobs wait.
 	unread         time.Duration
+	dataCentre     string          // dataCentre is that of the agents that connect next.
 	gone           map[uint64]bool // gone has the tickets of the callers whose connections have ended.
 	logged         bool            // logged is set if decisions about crashes and hazards are printed.
 }
@@ -109,7 +113,7 @@
 	case "up":
 		s.connections[a[0]]++
 		s.incarnations[a[0]], s.launchesSeen[a[0]] = a[0]+"#1", 0
-		s.assigner.AgentUp(s.now, s.peer(a[0]), a[0], "dc-1")
+		s.assigner.AgentUp(s.now, s.peer(a[0]), a[0], s.dataCentre)
 	case "down":
 		s.assigner.AgentDown(s.now, s.peer(a[0]))
 	case "load":
@@ -186,6 +190,12 @@
 		s.assigner.EntryLost(s.now)
 	case "entry-back":
 		s.assigner.EntryBack(s.now)
+	case "data-centre":
+		s.dataCentre = a[0]
+	case "evacuate":
+		s.assigner.SetEvacuated(s.now, a)
+	case "hold", "resume":
+		s.assigner.HoldLaunches(l.Verb == "hold")
 	case "entries":
 		s.assigner.SetEntries(int(scripter.Number(s.t, a[0])))
 	case "rests":
--- a/internal/assigner/estimate.go
+++ b/internal/assigner/estimate.go
@@ -53,7 +53,7 @@
 	}
 	upstreams := 0
 	for _, g := range a.order {
-		if g.loadKnown && g.load.Service == j.Service && s.matches(&g.load) {
+		if g.loadKnown && !g.isEvacuated() && g.load.Service == j.Service && s.matches(&g.load) {
 			upstreams++
 		}
 	}
--- a/internal/assigner/exposure.go
+++ b/internal/assigner/exposure.go
@@ -86,7 +86,7 @@
 		}
 	}
 	for _, g := range a.exposureOrder {
-		if e := services[g.load.Service]; e != nil {
+		if e := services[g.load.Service]; e != nil && !g.isEvacuated() {
 			e.upstreams++
 			e.capacity += g.load.Capacity.MilliCPU
 		}
@@ -103,7 +103,7 @@
 	}
 	for _, g := range a.exposureOrder {
 		e := services[g.load.Service]
-		g.exposed = e != nil && e.expose(g)
+		g.exposed = e != nil && !g.isEvacuated() && e.expose(g)
 	}
 }
 
@@ -139,7 +139,7 @@
 
 // usable reports whether an upstream runs tasks.
 func (a *Assigner) usable(now time.Duration, g *agent) bool {
-	return (g.load.State == messenger.RunnerReady || g.load.State == messenger.RunnerProbing) && !a.suspect(now, g)
+	return (g.load.State == messenger.RunnerReady || g.load.State == messenger.RunnerProbing) && !g.evacuated && !a.suspect(now, g)
 }
 
 // allowedBesideHazards reports whether a task may be launched at an agent as far as crashes
--- a/internal/assigner/job.go
+++ b/internal/assigner/job.go
@@ -144,6 +144,8 @@
 		a.checkEstimate(now, j, wait)
 	}
 	switch {
+	case !fitting && len(a.evacuated) > 0:
+		a.reject(now, j, "evacuated", 0)
 	case !fitting:
 		a.reject(now, j, "fits-no-upstream", 0)
 	case now+a.leastTime(j) > j.deadline && !a.settling(now):
--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -57,7 +57,7 @@
 // in time come after those that can, unless the latter can wait for long.
 func (a *Assigner) schedule(now time.Duration) {
 	a.lacksCapacity, a.lacksExposed = false, false
-	if len(a.pending) == 0 {
+	if len(a.pending) == 0 || a.holding {
 		return
 	}
 	if a.unsorted {
@@ -207,7 +207,7 @@
 func (a *Assigner) eligible(now time.Duration, t *task, g *agent) bool {
 	l := &g.load
 	switch {
-	case !g.loadKnown || a.suspect(now, g) || l.Service != t.job.Service:
+	case !g.loadKnown || g.isEvacuated() || a.suspect(now, g) || l.Service != t.job.Service:
 		return false
 	case !t.allowedBesideHazards(g) || !t.allowedBesideOutstanding(g):
 		return false
@@ -232,7 +232,7 @@
 	}
 	suspect, all := 0, 0
 	for _, g := range a.order {
-		if !g.loadKnown || g.load.Service != l.Service {
+		if !g.loadKnown || g.isEvacuated() || g.load.Service != l.Service {
 			continue
 		}
 		switch g.load.State {
@@ -340,7 +340,7 @@
 	hazardous := a.crashes.hazardous(now, j.Queue)
 	for _, g := range a.order {
 		l := &g.load
-		if hazardous && !g.exposed || !g.loadKnown || l.Service != j.Service || l.State != messenger.RunnerReady || a.suspect(now, g) {
+		if hazardous && !g.exposed || !g.loadKnown || l.Service != j.Service || l.State != messenger.RunnerReady || g.evacuated || a.suspect(now, g) {
 			continue
 		}
 		capacity = capacity.Add(l.Capacity)
@@ -367,20 +367,14 @@
 }
 
 // everyStepMatches reports whether each step has an upstream of the service that could
-// run it. It returns true if no upstream of the service is known yet.
+// run it and is not being evacuated. It returns true if no upstream of the service is known yet.
 func (a *Assigner) everyStepMatches(j *job) bool {
-	known := false
-	matches := make([]bool, len(j.Steps))
-	for _, g := range a.order {
-		if !g.loadKnown || g.load.Service != j.Service || g.load.Capacity == (messenger.Resources{}) {
-			continue
-		}
-		known = true
-		for i := range j.Steps {
-			matches[i] = matches[i] || j.Steps[i].matches(&g.load)
+	for i := range j.Steps {
+		if !a.stepMatches(j, &j.Steps[i]) {
+			return false
 		}
 	}
-	return !known || !slices.Contains(matches, false)
+	return true
 }
 
 func (a *Assigner) launch(now time.Duration, t *task, g *agent, wait time.Duration) {
