Pass evacuations on between entries and agents

Entries and agents send the version in force first on each connection and again when they learn of a higher one, so that an entry that the platform turns away learns it from others, or through its agents. An entry that was paused asks the platform again and launches nothing until it, or an agent that has heard from the entry since, confirms the version. Each change is a line in the log with its version, age and source, and gauges tell what is in force.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -24,6 +24,7 @@
 	"sardinelock.dev/sardinelock/internal/cataloguer"
 	"sardinelock.dev/sardinelock/internal/connector"
 	"sardinelock.dev/sardinelock/internal/controller"
+	"sardinelock.dev/sardinelock/internal/evacuator"
 	"sardinelock.dev/sardinelock/internal/journaler"
 	"sardinelock.dev/sardinelock/internal/linker"
 	"sardinelock.dev/sardinelock/internal/messenger"
@@ -63,7 +64,10 @@
 	// ConfigRequestDelay is how long an entry waits for a catalogue from the platform before
 	// it requests it from an entry that has it.
 	ConfigRequestDelay time.Duration
-	Journal            *journaler.Journaler
+	// Evacuations are the settings for the evacuation of data centres; nil if there is none in this
+	// deployment.
+	Evacuations *evacuator.Limits
+	Journal     *journaler.Journaler
 }
 
 // Broker is a running entry.
@@ -112,6 +116,7 @@
 	inquired      []string // inquired has the jobs whose inquiries are sent with the next flush.
 	// confirmedAt is when the platform or a peer last sent the version in force.
 	confirmedAt time.Time
+	evacuations evacuations
 
 	background context.Context
 	stop       context.CancelFunc
@@ -146,6 +151,7 @@
 		cancellations: make(map[*connector.Conn][]messenger.Cancellation),
 		versions:      versionTracker{delay: s.ConfigRequestDelay, peers: make(map[messenger.Peer]uint64)},
 	}
+	b.evacuations = newEvacuations(s.Evacuations)
 	b.background, b.stop = context.WithCancel(context.Background())
 	b.loop = controller.NewOnClock(timer.NewBootTimeClock(), b.flush)
 	b.entriesKnown(b.loop.Now(), s.Entries)
@@ -236,6 +242,7 @@
 		if !b.confirmedAt.IsZero() {
 			s.ConfigAge = now.Sub(b.confirmedAt)
 		}
+		s.Evacuations = b.evacuations.state(b.loop.Elapsed(now))
 	})
 	return s
 }
@@ -319,6 +326,7 @@
 
 // flush carries out the assigner's decisions. It must be called on the control thread.
 func (b *Broker) flush(now time.Time) {
+	b.advanceEvacuations(now)
 	out := b.assigner.Advance(b.loop.Elapsed(now))
 	b.serving.Store(b.assigner.Serving(b.loop.Elapsed(now)))
 	for _, d := range out.Decisions {
--- a/internal/broker/peers.go
+++ b/internal/broker/peers.go
@@ -35,6 +35,7 @@
 	h := c.Hello()
 	switch h.Role {
 	case messenger.RoleAgent:
+		b.evacuations.recipients.Add(c)
 		b.newAgents[c] = now
 		c.Send(routesFrame(b.directory.list(b.settings.PeerAnnounce, b.links.Addresses())))
 	case messenger.RoleEntry:
@@ -44,6 +45,7 @@
 		if old := b.entries[h.Peer]; old != nil {
 			old.Close()
 		}
+		b.evacuations.recipients.Add(c)
 		b.entries[h.Peer] = c
 		b.assigner.SetEntries(len(b.entries) + 1)
 		b.settings.Journal.Line("entry-connected").Str("peer", string(h.Peer)).Msg("")
@@ -69,6 +71,7 @@
 
 func (b *Broker) receive(now time.Time, c *connector.Conn, f *messenger.Frame) {
 	h := c.Hello()
+	b.receiveEvacuations(now, c, f)
 	if h.Role == messenger.RoleAgent {
 		if _, isNew := b.newAgents[c]; isNew {
 			b.registerAgent(now, c)
@@ -136,6 +139,7 @@
 func (b *Broker) removeConn(now time.Time, c *connector.Conn, cause error) {
 	h := c.Hello()
 	delete(b.newAgents, c)
+	b.evacuations.recipients.Remove(c)
 	switch {
 	case b.agents[h.Peer] == c:
 		delete(b.agents, h.Peer)
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -18,6 +18,7 @@
 
 	"sardinelock.dev/sardinelock/internal/connector"
 	"sardinelock.dev/sardinelock/internal/controller"
+	"sardinelock.dev/sardinelock/internal/evacuator"
 	"sardinelock.dev/sardinelock/internal/journaler"
 	"sardinelock.dev/sardinelock/internal/linker"
 	"sardinelock.dev/sardinelock/internal/messenger"
@@ -106,7 +107,10 @@
 	// Discover looks up the addresses of entries; it is used while none is connected.
 	Discover     func(ctx context.Context) []netip.AddrPort
 	DrainTimeout time.Duration
-	Journal      *journaler.Journaler
+	// HasEvacuations is whether data centres may be evacuated in this deployment. The agent then starts
+	// nothing before an entry has told it which are.
+	HasEvacuations bool
+	Journal        *journaler.Journaler
 }
 
 // Keeper is a running agent.
@@ -127,6 +131,10 @@
 	relays            []arrivedRelay // relays are those to pass on at the next flush.
 	disconnectedSince time.Time      // disconnectedSince is when an entry was last connected or a look-up last began.
 	discovering       bool
+	// evacuator is nil if the deployment has no evacuations. recipients are the connections on which the
+	// agent tells of them.
+	evacuator  *evacuator.Evacuator
+	recipients evacuator.Recipients[*connector.Conn]
 
 	background context.Context
 	stop       context.CancelFunc
@@ -143,6 +151,12 @@
 		runner:   runner.New(0, s.Limits),
 		conns:    make(map[messenger.Peer]*connector.Conn),
 	}
+	if s.HasEvacuations {
+		// An agent is not told by the platform, and acts only on what an entry has sent recently: after a
+		// pause it accepts no earlier launch.
+		k.evacuator = evacuator.New(evacuator.Limits{})
+		k.runner.AwaitEvacuations()
+	}
 	k.background, k.stop = context.WithCancel(context.Background())
 	k.loop = controller.NewOnClock(timer.NewBootTimeClock(), k.flush)
 	options := connector.Options{Hello: k.hello, Counts: &k.counts}
@@ -166,6 +180,7 @@
 		s.State = messenger.UpstreamState(k.runner.State(k.loop.Elapsed(now)))
 		s.UpstreamCrashes = k.runner.Crashes()
 		s.Entries = len(k.conns)
+		s.Evacuations = k.evacuationState(k.loop.Elapsed(now))
 	})
 	return s
 }
@@ -296,6 +311,7 @@
 	for _, c := range out.Stops {
 		go k.stopTask(c)
 	}
+	k.tellEvacuations(now)
 	for _, s := range out.Sends {
 		if conn := k.conns[s.To]; conn != nil {
 			conn.Send(s.Frame)
@@ -375,6 +391,7 @@
 		return false
 	}
 	k.conns[h.Peer] = c
+	k.recipients.Add(c)
 	k.runner.EntryUp(k.loop.Elapsed(now), h.Peer)
 	k.settings.Journal.Line("entry-connected").Str("peer", string(h.Peer)).Msg("")
 	return true
@@ -394,12 +411,14 @@
 		k.links.Reachable(now, connected...)
 		k.links.Add(false, others...)
 	}
+	k.receiveEvacuations(now, c, f.Evacuations)
 	k.runner.Receive(k.loop.Elapsed(now), peer, f)
 	k.receiveRelays(peer, f.Relays)
 }
 
 func (k *Keeper) removeConn(now time.Time, c *connector.Conn, cause error) {
 	peer := c.Hello().Peer
+	k.recipients.Remove(c)
 	if k.conns[peer] != c {
 		return
 	}
--- a/internal/meter/roles.go
+++ b/internal/meter/roles.go
@@ -25,8 +25,10 @@
 	draining := r.gauge("sardinelock.draining", "", "1 while the entry takes no new work.")
 	budget := r.gauge("sardinelock.objective.budget", "1", "Share of a service's jobs that an objective lets be bad.")
 	minBad := r.gauge("sardinelock.objective.min-bad-jobs", "{job}", "Bad jobs in the short window below which a burn rate raises nothing.")
+	evacuations := r.evacuationGauges()
 	r.callback(func(_ context.Context, o metric.Observer) error {
 		s := state()
+		evacuations.observe(o, s.Evacuations)
 		for _, v := range s.Objectives {
 			labels := metric.WithAttributes(attribute.String("service", v.Service), attribute.String("objective", v.Objective))
 			o.ObserveFloat64(budget, v.Budget, labels)
@@ -53,7 +55,7 @@
 		observeStates(o, configs, "state", s.ConfigStates)
 		o.ObserveFloat64(draining, float64(boolToInt(s.Draining)))
 		return nil
-	}, jobs, queued, upstreams, credits, ejections, owned, epochs, peers, version, age, configs, draining, budget, minBad)
+	}, append(evacuations.all(), jobs, queued, upstreams, credits, ejections, owned, epochs, peers, version, age, configs, draining, budget, minBad)...)
 }
 
 func (r *instrumentBuilder) observeAgent(state func() AgentState) {
@@ -66,8 +68,10 @@
 	crashes := r.total("sardinelock.agent.upstream-crashes", "{crash}", "Crashes of the upstream.")
 	version := r.gauge("sardinelock.config.version", "{version}", "Version of the configuration in force.")
 	current := r.gauge("sardinelock.config.current", "", "1 if the latest version is in force and a later one would be learned.")
+	evacuations := r.evacuationGauges()
 	r.callback(func(_ context.Context, o metric.Observer) error {
 		s := state()
+		evacuations.observe(o, s.Evacuations)
 		o.ObserveFloat64(tasks, float64(s.Running), label("state", "running"))
 		o.ObserveFloat64(tasks, float64(s.Waiting), label("state", "waiting"))
 		o.ObserveFloat64(slots, float64(s.Slots))
@@ -83,7 +87,7 @@
 		o.ObserveFloat64(version, float64(s.ConfigVersion))
 		o.ObserveFloat64(current, float64(boolToInt(s.ConfigCurrent)))
 		return nil
-	}, tasks, slots, records, serving, crashes, epoch, entries, version, current)
+	}, append(evacuations.all(), tasks, slots, records, serving, crashes, epoch, entries, version, current)...)
 }
 
 func observeStates(o metric.Observer, g metric.Float64Observable, name string, states []StateCount) {
--- a/internal/meter/sources.go
+++ b/internal/meter/sources.go
@@ -56,6 +56,9 @@
 	// configuration relative to the current version.
 	ConfigStates []StateCount
 	Draining     bool
+	// Evacuations is what the process knows of the evacuation of data centres; nil if there is none in the
+	// deployment.
+	Evacuations *EvacuationState
 	// Objectives are the objectives of all services in the configuration in force.
 	Objectives []ObjectiveState
 }
@@ -70,6 +73,14 @@
 	MinBadJobs int
 }
 
+// EvacuationState is what a process knows of the evacuation of data centres.
+type EvacuationState struct {
+	Version uint64
+	// Age is the time since the version was last known to be the latest.
+	Age         time.Duration
+	DataCentres []string // DataCentres are being evacuated.
+}
+
 // StateCount is the number of items in a state.
 type StateCount struct {
 	State string
@@ -92,6 +103,8 @@
 	// notified of a later one.
 	ConfigVersion uint64
 	ConfigCurrent bool
+	// Evacuations is as in [EntryState].
+	Evacuations *EvacuationState
 }
 
 // instrumentBuilder creates instruments and records the first error.
