Refuse at once what only held upstreams can run

Cause: admission counted drained and ejected upstreams as serving. With every upstream of a service drained, the first job waited until its deadline, and the estimate of the wait of the second one divided by the number of free slots, 0: the entry ended with "integer divide by zero". The same happened after the placer itself had ejected the only upstream of a service. Holds were also known by agent only, so that no order could cover the agents of a place that connect later.

Change: the placer takes holds of upstreams and of data centres, and applies them to agents that connect later. Admission, credits, the estimate of the wait and the limit on ejections count only upstreams that no operator holds. A job that only held upstreams can run is refused as no-upstream; one that waits already is refused when the hold is set, unless a task of it was sent. A service whose upstreams are all ejected counts as having one slot in the estimate.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -233,6 +233,7 @@
 	c.beginEvent(now)
 	c.releaseLostTasks(now)
 	c.applyOwner(now)
+	c.refuseHeldBack(now)
 	if c.leaser.Held(now) {
 		c.dispatch(now)
 		c.applyOwner(now)
--- a/internal/coordinator/dispatch.go
+++ b/internal/coordinator/dispatch.go
@@ -39,6 +39,18 @@
 	}
 }
 
+// refuseHeldBack answers the queued jobs that only upstreams under a hold can run. A job
+// of which a task was sent keeps waiting for the end of the hold until its deadline,
+// because a refusal would abort the tasks that run.
+func (c *Coordinator) refuseHeldBack(now time.Time) {
+	for _, h := range c.placer.TakeHeldBack() {
+		if s, ok := c.owner.Status(h.Submission); ok && s.Waiting == s.Tasks {
+			c.owner.Refuse(now, h.Submission, h.Refusal.Reason, h.Refusal.Detail, h.Refusal.RetryAfter)
+		}
+	}
+	c.applyOwner(now)
+}
+
 func (c *Coordinator) dispatch(now time.Time) {
 	for _, a := range c.placer.Dispatch(now) {
 		j, ok := c.owner.Job(a.Submission)
--- a/internal/coordinator/query.go
+++ b/internal/coordinator/query.go
@@ -59,8 +59,8 @@
 // PeerCounts returns the number of connected agents and entries.
 func (c *Coordinator) PeerCounts() (agents, entries int) { return len(c.agents), len(c.entries) }
 
-// SetHolds replaces the set of upstreams that operators keep from receiving new work.
-func (c *Coordinator) SetHolds(holds map[messenger.Peer]placer.Hold) { c.placer.SetHolds(holds) }
+// SetHolds replaces the holds by which operators keep upstreams from receiving new work.
+func (c *Coordinator) SetHolds(holds placer.Holds) { c.placer.SetHolds(holds) }
 
 // SetPlacementLimits replaces the limits of the placer.
 func (c *Coordinator) SetPlacementLimits(l placer.Limits) { c.placer.SetLimits(l) }
--- a/internal/dispatcher/holds.go
+++ b/internal/dispatcher/holds.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sardinelock.dev/sardinelock/internal/administrator"
+	"sardinelock.dev/sardinelock/internal/placer"
 )
 
 // holdsPollInterval is the interval at which the holds are read. They are also read when
@@ -35,7 +36,7 @@
 	drained := h.Entries[e.settings.Peer]
 	e.drained.Store(drained)
 	e.loop.Post(func(now time.Time) {
-		e.coordinator.SetHolds(h.Upstreams)
+		e.coordinator.SetHolds(placer.Holds{Upstreams: h.Upstreams})
 		e.applyDrained(now, drained)
 	})
 	return nil
--- a/internal/placer/agent.go
+++ b/internal/placer/agent.go
@@ -15,7 +15,7 @@
 	credit    int  // maximum of outstanding tasks: limit, or less after refusals
 	limit     int  // the number of slots until the agent sets a limit
 	creditSet bool // whether the agent has set the limit itself
-	hold      Hold // set by an operator; empty if there is none
+	hold      Hold // set by an operator on the agent or its data centre; empty if there is none
 	// sent holds the outstanding tasks.
 	sent map[taskRef]outstanding
 	// bulk counts the tasks in sent that belong to bulk jobs.
@@ -79,6 +79,9 @@
 
 func (a *agent) serving() bool { return a.capacity.State == messenger.UpstreamServing }
 
+// accepting reports whether the agent's upstream serves and no operator holds it.
+func (a *agent) accepting() bool { return a.serving() && a.hold == "" }
+
 // membershipBefore orders the agents of a service: those being probed first, then by
 // free credit, then by fewest outstanding tasks of bulk jobs, then the least recently
 // chosen.
@@ -99,7 +102,7 @@
 
 // rerank updates the position of an agent in the heap of each of its services.
 func (p *Placer) rerank(a *agent) {
-	works := a.serving() && a.hold == ""
+	works := a.accepting()
 	for _, s := range a.memberships {
 		s.updateCredits()
 		want := works && (a.freeCredit() > 0 || p.couldTakeBulk(a))
@@ -117,7 +120,7 @@
 // updateCredits updates the service's sum of credits.
 func (s *membership) updateCredits() {
 	credit := 0
-	if s.agent.serving() && s.agent.health.maxOutstanding > 0 {
+	if s.agent.accepting() && s.agent.health.maxOutstanding > 0 {
 		credit = s.agent.credit
 	}
 	s.service.credits += credit - s.credit
--- a/internal/placer/dispatch.go
+++ b/internal/placer/dispatch.go
@@ -61,6 +61,7 @@
 // the reschedule budget allows it, otherwise after a backoff.
 func (p *Placer) Requeue(now time.Time, j Job, index uint16) {
 	p.recordStart(now)
+	p.checkHeldBack(&j)
 	if p.retries.Spend() {
 		p.requeue(j, index)
 		return
--- a/internal/placer/health.go
+++ b/internal/placer/health.go
@@ -48,7 +48,7 @@
 	minRatioSamples    = 10 // number of results below which FailureRatio is not applied
 	minSlownessSamples = 3
 	unlimited          = 1 << 30
-	minServing         = 2 // with fewer serving agents, none is ejected
+	minAccepting       = 2 // with fewer agents that accept work, none is ejected
 	minFailingAgents   = 2
 )
 
@@ -163,11 +163,16 @@
 }
 
 func (p *Placer) mayEject() bool {
-	serving := p.Serving()
-	if serving < minServing {
+	accepting := 0
+	for _, a := range p.order {
+		if a.accepting() {
+			accepting++
+		}
+	}
+	if accepting < minAccepting {
 		return false
 	}
-	return p.ejected+1 <= max(1, int(p.limits.MaxEjectedRatio*float64(serving)))
+	return p.ejected+1 <= max(1, int(p.limits.MaxEjectedRatio*float64(accepting)))
 }
 
 // probeDue starts probing the ejected agents whose probe is due.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -90,7 +90,8 @@
 	// outstandingTasks counts the outstanding tasks of each job. The count of a dropped
 	// job is negated: its results are not used to judge agents.
 	outstandingTasks map[identifier.Submission]int
-	holds            map[messenger.Peer]Hold
+	holds            Holds
+	heldBack         []HeldBack
 	ejections        uint64 // total number of ejections because of results
 	waiting          int    // number of queued tasks
 	ejected          int    // number of agents that are ejected or being probed
@@ -137,7 +138,7 @@
 // that connects after the first task result has arrived goes through a slow start.
 func (p *Placer) AgentUp(_ time.Time, peer messenger.Peer, place Location) {
 	p.AgentDown(time.Time{}, peer)
-	a := &agent{peer: peer, place: place, hold: p.holds[peer], sent: make(map[taskRef]outstanding)}
+	a := &agent{peer: peer, place: place, hold: p.holds.of(peer, place), sent: make(map[taskRef]outstanding)}
 	a.health = health{state: stateNormal, maxOutstanding: unlimited}
 	if p.hasResults {
 		a.health = health{state: stateReturning, maxOutstanding: p.limits.SlowStart}
--- a/internal/placer/queue.go
+++ b/internal/placer/queue.go
@@ -140,15 +140,16 @@
 }
 
 // share returns how many slots this entry can count on: its equal share of all slots,
-// or its recent throughput if that was more.
+// or its recent throughput if that was more. It is at least 1, because the placer may
+// have ejected the only upstream of the service until the next probe.
 func (s *service) share(entries int) int {
 	n := 0
 	for _, m := range s.members {
-		if m.agent.serving() && m.agent.hold == "" && m.agent.health.maxOutstanding > 0 {
+		if m.agent.accepting() && m.agent.health.maxOutstanding > 0 {
 			n += m.agent.capacity.Slots
 		}
 	}
-	return min(n, max(1, n/entries, int(s.throughput)))
+	return max(1, min(n, max(n/entries, int(s.throughput))))
 }
 
 // throughputWindow is the period over which throughput is measured.
--- a/internal/placer/refusal.go
+++ b/internal/placer/refusal.go
@@ -25,8 +25,8 @@
 			RetryAfter: time.Second,
 		}
 	}
-	if index := s.firstThatNeverFits(j); index >= 0 {
-		return neverFits(index)
+	if r := s.unplaceable(j); r.Reason != "" {
+		return r
 	}
 	return p.admitByTime(now, s, j)
 }
@@ -120,20 +120,37 @@
 	return false
 }
 
-// firstThatNeverFits returns the index of the first task that no known upstream has the
+// unplaceable returns a refusal if no upstream can ever run one of the job's tasks, or
+// only upstreams that operators hold can.
+func (s *service) unplaceable(j *Job) Refusal {
+	held := s.firstThatNeverFits(j, (*agent).accepting)
+	if held < 0 {
+		return Refusal{}
+	}
+	if index := s.firstThatNeverFits(j, (*agent).serving); index >= 0 {
+		return neverFits(index)
+	}
+	return Refusal{
+		Reason:     submitter.ReasonNoUpstream,
+		Detail:     "operators keep every upstream that can run task " + strconv.Itoa(held) + " from new work",
+		RetryAfter: time.Second,
+	}
+}
+
+// firstThatNeverFits returns the index of the first task that no usable upstream has the
 // memory and accelerators for, even if it runs alone, or -1.
-func (s *service) firstThatNeverFits(j *Job) int {
+func (s *service) firstThatNeverFits(j *Job, usable func(*agent) bool) int {
 	var most Requirements
 	for i := range j.Requirements {
 		n := s.corrected(j.Requirements[i])
 		most.MemoryBytes = max(most.MemoryBytes, n.MemoryBytes)
 		most.Accelerators = max(most.Accelerators, n.Accelerators)
 	}
-	if s.fitsSomewhere(most) {
+	if s.fitsSomewhere(most, usable) {
 		return -1
 	}
 	for i := range j.Requirements {
-		if !s.fitsSomewhere(s.corrected(j.Requirements[i])) {
+		if !s.fitsSomewhere(s.corrected(j.Requirements[i]), usable) {
 			return i
 		}
 	}
@@ -148,10 +165,10 @@
 	return n
 }
 
-func (s *service) fitsSomewhere(need Requirements) bool {
+func (s *service) fitsSomewhere(need Requirements, usable func(*agent) bool) bool {
 	for _, m := range s.members {
 		c := &m.agent.capacity
-		if m.agent.serving() && need.MemoryBytes <= c.MemoryBytes && need.Accelerators <= c.Accelerators {
+		if usable(m.agent) && need.MemoryBytes <= c.MemoryBytes && need.Accelerators <= c.Accelerators {
 			return true
 		}
 	}
--- a/internal/placer/script_test.go
+++ b/internal/placer/script_test.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"fmt"
 	"strconv"
 	"strings"
@@ -35,11 +36,16 @@
 	switch l.Verb {
 	case "agent":
 		peer := messenger.Peer(l.Args[0])
-		b.p.AgentUp(b.now, peer, Location{})
+		service := cmp.Or(l.Arg("serves"), "print")
+		b.p.AgentUp(b.now, peer, Location{DataCentre: l.Arg("data-centre")})
 		b.p.SetCapacity(b.now, peer, messenger.Capacity{
-			State: messenger.UpstreamServing, Services: []string{"print"},
+			State: messenger.UpstreamServing, Services: []string{service},
 			Slots: b.number(l, "slots"), MemoryBytes: int64(b.number(l, "memory")), Accelerators: b.number(l, "accelerators"),
 		})
+	case "lost":
+		b.p.AgentDown(b.now, messenger.Peer(l.Args[0]))
+	case "holds":
+		b.holds(l)
 	case "credit":
 		b.p.SetCredit(b.now, messenger.Peer(l.Arg("at")), b.number(l, "limit"))
 	case "quota":
@@ -81,6 +87,21 @@
 	}
 }
 
+// holds replaces the holds: drain names an agent, and evacuate data centres.
+func (b *scriptBench) holds(l scripter.Line) {
+	h := Holds{Upstreams: make(map[messenger.Peer]Hold), DataCentres: make(map[string]Hold)}
+	if peer := l.Arg("drain"); peer != "" {
+		h.Upstreams[messenger.Peer(peer)] = HoldDrained
+	}
+	for name := range strings.FieldsFuncSeq(l.Arg("evacuate"), func(r rune) bool { return r == ',' }) {
+		h.DataCentres[name] = HoldEvacuated
+	}
+	b.p.SetHolds(h)
+	for _, u := range b.p.Upstreams() {
+		fmt.Fprintf(&b.out, "  %s: hold %q\n", u.Peer, u.Hold)
+	}
+}
+
 // results runs jobs of one task, one after the other, at the only agent.
 func (b *scriptBench) results(l scripter.Line) {
 	for i := range b.number(l, "n") {
@@ -97,8 +118,11 @@
 	}
 }
 
-// dispatch writes the assignments of one dispatch.
+// dispatch writes the jobs that are held back and the assignments of one dispatch.
 func (b *scriptBench) dispatch() {
+	for _, h := range b.p.TakeHeldBack() {
+		fmt.Fprintf(&b.out, "  held back: job %d: %s: %s\n", h.Submission[15], h.Refusal.Reason, h.Refusal.Detail)
+	}
 	for _, a := range b.p.Dispatch(b.now) {
 		fmt.Fprintf(&b.out, "  to %s: job %d tasks %v\n", a.Agent, a.Submission[15], a.Tasks)
 	}
--- a/internal/placer/status.go
+++ b/internal/placer/status.go
@@ -13,8 +13,9 @@
 
 // The holds.
 const (
-	HoldDrained Hold = "drained" // The upstream completes its running tasks and gets no new ones.
-	HoldEjected Hold = "ejected" // The upstream gets no new tasks, as if the placer had ejected it.
+	HoldDrained   Hold = "drained"   // The upstream completes its running tasks and gets no new ones.
+	HoldEjected   Hold = "ejected"   // The upstream gets no new tasks, as if the placer had ejected it.
+	HoldEvacuated Hold = "evacuated" // As drained, for every upstream of a data centre.
 )
 
 // UpstreamStatus is the status of one agent and its upstream.
@@ -56,15 +57,6 @@
 	return out
 }
 
-// SetHolds replaces the holds of all agents, connected or not.
-func (p *Placer) SetHolds(holds map[messenger.Peer]Hold) {
-	p.holds = holds
-	for _, a := range p.order {
-		a.hold = holds[a.peer]
-		p.rerank(a)
-	}
-}
-
 // ejected returns the reason why the agent is ejected or being probed, or "".
 func (h *health) ejected() EjectReason {
 	if h.state == stateEjected || h.state == stateProbing {
