Evacuate data centres through the administration API

Cause: an operator could drain upstreams by name, which does not cover agents that start later, so a data centre could not be taken out of service as a whole (docs/design/evacuation-and-callers.md, section 4).

Change: POST /v1/admin/data-centres/DC/evacuate and .../return write the row holds/data-centres/DC, with the change ids, records and answers of other changes. GET /v1/admin/data-centres lists the data centres of connected processes and the evacuated ones. An unknown or invalid name is refused with the field data-centre; allow-unknown permits a data centre that is down. Entries apply the row with the other holds, and log data-centre-evacuated and data-centre-returned. The commands are data-centre evacuate, return and list. An entry reads the rows of partitions only after its first read of the holds: it could own partitions, and start tasks, before it knew the holds. Commands that make one change share changeFlags.make.

--- a/cmd/sardinelock/cmd/admin.go
+++ b/cmd/sardinelock/cmd/admin.go
@@ -100,6 +100,19 @@
 	return f.changeID
 }
 
+// make makes one change and prints its result.
+func (f *changeFlags) make(c *cobra.Command, path string) error {
+	client, err := f.client()
+	if err != nil {
+		return err
+	}
+	made, err := client.Change(c.Context(), path, f.id())
+	if err != nil {
+		return err
+	}
+	return f.print(c, []administrator.Changed{made})
+}
+
 // print prints the results of changes.
 func (f *changeFlags) print(c *cobra.Command, changes []administrator.Changed) error {
 	for i := range changes {
--- a/cmd/sardinelock/cmd/entries.go
+++ b/cmd/sardinelock/cmd/entries.go
@@ -4,8 +4,6 @@
 	"net/url"
 
 	"github.com/spf13/cobra"
-
-	"sardinelock.dev/sardinelock/internal/administrator"
 )
 
 // newEntriesCommand returns the command "entries". Its name is a plural because the
@@ -25,15 +23,7 @@
 	var change changeFlags
 	c.Args = cobra.ExactArgs(1)
 	c.RunE = func(c *cobra.Command, args []string) error {
-		client, err := change.client()
-		if err != nil {
-			return err
-		}
-		made, err := client.Change(c.Context(), "/v1/admin/entries/"+url.PathEscape(args[0])+"/"+action, change.id())
-		if err != nil {
-			return err
-		}
-		return change.print(c, []administrator.Changed{made})
+		return change.make(c, "/v1/admin/entries/"+url.PathEscape(args[0])+"/"+action)
 	}
 	change.register(c.Flags())
 	return c
--- a/cmd/sardinelock/cmd/root.go
+++ b/cmd/sardinelock/cmd/root.go
@@ -79,6 +79,7 @@
 		newJobCommand(),
 		newUpstreamCommand(),
 		newEntriesCommand(),
+		newDataCentreCommand(),
 		newTeamCommand(),
 		newServiceCommand(),
 		newPartitionCommand(),
--- a/cmd/sardinelock/cmd/roster_declare_dead.go
+++ b/cmd/sardinelock/cmd/roster_declare_dead.go
@@ -5,8 +5,6 @@
 	"strconv"
 
 	"github.com/spf13/cobra"
-
-	"sardinelock.dev/sardinelock/internal/administrator"
 )
 
 func newRosterDeclareDeadCommand() *cobra.Command {
@@ -51,14 +49,6 @@
 }
 
 func declareDead(c *cobra.Command, change *changeFlags, agents []string, expect uint64) error {
-	client, err := change.client()
-	if err != nil {
-		return err
-	}
 	query := url.Values{"agent": agents, "expect-version": {strconv.FormatUint(expect, 10)}}
-	made, err := client.Change(c.Context(), "/v1/admin/roster/declare-dead?"+query.Encode(), change.id())
-	if err != nil {
-		return err
-	}
-	return change.print(c, []administrator.Changed{made})
+	return change.make(c, "/v1/admin/roster/declare-dead?"+query.Encode())
 }
--- a/internal/administrator/administrator_test.go
+++ b/internal/administrator/administrator_test.go
@@ -120,6 +120,8 @@
 		a.part(CallUpstreams, l, []Upstream{a.upstream(l)})
 	case "partition":
 		a.part(CallPartitions, l, []Partition{a.partition(l)})
+	case "data-centre":
+		a.part(CallDataCentres, l, []DataCentre{a.dataCentre(l)})
 	case "agent":
 		a.part(CallRoster, l, []RosterAgent{a.rosterAgent(l)})
 	case "roster":
@@ -153,6 +155,9 @@
 		for _, row := range a.platform.Read(HoldPrefix).Rows {
 			fmt.Fprintf(&a.out, "hold %s\n", row.Key)
 		}
+		for name, d := range ReadHolds(a.platform.Read(HoldPrefix)).DataCentres {
+			fmt.Fprintf(&a.out, "evacuated %s: %+v\n", name, d)
+		}
 	case "entries":
 		a.parts[CallEntry] = nil
 	case "gone":
@@ -190,6 +195,20 @@
 	}
 }
 
+func (a *testAPI) dataCentre(l scripter.Line) DataCentre {
+	d := DataCentre{
+		Name:        l.Arg("name"),
+		Hold:        placer.Hold(l.Arg("hold")),
+		Entries:     a.number(l, "entries"),
+		Upstreams:   a.number(l, "upstreams"),
+		Outstanding: a.number(l, "outstanding"),
+	}
+	if d.Hold != "" {
+		d.By, d.At = l.Arg("by"), a.now.Add(time.Duration(a.number(l, "at"))*time.Second)
+	}
+	return d
+}
+
 func (a *testAPI) rosterAgent(l scripter.Line) RosterAgent {
 	return RosterAgent{
 		Peer:        messenger.Peer(l.Arg("name")),
--- a/internal/administrator/call.go
+++ b/internal/administrator/call.go
@@ -25,18 +25,19 @@
 
 // The calls. Each comment gives the body of the query, then the body of the reply.
 const (
-	CallEntry      Call = "entry"       // Nothing; Entry.
-	CallUpstreams  Call = "upstreams"   // Nothing; []Upstream.
-	CallPartitions Call = "partitions"  // Nothing; []Partition.
-	CallUsage      Call = "usage"       // Nothing; []Usage.
-	CallBurn       Call = "burn"        // Nothing; an encoded reporter.Snapshot.
-	CallJob        Call = "job"         // JobQuery; JobReply.
-	CallCancelJob  Call = "cancel-job"  // JobQuery; JobReply.
-	CallCancelJobs Call = "cancel-jobs" // Selection; Cancelled.
-	CallHolds      Call = "holds"       // Nothing; nothing. The entry reads the holds again.
-	CallRestore    Call = "restore"     // Restore; Restored. The entry ends an ejection by its placer.
-	CallConfig     Call = "config"      // Nothing; []ConfigStatus.
-	CallRoster     Call = "roster"      // Nothing; []RosterAgent.
+	CallEntry       Call = "entry"        // Nothing; Entry.
+	CallUpstreams   Call = "upstreams"    // Nothing; []Upstream.
+	CallDataCentres Call = "data-centres" // Nothing; []DataCentre.
+	CallPartitions  Call = "partitions"   // Nothing; []Partition.
+	CallUsage       Call = "usage"        // Nothing; []Usage.
+	CallBurn        Call = "burn"         // Nothing; an encoded reporter.Snapshot.
+	CallJob         Call = "job"          // JobQuery; JobReply.
+	CallCancelJob   Call = "cancel-job"   // JobQuery; JobReply.
+	CallCancelJobs  Call = "cancel-jobs"  // Selection; Cancelled.
+	CallHolds       Call = "holds"        // Nothing; nothing. The entry reads the holds again.
+	CallRestore     Call = "restore"      // Restore; Restored. The entry ends an ejection by its placer.
+	CallConfig      Call = "config"       // Nothing; []ConfigStatus.
+	CallRoster      Call = "roster"       // Nothing; []RosterAgent.
 )
 
 // Part is the answer of one entry.
--- a/internal/administrator/change.go
+++ b/internal/administrator/change.go
@@ -20,18 +20,20 @@
 
 // The actions.
 const (
-	ActionDrainUpstream   Action = "drain-upstream"
-	ActionUndrainUpstream Action = "undrain-upstream"
-	ActionEjectUpstream   Action = "eject-upstream"
-	ActionRestoreUpstream Action = "restore-upstream"
-	ActionDrainEntry      Action = "drain-entry"
-	ActionUndrainEntry    Action = "undrain-entry"
-	ActionCancelJob       Action = "cancel-job"
-	ActionCancelService   Action = "cancel-service"
-	ActionCancelTeam      Action = "cancel-team"
-	ActionDeclareDead     Action = "declare-dead"
-	ActionApplyConfig     Action = "apply-config"
-	ActionRollbackConfig  Action = "rollback-config"
+	ActionDrainUpstream      Action = "drain-upstream"
+	ActionUndrainUpstream    Action = "undrain-upstream"
+	ActionEjectUpstream      Action = "eject-upstream"
+	ActionRestoreUpstream    Action = "restore-upstream"
+	ActionDrainEntry         Action = "drain-entry"
+	ActionUndrainEntry       Action = "undrain-entry"
+	ActionEvacuateDataCentre Action = "evacuate-data-centre"
+	ActionReturnDataCentre   Action = "return-data-centre"
+	ActionCancelJob          Action = "cancel-job"
+	ActionCancelService      Action = "cancel-service"
+	ActionCancelTeam         Action = "cancel-team"
+	ActionDeclareDead        Action = "declare-dead"
+	ActionApplyConfig        Action = "apply-config"
+	ActionRollbackConfig     Action = "rollback-config"
 )
 
 // Record is the audit record of a change in the object store.
--- a/internal/administrator/client.go
+++ b/internal/administrator/client.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strconv"
+	"strings"
 
 	"github.com/juju/errors"
 
@@ -119,13 +121,16 @@
 	return text, nil
 }
 
-func rejected(op string, status int, text []byte) error {
+func rejected(op string, status int, body []byte) error {
 	var p submitter.Problem
-	if json.Unmarshal(text, &p) != nil || p.Title == "" {
+	if json.Unmarshal(body, &p) != nil || p.Title == "" {
 		return &Error{Op: op, Kind: KindRejected, Err: errors.Errorf("status %d", status)}
 	}
-	if p.Detail == "" {
-		return &Error{Op: op, Kind: KindRejected, Err: errors.Errorf("status %d: %s", status, p.Title)}
+	text := []string{"status " + strconv.Itoa(status)}
+	for _, part := range []string{p.Title, p.Field, p.Detail} {
+		if part != "" {
+			text = append(text, part)
+		}
 	}
-	return &Error{Op: op, Kind: KindRejected, Err: errors.Errorf("status %d: %s: %s", status, p.Title, p.Detail)}
+	return &Error{Op: op, Kind: KindRejected, Err: errors.New(strings.Join(text, ": "))}
 }
--- a/internal/administrator/hold.go
+++ b/internal/administrator/hold.go
@@ -15,12 +15,13 @@
 )
 
 // HoldPrefix is the prefix of the table rows of holds. A hold keeps new work from an
-// upstream or an entry for as long as its row exists.
+// upstream, an entry or a data centre for as long as its row exists.
 const HoldPrefix = "holds/"
 
 const (
-	upstreamHolds = HoldPrefix + "upstreams/"
-	entryHolds    = HoldPrefix + "entries/"
+	upstreamHolds   = HoldPrefix + "upstreams/"
+	entryHolds      = HoldPrefix + "entries/"
+	dataCentreHolds = HoldPrefix + "data-centres/"
 )
 
 // holdRow is the value of the row of a hold.
@@ -38,13 +39,34 @@
 
 // Holds are all holds in force.
 type Holds struct {
-	Upstreams map[messenger.Peer]placer.Hold
-	Entries   map[messenger.Peer]bool
+	Upstreams   map[messenger.Peer]placer.Hold
+	Entries     map[messenger.Peer]bool
+	DataCentres map[string]DataCentreHold
+}
+
+// DataCentreHold is the hold of a data centre.
+type DataCentreHold struct {
+	Hold placer.Hold
+	By   string // By is the operator who set the hold.
+	At   time.Time
+}
+
+// Placement returns the holds that concern the placer.
+func (h *Holds) Placement() placer.Holds {
+	out := placer.Holds{Upstreams: h.Upstreams, DataCentres: make(map[string]placer.Hold, len(h.DataCentres))}
+	for name, d := range h.DataCentres {
+		out.DataCentres[name] = d.Hold
+	}
+	return out
 }
 
 // ReadHolds decodes the rows below [HoldPrefix]. It skips rows that it cannot decode.
 func ReadHolds(rows storer.Range) Holds {
-	h := Holds{Upstreams: make(map[messenger.Peer]placer.Hold), Entries: make(map[messenger.Peer]bool)}
+	h := Holds{
+		Upstreams:   make(map[messenger.Peer]placer.Hold),
+		Entries:     make(map[messenger.Peer]bool),
+		DataCentres: make(map[string]DataCentreHold),
+	}
 	for _, row := range rows.Rows {
 		var v holdRow
 		if json.Unmarshal(row.Value, &v) != nil {
@@ -56,6 +78,9 @@
 		if peer, ok := strings.CutPrefix(row.Key, entryHolds); ok {
 			h.Entries[messenger.Peer(peer)] = true
 		}
+		if name, ok := strings.CutPrefix(row.Key, dataCentreHolds); ok {
+			h.DataCentres[name] = DataCentreHold{Hold: v.Hold, By: v.By, At: v.At}
+		}
 	}
 	return h
 }
@@ -67,6 +92,8 @@
 		return placer.HoldDrained
 	case ActionRestoreUpstream:
 		return placer.HoldEjected
+	case ActionReturnDataCentre:
+		return placer.HoldEvacuated
 	}
 	return ""
 }
--- a/internal/administrator/service.go
+++ b/internal/administrator/service.go
@@ -79,6 +79,7 @@
 	return map[string]handler{
 		"GET /v1/admin/entries":           s.entries,
 		"GET /v1/admin/upstreams":         s.upstreams,
+		"GET /v1/admin/data-centres":      s.dataCentres,
 		"GET /v1/admin/partitions":        s.partitions,
 		"GET /v1/admin/roster":            s.roster,
 		"GET /v1/admin/services":          s.services,
@@ -96,10 +97,13 @@
 // read of a whole version of the configuration, which contains hashes of tokens.
 func (s *Service) operatorRoutes() map[string]handler {
 	return map[string]handler{
-		"GET /v1/admin/config/versions/{number}":   s.configVersion,
-		"POST /v1/admin/config/versions":           s.applyConfig,
-		"POST /v1/admin/upstreams/{peer}/{action}": s.changeUpstream,
-		"POST /v1/admin/entries/{peer}/{action}":   s.changeEntry,
+		"GET /v1/admin/config/versions/{number}":      s.configVersion,
+		"POST /v1/admin/config/versions":              s.applyConfig,
+		"POST /v1/admin/upstreams/{peer}/{action}":    s.changeUpstream,
+		"POST /v1/admin/entries/{peer}/{action}":      s.changeEntry,
+		"POST /v1/admin/data-centres/{name}/{action}": s.changeDataCentre,
+		// The multiplexer redirects a path with an empty name to this one.
+		"POST /v1/admin/data-centres/{action}":     s.changeDataCentre,
 		"POST /v1/admin/jobs/{submission}/cancel":  s.cancelJob,
 		"POST /v1/admin/services/{service}/cancel": s.cancelService,
 		"POST /v1/admin/teams/{team}/cancel":       s.cancelTeam,
--- a/internal/dispatcher/admin.go
+++ b/internal/dispatcher/admin.go
@@ -60,7 +60,7 @@
 	e.timers.Subscribe(holdsPollInterval, func(time.Time) { _ = e.readHolds(e.background) })
 	e.timers.Subscribe(snapshotInterval, func(time.Time) { e.storeBurn(e.background) })
 	go func() {
-		_ = e.readHolds(e.background)
+		_ = e.awaitHolds(e.background)
 		e.loadBurn(e.background)
 	}()
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -316,7 +316,11 @@
 }
 
 func (e *Entry) storeRead(r registrar.Read) {
-	rows, err := e.platform.Read(e.background, r.Prefix)
+	var rows storer.Range
+	err := e.awaitHolds(e.background)
+	if err == nil {
+		rows, err = e.platform.Read(e.background, r.Prefix)
+	}
 	e.loop.Post(func(now time.Time) { e.coordinator.StoreRead(now, r.ID, rows, err) })
 }
 
--- a/internal/dispatcher/parts.go
+++ b/internal/dispatcher/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
@@ -23,6 +24,8 @@
 		return encodePart(e.entryPart())
 	case administrator.CallUpstreams:
 		return encodePart(e.upstreamParts())
+	case administrator.CallDataCentres:
+		return encodePart(e.dataCentreParts())
 	case administrator.CallPartitions:
 		return encodePart(e.partitionParts())
 	case administrator.CallRoster:
@@ -144,6 +147,36 @@
 	return out
 }
 
+// dataCentreParts returns the data centres of this entry, of the upstreams to which it
+// is connected, and of the holds in force here.
+func (e *Entry) dataCentreParts() []administrator.DataCentre {
+	held, _ := e.holds.get()
+	parts := make(map[string]*administrator.DataCentre)
+	part := func(name string) *administrator.DataCentre {
+		if parts[name] == nil {
+			h := held.DataCentres[name]
+			parts[name] = &administrator.DataCentre{Name: name, Hold: h.Hold, By: h.By, At: h.At}
+		}
+		return parts[name]
+	}
+	part(e.settings.DataCentre).Entries++
+	for name := range held.DataCentres {
+		part(name)
+	}
+	e.loop.Call(func(time.Time) {
+		for _, u := range e.coordinator.Upstreams() {
+			d := part(u.Location.DataCentre)
+			d.Upstreams++
+			d.Outstanding += u.Outstanding
+		}
+	})
+	out := []administrator.DataCentre{}
+	for _, name := range slices.Sorted(maps.Keys(parts)) {
+		out = append(out, *parts[name])
+	}
+	return out
+}
+
 func (e *Entry) partitionParts() []administrator.Partition {
 	var (
 		list  []coordinator.PartitionStatus
--- a/pkg/submitter/problem.go
+++ b/pkg/submitter/problem.go
@@ -14,4 +14,7 @@
 	Status int    `json:"status"`
 	Title  string `json:"title"`
 	Detail string `json:"detail,omitempty"`
+	// Field is the part of the request that is not valid; empty if Title and Detail say
+	// enough.
+	Field string `json:"field,omitempty"`
 }
