--- a/internal/administrator/data_centre.go
+++ b/internal/administrator/data_centre.go
@@ -156,7 +156,7 @@
 	return &submitter.Problem{
 		Status: http.StatusNotFound,
 		Title:  "no such data centre",
-		Detail: "no process that answered or is connected names it; if it is down, repeat the request with allow-unknown",
+		Detail: "no connected process names it; for a data centre that is down, set allow-unknown",
 		Field:  "data-centre",
 	}
 }
--- a/internal/coordinator/dispatch.go
+++ b/internal/coordinator/dispatch.go
@@ -43,7 +43,11 @@
 // of which a task was sent keeps waiting for the end of the hold until its deadline,
 // because a refusal would abort the tasks that run.
 func (c *Coordinator) refuseHeldBack(now time.Time) {
-	for _, h := range c.placer.TakeHeldBack() {
+	held := c.placer.TakeHeldBack()
+	if len(held) == 0 {
+		return
+	}
+	for _, h := range held {
 		if s, ok := c.owner.Status(h.Submission); ok && s.Waiting == s.Tasks {
 			c.owner.Refuse(now, h.Submission, h.Refusal.Reason, h.Refusal.Detail, h.Refusal.RetryAfter)
 		}
--- a/pkg/submitter/job.go
+++ b/pkg/submitter/job.go
@@ -68,7 +68,7 @@
 	ReasonNeverFits          Reason = "never-fits"          // A task requires more resources than any known upstream has.
 	ReasonOverloaded         Reason = "overloaded"          // The queue is too long to meet the deadline.
 	ReasonQuotaExceeded      Reason = "quota-exceeded"      // The team has exhausted its quota.
-	ReasonNoUpstream         Reason = "no-upstream"         // No upstream serves the service at present.
+	ReasonNoUpstream         Reason = "no-upstream"         // No upstream serves the service at present, or operators hold all that can run a task.
 	ReasonStale              Reason = "stale-submission"    // The id is older than the deduplication window.
 	ReasonFuture             Reason = "future-submission"   // The id is further in the future than the allowed clock skew.
 	ReasonOwnerChanged       Reason = "owner-changed"       // The partition's owner was replaced; the outcome says whether the job may have run.
