Play callers who compete for capacity, by data centre, kind and entry

Cause: on real processes the callers of the data centre with fewer entries were refused four times as often and the most urgent kind was served worst. No pattern had callers bound to a data centre, and results had no such groups.

Change: patterns may have entries by data centre, callers that reach only those of their own, waves of demand, speeds and sizes of upstreams, starts without an answer, a hot key, and upstreams that are removed. Results have the outcomes by data centre of the callers, kind, entry and for the largest tenth of jobs, launches per ended task, the worth rejected while healthy upstreams had free capacity for all tasks of the job, and the jobs held to their deadline with a task neither done nor running.

--- a/internal/replayer/agent.go
+++ b/internal/replayer/agent.go
@@ -105,7 +105,7 @@
 		a.runner.EntryUp(a.world.now, peer)
 		e.run(func() {
 			e.agents[a.peer] = l
-			e.assigner.AgentUp(a.world.now, a.peer, a.instance(), a.world.dataCentre(a.index))
+			e.assigner.AgentUp(a.world.now, a.peer, a.instance(), dataCentre(a.index))
 		})
 	})
 }
@@ -170,7 +170,7 @@
 			}
 		})
 	}
-	a.upstream.call(func(lost bool) {
+	a.upstream.callStart(func(lost bool) {
 		r := a.upstream.start(c, a.incarnation)
 		if !lost {
 			a.world.after(localDelay, func() { answer(r) })
--- a/internal/replayer/ideal.go
+++ b/internal/replayer/ideal.go
@@ -21,7 +21,9 @@
 type idealUpstream struct {
 	capacity, used messenger.Resources
 	slowdown       float64
+	speed          float64
 	down           bool
+	leaving        bool // A leaving upstream starts no more tasks.
 	running        []*idealTask
 }
 
@@ -41,7 +43,7 @@
 	w := newWorld(p, seed)
 	i := &ideal{world: w, jobs: make(map[*callerJob]*idealJob)}
 	for n := range p.Upstreams {
-		i.upstreams = append(i.upstreams, &idealUpstream{capacity: newUpstream(w, n).capacity, slowdown: 1})
+		i.upstreams = append(i.upstreams, &idealUpstream{capacity: newUpstream(w, n).capacity, slowdown: 1, speed: w.speed(n)})
 	}
 	for _, f := range p.Faults {
 		w.at(f.At, func() { i.injectFault(f) })
@@ -55,14 +57,19 @@
 func (i *ideal) injectFault(f Fault) {
 	count := min(max(1, f.Count), len(i.upstreams))
 	for n := range count {
-		h := i.upstreams[(n*3+1)%len(i.upstreams)]
+		h := i.upstreams[f.upstream(n, len(i.upstreams))]
 		switch f.Kind {
 		case FaultRack:
 			for _, h := range i.upstreams[:min(3, len(i.upstreams))] {
 				i.takeDown(h, f.Duration)
 			}
 		case FaultHang, FaultCrash, FaultFail:
-			i.takeDown(h, f.Duration)
+			if f.Kind != FaultFail || f.Factor > maxUsableFailures {
+				i.takeDown(h, f.Duration)
+			}
+		case FaultRemove:
+			h.leaving = true
+			i.world.after(f.Delay, func() { i.takeDown(h, goneForGood) })
 		case FaultRollingRestart:
 			i.world.after(time.Duration(n)*time.Second, func() { i.takeDown(h, 5*time.Second) })
 		case FaultSlow:
@@ -72,6 +79,14 @@
 	}
 }
 
+const (
+	// maxUsableFailures is the share of failing tasks up to which the ideal scheduler uses an
+	// upstream, without failures: it remains an upper bound.
+	maxUsableFailures = 0.5
+	// goneForGood is longer than any pattern.
+	goneForGood = time.Hour
+)
+
 func (i *ideal) takeDown(h *idealUpstream, d time.Duration) {
 	h.down = true
 	for _, t := range h.running {
@@ -116,7 +131,7 @@
 func (i *ideal) start(t *idealTask) bool {
 	var best *idealUpstream
 	for _, h := range i.upstreams {
-		if !h.down && h.used.Add(t.job.resources).Fits(h.capacity) && (best == nil || h.slowdown < best.slowdown) {
+		if !h.down && !h.leaving && h.used.Add(t.job.resources).Fits(h.capacity) && (best == nil || h.slowdown/h.speed < best.slowdown/best.speed) {
 			best = h
 		}
 	}
@@ -127,7 +142,7 @@
 	best.running = append(best.running, t)
 	t.upstream = best
 	starts := t.starts
-	i.world.after(time.Duration(float64(t.runTime)*best.slowdown), func() {
+	i.world.after(time.Duration(float64(t.runTime)*best.slowdown/best.speed), func() {
 		if t.starts == starts {
 			i.taskDone(t)
 		}
--- a/internal/replayer/pattern.go
+++ b/internal/replayer/pattern.go
@@ -1,6 +1,7 @@
 package replayer
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -18,6 +19,21 @@
 	// Shares holds the relative share of jobs that each entry receives. If it is empty,
 	// all entries receive equally many.
 	Shares []float64 `yaml:"shares"`
+	// EntriesByDataCentre holds the number of entries in each data centre. If it is set, Entries
+	// is their sum. If it is empty, the entries are spread evenly over three data centres.
+	EntriesByDataCentre []int `yaml:"entries-by-data-centre"`
+	// Callers holds the relative share of jobs that the callers of each data centre submit. Such
+	// callers reach only the entries of their own data centre. If it is empty, every caller
+	// reaches all entries.
+	Callers []float64 `yaml:"callers"`
+	// Wave changes the demand of each data centre over time. It requires Callers.
+	Wave Wave `yaml:"wave"`
+	// Speeds holds relative speeds of upstreams. The upstreams of a rack have the same speed, and
+	// the racks take turns. If it is empty, all speeds are 1.
+	Speeds []float64 `yaml:"speeds"`
+	// Sizes holds relative capacities of upstreams, which take turns; 1 is 16 cores. If it is
+	// empty, every third upstream is half as large again.
+	Sizes []float64 `yaml:"sizes"`
 	// LinkRate is the rate of each entry's network link in bits per second, in each
 	// direction. If it is 0, frames take only the latency.
 	LinkRate int64 `yaml:"link-rate"`
@@ -38,6 +54,9 @@
 	Priority         int           `yaml:"priority"`
 	LatencyAllowance time.Duration `yaml:"allowance"`
 	CallerTimeout    time.Duration `yaml:"patience"`
+	// TimeoutFactor is the least number of objectives that a caller waits, if that is longer than
+	// CallerTimeout.
+	TimeoutFactor float64 `yaml:"patience-factor"`
 }
 
 // FaultKind names a kind of fault.
@@ -64,6 +83,9 @@
 	FaultFreezeAgent    FaultKind = "freeze-agent" // Some agents stop running and later continue.
 	FaultPartitionAgent FaultKind = "cut"          // Existing connections of some agents lose all frames but stay open.
 	FaultPartitionEntry FaultKind = "cut-entry"    // Some entries lose all frames, and agents cannot connect to them.
+	FaultLateStarts     FaultKind = "late-starts"  // The share Factor of the starts takes effect late and gets no answer.
+	FaultHotKey         FaultKind = "hot-key"      // The share Factor of the jobs of a kind prefers the rack that has the data of one key.
+	FaultRemove         FaultKind = "remove"       // Some upstreams leave with a notice of Delay, and do not return.
 )
 
 // Fault is one fault that is injected at a time and lasts for a duration.
@@ -72,9 +94,14 @@
 	At       time.Duration `yaml:"at"`
 	Duration time.Duration `yaml:"for"`
 	Count    int           `yaml:"count"`
-	Factor   float64       `yaml:"factor"`
-	Delay    time.Duration `yaml:"delay"`
-	JobKind  string        `yaml:"of"` // JobKind limits the fault to one kind of job; empty is all kinds.
+	// Skip is the number of upstreams that are passed over before the first affected one, so that
+	// simultaneous faults affect different upstreams. Stride is the distance between two affected
+	// upstreams; 0 is 3, which affects upstreams of one data centre and size only.
+	Skip    int           `yaml:"skip"`
+	Stride  int           `yaml:"stride"`
+	Factor  float64       `yaml:"factor"`
+	Delay   time.Duration `yaml:"delay"`
+	JobKind string        `yaml:"of"` // JobKind limits the fault to one kind of job; empty is all kinds.
 	// After is how long a task of a FaultCrashingJobs runs before it crashes its upstream.
 	After time.Duration `yaml:"after"`
 	// Silent makes the upstreams of FaultCrashingJobs leave calls unanswered while they are
@@ -87,6 +114,12 @@
 func ParsePattern(text []byte) (Pattern, error) {
 	var p Pattern
 	err := yaml.UnmarshalWithOptions(text, &p, yaml.Strict())
+	if len(p.EntriesByDataCentre) > 0 {
+		p.Entries = 0
+	}
+	for _, n := range p.EntriesByDataCentre {
+		p.Entries += n
+	}
 	return p, err
 }
 
@@ -116,6 +149,7 @@
 	for _, f := range w.activeFaults(FaultBurst, k.Name) {
 		factor *= f.Factor
 	}
+	factor *= w.waveFactor()
 	delay := time.Duration(w.arrivalRandom.ExpFloat64() / (rate * factor) * float64(time.Second))
 	w.after(delay, func() {
 		if w.now >= w.pattern.Duration {
@@ -132,17 +166,28 @@
 	return min(maxFactor*mean, mean*math.Exp(sigma*r.NormFloat64()-sigma*sigma/2))
 }
 
+// upstream returns the index of the upstream that a fault affects as number i, of the given
+// number of upstreams.
+func (f *Fault) upstream(i, upstreams int) int {
+	return ((i+f.Skip)*cmp.Or(f.Stride, 3) + 1) % upstreams
+}
+
+// upstreams returns how many of all upstreams a fault affects.
+func (f *Fault) upstreams(all int) int {
+	if f.Kind == FaultLateCalls || f.Kind == FaultLateStarts {
+		return all
+	}
+	return min(max(1, f.Count), all)
+}
+
 // injectFault starts a fault and schedules its end.
 func (w *world) injectFault(f Fault) {
 	count := max(1, f.Count)
 	afterFault := func(end func()) { w.after(f.Duration, end) }
 	switch f.Kind {
-	case FaultHang, FaultFail, FaultSlow, FaultCrash, FaultRollingRestart, FaultLateCalls, FaultFlap, FaultShrink:
-		if f.Kind == FaultLateCalls {
-			count = len(w.agents)
-		}
-		for i := range min(count, len(w.agents)) {
-			w.injectUpstreamFault(f, w.agents[(i*3+1)%len(w.agents)].upstream, i)
+	case FaultHang, FaultFail, FaultSlow, FaultCrash, FaultRollingRestart, FaultLateCalls, FaultLateStarts, FaultFlap, FaultShrink, FaultRemove:
+		for i := range f.upstreams(len(w.agents)) {
+			w.injectUpstreamFault(f, w.agents[f.upstream(i, len(w.agents))].upstream, i)
 		}
 	case FaultRack:
 		for _, a := range w.agents[:min(3, len(w.agents))] {
@@ -188,6 +233,14 @@
 	}
 }
 
+// flap makes the upstream unreachable in turns.
+func (u *upstream) flap(f Fault) {
+	for at := time.Duration(0); at < f.Duration; at += 2 * f.Delay {
+		u.world.after(at, func() { u.unreachable = true })
+		u.world.after(at+f.Delay, func() { u.unreachable = false })
+	}
+}
+
 func (w *world) injectUpstreamFault(f Fault, u *upstream, index int) {
 	switch f.Kind {
 	case FaultHang:
@@ -202,11 +255,18 @@
 	case FaultLateCalls:
 		u.lateRatio = f.Factor
 		w.after(f.Duration, func() { u.lateRatio = 0 })
+	case FaultLateStarts:
+		u.lateStartRatio = f.Factor
+		w.after(f.Duration, func() { u.lateStartRatio = 0 })
+	case FaultRemove:
+		u.leaving = true
+		u.announce()
+		w.after(f.Delay, func() {
+			u.crash()
+			u.silent = true
+		})
 	case FaultFlap:
-		for at := time.Duration(0); at < f.Duration; at += 2 * f.Delay {
-			w.after(at, func() { u.unreachable = true })
-			w.after(at+f.Delay, func() { u.unreachable = false })
-		}
+		u.flap(f)
 	case FaultCrash:
 		u.crash()
 		w.after(f.Duration, func() { u.down = false })
--- a/internal/replayer/replayer.go
+++ b/internal/replayer/replayer.go
@@ -95,6 +95,7 @@
 	entries      []*entry
 	agents       []*agent
 	jobs         map[string]*callerJob
+	counted      []*callerJob // counted has the jobs of Result.Groups.
 	result       Result
 	encodeBuffer bytes.Buffer // encodeBuffer is reused for each frame.
 }
@@ -149,16 +150,12 @@
 
 // networkDelay returns the one-way latency between an entry and an agent.
 func (w *world) networkDelay(entry, agent int) time.Duration {
-	if w.dataCentre(entry) == w.dataCentre(agent) {
+	if w.entryDataCentre(entry) == dataCentre(agent) {
 		return 200 * time.Microsecond
 	}
 	return 1500 * time.Microsecond
 }
 
-// dataCentre returns the data centre of a process. The processes of each role are spread
-// over three.
-func (w *world) dataCentre(index int) string { return fmt.Sprintf("dc-%d", index%3) }
-
 // entry is an entry process.
 type entry struct {
 	world        *world
@@ -197,7 +194,7 @@
 func (e *entry) startProcess() {
 	e.incarnation++
 	e.peer = messenger.Peer(fmt.Sprintf("entry-%d-%d", e.index, e.incarnation))
-	e.assigner = assigner.New(assignerLimits, e.world.dataCentre(e.index), e.world.random)
+	e.assigner = assigner.New(assignerLimits, e.world.entryDataCentre(e.index), e.world.random)
 	e.assigner.SetEntries(e.world.pattern.Entries)
 	e.agents = make(map[messenger.Peer]*link)
 	e.tickets = make(map[uint64]*callerJob)
@@ -297,6 +294,7 @@
 func (l *link) toAgent(f *messenger.Frame) {
 	w := l.agent.world
 	bytes := w.countFrame(l.entry.index, f)
+	w.result.Launches += len(f.Launches)
 	if l.partitioned {
 		return
 	}
--- a/internal/replayer/result.go
+++ b/internal/replayer/result.go
@@ -42,7 +42,12 @@
 	callerLeft     bool
 	done           bool
 	entry          *entry
-	firstEntry     int // firstEntry is the index of the first entry that received the job.
+	dataCentre     int // dataCentre is the index of the caller's data centre, if it is limited to that.
+	answer         assigner.Answer
+	earned         float64
+	refusedFree    bool // refusedFree is whether it was rejected while upstreams had free capacity for it.
+	completed      int  // completed counts its tasks that are done.
+	firstEntry     int  // firstEntry is the index of the first entry that received the job.
 	job            assigner.Job
 	starts         int  // starts counts the starts of its tasks.
 	onlyRejections bool // onlyRejections is true while every answer has been a rejection.
@@ -74,6 +79,13 @@
 	Wakeups                 int   // Wakeups counts the events that processes handled.
 	Frames                  int   // Frames counts the messages between entries and agents.
 	EntryBytes              []int // EntryBytes holds the bytes that each entry sent and received.
+	Groups                  Groups
+	Launches                int // Launches counts the launches that entries sent.
+	EndedTasks              int // EndedTasks counts the runs that upstreams completed.
+	// HeldHopeless counts the jobs that were given up at their deadline although one of their
+	// tasks was neither done nor running then.
+	HeldHopeless int
+	Reasons      map[string]int // Reasons counts the answers other than success, by outcome and reason.
 }
 
 // Value holds the value of the jobs that callers submitted and how much of it their
@@ -135,6 +147,12 @@
 		CallerTimeout: k.CallerTimeout, MaxAttempts: maxAttempts,
 		Steps: []assigner.Step{{Count: len(c.runTimes), Resources: c.resources, DeclaredRunTime: c.declared}},
 	}
+	for _, f := range w.activeFaults(FaultHotKey, k.Name) {
+		if r.Float64() < f.Factor {
+			c.job.Steps[0].Rack = hotRack
+		}
+	}
+	c.dataCentre = w.drawDataCentre()
 	w.submitJob(c)
 }
 
@@ -142,13 +160,15 @@
 	if c.done || c.callerLeft {
 		return
 	}
-	e := w.entries[w.pickEntry()]
-	for range w.entries {
-		if !e.down && (e.unreadySince == 0 || w.now-e.unreadySince < balancerDelay) {
+	reachable := w.reachableEntries(c)
+	at := w.pickEntry(reachable)
+	for range reachable {
+		if e := reachable[at]; !e.down && (e.unreadySince == 0 || w.now-e.unreadySince < balancerDelay) {
 			break
 		}
-		e = w.entries[(e.index+1)%len(w.entries)]
+		at = (at + 1) % len(reachable)
 	}
+	e := reachable[at]
 	if e.down {
 		w.resubmit(c)
 		return
@@ -162,7 +182,7 @@
 			e.lastTicket++
 			j := c.job
 			j.Ticket = e.lastTicket
-			j.CallerTimeout = c.arrived + c.kind.CallerTimeout - w.now
+			j.CallerTimeout = c.arrived + c.timeout() - w.now
 			e.tickets[j.Ticket] = c
 			e.assigner.Submit(w.now, j)
 		})
@@ -172,17 +192,25 @@
 	})
 }
 
-// pickEntry returns the index of the entry that the load balancer chooses.
-func (w *world) pickEntry() int {
-	shares := w.pattern.Shares
-	if len(shares) == 0 {
-		return w.random.IntN(len(w.entries))
+// pickEntry returns the index in the given entries of the one that the load balancer chooses.
+func (w *world) pickEntry(entries []*entry) int {
+	if len(w.pattern.Shares) == 0 {
+		return w.random.IntN(len(entries))
 	}
+	shares := make([]float64, len(entries))
+	for i, e := range entries {
+		shares[i] = w.pattern.Shares[e.index]
+	}
+	return pick(shares, w.random.Float64())
+}
+
+// pick returns the index of the share that contains a position, from 0 to 1, in all shares.
+func pick(shares []float64, position float64) int {
 	var total float64
 	for _, s := range shares {
 		total += s
 	}
-	at := w.random.Float64() * total
+	at := position * total
 	for i, s := range shares {
 		if at -= s; at < 0 {
 			return i
@@ -195,7 +223,7 @@
 func (w *world) resubmit(c *callerJob) {
 	// The interrupted request has no answer, so not every answer is a rejection.
 	c.onlyRejections = false
-	if w.now+resubmitAfter < c.arrived+c.kind.CallerTimeout {
+	if w.now+resubmitAfter < c.arrived+c.timeout() {
 		w.after(resubmitAfter, func() { w.submit(c) })
 	}
 }
@@ -234,6 +262,8 @@
 		w.violation("job %s has two answers", c.id)
 	}
 	took := w.now - c.arrived
+	c.answer = a
+	w.observeAnswer(c)
 	switch a.Outcome {
 	case assigner.OutcomeRejected:
 		c.done = true
@@ -268,6 +298,7 @@
 		earned = c.value() * lateValue
 		w.result.Late++
 	}
+	c.earned = earned
 	w.addValue(c, 0, earned)
 }
 
@@ -309,7 +340,7 @@
 	}
 	for _, g := range w.agents {
 		u := g.upstream
-		if u.down || u.unreachable || u.leaving || u.hanging || u.failRatio > 0 || u.slowdown > 1 || g.down || g.frozen {
+		if !g.isHealthy() {
 			continue
 		}
 		free := u.capacity
@@ -377,11 +408,13 @@
 		c := w.jobs[id]
 		if !c.callerLeft && c.retries == 0 && c.crash == nil {
 			w.addValue(c, c.value(), 0)
+			w.addOutcome(c)
 		}
 		if c.done && c.onlyRejections && c.starts > 0 {
 			w.violation("job %s was rejected, and %d of its tasks started", c.id, c.starts)
 		}
 	}
+	w.addLargest()
 }
 
 // KindWindow is a kind of job in a window.
--- a/internal/replayer/upstream.go
+++ b/internal/replayer/upstream.go
@@ -39,6 +39,8 @@
 	hanging                     bool
 	failRatio                   float64 // failRatio is the share of tasks that fail immediately.
 	lateRatio                   float64 // lateRatio is the share of calls that take effect late and get no answer.
+	lateStartRatio              float64 // lateStartRatio is the same for starts alone.
+	speed                       float64 // speed is that of the machine; the run times of jobs are for a speed of 1.
 }
 
 type run struct {
@@ -52,12 +54,9 @@
 }
 
 func newUpstream(w *world, index int) *upstream {
-	u := &upstream{world: w, index: index, slowdown: 1, rack: fmt.Sprintf("rack-%d", index/3)}
-	cpu := int64(16000)
-	if index%3 == 2 {
-		cpu = 24000
-	}
-	u.capacity = messenger.Resources{MilliCPU: cpu, MemoryBytes: 32 << 30}
+	u := &upstream{world: w, index: index, slowdown: 1, rack: fmt.Sprintf("rack-%d", index/rackSize)}
+	u.speed = w.speed(index)
+	u.capacity = messenger.Resources{MilliCPU: int64(w.size(index) * 16000), MemoryBytes: 32 << 30}
 	u.reset()
 	return u
 }
@@ -108,11 +107,7 @@
 		return
 	}
 	if u.world.random.Float64() < u.lateRatio {
-		u.world.after(2*time.Second+time.Duration(u.world.random.Int64N(int64(10*time.Second))), func() {
-			if !u.down {
-				handle(true)
-			}
-		})
+		u.callLate(handle)
 		return
 	}
 	u.world.after(localDelay, func() {
@@ -122,6 +117,23 @@
 	})
 }
 
+// callStart is call for a start, which is also late with the probability lateStartRatio.
+func (u *upstream) callStart(handle func(answerLost bool)) {
+	if !u.down && !u.unreachable && u.lateStartRatio > 0 && u.world.random.Float64() < u.lateStartRatio {
+		u.callLate(handle)
+		return
+	}
+	u.call(handle)
+}
+
+func (u *upstream) callLate(handle func(answerLost bool)) {
+	u.world.after(2*time.Second+time.Duration(u.world.random.Int64N(int64(10*time.Second))), func() {
+		if !u.down {
+			handle(true)
+		}
+	})
+}
+
 func (u *upstream) fenced(agent int) bool {
 	u.highestAgent = max(u.highestAgent, agent)
 	return agent < u.highestAgent
@@ -144,7 +156,7 @@
 	u.extendLease(c.LeaseUntil)
 	u.highestRun[c.Task] = c.Run
 	r := &run{ref: c.Task, number: c.Run, resources: call.resources, startedAt: u.world.now, hangs: u.hanging}
-	r.runTime = time.Duration(float64(call.runTimes[c.Task.Index]) * u.slowdown)
+	r.runTime = time.Duration(float64(call.runTimes[c.Task.Index]) * u.slowdown / u.speed)
 	u.runs[c.Task] = r
 	u.world.started(u, r)
 	switch {
@@ -238,6 +250,9 @@
 		return
 	}
 	u.remove(r)
+	if kind == messenger.EndDone {
+		u.world.completed(r)
+	}
 	u.lastEndNumber++
 	u.unackedEnds = append(u.unackedEnds, runner.RunEnd{Number: u.lastEndNumber, Task: r.ref, Run: r.number, Kind: kind})
 	polls := u.waitingPolls
--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -335,7 +335,7 @@
 	if r.upstream == nil {
 		return true
 	}
-	occupied, c := r.used.Add(r.queued()), r.upstream.Capacity
+	occupied, c := r.used.Add(r.Queued()), r.upstream.Capacity
 	d, free := occupied.Sub(s.reportedLoad), c.Sub(occupied)
 	return significant(d.MilliCPU, c.MilliCPU, free.MilliCPU) || significant(d.MemoryBytes, c.MemoryBytes, free.MemoryBytes) ||
 		significant(d.Accelerators, c.Accelerators, free.Accelerators)
@@ -348,8 +348,8 @@
 	return d > 0 && (d*capacityDivisor >= capacity || d*freeDivisor >= free)
 }
 
-// queued returns the resources requested by the waiting tasks.
-func (r *Runner) queued() messenger.Resources {
+// Queued returns the resources requested by the waiting tasks.
+func (r *Runner) Queued() messenger.Resources {
 	var sum messenger.Resources
 	for _, t := range r.waiting {
 		sum = sum.Add(t.Resources)
@@ -359,7 +359,7 @@
 
 func (r *Runner) load(now time.Duration, s *session) *messenger.Load {
 	l := &messenger.Load{
-		Incarnation: r.incarnation.String(), State: r.State(now), Used: r.used, Queued: r.queued(), LaunchesReceived: s.launchesReceived, RelativeRunTimePercent: r.health.slowdownPercent(now),
+		Incarnation: r.incarnation.String(), State: r.State(now), Used: r.used, Queued: r.Queued(), LaunchesReceived: s.launchesReceived, RelativeRunTimePercent: r.health.slowdownPercent(now),
 	}
 	if r.upstream != nil {
 		l.Service, l.Capacity, l.Labels = r.upstream.Service, r.upstream.Capacity, r.upstream.Labels
