Give up jobs that cannot end before their deadline

Cause: a job of which something had run was not checked again until its deadline.

Change: such a job is given up once a waiting task cannot end before the deadline, by the declared run time or the estimate, whichever is shorter; while tasks that can be in time find no capacity, once its answer is of no use. Tasks with outstanding starts and jobs whose recall may come keep their own ends.

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -320,6 +320,7 @@
 	a.abandonUnplaceable(now)
 	a.schedule(now)
 	a.rejectDisplaced(now)
+	a.abandonHopeless(now)
 	a.send(now)
 	out := a.out
 	a.out = Output{}
--- a/internal/replayer/callers_test.go
+++ b/internal/replayer/callers_test.go
@@ -12,7 +12,8 @@
 )
 
 // TestCallerPatterns plays the patterns in which callers compete for capacity, and prints who
-// loses how much. It guards against violated guarantees under these loads.
+// loses how much. It guards against violated guarantees under these loads, and against jobs that
+// hold capacity and callers until their deadline when they are hopeless.
 func TestCallerPatterns(t *testing.T) {
 	t.Parallel()
 	forEachPattern(t, "testdata/callers/*.yaml", func(t *testing.T, name string, p Pattern) {
@@ -22,6 +23,10 @@
 			t.Errorf("violated guarantees (-want +got):\n%s", diff)
 		}
 		t.Logf("%s:\n%s", name, describe(r, best))
+		if name == "steady-overload-short" && r.HeldHopeless > 0 {
+			// With faults, a task may be at an upstream of which it is not known yet that it is lost.
+			t.Errorf("%d jobs were held until their deadline although a task was neither done nor running", r.HeldHopeless)
+		}
 	})
 }
 
