Play evacuations in the replayer

No load pattern evacuated a data centre. The fault "evacuate" tells each entry and agent after up to 50 ms of its own, and may leave the upstreams cold, which they announce. A launch by an entry and a start by an agent that knows of the evacuation violate a guarantee, and so does a job without an answer; the ideal scheduler starts nothing in the data centre either.

--- a/internal/replayer/agent.go
+++ b/internal/replayer/agent.go
@@ -24,7 +24,8 @@
 	down        bool
 	frozen      bool
 	backlog     []func()
-	failPoll    func() // failPoll ends the poll that waits for an answer.
+	failPoll    func()      // failPoll ends the poll that waits for an answer.
+	evacuations evacuations // evacuations are those that the process knows of.
 }
 
 // announceInterval is the interval at which an upstream announces itself.
@@ -51,6 +52,8 @@
 	a.links = make(map[messenger.Peer]*link)
 	a.dialling = make(map[messenger.Peer]bool)
 	a.down = false
+	a.evacuations = unknown
+	a.learnEvacuations(a.world.evacuations)
 	a.poll(a.incarnation)
 }
 
@@ -67,7 +70,7 @@
 		a.run(func() {
 			a.runner.Announce(a.world.now, runner.Announcement{
 				Incarnation: u.incarnation, Service: service, Capacity: u.capacity, Labels: []string{u.rack},
-				Leaving: u.leaving, Sequence: seq,
+				Leaving: u.leaving, Sequence: seq, ColdFor: u.coldFor(),
 			})
 		})
 	}
@@ -138,6 +141,7 @@
 	a.world.result.Wakeups++
 	out := a.runner.Take(a.world.now)
 	for _, c := range out.Starts {
+		a.checkStart(c)
 		a.start(c, maxStartAttempts)
 	}
 	for _, c := range out.Stops {
--- a/internal/replayer/ideal.go
+++ b/internal/replayer/ideal.go
@@ -22,6 +22,7 @@
 	capacity, used messenger.Resources
 	slowdown       float64
 	down           bool
+	evacuations    int // evacuations counts those of its data centre that are in force.
 	running        []*idealTask
 }
 
@@ -53,6 +54,10 @@
 // injectFault takes the upstreams of a fault down, or slows them, while it lasts. The
 // tasks that ran there are rescheduled.
 func (i *ideal) injectFault(f Fault) {
+	if f.Kind == FaultEvacuate {
+		i.evacuate(f)
+		return
+	}
 	count := min(max(1, f.Count), len(i.upstreams))
 	for n := range count {
 		h := i.upstreams[(n*3+1)%len(i.upstreams)]
@@ -72,6 +77,24 @@
 	}
 }
 
+// evacuate starts nothing in a data centre while the fault lasts. What runs there goes on.
+func (i *ideal) evacuate(f Fault) {
+	for n, h := range i.upstreams {
+		if i.world.dataCentre(n) != f.dataCentre(i.world) {
+			continue
+		}
+		h.evacuations++
+		i.world.after(f.Duration, func() {
+			h.evacuations--
+			if f.Delay > 0 {
+				h.slowdown = f.Factor
+				i.world.after(f.Delay, func() { h.slowdown = 1; i.dispatch() })
+			}
+			i.dispatch()
+		})
+	}
+}
+
 func (i *ideal) takeDown(h *idealUpstream, d time.Duration) {
 	h.down = true
 	for _, t := range h.running {
@@ -116,7 +139,7 @@
 func (i *ideal) start(t *idealTask) bool {
 	var best *idealUpstream
 	for _, h := range i.upstreams {
-		if !h.down && h.used.Add(t.job.resources).Fits(h.capacity) && (best == nil || h.slowdown < best.slowdown) {
+		if !h.down && h.evacuations == 0 && h.used.Add(t.job.resources).Fits(h.capacity) && (best == nil || h.slowdown < best.slowdown) {
 			best = h
 		}
 	}
--- a/internal/replayer/pattern.go
+++ b/internal/replayer/pattern.go
@@ -64,6 +64,7 @@
 	FaultFreezeAgent    FaultKind = "freeze-agent" // Some agents stop running and later continue.
 	FaultPartitionAgent FaultKind = "cut"          // Existing connections of some agents lose all frames but stay open.
 	FaultPartitionEntry FaultKind = "cut-entry"    // Some entries lose all frames, and agents cannot connect to them.
+	FaultEvacuate       FaultKind = "evacuate"     // A data centre is evacuated. Its upstreams are cold for Delay afterwards: tasks run Factor times as long.
 )
 
 // Fault is one fault that is injected at a time and lasts for a duration.
@@ -77,6 +78,8 @@
 	JobKind  string        `yaml:"of"` // JobKind limits the fault to one kind of job; empty is all kinds.
 	// After is how long a task of a FaultCrashingJobs runs before it crashes its upstream.
 	After time.Duration `yaml:"after"`
+	// DataCentre is the index of the data centre of FaultEvacuate.
+	DataCentre int `yaml:"data-centre"`
 	// Silent makes the upstreams of FaultCrashingJobs leave calls unanswered while they are
 	// down. Otherwise their connections break at once.
 	Silent bool `yaml:"silent"`
@@ -166,6 +169,8 @@
 			e.kill()
 			afterFault(e.startProcess)
 		}
+	case FaultEvacuate:
+		w.evacuate(f)
 	case FaultKillAgent, FaultFreezeAgent, FaultPartitionAgent:
 		for _, a := range w.agents[:min(count, len(w.agents))] {
 			w.injectAgentFault(f, a)
--- a/internal/replayer/replayer.go
+++ b/internal/replayer/replayer.go
@@ -97,6 +97,7 @@
 	jobs         map[string]*callerJob
 	result       Result
 	encodeBuffer bytes.Buffer // encodeBuffer is reused for each frame.
+	evacuations  evacuations  // evacuations are those in force.
 }
 
 func newWorld(p Pattern, seed uint64) *world {
@@ -175,8 +176,9 @@
 	sending      transmission
 	receiving    transmission
 	// While frozen, the process does not run, and its events wait in the backlog.
-	frozen  bool
-	backlog []func()
+	frozen      bool
+	backlog     []func()
+	evacuations evacuations // evacuations are those that the process knows of.
 }
 
 // link is one connection between an entry and an agent.
@@ -202,6 +204,8 @@
 	e.agents = make(map[messenger.Peer]*link)
 	e.tickets = make(map[uint64]*callerJob)
 	e.down = false
+	e.evacuations = unknown
+	e.learnEvacuations(e.world.evacuations)
 }
 
 func (e *entry) tick() {
@@ -235,6 +239,7 @@
 	}
 	for _, s := range out.Sends {
 		if l := e.agents[s.To]; l != nil {
+			e.checkLaunches(l.agent, s.Frame)
 			l.toAgent(s.Frame)
 		}
 	}
--- a/internal/replayer/replayer_test.go
+++ b/internal/replayer/replayer_test.go
@@ -54,6 +54,9 @@
 		if diff := cmp.Diff([]string(nil), r.Violations); diff != "" {
 			t.Errorf("violated guarantees (-want +got):\n%s", diff)
 		}
+		if strings.HasPrefix(name, "evacuate-") && r.Unanswered > 0 {
+			t.Errorf("%d jobs have no answer", r.Unanswered)
+		}
 		ratio := r.EarnedRatio() / best.EarnedRatio()
 		t.Logf(name+": worth %.3f, ideal %.3f, share %.3f, worst window %.3f of %.3f; %d jobs, %d in time, %d late, %d rejected, %d given up, %d failed, %d starts",
 			r.EarnedRatio(), best.EarnedRatio(), ratio, r.LowestWindowRatio(), best.LowestWindowRatio(), r.Jobs, r.InTime, r.Late, r.Rejected, r.GivenUp, r.Failed, r.Starts)
--- a/internal/replayer/result.go
+++ b/internal/replayer/result.go
@@ -55,6 +55,7 @@
 	Offered, Earned           float64
 	Jobs, InTime, Late        int
 	Rejected, GivenUp, Failed int
+	Unanswered                int // Unanswered counts the jobs without an answer whose callers have stayed.
 	ByKind                    map[string]Value
 	KindWindows               map[KindWindow]Value
 	Windows                   []Value
@@ -309,7 +310,7 @@
 	}
 	for _, g := range w.agents {
 		u := g.upstream
-		if u.down || u.unreachable || u.leaving || u.hanging || u.failRatio > 0 || u.slowdown > 1 || g.down || g.frozen {
+		if u.down || u.unreachable || u.leaving || u.hanging || u.failRatio > 0 || u.slowdown > 1 || g.down || g.frozen || w.evacuations.includes(w.dataCentre(g.index)) {
 			continue
 		}
 		free := u.capacity
@@ -378,6 +379,9 @@
 		if !c.callerLeft && c.retries == 0 && c.crash == nil {
 			w.addValue(c, c.value(), 0)
 		}
+		if !c.done && !c.callerLeft {
+			w.result.Unanswered++
+		}
 		if c.done && c.onlyRejections && c.starts > 0 {
 			w.violation("job %s was rejected, and %d of its tasks started", c.id, c.starts)
 		}
--- a/internal/replayer/upstream.go
+++ b/internal/replayer/upstream.go
@@ -35,7 +35,8 @@
 	down                        bool
 	silent                      bool // While down, a silent upstream leaves calls unanswered; any other refuses them.
 	leaving                     bool
-	unreachable                 bool // While unreachable, the upstream receives no call, but its tasks continue.
+	coldUntil                   time.Duration // coldUntil is when the upstream is warm after an evacuation.
+	unreachable                 bool          // While unreachable, the upstream receives no call, but its tasks continue.
 	hanging                     bool
 	failRatio                   float64 // failRatio is the share of tasks that fail immediately.
 	lateRatio                   float64 // lateRatio is the share of calls that take effect late and get no answer.
