Let running tasks end when their job loses its place

When a data centre was evacuated, a job with a running task and another one that only this data centre could run was given up at once, and the running task was withdrawn, which stops it. What runs there must run to completion, and the waiting task may start after the return. Such a job is now answered when the last of its running tasks has ended, or by its deadline.

--- a/internal/assigner/agent.go
+++ b/internal/assigner/agent.go
@@ -174,9 +174,7 @@
 		return
 	}
 	a.makePending(t)
-	if a.lostItsPlace(now, j) {
-		a.abandon(now, j, "evacuated", 0)
-	}
+	a.abandonWithoutPlace(now, j)
 }
 
 // checkAgents closes the connections of agents that exceed the liveness timeout.
@@ -327,5 +325,8 @@
 		a.finish(now, j, OutcomeCompleted, "", 0)
 	case j.unfinished[t.ref.Step] == 0:
 		a.unblock(j)
+		a.abandonWithoutPlace(now, j)
+	default:
+		a.abandonWithoutPlace(now, j)
 	}
 }
--- a/internal/assigner/evacuation.go
+++ b/internal/assigner/evacuation.go
@@ -9,19 +9,28 @@
 
 // SetEvacuated sets the data centres that are being evacuated. Their upstreams count as gone for
 // everything that has not been launched. Jobs that only they could run are answered at once, since no
-// wait helps: an evacuation lasts for longer than callers wait.
+// wait helps: an evacuation lasts for longer than callers wait. Jobs with running tasks are answered when
+// these have run to completion.
 func (a *Assigner) SetEvacuated(now time.Duration, dataCentres []string) {
 	a.evacuated = slices.Clone(dataCentres)
 	for _, g := range a.order {
 		g.evacuated = slices.Contains(a.evacuated, g.dataCentre)
 	}
 	for _, j := range a.sortedJobs() {
-		if open := j.unanswered(); open != nil && a.lostItsPlace(now, open) {
-			a.abandon(now, open, "evacuated", 0)
+		if open := j.unanswered(); open != nil {
+			a.abandonWithoutPlace(now, open)
 		}
 	}
 }
 
+// abandonWithoutPlace answers a job that has lost its place, unless some of its tasks run: an answer would
+// stop these.
+func (a *Assigner) abandonWithoutPlace(now time.Duration, j *job) {
+	if j.running == 0 && a.lostItsPlace(now, j) {
+		a.abandon(now, j, "evacuated", 0)
+	}
+}
+
 // HoldLaunches sets whether nothing may be launched, because this entry does not know what is being
 // evacuated.
 func (a *Assigner) HoldLaunches(hold bool) { a.holding = hold }
