Test that an agent confirms the evacuations after a pause

While the store is silent, an entry that was paused goes on with a frame of an agent that echoes a clock from after the pause, and with no earlier one. No test had that path with connections, nor versions of an agent that arrive out of order. The broker of the tests takes limits for evacuations.

--- a/internal/broker/agents_test.go
+++ b/internal/broker/agents_test.go
@@ -10,6 +10,7 @@
 
 	"sardinelock.dev/sardinelock/internal/assigner"
 	"sardinelock.dev/sardinelock/internal/connector"
+	"sardinelock.dev/sardinelock/internal/evacuator"
 	"sardinelock.dev/sardinelock/internal/journaler"
 	"sardinelock.dev/sardinelock/internal/messenger"
 )
@@ -45,13 +46,18 @@
 	context context.Context
 }
 
-func newAgentWorld(t *testing.T) *agentWorld {
+// newAgentWorld starts a broker, with evacuations if limits for these are given.
+func newAgentWorld(t *testing.T, evacuations ...*evacuator.Limits) *agentWorld {
 	j := journaler.New("error", t.Output())
 	t.Cleanup(func() { j.Close() })
-	b, err := New(Settings{
+	s := Settings{
 		Instance: "entry-1", PeerListen: netip.MustParseAddrPort("127.0.0.1:0"), Journal: j,
 		Limits: assigner.Limits{LivenessTimeout: time.Minute, SuspicionTimeout: time.Minute, HeartbeatInterval: time.Minute, ResubmitDelay: testResubmitDelay},
-	})
+	}
+	for _, l := range evacuations {
+		s.Evacuations = l
+	}
+	b, err := New(s)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/broker/evacuations_test.go
+++ b/internal/broker/evacuations_test.go
@@ -24,10 +24,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	mayStart := func() (may bool) {
-		b.loop.Call(func(now time.Time) { may = b.evacuations.evacuator.MayStart(b.loop.Elapsed(now)) })
-		return may
-	}
+	mayStart := func() bool { may, _ := b.mayStart(); return may }
 	requestedAt := b.Now()
 	time.Sleep(pause)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -51,3 +48,44 @@
 		}
 	}
 }
+
+// mayStart reports whether tasks may be started, and the version of the evacuations in force.
+func (b *Broker) mayStart() (may bool, version uint64) {
+	b.loop.Call(func(now time.Time) {
+		may, version = b.evacuations.evacuator.MayStart(b.loop.Elapsed(now)), b.evacuations.evacuator.Version()
+	})
+	return may, version
+}
+
+// TestAgentConfirmsAfterPause checks that an entry that was paused launches nothing on a frame of an agent that
+// may be from before the pause, and goes on with one that echoes a later clock. The store is silent. Versions of
+// the agent that arrive out of order have no effect.
+func TestAgentConfirmsAfterPause(t *testing.T) {
+	const pause = 300 * time.Millisecond
+	w := newAgentWorld(t, &evacuator.Limits{PauseLimit: pause, ConfirmTimeout: time.Minute})
+	c := w.dial("agent-1")
+	w.send(c)
+	for _, version := range []uint64{5, 7, 6} {
+		c.Send(&messenger.Frame{Evacuations: &messenger.Evacuations{Version: version, DataCentres: []string{"dc-1"}}})
+	}
+	w.await("version 7", func() bool { may, version := w.broker.mayStart(); return may && version == 7 })
+	var echo time.Duration
+	w.broker.loop.Call(func(now time.Time) {
+		echo = w.broker.loop.Elapsed(now)
+		time.Sleep(pause)
+	})
+	w.await("the notice of the pause", func() bool { may, _ := w.broker.mayStart(); return !may })
+	c.Send(&messenger.Frame{Stamp: &messenger.Stamp{Clock: 2 * time.Second, Echo: echo}})
+	time.Sleep(pause / 3)
+	if may, _ := w.broker.mayStart(); may {
+		t.Error("tasks may be started after a frame that may be from before the pause")
+	}
+	// The test itself may be paused again, so that the frame is repeated.
+	w.await("a start after a later frame", func() bool {
+		w.broker.loop.Call(func(now time.Time) { echo = w.broker.loop.Elapsed(now) })
+		c.Send(&messenger.Frame{Stamp: &messenger.Stamp{Clock: 3 * time.Second, Echo: echo}})
+		time.Sleep(10 * time.Millisecond)
+		may, version := w.broker.mayStart()
+		return may && version == 7
+	})
+}
