Do not avoid upstreams that returned a task because of an evacuation

A task that an agent returned because its data centre was evacuated avoided that upstream as if a run had ended badly there, which counts as 300 ms. After the return of the data centre it waited for occupied upstreams elsewhere, although that one was free.

The new script evacuated-returned has no launch after the return without the fix.

--- a/internal/assigner/agent.go
+++ b/internal/assigner/agent.go
@@ -286,7 +286,7 @@
 	case messenger.EndCrashed:
 		a.out.Crashed = append(a.out.Crashed, j.Queue)
 	}
-	if e.Kind != messenger.EndReturned && e.Kind != messenger.EndWithdrawn {
+	if e.Kind != messenger.EndReturned && e.Kind != messenger.EndEvacuated && e.Kind != messenger.EndWithdrawn {
 		t.avoid = append(t.avoid, g.instance)
 	}
 	if !j.answered {
