Return load step by step to an upstream that restarts with its data centre

The time of the return was forgotten when the upstream restarted. One that restarted right after its data centre had returned, and announced that it was cold, got its whole capacity of tasks at once. The time is kept for 30 s; a later restart counts as that of a single upstream, as before.

--- a/internal/runner/evacuation.go
+++ b/internal/runner/evacuation.go
@@ -48,7 +48,7 @@
 // warmUp is the time in which load returns to a cold upstream after an evacuation. A cold upstream is slow, and
 // all entries see it idle at the same moment.
 type warmUp struct {
-	from      time.Duration // from is when the evacuation ended; 0 if none has in this incarnation.
+	from      time.Duration // from is when the evacuation ended; 0 if none has recently.
 	coldUntil time.Duration // coldUntil is until when the upstream is cold, as it has announced.
 }
 
@@ -57,6 +57,18 @@
 
 func (w *warmUp) begin(now time.Duration) { w.from = now }
 
+// returnWindow is the time after an evacuation in which an upstream may restart because its data centre
+// returns. A later restart is that of a single upstream, which the others relieve.
+const returnWindow = 30 * time.Second
+
+// restarted applies a new incarnation of the upstream.
+func (w *warmUp) restarted(now time.Duration) {
+	w.coldUntil = 0
+	if now-w.from > returnWindow {
+		w.from = 0
+	}
+}
+
 func (w *warmUp) announced(now, coldFor time.Duration) {
 	w.coldUntil = 0
 	if coldFor > 0 {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -314,7 +314,7 @@
 	r.lastEnd = 0
 	r.answered = false
 	r.upstream = nil
-	r.warmUp = warmUp{}
+	r.warmUp.restarted(now)
 	r.health = newHealth()
 	r.clearOrphans()
 	r.requestReports()
