Launch nothing more of a job that has lost its place

Since running tasks go on when a data centre is evacuated, a job whose later step has no upstream left went on to launch the other tasks of its earlier steps, on the capacity that is left, before it was given up. Its waiting tasks are kept now: it is given up when what runs has ended, and goes on if the data centre returns before.

The scripts can add a later step to a job.

--- a/internal/assigner/agent.go
+++ b/internal/assigner/agent.go
@@ -326,7 +326,7 @@
 	case j.unfinished[t.ref.Step] == 0:
 		a.unblock(j)
 		a.abandonWithoutPlace(now, j)
-	default:
+	case j.withoutPlace || j.running == 0:
 		a.abandonWithoutPlace(now, j)
 	}
 }
--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -35,6 +35,7 @@
 //	crash-uncertain ...                      the same, not certain for the runs
 //	queue NAME                               sets the queue of the jobs that are submitted next
 //	log                                      prints decisions about crashes and hazards from then on
+//	step TASKS CPU DECLARED LABEL            adds a step to the next jobs, which starts after the others are done
 //	max-per-upstream N                       bounds the tasks of the next jobs at one upstream; 0 sets no limit
 //	timeout TIME                             sets how long the callers of the next jobs wait, 2 s at first
 //	leave ID TICKET                          ends the caller's connection
@@ -87,6 +88,7 @@
 	queue        string
 	// maxPerUpstream bounds the tasks of the next jobs at one upstream; 0 sets no limit.
 	maxPerUpstream int
+	steps          []Step        // steps are those of the next jobs that follow the first one.
 	timeout        time.Duration // timeout is how long the callers of the next jobs wait.
 	unread         time.Duration
 	dataCentre     string          // dataCentre is that of the agents that connect next.
@@ -186,6 +188,11 @@
 		l := testLimits
 		l.MaxHeldBytes = scripter.Number(s.t, a[0])
 		s.assigner = New(l, "dc-1", rand.New(rand.NewPCG(1, 1)))
+	case "step":
+		s.steps = append(s.steps, Step{
+			Count: int(scripter.Number(s.t, a[0])), Resources: messenger.Resources{MilliCPU: scripter.Number(s.t, a[1])},
+			DeclaredRunTime: scripter.Duration(s.t, a[2]), Label: a[3], After: []int{len(s.steps)},
+		})
 	case "entry-lost":
 		s.assigner.EntryLost(s.now)
 	case "entry-back":
@@ -250,6 +257,7 @@
 	if len(a) > 6 {
 		j.Steps[0].Label = a[6]
 	}
+	j.Steps = append(j.Steps, s.steps...)
 	j.CallerGone = func() bool { return s.gone[j.Ticket] }
 	j.Unread, j.UnreadKnown = s.unread, s.unread > 0
 	s.unread = 0
--- a/internal/assigner/evacuation.go
+++ b/internal/assigner/evacuation.go
@@ -24,9 +24,10 @@
 }
 
 // abandonWithoutPlace answers a job that has lost its place, unless some of its tasks run: an answer would
-// stop these.
+// stop these. Nothing more of the job is launched until then.
 func (a *Assigner) abandonWithoutPlace(now time.Duration, j *job) {
-	if j.running == 0 && a.lostItsPlace(now, j) {
+	j.withoutPlace = a.lostItsPlace(now, j)
+	if j.withoutPlace && j.running == 0 {
 		a.abandon(now, j, "evacuated", 0)
 	}
 }
--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -92,7 +92,7 @@
 			skipped = true
 			return false
 		}
-		if a.mayBeRecalled(now, t.job) {
+		if t.job.withoutPlace || a.mayBeRecalled(now, t.job) {
 			return false
 		}
 		failed := &failedAttempts
