--- a/internal/assigner/agent.go
+++ b/internal/assigner/agent.go
@@ -174,9 +174,7 @@
 		return
 	}
 	a.makePending(t)
-	if a.lostItsPlace(now, j) {
-		a.abandon(now, j, "evacuated", 0)
-	}
+	a.abandonWithoutPlace(now, j)
 }
 
 // checkAgents closes the connections of agents that exceed the liveness timeout.
@@ -288,7 +286,7 @@
 	case messenger.EndCrashed:
 		a.out.Crashed = append(a.out.Crashed, j.Queue)
 	}
-	if e.Kind != messenger.EndReturned && e.Kind != messenger.EndWithdrawn {
+	if e.Kind != messenger.EndReturned && e.Kind != messenger.EndEvacuated && e.Kind != messenger.EndWithdrawn {
 		t.avoid = append(t.avoid, g.instance)
 	}
 	if !j.answered {
@@ -327,5 +325,8 @@
 		a.finish(now, j, OutcomeCompleted, "", 0)
 	case j.unfinished[t.ref.Step] == 0:
 		a.unblock(j)
+		a.abandonWithoutPlace(now, j)
+	case j.withoutPlace || j.running == 0:
+		a.abandonWithoutPlace(now, j)
 	}
 }
--- a/internal/replayer/outcomes.go
+++ b/internal/replayer/outcomes.go
@@ -145,8 +145,9 @@
 	return remaining == 0
 }
 
-// isHealthy reports whether the agent and its upstream have no fault.
+// isHealthy reports whether the agent and its upstream have no fault, and are not being evacuated.
 func (g *agent) isHealthy() bool {
 	u := g.upstream
-	return !u.down && !u.unreachable && !u.leaving && !u.hanging && u.failRatio == 0 && u.slowdown == 1 && !g.down && !g.frozen
+	return !u.down && !u.unreachable && !u.leaving && !u.hanging && u.failRatio == 0 && u.slowdown == 1 && !g.down && !g.frozen &&
+		!g.world.evacuations.includes(dataCentre(g.index))
 }
--- a/internal/replayer/pattern.go
+++ b/internal/replayer/pattern.go
@@ -86,6 +86,7 @@
 	FaultLateStarts     FaultKind = "late-starts"  // The share Factor of the starts takes effect late and gets no answer.
 	FaultHotKey         FaultKind = "hot-key"      // The share Factor of the jobs of a kind prefers the rack that has the data of one key.
 	FaultRemove         FaultKind = "remove"       // Some upstreams leave with a notice of Delay, and do not return.
+	FaultEvacuate       FaultKind = "evacuate"     // A data centre is evacuated. Its upstreams are cold for Delay afterwards: tasks run Factor times as long.
 )
 
 // Fault is one fault that is injected at a time and lasts for a duration.
@@ -104,6 +105,8 @@
 	JobKind string        `yaml:"of"` // JobKind limits the fault to one kind of job; empty is all kinds.
 	// After is how long a task of a FaultCrashingJobs runs before it crashes its upstream.
 	After time.Duration `yaml:"after"`
+	// DataCentre is the index of the data centre of FaultEvacuate.
+	DataCentre int `yaml:"data-centre"`
 	// Silent makes the upstreams of FaultCrashingJobs leave calls unanswered while they are
 	// down. Otherwise their connections break at once.
 	Silent bool `yaml:"silent"`
@@ -211,6 +214,8 @@
 			e.kill()
 			afterFault(e.startProcess)
 		}
+	case FaultEvacuate:
+		w.evacuate(f)
 	case FaultKillAgent, FaultFreezeAgent, FaultPartitionAgent:
 		for _, a := range w.agents[:min(count, len(w.agents))] {
 			w.injectAgentFault(f, a)
--- a/internal/replayer/result.go
+++ b/internal/replayer/result.go
@@ -60,6 +60,7 @@
 	Offered, Earned           float64
 	Jobs, InTime, Late        int
 	Rejected, GivenUp, Failed int
+	Unanswered                int // Unanswered counts the jobs without an answer whose callers have stayed.
 	ByKind                    map[string]Value
 	KindWindows               map[KindWindow]Value
 	Windows                   []Value
@@ -410,6 +411,9 @@
 			w.addValue(c, c.value(), 0)
 			w.addOutcome(c)
 		}
+		if !c.done && !c.callerLeft {
+			w.result.Unanswered++
+		}
 		if c.done && c.onlyRejections && c.starts > 0 {
 			w.violation("job %s was rejected, and %d of its tasks started", c.id, c.starts)
 		}
