--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -163,22 +163,17 @@
 	if g := a.spread(now, t); g != nil {
 		return g, 0
 	}
-	var best *agent
-	var bestCost, bestWait, bestKey time.Duration
-	fullCost := time.Duration(math.MaxInt64)
-	var waitAt queuedAt
-	maxWait := a.maxLaunchWait(t)
+	c := choice{maxWait: a.maxLaunchWait(t)}
 	next := 0
 	if len(a.order) > maxCandidates {
 		next = a.random.IntN(len(a.order))
 	}
-	candidates, fullCandidates := 0, 0
-	for i := 0; i < len(a.order) && candidates < maxCandidates; i++ {
+	for i := 0; i < len(a.order) && c.free < maxCandidates; i++ {
 		at := next
 		if next++; next == len(a.order) {
 			next = 0
 		}
-		if fullCandidates >= maxCandidates && t.step.Resources.MilliCPU > a.spareCPU[at] {
+		if c.occupied >= maxCandidates && t.step.Resources.MilliCPU > a.spareCPU[at] {
 			continue
 		}
 		g := a.order[at]
@@ -188,25 +183,12 @@
 		wait := g.wait(t.step.Resources, a.meanRun)
 		cost := wait + a.cost(t, g)
 		if wait > launchWait {
-			fullCandidates++
-			fullCost = min(fullCost, cost)
-			if wait <= maxWait {
-				waitAt.offer(g, cost, wait)
-			}
+			c.addOccupied(placement{g, cost, wait})
 			continue
 		}
-		candidates++
-		if key := cost + a.randomCost(g); best == nil || key < bestKey {
-			best, bestCost, bestWait, bestKey = g, cost, wait, key
-		}
-	}
-	if best != nil && fullCost < bestCost && now+bestCost > t.latestStart() && now+fullCost <= t.latestStart() {
-		return nil, 0
-	}
-	if best == nil {
-		return waitAt.agent, waitAt.wait
+		c.addFree(placement{g, cost, wait}, cost+a.randomCost(g))
 	}
-	return best, bestWait
+	return c.result(now, t.latestStart())
 }
 
 // eligible reports whether the task may be launched at an agent now.
--- a/internal/assigner/wait.go
+++ b/internal/assigner/wait.go
@@ -44,18 +44,6 @@
 	return launchWait
 }
 
-// queuedAt is the occupied upstream at which a task waits best; agent is nil if there is none.
-type queuedAt struct {
-	agent      *agent
-	cost, wait time.Duration
-}
-
-func (q *queuedAt) offer(g *agent, cost, wait time.Duration) {
-	if q.agent == nil || cost < q.cost {
-		*q = queuedAt{g, cost, wait}
-	}
-}
-
 // isMostUrgent reports whether no queue of the service with recent jobs has a higher priority than a job, and
 // some have a lower one.
 func (a *Assigner) isMostUrgent(j *job) bool {
