Bound the connections of every listener

Cause: only the callers' address had a limit of its connections. With 1,200 callers and MaxFds 1,024, entries and agents had 1,217 to 1,220 descriptors at readiness, announcements, metrics and the peers' port. A peer's first message could have 64 MiB: 254 MB of 128.

Each write has a deadline of 5 s. A connection at the peers' port counts until its handshake is complete, and a hello of an entry's peer has 16 KiB at most.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -28,6 +28,7 @@
 	"sardinelock.dev/sardinelock/internal/linker"
 	"sardinelock.dev/sardinelock/internal/messenger"
 	"sardinelock.dev/sardinelock/internal/meter"
+	"sardinelock.dev/sardinelock/internal/receiver"
 	"sardinelock.dev/sardinelock/internal/timer"
 	"sardinelock.dev/sardinelock/internal/tracker"
 )
@@ -63,7 +64,10 @@
 	// ConfigRequestDelay is how long an entry waits for a catalogue from the platform before
 	// it requests it from an entry that has it.
 	ConfigRequestDelay time.Duration
-	Journal            *journaler.Journaler
+	// MaxHandshakes is the largest number of connections at PeerListen whose other side is not known to be
+	// a peer; 0 sets no limit.
+	MaxHandshakes int
+	Journal       *journaler.Journaler
 }
 
 // Broker is a running entry.
@@ -123,7 +127,7 @@
 	if !s.PeerAnnounce.IsValid() {
 		s.PeerAnnounce = s.PeerListen
 	}
-	l, err := net.Listen("tcp", s.PeerListen.String())
+	l, err := receiver.Listen(s.PeerListen.String())
 	if err != nil {
 		return nil, &Error{Op: "start", Kind: KindListen, Err: err}
 	}
@@ -154,11 +158,12 @@
 		_ = l.Close()
 		return nil, err
 	}
-	options := connector.Options{Hello: b.hello, Counts: &b.counts}
+	options := connector.Options{Hello: b.hello, Counts: &b.counts, MaxHelloBytes: maxHelloBytes}
 	b.links = linker.New(b.background, b.loop, options, linker.Hooks{
 		Up: b.addConn, Receive: b.receive, Down: b.removeConn, DialFailed: b.dialFailed,
 	})
 	b.links.Add(true, b.dialTargets(s.Entries)...)
+	peers := receiver.New(receiver.Limits{MaxConns: s.MaxHandshakes})
 	mux := http.NewServeMux()
 	mux.HandleFunc(connector.Path, func(w http.ResponseWriter, r *http.Request) {
 		conn, err := connector.Accept(w, r, options)
@@ -166,14 +171,21 @@
 			s.Journal.Line("peer-refused").Str("address", r.RemoteAddr).Err(err).Msg("")
 			return
 		}
+		peers.Admit(r.Context())
 		b.links.Serve(conn)
 	})
-	b.server = &http.Server{Handler: mux, ReadHeaderTimeout: handshakeTimeout}
+	b.server = &http.Server{Handler: mux, ReadHeaderTimeout: handshakeTimeout, IdleTimeout: handshakeTimeout, MaxHeaderBytes: maxHelloBytes}
+	peers.Protect(b.server)
 	return b, nil
 }
 
-// handshakeTimeout bounds how long a peer may take to send the headers of its handshake.
-const handshakeTimeout = 5 * time.Second
+const (
+	// handshakeTimeout bounds how long a peer may take to send the headers of its handshake.
+	handshakeTimeout = 5 * time.Second
+	// maxHelloBytes bounds these headers, and the message by which the peer introduces itself, which has
+	// some hundred bytes.
+	maxHelloBytes = 16 << 10
+)
 
 // dialTargets returns the addresses that this entry dials: of two entries, the one with
 // the lower address dials.
--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -9,6 +9,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"net/http"
 	"sync"
@@ -102,6 +103,9 @@
 	Hello  func() messenger.Hello // Hello returns the hello that is sent to the peer.
 	Counts *Counts                // Counts receives the totals; it must not be nil.
 	Client *http.Client           // Client is used by Dial; nil means the default client.
+	// MaxHelloBytes limits the peer's hello, which is read before it is known that the other side is a peer.
+	// 0 means the limit of other messages.
+	MaxHelloBytes int64
 }
 
 // Dial opens a connection. The URL has the scheme ws or wss. It returns an error
@@ -139,13 +143,14 @@
 // handshake exchanges hellos over a WebSocket and returns the connection. It closes the
 // WebSocket on error.
 func handshake(ctx context.Context, ws *websocket.Conn, o Options, openedAt time.Time) (*Conn, error) {
-	ws.SetReadLimit(messenger.MaxMessageBytes)
+	ws.SetReadLimit(cmp.Or(o.MaxHelloBytes, messenger.MaxMessageBytes))
 	hello := o.Hello()
 	peer, err := exchangeHello(ctx, ws, &hello, o.Counts)
 	if err != nil {
 		_ = ws.CloseNow()
 		return nil, err
 	}
+	ws.SetReadLimit(messenger.MaxMessageBytes)
 	epochs := peer.Epochs
 	peer.Epochs = nil
 	connCtx, cancel := context.WithCancel(context.Background())
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -57,7 +57,9 @@
 // call [Receiver.ConnState] and [prober.WithConn].
 func (r *Receiver) Wrap(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		r.serving(prober.Conn(req.Context()))
+		c := prober.Conn(req.Context())
+		r.serving(c)
+		defer r.returned(c)
 		if req.ContentLength == 0 {
 			h.ServeHTTP(w, req)
 			return
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -14,38 +14,60 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-
-	"sardinelock.dev/sardinelock/internal/prober"
 )
 
 const bodyLimit = 256 << 10
 
 // testServer is a server whose handler receives bodies and answers with their sizes. A request for
-// /ignored is answered without its body, and one for /slow after slowTime.
+// /ignored is answered without its body, one for /slow after slowTime, and one for /large with largeAnswer
+// bytes. The handlers of /hijacked and /admitted take the connection from the server and wait for its end.
 type testServer struct {
 	t        *testing.T
 	receiver *Receiver
 	address  string
+	hijacked atomic.Int64 // hijacked counts the connections that handlers have taken.
 }
 
-const slowTime = 500 * time.Millisecond
+const (
+	slowTime = 500 * time.Millisecond
+	// largeAnswer is more than the buffers of the kernel hold.
+	largeAnswer      = 64 << 20
+	testWriteTimeout = 200 * time.Millisecond
+)
 
 func newTestServer(t *testing.T, l Limits, timeout time.Duration) *testServer {
 	t.Helper()
 	r := New(l)
+	s := &testServer{t: t, receiver: r}
 	statuses := map[Kind]int{KindTooLarge: http.StatusRequestEntityTooLarge, KindTimeout: http.StatusRequestTimeout, KindOverload: http.StatusServiceUnavailable, KindBroken: http.StatusBadRequest}
-	server := httptest.NewUnstartedServer(r.Wrap(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		if req.URL.Path == "/ignored" {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		switch req.URL.Path {
+		case "/ignored":
 			_, _ = io.WriteString(w, "ignored")
 			return
+		case "/large":
+			_, _ = w.Write(make([]byte, largeAnswer))
+			return
+		case "/hijacked", "/admitted":
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			if req.URL.Path == "/admitted" {
+				r.Admit(req.Context())
+			}
+			s.hijacked.Add(1)
+			_, _ = c.Read(make([]byte, 1))
+			_ = c.Close()
+			return
 		}
 		b, err := r.Receive(w, req, bodyLimit, timeout)
 		if err != nil {
 			http.Error(w, err.Error(), statuses[err.(*Error).Kind])
 			return
 		}
-		size := len(b.Bytes())
-		b.Release()
+		defer b.Release()
 		if req.URL.Path == "/slow" {
 			select {
 			case <-time.After(slowTime):
@@ -54,12 +76,21 @@
 				return
 			}
 		}
-		_, _ = fmt.Fprint(w, size)
-	})))
-	server.Config.ConnState, server.Config.ConnContext = r.ConnState, prober.WithConn
+		_, _ = fmt.Fprint(w, len(b.Bytes()))
+	}))
+	at, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tcp := at.(listener)
+	tcp.writeTimeout = testWriteTimeout
+	_ = server.Listener.Close()
+	server.Listener = tcp
+	r.Protect(server.Config)
 	server.Start()
 	t.Cleanup(server.Close)
-	return &testServer{t: t, receiver: r, address: server.Listener.Addr().String()}
+	s.address = server.Listener.Addr().String()
+	return s
 }
 
 // client is a connection to a test server.
