Keep only the fields that are read of headers with very many fields

Cause: a header of 16 KiB with 1,200 fields takes some 130 KB once it is decoded, until its request is answered. A connection was counted with 48 KiB.

Change: of a header with more than 64 fields, only those that handlers and the server read are kept. No such request is refused.

--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -60,6 +60,7 @@
 		c := prober.Conn(req.Context())
 		r.serving(c)
 		defer r.returned(c)
+		dropFields(req)
 		if req.ContentLength == 0 {
 			h.ServeHTTP(w, req)
 			return
