Count jobs until the control thread has taken them

Cause: the memory of a body was released as soon as it was decoded.

Change: the memory of a decoded job, from the number of its fields, is reserved before it is decoded, and kept with that of its body until the job is taken. A body that waits for this memory may still be cut off (503), so that bodies don't wait for each other, and its job has not run. A single body never reserves more than half of the memory.

TestDecodedBodiesAreBounded checks the bound.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -261,9 +261,10 @@
 // Catalogue returns the queues in force, or nil if none are known yet.
 func (b *Broker) Catalogue() *cataloguer.Catalogue { return b.catalogue.InForce() }
 
-// Submit runs a job and waits for its answer. If the context ends first, the assigner is
+// Submit runs a job and waits for its answer. It calls taken once the job does not wait for the control
+// thread any more, possibly after Submit has returned, and not if the process ends first. If the context ends first, the assigner is
 // told that the caller has left, and the error is of kind [KindCallerLeft].
-func (b *Broker) Submit(ctx context.Context, j assigner.Job) (assigner.Answer, error) {
+func (b *Broker) Submit(ctx context.Context, j assigner.Job, taken func()) (assigner.Answer, error) {
 	j.Ticket = b.tickets.Add(1)
 	answers := make(chan assigner.Answer, 1)
 	received := b.loop.Now()
@@ -271,8 +272,10 @@
 		j.Unread += now.Sub(received)
 		b.waiters[j.Ticket] = answers
 		b.submit(now, j)
+		taken()
 	})
 	if !posted {
+		taken()
 		return assigner.Answer{}, &Error{Op: "submit", Kind: KindClosed, Err: context.Canceled}
 	}
 	select {
--- a/internal/broker/cancels_test.go
+++ b/internal/broker/cancels_test.go
@@ -77,7 +77,7 @@
 	})
 	for _, id := range []string{"told", "here"} {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		a, err := w.broker.Submit(ctx, assigner.Job{ID: id, Queue: "q", Steps: []assigner.Step{{Count: 1}}, CallerTimeout: time.Minute})
+		a, err := w.broker.Submit(ctx, assigner.Job{ID: id, Queue: "q", Steps: []assigner.Step{{Count: 1}}, CallerTimeout: time.Minute}, func() {})
 		cancel()
 		if err != nil || a.Outcome != assigner.OutcomeCancelled {
 			t.Errorf("%s: the answer is %q, %v", id, a.Outcome, err)
--- a/internal/broker/inquiries_test.go
+++ b/internal/broker/inquiries_test.go
@@ -221,7 +221,7 @@
 	j := testJob(id)
 	j.Unread, j.UnreadKnown = unread, true
 	go func() {
-		if a, err := w.broker.Submit(w.t.Context(), j); err == nil {
+		if a, err := w.broker.Submit(w.t.Context(), j, func() {}); err == nil {
 			answer <- a
 		}
 	}()
--- a/internal/broker/recalls_test.go
+++ b/internal/broker/recalls_test.go
@@ -70,7 +70,7 @@
 
 // submit submits a job of one task, whose caller stays until the test ends.
 func (w *agentWorld) submit(id string) {
-	go func() { _, _ = w.broker.Submit(w.t.Context(), testJob(id)) }()
+	go func() { _, _ = w.broker.Submit(w.t.Context(), testJob(id), func() {}) }()
 }
 
 func testJob(id string) assigner.Job {
--- a/internal/receiver/body.go
+++ b/internal/receiver/body.go
@@ -16,6 +16,9 @@
 	// maxBodyDivisor bounds a single body, as a divisor of the memory for all bodies. While its buffer
 	// grows, it takes up to 1.5 times its size.
 	maxBodyDivisor = 4
+	// maxDecodedDivisor bounds what is reserved for a decoded body, as a divisor of the memory for all bodies,
+	// so that a single one is always received.
+	maxDecodedDivisor = 2
 	// smallBody is the size of a buffer up to which a body is cut off only after all larger ones.
 	smallBody = 16 << 10
 	// progressBytes is how much of a body must arrive to count as progress.
@@ -44,16 +47,17 @@
 // Bytes returns the body, which is valid until Release.
 func (b *Body) Bytes() []byte { return b.data }
 
-// Release returns the memory of the body.
+// Release returns the memory of the body. It has no effect after the first call.
 func (b *Body) Release() {
 	b.data = nil
 	b.receiver.release(b, b.reserved)
 }
 
-// Receive reads the body of a request, which may have the given size and take the given time. The body
-// must be released. The errors are of the kinds [KindTooLarge], [KindTimeout], [KindOverload] and, if
+// Receive reads the body of a request, which may have the given size and take the given time. It also
+// reserves the memory that the body takes once it is decoded, as decoded tells. The body must be released
+// when the decoded request is no longer held. The errors are of the kinds [KindTooLarge], [KindTimeout], [KindOverload] and, if
 // the caller ended the connection, [KindBroken].
-func (r *Receiver) Receive(w http.ResponseWriter, req *http.Request, limit int64, timeout time.Duration) (*Body, error) {
+func (r *Receiver) Receive(w http.ResponseWriter, req *http.Request, limit int64, timeout time.Duration, decoded func([]byte) int64) (*Body, error) {
 	const op = "receive"
 	limit = min(limit, r.limits.MaxBytes/maxBodyDivisor)
 	if req.ContentLength > limit {
@@ -67,6 +71,10 @@
 	disarm := context.AfterFunc(ctx, func() { abortReads(w) })
 	r.begin(b)
 	err := b.read(ctx, req, limit)
+	if err == nil {
+		// A body that waits for this memory may still be cut off, so that bodies cannot wait for each other.
+		err = r.reserve(ctx, b, min(decoded(b.data), r.limits.MaxBytes/maxDecodedDivisor))
+	}
 	r.end(b)
 	if !disarm() {
 		// The connection cannot be read any more, also if the whole body has just arrived.
--- a/internal/receiver/conns_test.go
+++ b/internal/receiver/conns_test.go
@@ -1,6 +1,7 @@
 package receiver
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -39,3 +40,26 @@
 	_ = late.Close()
 	s.await("the end of all that count", func() bool { return len(s.receiver.conns) == 0 })
 }
+
+// TestDecodedBodiesAreBounded guards against small bodies that become large: the memory of each must be
+// reserved before it is decoded, and a single one must be received whatever its size becomes.
+func TestDecodedBodiesAreBounded(t *testing.T) {
+	const size, memory = 100 << 10, 4 * bodyLimit
+	s := newTestServer(t, Limits{MaxBytes: memory}, time.Second)
+	largest := s.watchHeld()
+	body := strings.Repeat("d", size)
+	for range 32 {
+		c := s.dial()
+		c.sendText("/slow", body)
+	}
+	s.await("a body that holds its memory", func() bool { return s.receiver.held >= memory/maxDecodedDivisor })
+	s.await("the release of all", func() bool { return s.receiver.held == 0 })
+	if most := largest(); most > memory {
+		t.Errorf("bodies held %d bytes, %d are allowed", most, memory)
+	}
+	c := s.dial()
+	c.sendText("/", body)
+	if got, want := c.answer(), "200 102400"; got != want {
+		t.Errorf("a single body is answered %s, want %s", got, want)
+	}
+}
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -28,6 +29,11 @@
 	hijacked atomic.Int64 // hijacked counts the connections that handlers have taken.
 }
 
+// decodedSize returns the size that a body has once it is decoded: that of each "d" in it.
+func decodedSize(b []byte) int64 { return int64(bytes.Count(b, []byte("d"))) * decodedFactor }
+
+const decodedFactor = 8
+
 const (
 	slowTime = 500 * time.Millisecond
 	// largeAnswer is more than the buffers of the kernel hold.
@@ -62,7 +68,7 @@
 			_ = c.Close()
 			return
 		}
-		b, err := r.Receive(w, req, bodyLimit, timeout)
+		b, err := r.Receive(w, req, bodyLimit, timeout, decodedSize)
 		if err != nil {
 			http.Error(w, err.Error(), statuses[err.(*Error).Kind])
 			return
@@ -122,6 +128,12 @@
 	_, _ = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: test\r\n%s\r\n\r\n%s", method, path, length, body)
 }
 
+// sendText sends a request with a body.
+func (c *client) sendText(path, body string) {
+	// The server may refuse the request before all of it is sent.
+	_, _ = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: test\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+}
+
 // answer returns the status and the text of the next answer, and whether the server then closes the
 // connection.
 func (c *client) answer() string {
