Name all that a receiver bounds in its documentation

Cause: the comments of the package named bodies and connections only. Change: they name decoded bodies, headers and unread answers as well. No code changes; the package's tests pass with -race.

--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -1,5 +1,5 @@
 // Package receiver bounds what the callers of an HTTP server can make it hold: the bodies of requests
-// that are still arriving, and open connections.
+// that are still arriving or not yet handled, headers, answers that are not read, and open connections.
 //
 // A server that reads whole bodies holds as much as its callers send, for as long as they keep it
 // waiting. A [Receiver] reserves memory for a body before it reads more of it. If the memory is used up,
@@ -21,7 +21,8 @@
 
 // Limits are the settings of a [Receiver].
 type Limits struct {
-	// MaxBytes is the largest total size of the buffers of all bodies.
+	// MaxBytes is the largest total size of the buffers of all bodies, and of the decoded ones until their
+	// release.
 	MaxBytes int64
 	// MaxConns is the largest number of open connections; 0 sets no limit.
 	MaxConns int
