--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -29,6 +29,7 @@
 	"sardinelock.dev/sardinelock/internal/linker"
 	"sardinelock.dev/sardinelock/internal/messenger"
 	"sardinelock.dev/sardinelock/internal/meter"
+	"sardinelock.dev/sardinelock/internal/receiver"
 	"sardinelock.dev/sardinelock/internal/timer"
 	"sardinelock.dev/sardinelock/internal/tracker"
 )
@@ -67,7 +68,10 @@
 	// Evacuations are the settings for the evacuation of data centres; nil if there is none in this
 	// deployment.
 	Evacuations *evacuator.Limits
-	Journal     *journaler.Journaler
+	// MaxHandshakes is the largest number of connections at PeerListen whose other side is not known to be
+	// a peer; 0 sets no limit.
+	MaxHandshakes int
+	Journal       *journaler.Journaler
 }
 
 // Broker is a running entry.
@@ -128,7 +132,7 @@
 	if !s.PeerAnnounce.IsValid() {
 		s.PeerAnnounce = s.PeerListen
 	}
-	l, err := net.Listen("tcp", s.PeerListen.String())
+	l, err := receiver.Listen(s.PeerListen.String())
 	if err != nil {
 		return nil, &Error{Op: "start", Kind: KindListen, Err: err}
 	}
@@ -162,11 +166,12 @@
 		_ = l.Close()
 		return nil, err
 	}
-	options := connector.Options{Hello: b.hello, Counts: &b.counts}
+	options := connector.Options{Hello: b.hello, Counts: &b.counts, MaxHelloBytes: maxHelloBytes}
 	b.links = linker.New(b.background, b.loop, options, linker.Hooks{
 		Up: b.addConn, Receive: b.receive, Down: b.removeConn, DialFailed: b.dialFailed,
 	})
 	b.links.Add(true, b.dialTargets(s.Entries)...)
+	peers := receiver.New(receiver.Limits{MaxConns: s.MaxHandshakes})
 	mux := http.NewServeMux()
 	mux.HandleFunc(connector.Path, func(w http.ResponseWriter, r *http.Request) {
 		conn, err := connector.Accept(w, r, options)
@@ -174,14 +179,21 @@
 			s.Journal.Line("peer-refused").Str("address", r.RemoteAddr).Err(err).Msg("")
 			return
 		}
+		peers.Admit(r.Context())
 		b.links.Serve(conn)
 	})
-	b.server = &http.Server{Handler: mux, ReadHeaderTimeout: handshakeTimeout}
+	b.server = &http.Server{Handler: mux, ReadHeaderTimeout: handshakeTimeout, IdleTimeout: handshakeTimeout, MaxHeaderBytes: maxHelloBytes}
+	peers.Protect(b.server)
 	return b, nil
 }
 
-// handshakeTimeout bounds how long a peer may take to send the headers of its handshake.
-const handshakeTimeout = 5 * time.Second
+const (
+	// handshakeTimeout bounds how long a peer may take to send the headers of its handshake.
+	handshakeTimeout = 5 * time.Second
+	// maxHelloBytes bounds these headers, and the message by which the peer introduces itself, which has
+	// some hundred bytes.
+	maxHelloBytes = 16 << 10
+)
 
 // dialTargets returns the addresses that this entry dials: of two entries, the one with
 // the lower address dials.
@@ -258,9 +270,10 @@
 // Catalogue returns the queues in force, or nil if none are known yet.
 func (b *Broker) Catalogue() *cataloguer.Catalogue { return b.catalogue.InForce() }
 
-// Submit runs a job and waits for its answer. If the context ends first, the assigner is
+// Submit runs a job and waits for its answer. It calls taken once the job does not wait for the control
+// thread any more, possibly after Submit has returned, and not if the process ends first. If the context ends first, the assigner is
 // told that the caller has left, and the error is of kind [KindCallerLeft].
-func (b *Broker) Submit(ctx context.Context, j assigner.Job) (assigner.Answer, error) {
+func (b *Broker) Submit(ctx context.Context, j assigner.Job, taken func()) (assigner.Answer, error) {
 	j.Ticket = b.tickets.Add(1)
 	answers := make(chan assigner.Answer, 1)
 	received := b.loop.Now()
@@ -268,8 +281,10 @@
 		j.Unread += now.Sub(received)
 		b.waiters[j.Ticket] = answers
 		b.submit(now, j)
+		taken()
 	})
 	if !posted {
+		taken()
 		return assigner.Answer{}, &Error{Op: "submit", Kind: KindClosed, Err: context.Canceled}
 	}
 	select {
--- /dev/null
+++ b/internal/receiver/conns_test.go
@@ -0,0 +1,65 @@
+package receiver
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestCallersThatDoNotRead guards against callers that keep their connections, which cannot be replaced
+// while a request is being served, by not reading the answer.
+func TestCallersThatDoNotRead(t *testing.T) {
+	s := newTestServer(t, Limits{MaxBytes: 4 * bodyLimit}, time.Second)
+	for range 3 {
+		s.dial().send("GET", "/large", 0, 0)
+	}
+	s.await("the end of the connections", func() bool { return len(s.receiver.conns) == 0 && s.receiver.waiting.Len() == 0 })
+}
+
+// TestHijackedConnsCount guards against callers that open any number of connections by beginning the
+// handshake of a peer: those that were not admitted count, and are replaced.
+func TestHijackedConnsCount(t *testing.T) {
+	s := newTestServer(t, Limits{MaxBytes: 4 * bodyLimit, MaxConns: 2}, time.Second)
+	admitted := s.dial()
+	admitted.send("GET", "/admitted", 0, 0)
+	s.await("admission", func() bool { return len(s.receiver.conns) == 0 })
+	first, second := s.dial(), s.dial()
+	for i, c := range []*client{first, second} {
+		c.send("GET", "/hijacked", 0, 0)
+		s.await("a handshake", func() bool { return s.hijacked.Load() == int64(i+2) })
+	}
+	late := s.dial()
+	late.send("POST", "/", 1, 1)
+	got := []string{first.answer(), late.answer()}
+	if diff := cmp.Diff([]string{"no answer", "200 1"}, got); diff != "" {
+		t.Errorf("the oldest handshake and a new request (-want +got):\n%s", diff)
+	}
+	_ = second.Close()
+	_ = late.Close()
+	s.await("the end of all that count", func() bool { return len(s.receiver.conns) == 0 })
+}
+
+// TestDecodedBodiesAreBounded guards against small bodies that become large: the memory of each must be
+// reserved before it is decoded, and a single one must be received whatever its size becomes.
+func TestDecodedBodiesAreBounded(t *testing.T) {
+	const size, memory = 100 << 10, 4 * bodyLimit
+	s := newTestServer(t, Limits{MaxBytes: memory}, time.Second)
+	largest := s.watchHeld()
+	body := strings.Repeat("d", size)
+	for range 32 {
+		c := s.dial()
+		c.sendText("/slow", body)
+	}
+	s.await("a body that holds its memory", func() bool { return s.receiver.held >= memory/maxDecodedDivisor })
+	s.await("the release of all", func() bool { return s.receiver.held == 0 })
+	if most := largest(); most > memory {
+		t.Errorf("bodies held %d bytes, %d are allowed", most, memory)
+	}
+	c := s.dial()
+	c.sendText("/", body)
+	if got, want := c.answer(), "200 102400"; got != want {
+		t.Errorf("a single body is answered %s, want %s", got, want)
+	}
+}
