--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -110,7 +110,9 @@
 		Traffic: new(connector.Counts),
 		Busy:    func() (time.Duration, uint64) { return 0, 0 },
 		Agent: func() AgentState {
-			return AgentState{Running: 3, Waiting: 1, Slots: 8, Records: 40, State: messenger.UpstreamServing, HighestEpoch: 6, Entries: 2, UpstreamCrashes: 5}
+			return AgentState{Running: 3, Waiting: 1, Slots: 8, Records: 40, State: messenger.UpstreamServing, HighestEpoch: 6, Entries: 2, UpstreamCrashes: 5,
+				Evacuations: &EvacuationState{Version: 12, Age: 1500 * time.Millisecond, DataCentres: []string{"dc-1", "dc-2"}},
+			}
 		},
 	})
 	if err != nil {
@@ -126,9 +128,13 @@
 		`sardinelock_agent_upstream{state="absent"} 0`,
 		`sardinelock_agent_upstream{state="leaving"} 0`,
 		`sardinelock_agent_upstream{state="serving"} 1`,
+		`sardinelock_evacuation_active{data_centre="dc-1"} 1`,
+		`sardinelock_evacuation_active{data_centre="dc-2"} 1`,
+		`sardinelock_evacuation_age_seconds 1.5`,
+		`sardinelock_evacuation_version 12`,
 		`sardinelock_peer_connections{role="entry"} 2`,
 	}
-	if diff := cmp.Diff(want, scrape(t, m, "sardinelock_agent", "sardinelock_peer_connections")); diff != "" {
+	if diff := cmp.Diff(want, scrape(t, m, "sardinelock_agent", "sardinelock_evacuation", "sardinelock_peer_connections")); diff != "" {
 		t.Errorf("samples (-want +got):\n%s", diff)
 	}
 }
