Do not withdraw a task with the frame that launches it

A job that became hopeless in the pass that launched one of its tasks was answered at once, and the task withdrawn with the same frame. An agent applies withdrawals before launches, so the task ran to its end for an answered job. Such a job is given up in a later pass.

--- a/internal/assigner/hopeless.go
+++ b/internal/assigner/hopeless.go
@@ -13,6 +13,10 @@
 			// These wait for something else, and have an end of their own.
 			continue
 		}
+		if j.lastLaunchAt == now {
+			// An agent applies withdrawals before launches of the same frame, so that the task would run.
+			continue
+		}
 		latest := j.deadline
 		if a.lacksCapacity {
 			latest = j.latestUseful
--- a/internal/assigner/job.go
+++ b/internal/assigner/job.go
@@ -24,6 +24,7 @@
 	unfinished   []int // number of tasks that are not done, by step
 	launched     bool  // whether a task was sent to an agent
 	launchAt     time.Duration
+	lastLaunchAt time.Duration // when a task was last launched
 	ran          bool // whether a task may have run
 	running      int  // number of tasks that may be running
 	withoutPlace bool // whether a waiting task has no upstream left that is not being evacuated
--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -370,6 +370,7 @@
 	if !j.launched {
 		j.launched, j.launchAt = true, now
 	}
+	j.lastLaunchAt = now
 	t.run++
 	t.run = max(t.run, j.baseRun+1)
 	g.sent++
