Let tasks in an evacuated data centre end when their job is hopeless

What runs in an evacuated data centre is to end by itself, but a job with a task that had lost its place was given up as hopeless, which stopped its running tasks.

--- a/internal/assigner/hopeless.go
+++ b/internal/assigner/hopeless.go
@@ -9,7 +9,7 @@
 	var hopeless []*job
 	for _, t := range a.pending {
 		j := t.job
-		if len(t.outstanding) > 0 || a.mayBeRecalled(now, j) {
+		if len(t.outstanding) > 0 || a.mayBeRecalled(now, j) || j.withoutPlace {
 			// These wait for something else, and have an end of their own.
 			continue
 		}
