Bound the margin of a job's first tasks by its slack

A job whose whole slack is under 30% of its run time never counted as urgent, so that less urgent queues went first. The margin is half of the slack at most; with the users' objectives it is as before. A queue with a negative priority is not the most urgent one while no queue is known to have jobs.

--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -37,6 +37,7 @@
 //	log                                      prints decisions about crashes and hazards from then on
 //	step TASKS CPU DECLARED LABEL            adds a step to the next jobs, which starts after the others are done
 //	max-per-upstream N                       bounds the tasks of the next jobs at one upstream; 0 sets no limit
+//	slowdown FACTOR                          sets the allowed slowdown of the next jobs, 1.6 at first
 //	timeout TIME                             sets how long the callers of the next jobs wait, 2 s at first
 //	leave ID TICKET                          ends the caller's connection
 //	unread TIME                              sets how long the next submitted job has been unread
@@ -68,7 +69,7 @@
 		s := &script{
 			t: t, assigner: New(testLimits, "dc-1", rand.New(rand.NewPCG(1, 1))),
 			incarnations: make(map[string]string), launchesSeen: make(map[string]uint64), connections: make(map[string]int),
-			gone: make(map[uint64]bool), timeout: 2 * time.Second, dataCentre: "dc-1",
+			gone: make(map[uint64]bool), timeout: 2 * time.Second, dataCentre: "dc-1", slowdown: 1.6,
 		}
 		for _, l := range lines {
 			s.line(l)
@@ -88,7 +89,8 @@
 	queue        string
 	// maxPerUpstream bounds the tasks of the next jobs at one upstream; 0 sets no limit.
 	maxPerUpstream int
-	steps          []Step        // steps are those of the next jobs that follow the first one.
+	steps          []Step // steps are those of the next jobs that follow the first one.
+	slowdown       float64
 	timeout        time.Duration // timeout is how long the callers of the next jobs wait.
 	unread         time.Duration
 	dataCentre     string          // dataCentre is that of the agents that connect next.
@@ -167,6 +169,8 @@
 		s.queue = a[0]
 	case "max-per-upstream":
 		s.maxPerUpstream = int(scripter.Number(s.t, a[0]))
+	case "slowdown":
+		s.slowdown = float64(scripter.Number(s.t, a[0]))
 	case "timeout":
 		s.timeout = scripter.Duration(s.t, a[0])
 	case "log":
@@ -247,7 +251,7 @@
 // job returns the job that a line describes.
 func (s *script) job(a []string) Job {
 	j := Job{
-		ID: a[0], Queue: cmp.Or(s.queue, "q"), Service: "quote", SlowdownFactor: 1.6, LatencyAllowance: 60 * time.Millisecond,
+		ID: a[0], Queue: cmp.Or(s.queue, "q"), Service: "quote", SlowdownFactor: s.slowdown, LatencyAllowance: 60 * time.Millisecond,
 		CallerTimeout: s.timeout, MaxAttempts: 2, Ticket: uint64(scripter.Number(s.t, a[1])),
 		Steps: []Step{{Count: int(scripter.Number(s.t, a[2])), Resources: messenger.Resources{MilliCPU: scripter.Number(s.t, a[3])}, DeclaredRunTime: scripter.Duration(s.t, a[4]), MaxPerUpstream: s.maxPerUpstream}},
 	}
--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -44,7 +44,7 @@
 func (a *Assigner) isUrgent(now time.Duration, t *task) bool {
 	latest := t.latestStart()
 	if !t.job.launched && !a.confining {
-		latest -= t.expected * beginMarginPercent / 100
+		latest -= t.beginMargin()
 	}
 	return latest >= now && latest < now+distantSlack
 }
--- a/internal/assigner/wait.go
+++ b/internal/assigner/wait.go
@@ -30,6 +30,13 @@
 // would all begin at their latest start otherwise, and half of them would be late: 40% of the jobs in a burst.
 const beginMarginPercent = 30
 
+// beginMargin returns that time for a task. It is half of the job's slack at most, so that jobs with little
+// slack are urgent when they arrive.
+func (t *task) beginMargin() time.Duration {
+	slack := t.job.objective - t.job.arrived - t.job.expected
+	return min(t.expected*beginMarginPercent/100, slack/2)
+}
+
 // maxLaunchWait returns the longest expected wait with which a task is launched at an agent.
 func (a *Assigner) maxLaunchWait(t *task) time.Duration {
 	switch {
@@ -47,8 +54,8 @@
 // isMostUrgent reports whether no queue of the service with recent jobs has a higher priority than a job, and
 // some have a lower one.
 func (a *Assigner) isMostUrgent(j *job) bool {
-	p := a.priorities[j.Service]
-	return j.Priority <= p.highest && j.Priority < p.lowest
+	p, ok := a.priorities[j.Service]
+	return ok && j.Priority <= p.highest && j.Priority < p.lowest
 }
 
 // priorityRange has the highest and the lowest priority of the queues of a service with recent jobs. The
