Do not let a task wait where it is late if it is in time elsewhere

A task that may wait was sent to the occupied upstream with the least cost among those with a short wait, also if it was sure to be late there, or had failed there, and could be in time at one with a longer wait. The rule for free upstreams holds for occupied ones too.

Found by a review.

--- a/internal/assigner/choice.go
+++ b/internal/assigner/choice.go
@@ -40,12 +40,13 @@
 
 // result returns the agent for a task with the given latest start, or nil, and the expected wait there.
 func (c *choice) result(now, latestStart time.Duration) (*agent, time.Duration) {
-	if c.best.agent == nil {
-		return c.waiting.agent, c.waiting.wait
+	chosen := c.best
+	if chosen.agent == nil {
+		chosen = c.waiting
 	}
-	if c.occupied > 0 && c.occupiedCost < c.best.cost && now+c.best.cost > latestStart && now+c.occupiedCost <= latestStart {
-		// The task can be in time only at an upstream that is still occupied.
+	if c.occupied > 0 && c.occupiedCost < chosen.cost && now+chosen.cost > latestStart && now+c.occupiedCost <= latestStart {
+		// The task can be in time only at an upstream that is still occupied for longer.
 		return nil, 0
 	}
-	return c.best.agent, c.best.wait
+	return chosen.agent, chosen.wait
 }
