Bound requests for the options of a server too

TestServerOptionsAreProtected failed before. Of headers with very many fields, those that the server's libraries read are kept as well.

--- a/internal/receiver/conns.go
+++ b/internal/receiver/conns.go
@@ -54,6 +54,8 @@
 
 // Protect makes a server use the receiver for its requests and connections.
 func (r *Receiver) Protect(s *http.Server) {
+	// The server would handle "OPTIONS *" without the receiver, and read its body for any time.
+	s.DisableGeneralOptionsHandler = true
 	s.Handler, s.ConnState, s.ConnContext = r.Wrap(s.Handler), r.ConnState, prober.WithConn
 }
 
--- a/internal/receiver/conns_test.go
+++ b/internal/receiver/conns_test.go
@@ -24,7 +24,7 @@
 	s := newTestServer(t, Limits{MaxBytes: 4 * bodyLimit, MaxConns: 2}, time.Second)
 	admitted := s.dial()
 	admitted.send("GET", "/admitted", 0, 0)
-	s.await("admission", func() bool { return len(s.receiver.conns) == 0 })
+	s.await("admission", func() bool { return s.hijacked.Load() == 1 && len(s.receiver.conns) == 0 })
 	first, second := s.dial(), s.dial()
 	for i, c := range []*client{first, second} {
 		c.send("GET", "/hijacked", 0, 0)
@@ -63,3 +63,14 @@
 		t.Errorf("a single body is answered %s, want %s", got, want)
 	}
 }
+
+// TestServerOptionsAreProtected guards against requests that the server answers without the receiver: their
+// bodies were awaited for any time.
+func TestServerOptionsAreProtected(t *testing.T) {
+	s := newTestServer(t, Limits{MaxBytes: 4 * bodyLimit}, 100*time.Millisecond)
+	c := s.dial()
+	c.send("OPTIONS", "*", 2, 1)
+	if got := c.answer(); !strings.HasPrefix(got, "408") {
+		t.Errorf("a request for the server's options whose body stalls is answered %s", got)
+	}
+}
--- a/internal/receiver/header.go
+++ b/internal/receiver/header.go
@@ -12,7 +12,7 @@
 // keptFields has the names of the fields that are kept of a header with more than maxFields: those that handlers and the
 // server read.
 var keptFields = map[string]bool{
-	"Connection": true, "Content-Length": true, "Content-Type": true, "Expect": true, "Sec-Websocket-Extensions": true, "Sec-Websocket-Key": true,
+	"Accept": true, "Accept-Encoding": true, "Connection": true, "Content-Length": true, "Content-Type": true, "Expect": true, "Origin": true, "Sec-Websocket-Extensions": true, "Sec-Websocket-Key": true,
 	"Sec-Websocket-Protocol": true, "Sec-Websocket-Version": true, "Upgrade": true, "X-Deadline-Ms": true,
 }
 
