Close connections whose bodies stall before those of others

A connection counted as one with a request as soon as the header had arrived, so that callers who sent a header and one byte held all places for 3 s and new connections were closed at once. It counts as one without a request until its body has been received, and moves back in the order with each 4 KB of it. Found by a review; TestStalledBodiesAreReplaced failed before.

--- a/internal/receiver/body.go
+++ b/internal/receiver/body.go
@@ -4,10 +4,13 @@
 	"container/list"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/juju/errors"
+
+	"sardinelock.dev/sardinelock/internal/prober"
 )
 
 const (
@@ -35,6 +38,7 @@
 type Body struct {
 	receiver *Receiver
 	cut      context.CancelCauseFunc
+	conn     net.Conn      // conn is the connection on which the body arrives.
 	in       *list.List    // in is the list of the receiver that has the body; nil once the body is received or cut off.
 	element  *list.Element // element is that of the list.
 	isCut    bool
@@ -65,7 +69,7 @@
 	}
 	ctx, cut := context.WithCancelCause(req.Context())
 	defer cut(nil)
-	b := &Body{receiver: r, cut: cut}
+	b := &Body{receiver: r, cut: cut, conn: prober.Conn(req.Context())}
 	timer := time.AfterFunc(timeout, func() { cut(errTooSlow) })
 	defer timer.Stop()
 	disarm := context.AfterFunc(ctx, func() { abortReads(w) })
@@ -76,6 +80,7 @@
 		err = r.reserve(ctx, b, min(decoded(b.data), r.limits.MaxBytes/maxDecodedDivisor))
 	}
 	r.end(b)
+	r.serving(b.conn)
 	if !disarm() {
 		// The connection cannot be read any more, also if the whole body has just arrived.
 		if in, ok := req.Body.(*incoming); ok {
@@ -156,6 +161,7 @@
 func (r *Receiver) progressed(b *Body) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.progressedOn(b.conn)
 	if b.in == nil {
 		return
 	}
--- a/internal/receiver/conns.go
+++ b/internal/receiver/conns.go
@@ -108,6 +108,13 @@
 	}
 }
 
+// progressedOn notes that more of a body has arrived on a connection, so that others are closed first.
+func (r *Receiver) progressedOn(c net.Conn) {
+	if e := r.conns[c]; e != nil {
+		r.waiting.MoveToBack(e)
+	}
+}
+
 // returned notes that the handler of a request on a connection has returned. One that was taken from the
 // server counts no longer.
 func (r *Receiver) returned(c net.Conn) {
--- a/internal/receiver/conns_test.go
+++ b/internal/receiver/conns_test.go
@@ -64,6 +64,21 @@
 	}
 }
 
+// TestStalledBodiesAreReplaced guards against callers that keep the places of all others by sending a header
+// and a part of the body.
+func TestStalledBodiesAreReplaced(t *testing.T) {
+	s := newTestServer(t, Limits{MaxBytes: 4 * bodyLimit, MaxConns: 3}, time.Second)
+	for range 3 {
+		s.dial().send("POST", "/", 2, 1)
+	}
+	s.await("three connections", func() bool { return len(s.receiver.conns) == 3 })
+	c := s.dial()
+	c.send("POST", "/", 1, 1)
+	if got, want := c.answer(), "200 1"; got != want {
+		t.Errorf("a request beside stalled bodies is answered %s, want %s", got, want)
+	}
+}
+
 // TestServerOptionsAreProtected guards against requests that the server answers without the receiver: their
 // bodies were awaited for any time.
 func TestServerOptionsAreProtected(t *testing.T) {
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -59,13 +59,16 @@
 func (r *Receiver) Wrap(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		c := prober.Conn(req.Context())
-		r.serving(c)
 		defer r.returned(c)
 		dropFields(req)
 		if req.ContentLength == 0 {
+			r.serving(c)
 			h.ServeHTTP(w, req)
 			return
 		}
+		// Until its body has been received, the connection counts as one without a request, so that callers
+		// whose bodies stall do not keep the places of others.
+		defer r.serving(c)
 		in := &incoming{ReadCloser: req.Body}
 		out := &answer{ResponseWriter: w, in: in}
 		// The server examines the body in its own copy of the request.
