Let only the platform confirm what is evacuated

After a pause, a frame of an agent confirmed the version in force, and after a start the first version of any peer counted as confirmed. An agent may know only what this entry has told it, or may have been cut off, so that an entry could launch tasks in a data centre whose evacuation it had missed while the store was slow.

--- a/internal/assigner/job.go
+++ b/internal/assigner/job.go
@@ -25,10 +25,10 @@
 	launched     bool  // whether a task was sent to an agent
 	launchAt     time.Duration
 	lastLaunchAt time.Duration // when a task was last launched
-	ran          bool // whether a task may have run
-	running      int  // number of tasks that may be running
-	withoutPlace bool // whether a waiting task has no upstream left that is not being evacuated
-	answered     bool // an answered job is kept until none of its tasks may be running
+	ran          bool          // whether a task may have run
+	running      int           // number of tasks that may be running
+	withoutPlace bool          // whether a waiting task has no upstream left that is not being evacuated
+	answered     bool          // an answered job is kept until none of its tasks may be running
 	// probedAt is when the caller's connection was last probed, and gone what that showed.
 	probedAt    time.Duration
 	gone        bool
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -159,7 +159,7 @@
 	b.background, b.stop = context.WithCancel(context.Background())
 	b.loop = controller.NewOnClock(timer.NewBootTimeClock(), b.flush)
 	// A pause before the control thread runs for the first time counts from here on.
-	b.evacuations.evacuator.Advance(b.loop.Elapsed(b.loop.Now()))
+	b.evacuations.evacuator.Start(b.loop.Elapsed(b.loop.Now()))
 	b.entriesKnown(b.loop.Now(), s.Entries)
 	identity := meter.Identity{Role: string(messenger.RoleEntry), Peer: string(b.peer), Region: s.Region, DataCentre: s.DataCentre}
 	if b.meter, err = meter.New(identity, meter.Sources{Traffic: &b.counts, Busy: b.loop.Busy, Entry: b.entryState}); err != nil {
--- a/internal/broker/evacuations.go
+++ b/internal/broker/evacuations.go
@@ -47,7 +47,9 @@
 	b.loop.Post(func(now time.Time) {
 		asOf := b.loop.Elapsed(requestedAt)
 		b.applyEvacuations(now, e, asOf, "platform")
-		b.confirmEvacuations(asOf, "platform")
+		if b.evacuations.evacuator.Confirm(asOf) {
+			b.settings.Journal.Line("evacuations-confirmed").Uint64("evacuations-version", b.evacuations.evacuator.Version()).Msg("")
+		}
 	})
 }
 
@@ -71,14 +73,8 @@
 	}
 }
 
-func (b *Broker) confirmEvacuations(asOf time.Duration, source string) {
-	if b.evacuations.evacuator.Confirm(asOf) {
-		b.settings.Journal.Line("evacuations-confirmed").Uint64("evacuations-version", b.evacuations.evacuator.Version()).Str("source", source).Msg("")
-	}
-}
-
-// receiveEvacuations applies what a peer tells of evacuations. A frame of an agent that has the version in
-// force, and echoes a clock from after a pause of this entry, confirms that version.
+// receiveEvacuations applies what a peer tells of evacuations. It does not confirm the version in force: the
+// peer may know only what this entry has told it.
 func (b *Broker) receiveEvacuations(now time.Time, c *connector.Conn, f *messenger.Frame) {
 	v := &b.evacuations
 	if v.evacuator == nil {
@@ -88,9 +84,6 @@
 		v.recipients.Heard(c, f.Evacuations.Version)
 		b.applyEvacuations(now, *f.Evacuations, b.loop.Elapsed(now)-f.Evacuations.Age, string(c.Hello().Peer))
 	}
-	if f.Stamp != nil && c.Hello().Role == messenger.RoleAgent && v.recipients.Has(c, v.evacuator.Version()) {
-		b.confirmEvacuations(f.Stamp.Echo, string(c.Hello().Peer))
-	}
 }
 
 // advanceEvacuations notices pauses of this entry, and tells the peers of a new version before anything is
--- a/internal/broker/evacuations_test.go
+++ b/internal/broker/evacuations_test.go
@@ -57,10 +57,10 @@
 	return may, version
 }
 
-// TestAgentConfirmsAfterPause checks that an entry that was paused launches nothing on a frame of an agent that
-// may be from before the pause, and goes on with one that echoes a later clock. The store is silent. Versions of
-// the agent that arrive out of order have no effect.
-func TestAgentConfirmsAfterPause(t *testing.T) {
+// TestAgentDoesNotConfirmAfterPause checks that an entry that was paused launches nothing on what an agent tells
+// it, also after the pause: the agent may have heard of evacuations from this entry only. Versions of the agent that
+// arrive out of order have no effect.
+func TestAgentDoesNotConfirmAfterPause(t *testing.T) {
 	const pause = 300 * time.Millisecond
 	w := newAgentWorld(t, &evacuator.Limits{PauseLimit: pause, ConfirmTimeout: time.Minute})
 	c := w.dial("agent-1")
@@ -68,24 +68,25 @@
 	for _, version := range []uint64{5, 7, 6} {
 		c.Send(&messenger.Frame{Evacuations: &messenger.Evacuations{Version: version, DataCentres: []string{"dc-1"}}})
 	}
-	w.await("version 7", func() bool { may, version := w.broker.mayStart(); return may && version == 7 })
-	var echo time.Duration
-	w.broker.loop.Call(func(now time.Time) {
-		echo = w.broker.loop.Elapsed(now)
-		time.Sleep(pause)
-	})
+	w.await("version 7", func() bool { _, version := w.broker.mayStart(); return version == 7 })
+	if may, _ := w.broker.mayStart(); may {
+		t.Error("tasks may be started on the version of a peer, before the platform has answered")
+	}
+	confirm := func() bool {
+		// The test itself may be paused, so that the answer is repeated.
+		w.broker.OfferEvacuations(messenger.Evacuations{Version: 7, DataCentres: []string{"dc-1"}}, w.broker.Now())
+		may, _ := w.broker.mayStart()
+		return may
+	}
+	w.await("a start after an answer of the platform", confirm)
+	w.broker.loop.Call(func(time.Time) { time.Sleep(pause) })
 	w.await("the notice of the pause", func() bool { may, _ := w.broker.mayStart(); return !may })
-	c.Send(&messenger.Frame{Stamp: &messenger.Stamp{Clock: 2 * time.Second, Echo: echo}})
+	var echo time.Duration
+	w.broker.loop.Call(func(now time.Time) { echo = w.broker.loop.Elapsed(now) })
+	c.Send(&messenger.Frame{Stamp: &messenger.Stamp{Clock: 3 * time.Second, Echo: echo}})
 	time.Sleep(pause / 3)
 	if may, _ := w.broker.mayStart(); may {
-		t.Error("tasks may be started after a frame that may be from before the pause")
+		t.Error("tasks may be started on a frame of an agent")
 	}
-	// The test itself may be paused again, so that the frame is repeated.
-	w.await("a start after a later frame", func() bool {
-		w.broker.loop.Call(func(now time.Time) { echo = w.broker.loop.Elapsed(now) })
-		c.Send(&messenger.Frame{Stamp: &messenger.Stamp{Clock: 3 * time.Second, Echo: echo}})
-		time.Sleep(10 * time.Millisecond)
-		may, version := w.broker.mayStart()
-		return may && version == 7
-	})
+	w.await("a start after a later answer of the platform", confirm)
 }
--- a/internal/evacuator/evacuator.go
+++ b/internal/evacuator/evacuator.go
@@ -103,6 +103,15 @@
 	return now - e.confirmedAt
 }
 
+// Start applies that the process starts. The first version that it hears of may be that of a peer that was cut
+// off, so it must be confirmed like the one in force after a pause.
+func (e *Evacuator) Start(now time.Duration) {
+	if e != nil {
+		e.advancedAt = now
+		e.unconfirmedSince = max(now, 1)
+	}
+}
+
 // Advance applies that the process runs. It reports whether the process was paused, so that the version in
 // force must be confirmed.
 func (e *Evacuator) Advance(now time.Duration) (paused bool) {
--- a/internal/evacuator/recipients.go
+++ b/internal/evacuator/recipients.go
@@ -27,12 +27,6 @@
 	}
 }
 
-// Has reports whether the other side of a connection is known to have a version, or a higher one.
-func (r *Recipients[C]) Has(c C, version uint64) bool {
-	known, ok := r.versions[c]
-	return ok && known >= version
-}
-
 // Due returns the connections on which a version must be sent now, in no order.
 func (r *Recipients[C]) Due(version uint64) (due []C) {
 	if version == r.sent && !r.added {
