--- a/internal/receiver/header.go
+++ b/internal/receiver/header.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 )
 
@@ -9,16 +10,16 @@
 // bytes more than its text, so that a header of 16 KiB may take 200 KB.
 const maxFields = 64
 
-// keptFields has the names of the fields that are kept of a header with more than maxFields: those that handlers and the
-// server read.
-var keptFields = map[string]bool{
-	"Accept": true, "Accept-Encoding": true, "Connection": true, "Content-Length": true, "Content-Type": true, "Expect": true, "Origin": true, "Sec-Websocket-Extensions": true, "Sec-Websocket-Key": true,
-	"Sec-Websocket-Protocol": true, "Sec-Websocket-Version": true, "Upgrade": true, "X-Deadline-Ms": true,
+// keptFields has the names of the fields that are kept of a header with more than maxFields, beside those of
+// [Limits]: those that the server and the libraries of handlers read.
+var keptFields = []string{
+	"Accept", "Accept-Encoding", "Connection", "Content-Length", "Content-Type", "Expect", "Origin",
+	"Sec-Websocket-Extensions", "Sec-Websocket-Key", "Sec-Websocket-Protocol", "Sec-Websocket-Version", "Upgrade",
 }
 
 // dropFields replaces a header of very many fields by one of the fields that are read. The request must be
 // that of the server, which keeps it until it is answered.
-func dropFields(req *http.Request) {
+func (r *Receiver) dropFields(req *http.Request) {
 	if len(req.Trailer) > maxFields {
 		req.Trailer = nil
 	}
@@ -30,7 +31,7 @@
 		return
 	}
 	kept := make(http.Header)
-	for name := range keptFields {
+	for _, name := range slices.Concat(keptFields, r.limits.KeptFields) {
 		values := req.Header[name]
 		for _, v := range values[:min(len(values), maxFields)] {
 			kept[name] = append(kept[name], strings.Clone(v))
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -26,6 +26,9 @@
 	MaxBytes int64
 	// MaxConns is the largest number of open connections; 0 sets no limit.
 	MaxConns int
+	// KeptFields has the names, in canonical form, of header fields that handlers read. Of a header with very
+	// many fields, only these and those of the protocol are kept.
+	KeptFields []string
 }
 
 // Receiver bounds what one HTTP server holds for its callers. It is safe for concurrent use.
@@ -60,7 +63,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		c := prober.Conn(req.Context())
 		defer r.returned(c)
-		dropFields(req)
+		r.dropFields(req)
 		if req.ContentLength == 0 {
 			r.serving(c)
 			h.ServeHTTP(w, req)
