--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -38,9 +38,9 @@
 // scheduled after tasks that are late.
 const distantSlack = 3 * time.Second
 
-// isUrgent reports whether a task can still be in time, but cannot wait for long. The first tasks of a job
-// must be able to start some time before the latest start, unless overload is not the reason for a lack of
-// capacity.
+// isUrgent reports whether a task can still be in time, but cannot wait for long. For the first tasks of a job
+// that includes a margin. There is none while a queue is hazardous: capacity is then short because of
+// its tasks, and their placement has rules of its own.
 func (a *Assigner) isUrgent(now time.Duration, t *task) bool {
 	latest := t.latestStart()
 	if !t.job.launched && !a.confining {
--- a/internal/assigner/wait.go
+++ b/internal/assigner/wait.go
@@ -26,8 +26,8 @@
 )
 
 // beginMarginPercent is the time before the latest start of a job's first tasks from which jobs with more time
-// come first, as a share of the expected run time, which is off by as much. Under overload the most urgent jobs
-// would all begin at their latest start otherwise, and half of them would be late: 40% of the jobs in a burst.
+// come first, as a share of the expected run time, which may be off by as much. Under overload jobs would
+// otherwise begin at their latest start, and 40% of them were late in a burst.
 const beginMarginPercent = 30
 
 // beginMargin returns that time for a task. It is half of the job's slack at most, so that jobs with little
