Tell rejections for lack of capacity from others

The log line of a rejected job now has the number of upstreams that were free for it, as far as the entry knew, and the tasks that waited at the entry. A counter has the jobs that were rejected while an upstream was free.

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -108,6 +108,7 @@
 	Elapsed    time.Duration
 	Launched   bool          // whether a task was sent to an agent
 	QueueTime  time.Duration // time until the first launch, or until the answer if there was none
+	Shortage   Shortage      // of a rejected job
 }
 
 // Decision is a decision to be logged.
--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -35,6 +35,7 @@
 //	crash-uncertain ...                      the same, not certain for the runs
 //	queue NAME                               sets the queue of the jobs that are submitted next
 //	log                                      prints decisions about crashes and hazards from then on
+//	shortage                                 prints what was free and pending at each answer from then on
 //	step TASKS CPU DECLARED LABEL            adds a step to the next jobs, which starts after the others are done
 //	max-per-upstream N                       bounds the tasks of the next jobs at one upstream; 0 sets no limit
 //	slowdown FACTOR                          sets the allowed slowdown of the next jobs, 1.6 at first
@@ -96,6 +97,7 @@
 	dataCentre     string          // dataCentre is that of the agents that connect next.
 	gone           map[uint64]bool // gone has the tickets of the callers whose connections have ended.
 	logged         bool            // logged is set if decisions about crashes and hazards are printed.
+	shortage       bool            // shortage is set if the shortage at each answer is printed.
 }
 
 func (s *script) peer(instance string) messenger.Peer {
@@ -175,6 +177,8 @@
 		s.timeout = scripter.Duration(s.t, a[0])
 	case "log":
 		s.logged = true
+	case "shortage":
+		s.shortage = true
 	case "leave":
 		s.assigner.CallerLeft(s.now, a[0], uint64(scripter.Number(s.t, a[1])))
 	case "gone":
@@ -282,6 +286,9 @@
 	}
 	for _, a := range out.Answers {
 		fmt.Fprintf(&s.out, "answer %d: %s %s\n", a.Ticket, a.Outcome, a.Reason)
+		if s.shortage {
+			fmt.Fprintf(&s.out, "%d upstreams free, %d tasks pending\n", a.Shortage.FreeUpstreams, a.Shortage.PendingTasks)
+		}
 	}
 	for _, id := range out.Recalled {
 		fmt.Fprintf(&s.out, "recalled %s\n", id)
--- a/internal/assigner/job.go
+++ b/internal/assigner/job.go
@@ -36,8 +36,9 @@
 	recalled    bool          // whether another entry waits until none of its tasks may be running
 	elsewhere   bool          // whether an earlier submission may run at another entry
 	baseRun     uint64
-	replacement *job  // resubmission of the same ID, admitted once this job is removed
-	size        int64 // memory that the job takes; part of Assigner.held until the job is answered
+	replacement *job     // resubmission of the same ID, admitted once this job is removed
+	size        int64    // memory that the job takes; part of Assigner.held until the job is answered
+	shortage    Shortage // shortage is set when the job is rejected.
 }
 
 // state is the state of a task.
@@ -281,6 +282,7 @@
 		a.rejectingAt = now
 	}
 	a.rejectedAt = now
+	j.shortage = a.shortage(now, j)
 	a.finish(now, j, OutcomeRejected, reason, a.retryDelay(max(wait, now-a.rejectingAt)))
 }
 
@@ -322,6 +324,7 @@
 	a.out.Answers = append(a.out.Answers, Answer{
 		Ticket: j.Ticket, Job: j.ID, Queue: j.Queue, Outcome: o, Reason: reason,
 		RetryAfter: retryAfter, Elapsed: now - j.arrived, QueueTime: waited, Launched: j.launched,
+		Shortage: j.shortage,
 	})
 }
 
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -379,9 +379,16 @@
 	if a.Launched {
 		b.meter.Started(a.Queue, a.QueueTime)
 	}
-	b.settings.Journal.Line("job-"+string(a.Outcome)).Str("job", a.Job).Str("queue", a.Queue).
+	line := b.settings.Journal.Line("job-"+string(a.Outcome)).Str("job", a.Job).Str("queue", a.Queue).
 		Str("reason", a.Reason).Dur("took", a.Elapsed).Dur("waited", a.QueueTime).
-		Dur("retry-after", a.RetryAfter).Uint64("config-version", b.version()).Msg("")
+		Dur("retry-after", a.RetryAfter).Uint64("config-version", b.version())
+	if a.Outcome == assigner.OutcomeRejected {
+		line.Int("free-upstreams", a.Shortage.FreeUpstreams).Int("pending-tasks", a.Shortage.PendingTasks)
+		if a.Shortage.FreeUpstreams > 0 {
+			b.meter.RejectedWhileFree(a.Queue)
+		}
+	}
+	line.Msg("")
 	if w := b.waiters[a.Ticket]; w != nil {
 		delete(b.waiters, a.Ticket)
 		w <- a
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -43,6 +43,7 @@
 	verdicts         metric.Int64Counter
 	storeCalls       metric.Int64Counter
 	crashedRuns      metric.Int64Counter
+	rejectedFree     metric.Int64Counter
 	recalls          metric.Int64Counter
 	inquiries        metric.Int64Counter
 
@@ -125,6 +126,11 @@
 	m.queueTimes.Record(context.Background(), waited.Seconds(), m.queueOptions.get(service, serviceAttributes).record...)
 }
 
+// RejectedWhileFree records a job that was rejected although an upstream had free capacity for one of its tasks.
+func (m *Meter) RejectedWhileFree(service string) {
+	m.rejectedFree.Add(context.Background(), 1, m.queueOptions.get(service, serviceAttributes).add...)
+}
+
 // Crashed records a run that ended because its upstream crashed.
 func (m *Meter) Crashed(service string) {
 	m.crashedRuns.Add(context.Background(), 1, m.queueOptions.get(service, serviceAttributes).add...)
@@ -177,6 +183,7 @@
 	m.verdicts = r.counter("sardinelock.objective.events", "Answers by what they are for each objective of their service.")
 	m.storeCalls = r.counter("sardinelock.store.calls", "Tries of calls of the platform's services.")
 	m.crashedRuns = r.counter("sardinelock.task.crashes", "Runs of tasks that ended because their upstream crashed.")
+	m.rejectedFree = r.counter("sardinelock.job.rejections-while-free", "Jobs rejected although an upstream had free capacity for a task.")
 	m.recalls = r.counter("sardinelock.job.recalls", "Jobs that were submitted here while another entry had them open.")
 	m.inquiries = r.counter("sardinelock.job.inquiries", "Jobs whose requests were read late, and about which the other entries were asked.")
 	r.observe(s)
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -62,6 +62,7 @@
 	m.Request("MADE-UP-TOO", "", 405, time.Second)
 	m.StoreCall("read", "unavailable")
 	m.Crashed("quote")
+	m.RejectedWhileFree("quote")
 	m.Recalled("ended")
 	m.Inquired("unanswered")
 	want := []string{
@@ -81,6 +82,7 @@
 		`sardinelock_job_inquiries_total{outcome="unanswered"} 1`,
 		`sardinelock_job_queue_time_seconds_sum{service="quote"} 0.02`,
 		`sardinelock_job_recalls_total{outcome="ended"} 1`,
+		`sardinelock_job_rejections_while_free_total{service="quote"} 1`,
 		`sardinelock_jobs{state="answered"} 3`,
 		`sardinelock_jobs{state="open"} 2`,
 		`sardinelock_objective_budget_ratio{objective="latency",service="quote"} 0.25`,
@@ -97,6 +99,7 @@
 	got := scrape(t, m, "http_server_request_duration_seconds_count", "sardinelock_certificate", "sardinelock_config",
 		"sardinelock_control", "sardinelock_draining", "sardinelock_job_answers", `sardinelock_job_duration_seconds_bucket{outcome="failed",service="quote",le="0.25"}`,
 		`sardinelock_job_duration_seconds_bucket{outcome="failed",service="quote",le="0.5"}`, "sardinelock_job_queue_time_seconds_sum", "sardinelock_job_recalls", "sardinelock_job_inquiries",
+		"sardinelock_job_rejections",
 		"sardinelock_jobs", "sardinelock_objective", "sardinelock_partition", `sardinelock_peer_bytes_total{type="start"}`,
 		`sardinelock_peer_messages_total{type="start"}`, "sardinelock_store", "sardinelock_task")
 	if diff := cmp.Diff(want, got); diff != "" {
