Let other tasks use upstreams that are too slow for a deferred one

A task that can only be in time at an occupied, faster upstream is deferred although slower upstreams are free. It was counted as one for which there is no capacity. So tasks that need at least as much were not tried, and the deferred task itself was rejected as "overtaken" once its latest start had passed, some 0.1 to 2 ms later, while 1 to 8 upstreams were free.

A deferred task no longer stands for others, and is not displaced: it is launched at a free upstream once no faster one can complete the job in time.

--- a/internal/assigner/choice.go
+++ b/internal/assigner/choice.go
@@ -38,15 +38,23 @@
 	}
 }
 
-// result returns the agent for a task with the given latest start, or nil, and the expected wait there.
-func (c *choice) result(now, latestStart time.Duration) (*agent, time.Duration) {
-	chosen := c.best
-	if chosen.agent == nil {
-		chosen = c.waiting
+// chosen is the result of a choice.
+type chosen struct {
+	agent *agent        // agent is nil if the task is not launched now.
+	wait  time.Duration // wait is how long the task is expected to wait at the agent.
+	// deferred reports that a task without an agent could be launched, but can be in time only at an upstream that
+	// is still occupied for longer.
+	deferred bool
+}
+
+// result returns the agent for a task with the given latest start.
+func (c *choice) result(now, latestStart time.Duration) chosen {
+	p := c.best
+	if p.agent == nil {
+		p = c.waiting
 	}
-	if c.occupied > 0 && c.occupiedCost < chosen.cost && now+chosen.cost > latestStart && now+c.occupiedCost <= latestStart {
-		// The task can be in time only at an upstream that is still occupied for longer.
-		return nil, 0
+	if p.agent != nil && c.occupied > 0 && c.occupiedCost < p.cost && now+p.cost > latestStart && now+c.occupiedCost <= latestStart {
+		return chosen{deferred: true}
 	}
-	return chosen.agent, chosen.wait
+	return chosen{agent: p.agent, wait: p.wait}
 }
--- a/internal/assigner/job.go
+++ b/internal/assigner/job.go
@@ -64,6 +64,11 @@
 	run      uint64
 	failures int
 	returns  int // number of launches that an agent returned
+	// maxWait is the longest expected wait at an agent with which the task is launched, as of the latest pass.
+	maxWait time.Duration
+	// deferred reports whether the latest pass has not launched the task at an upstream with free capacity because
+	// the job can only be in time at a faster one.
+	deferred bool
 	// lostAgents is the number of agents that were lost while the task was at them.
 	lostAgents int
 	agent      *agent // where the task is launched; nil if it is not
@@ -403,7 +408,8 @@
 }
 
 // rejectDisplaced rejects the jobs that would be late while tasks that can still be in
-// time find no capacity, because those take precedence.
+// time find no capacity, because those take precedence. Deferred tasks do not compete with them: there is free
+// capacity, and it is used once no faster upstream can complete the job in time.
 func (a *Assigner) rejectDisplaced(now time.Duration) {
 	if (a.lacksCapacity || a.lacksExposed) && !a.settling(now) {
 		a.rejectPending(now, "overtaken", func(t *task) bool {
@@ -411,7 +417,7 @@
 			if t.hazardous {
 				lacking = a.lacksExposed
 			}
-			return lacking && t.latestStart() < now
+			return lacking && t.latestStart() < now && !t.deferred
 		})
 	}
 }
--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -66,6 +66,7 @@
 	a.confining = a.crashes.anyHazard(now)
 	for _, t := range a.pending {
 		a.updateSuspicion(now, t)
+		t.deferred = false
 		t.outstanding = a.outstanding.of(now, t.ref)
 	}
 	others, unscheduled := a.scheduleSelected(now, func(t *task) bool { return a.isUrgent(now, t) })
@@ -83,7 +84,7 @@
 // scheduleSelected launches the pending tasks that are selected. It reports whether any
 // was not selected, and for how many of the selected ones there was no capacity.
 func (a *Assigner) scheduleSelected(now time.Duration, selected func(*task) bool) (skipped bool, unscheduled unscheduledTasks) {
-	failedAttempts, failedLimited := 0, 0
+	failedAttempts, failedLimited, deferred := 0, 0, 0
 	a.unscheduled = a.unscheduled[:0]
 	a.pending = slices.DeleteFunc(a.pending, func(t *task) bool {
 		if !selected(t) {
@@ -97,18 +98,24 @@
 		if t.step.MaxPerUpstream > 0 {
 			failed = &failedLimited
 		}
-		if *failed >= maxFailedAttempts || slices.ContainsFunc(a.unscheduled, t.needsAtLeast) {
+		t.maxWait = a.maxLaunchWait(t)
+		if *failed >= maxFailedAttempts || deferred >= maxFailedAttempts && t.latestStart() >= now || slices.ContainsFunc(a.unscheduled, t.needsAtLeast) {
 			unscheduled.add(t)
 			return false
 		}
-		g, wait := a.choose(now, t)
-		if g == nil {
+		c := a.choose(now, t)
+		if c.agent == nil {
 			unscheduled.add(t)
-			if len(t.outstanding) > 0 {
-				return false
+			switch {
+			case len(t.outstanding) > 0:
+			case c.deferred:
+				// Others may use the free capacity that is too slow for this task.
+				t.deferred = true
+				deferred++
+			default:
+				*failed++
+				a.unscheduled = append(a.unscheduled, t)
 			}
-			*failed++
-			a.unscheduled = append(a.unscheduled, t)
 			return false
 		}
 		if t.job.callerGone(now) {
@@ -116,7 +123,7 @@
 			a.gone = append(a.gone, t.job)
 			return false
 		}
-		a.launch(now, t, g, wait)
+		a.launch(now, t, c.agent, c.wait)
 		return true
 	})
 	return skipped, unscheduled
@@ -139,12 +146,13 @@
 
 // maxFailedAttempts bounds the failed attempts to schedule a task in one pass. Each is for
 // a task that needs less than those before it, or other upstreams. The tasks that have a limit at each
-// upstream have attempts of their own, since these fail although there is capacity.
+// upstream have attempts of their own, since these fail although there is capacity, and so do the tasks that are
+// deferred.
 const maxFailedAttempts = 16
 
-// needsAtLeast reports whether a task needs the same upstreams as another task and at
-// least as many resources. A limit at each upstream is one more need, which only tasks of the same step
-// share.
+// needsAtLeast reports whether a task needs the same upstreams as another task, at
+// least as many resources. A limit at each upstream is one more need, which only tasks of
+// the same step share.
 func (t *task) needsAtLeast(o *task) bool {
 	return t.job.Service == o.job.Service && t.step.Label == o.step.Label && o.step.Resources.Fits(t.step.Resources) &&
 		(t.hazardous || !o.hazardous) && t.suspicion == o.suspicion && (o.step.MaxPerUpstream == 0 || t.step == o.step)
@@ -156,14 +164,14 @@
 const maxCandidates = 24
 
 // choose returns the agent whose upstream is expected to complete the task first, among
-// some of those with free capacity, and the expected wait there. It returns nil if none
+// some of those with free capacity, and the expected wait there. There is no agent if none
 // has free capacity, or if those that do are so slow that the task can be in time only at
 // an upstream that is still occupied. Some tasks may then wait at an occupied one.
-func (a *Assigner) choose(now time.Duration, t *task) (*agent, time.Duration) {
+func (a *Assigner) choose(now time.Duration, t *task) chosen {
 	if g := a.spread(now, t); g != nil {
-		return g, 0
+		return chosen{agent: g}
 	}
-	c := choice{maxWait: a.maxLaunchWait(t)}
+	c := choice{maxWait: t.maxWait}
 	next := 0
 	if len(a.order) > maxCandidates {
 		next = a.random.IntN(len(a.order))
