Try tasks that may wait longer than one without capacity

A pass skipped a task if one that needs as much was not launched before, also if the later one may wait longer at an agent: tasks of begun jobs lost their 8 ms behind a task of a job that had not begun.

--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -151,10 +151,10 @@
 const maxFailedAttempts = 16
 
 // needsAtLeast reports whether a task needs the same upstreams as another task, at
-// least as many resources. A limit at each upstream is one more need, which only tasks of
+// least as many resources and no longer a wait. A limit at each upstream is one more need, which only tasks of
 // the same step share.
 func (t *task) needsAtLeast(o *task) bool {
-	return t.job.Service == o.job.Service && t.step.Label == o.step.Label && o.step.Resources.Fits(t.step.Resources) &&
+	return t.maxWait <= o.maxWait && t.job.Service == o.job.Service && t.step.Label == o.step.Label && o.step.Resources.Fits(t.step.Resources) &&
 		(t.hazardous || !o.hazardous) && t.suspicion == o.suspicion && (o.step.MaxPerUpstream == 0 || t.step == o.step)
 }
 
