Return tasks sooner from agents whose capacity was taken

Under overload several entries launch tasks at the same free capacity. A task that came too late waited for 25 ms at the agent, and then for 50 ms, although no wait was expected; with 27% of the launches returned, half of the jobs of eight tasks were late by that. It now waits for twice the expected wait and 12 ms. While a queue is hazardous the wait is 25 ms as before.

--- a/internal/assigner/agent.go
+++ b/internal/assigner/agent.go
@@ -282,7 +282,7 @@
 	case messenger.EndReturned:
 		t.returns++
 	case messenger.EndRefused:
-		t.heldUntil = now + minAgentWait
+		t.heldUntil = now + refusalDelay
 	case messenger.EndCrashed:
 		a.out.Crashed = append(a.out.Crashed, j.Queue)
 	}
--- a/internal/assigner/outstanding.go
+++ b/internal/assigner/outstanding.go
@@ -11,6 +11,9 @@
 	// outstandingMemory is how long an outstanding start is remembered. It is longer than calls
 	// are carried out late, and than callers wait and submit again.
 	outstandingMemory = time.Minute
+	// refusalDelay is the time after which a task with outstanding starts is launched again at an upstream that
+	// has refused it.
+	refusalDelay = 25 * time.Millisecond
 	// maxOutstanding bounds the outstanding starts that are remembered.
 	maxOutstanding = 16384
 )
--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -56,14 +56,14 @@
 	if len(a.pending) == 0 || a.holding {
 		return
 	}
+	a.updatePriorities(now)
+	a.confining = a.crashes.anyHazard(now)
 	if a.unsorted {
 		slices.SortStableFunc(a.pending, func(x, y *task) int {
 			return cmp.Or(cmp.Compare(x.job.Priority, y.job.Priority), cmp.Compare(x.latestStart(), y.latestStart()), x.ref.Compare(y.ref))
 		})
 		a.unsorted = false
 	}
-	a.updatePriorities(now)
-	a.confining = a.crashes.anyHazard(now)
 	for _, t := range a.pending {
 		a.updateSuspicion(now, t)
 		t.deferred = false
@@ -403,7 +403,7 @@
 		Task: t.ref, Run: t.run, Payload: j.Payload, Resources: t.step.Resources, Service: j.Service,
 		Urgency:         agentNow + t.latestStart() - now,
 		StartBy:         agentNow + startWithin + age/clockSkewDivisor,
-		MaxWait:         minAgentWait << min(t.returns, maxWaitDoublings),
+		MaxWait:         a.maxAgentWait(t, wait),
 		First:           first,
 		ExpectedRunTime: t.expected, Incarnation: g.load.Incarnation, Failures: t.failures, AllowSuspect: a.allowSuspect(&g.load),
 		Priority: j.Priority, Queue: j.Queue,
--- a/internal/assigner/wait.go
+++ b/internal/assigner/wait.go
@@ -17,12 +17,17 @@
 	// for the job is lost if one of them is late.
 	begunLaunchWait = 8 * time.Millisecond
 
-	// minAgentWait is the time that a task may wait at an agent before the agent returns
-	// it, so that it can be scheduled on another upstream with free capacity. The time
-	// doubles with each return, up to maxWaitDoublings times, which bounds the launches of a
+	// takenWait is the time that a task may wait at an agent, in addition to twice the expected wait, before the
+	// agent returns it, so that it can be scheduled on another upstream with free capacity. If no wait was
+	// expected, other entries have taken the capacity that was free, which often happens under overload. The
+	// time doubles with each return, up to maxWaitDoublings times, which bounds the launches of a
 	// task when the view of the load is inaccurate.
-	minAgentWait     = 25 * time.Millisecond
-	maxWaitDoublings = 4
+	takenWait        = 12 * time.Millisecond
+	maxWaitDoublings = 5
+
+	// confinedAgentWait takes the place of takenWait while a queue is hazardous. Few upstreams are then free for
+	// its tasks, and each launch at another one puts more tasks at risk.
+	confinedAgentWait = 25 * time.Millisecond
 )
 
 // beginMarginPercent is the time before the latest start of a job's first tasks from which jobs with more time
@@ -51,6 +56,15 @@
 	return launchWait
 }
 
+// maxAgentWait returns how long a task may wait at the agent to which it is launched, given the expected wait.
+func (a *Assigner) maxAgentWait(t *task, wait time.Duration) time.Duration {
+	longest := takenWait + 2*wait
+	if a.confining {
+		longest = confinedAgentWait
+	}
+	return longest << min(t.returns, maxWaitDoublings)
+}
+
 // isMostUrgent reports whether no queue of the service with recent jobs has a higher priority than a job, and
 // some have a lower one.
 func (a *Assigner) isMostUrgent(j *job) bool {
