Schedule the tasks of jobs that have begun first

Tasks of a job that had begun waited behind those of jobs of the same priority with an earlier latest start, and were late with all work done for the job. They come first now, within a priority, unless a queue is hazardous.

--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -57,10 +57,12 @@
 		return
 	}
 	a.updatePriorities(now)
-	a.confining = a.crashes.anyHazard(now)
+	if confining := a.crashes.anyHazard(now); confining != a.confining {
+		a.confining, a.unsorted = confining, true
+	}
 	if a.unsorted {
 		slices.SortStableFunc(a.pending, func(x, y *task) int {
-			return cmp.Or(cmp.Compare(x.job.Priority, y.job.Priority), cmp.Compare(x.latestStart(), y.latestStart()), x.ref.Compare(y.ref))
+			return cmp.Or(cmp.Compare(x.job.Priority, y.job.Priority), a.compareBegun(x.job, y.job), cmp.Compare(x.latestStart(), y.latestStart()), x.ref.Compare(y.ref))
 		})
 		a.unsorted = false
 	}
@@ -377,6 +379,8 @@
 	j := t.job
 	if !j.launched {
 		j.launched, j.launchAt = true, now
+		// The other tasks of the job come before those of jobs that have not begun.
+		a.unsorted = true
 	}
 	j.lastLaunchAt = now
 	t.run++
--- a/internal/assigner/wait.go
+++ b/internal/assigner/wait.go
@@ -65,6 +65,19 @@
 	return longest << min(t.returns, maxWaitDoublings)
 }
 
+// compareBegun returns a negative number if the tasks of a job come before those of another one with the same
+// priority because it has begun and the other one has not: the work done for a job is lost if one of its tasks
+// is late.
+func (a *Assigner) compareBegun(x, y *job) int {
+	switch {
+	case a.confining || x.launched == y.launched:
+		return 0
+	case x.launched:
+		return -1
+	}
+	return 1
+}
+
 // isMostUrgent reports whether no queue of the service with recent jobs has a higher priority than a job, and
 // some have a lower one.
 func (a *Assigner) isMostUrgent(j *job) bool {
