Release the body of a request whose handler panics

The server recovers panics of handlers, and a panic between Receive and Submit, or of the function that determines the size of a decoded body, kept the memory that was reserved for the body for ever. A body that was being received also stayed among those that may be cut off.

--- a/internal/receiver/body.go
+++ b/internal/receiver/body.go
@@ -73,6 +73,14 @@
 	timer := time.AfterFunc(timeout, func() { cut(errTooSlow) })
 	defer timer.Stop()
 	disarm := context.AfterFunc(ctx, func() { abortReads(w) })
+	received := false
+	// It also runs if the reading or decoded panics, since the server recovers panics of handlers.
+	defer func() {
+		if !received {
+			r.end(b)
+			b.Release()
+		}
+	}()
 	r.begin(b)
 	err := b.read(ctx, req, limit)
 	if err == nil {
@@ -89,9 +97,9 @@
 		err = context.Cause(ctx)
 	}
 	if err != nil {
-		b.Release()
 		return nil, &Error{Op: op, Kind: kindOf(err), Err: err}
 	}
+	received = true
 	return b, nil
 }
 
--- a/internal/receiver/conns_test.go
+++ b/internal/receiver/conns_test.go
@@ -1,6 +1,7 @@
 package receiver
 
 import (
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -64,6 +65,24 @@
 	}
 }
 
+// TestPanicReleasesMemory guards against memory that is held for ever: a panic while the size of a decoded body
+// is determined left its buffer reserved, and the body among those that may be cut off.
+func TestPanicReleasesMemory(t *testing.T) {
+	r := New(Limits{MaxBytes: 4 * bodyLimit})
+	req := httptest.NewRequest("POST", "/", strings.NewReader("x"))
+	func() {
+		defer func() {
+			if recover() == nil {
+				t.Error("no panic")
+			}
+		}()
+		_, _ = r.Receive(httptest.NewRecorder(), req, bodyLimit, time.Second, func([]byte) int64 { panic("decoded") })
+	}()
+	if held, _ := r.holds(); held != 0 || r.small.Len() != 0 {
+		t.Errorf("%d bytes and %d bodies are held, want none", held, r.small.Len())
+	}
+}
+
 // TestStalledBodiesAreReplaced guards against callers that keep the places of all others by sending a header
 // and a part of the body.
 func TestStalledBodiesAreReplaced(t *testing.T) {
