Count memory of bodies as it is acquired, and cut off none without use

A body acquired memory before it was counted. A body that came to wait in between saw that memory as free and cut off nobody, although it was not free. The same happened when memory was released for a body that waited but had not reached the semaphore, and another one took it. Such bodies waited until something else was released or their time was over. Memory is now acquired and counted under one lock, and not past a body that waits.

A body that needed more than the others hold also had these cut off before it was refused itself. Now it is the only one.

The three new tests fail with the earlier decisions (in a scratch copy, since they call a new function): memory is acquired that is not counted; bodies wait for 2 MiB of which 0 will be free; a body is cut off without use.

--- a/internal/receiver/body.go
+++ b/internal/receiver/body.go
@@ -200,32 +200,57 @@
 // reserve reserves memory for a body. If there is too little, it cuts off bodies, possibly this one, and
 // waits until their memory is released.
 func (r *Receiver) reserve(ctx context.Context, b *Body, size int64) error {
-	if !r.memory.TryAcquire(size) {
-		r.wait(b, size)
-		if err := r.memory.Acquire(ctx, size); err != nil {
-			r.take(b, 0)
-			return context.Cause(ctx)
-		}
+	if r.takeFree(b, size) {
+		return nil
+	}
+	if err := r.memory.Acquire(ctx, size); err != nil {
+		r.take(b, 0)
+		return context.Cause(ctx)
 	}
+	// Until the next line, the body still counts as one that waits for this memory.
 	r.take(b, size)
 	return nil
 }
 
-// wait notes that a body waits for memory, and cuts off bodies until there will be enough: the large ones
-// before the small ones, and each kind in the order of the latest progress.
-func (r *Receiver) wait(b *Body, size int64) {
+// takeFree takes memory for a body if enough is free. Otherwise it notes that the body waits for it, and cuts
+// off bodies until there will be enough.
+func (r *Receiver) takeFree(b *Body, size int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	// Memory is acquired and counted under the same lock, and not past a body that waits but has not reached the
+	// semaphore yet. Otherwise a body could wait for memory that nobody was cut off for.
+	if r.wanted == 0 && r.memory.TryAcquire(size) {
+		r.add(b, size)
+		return true
+	}
 	if b.isCut {
-		return
+		return false
 	}
 	b.wants = size
 	r.wanted += size
-	for _, bodies := range []*list.List{&r.large, &r.small} {
-		for bodies.Len() > 0 && r.limits.MaxBytes-r.held+r.leaving < r.wanted {
-			r.cutOff(bodies.Front().Value.(*Body))
+	for _, c := range r.displaced(b) {
+		r.cutOff(c)
+	}
+	return false
+}
+
+// displaced returns the bodies to cut off so that there will be enough for all that wait: the large ones before
+// the small ones, and each kind in the order of the latest progress. If there will not be enough before it is
+// the turn of the body that has just begun to wait, it is the only one, since the others would be cut off
+// without use.
+func (r *Receiver) displaced(waiting *Body) (bodies []*Body) {
+	missing := r.wanted - (r.limits.MaxBytes - r.held + r.leaving)
+	for _, l := range []*list.List{&r.large, &r.small} {
+		for e := l.Front(); e != nil && missing > 0; e = e.Next() {
+			b := e.Value.(*Body)
+			if b == waiting {
+				return []*Body{b}
+			}
+			missing -= b.reserved + b.wants
+			bodies = append(bodies, b)
 		}
 	}
+	return bodies
 }
 
 // cutOff ends the reading of a body.
@@ -244,6 +269,11 @@
 	defer r.mu.Unlock()
 	r.wanted -= b.wants
 	b.wants = 0
+	r.add(b, size)
+}
+
+// add adds memory that was acquired to that of a body.
+func (r *Receiver) add(b *Body, size int64) {
 	b.reserved += size
 	r.held += size
 	if b.isCut {
