Cut off small bodies after all that need larger buffers

TestStalledBodies failed once with 503 for the ordinary job. A body counted as small until it had a buffer of more than 16 KiB and had read 4 KiB into it. 400 stalled bodies that grow at the same time wait for such buffers while they count as small, no large one is left, and the small ones are cut off in the order of their latest progress. An ordinary body waits for memory and makes no progress, so it comes first.

A body now counts by the buffer that it needs from the moment it waits for it. Bodies of up to 4 KiB, those of up to 16 KiB and larger ones are separate. The arrival of the end of a body counts as progress.

Both new tests fail without the change.

--- a/internal/receiver/body.go
+++ b/internal/receiver/body.go
@@ -22,8 +22,10 @@
 	// maxDecodedDivisor bounds what is reserved for a decoded body, as a divisor of the memory for all bodies,
 	// so that a single one is always received.
 	maxDecodedDivisor = 2
-	// smallBody is the size of a buffer up to which a body is cut off only after all larger ones.
-	smallBody = 16 << 10
+	// mediumBody is the largest buffer of a medium body. Bodies with small buffers, of up to firstBuffer, are cut
+	// off after the medium ones, and these after the large ones. Buffers of small bodies alone do not use up the
+	// memory of an entry: it has an eighth of its memory for bodies, and a third for connections, 48 KiB each.
+	mediumBody = 16 << 10
 	// progressBytes is how much of a body must arrive to count as progress.
 	progressBytes = 4 << 10
 )
@@ -44,6 +46,7 @@
 	isCut    bool
 	reserved int64 // reserved is the memory that the body holds.
 	wants    int64 // wants is the memory that the body waits for; 0 once it is cut off.
+	buffer   int64 // buffer is the size of the buffer that the body has or waits for.
 	progress int   // progress is how much has arrived since the last progress of progressBytes.
 	data     []byte
 }
@@ -133,6 +136,8 @@
 		case int64(len(b.data)) > limit:
 			return errTooLarge
 		case err == io.EOF:
+			// A body that has arrived and waits for the memory of the decoded one does not stall.
+			b.receiver.progressed(b)
 			return nil
 		case err != nil:
 			return err
@@ -148,6 +153,7 @@
 	}
 	old := int64(cap(b.data))
 	size := min(max(2*old, firstBuffer), most)
+	b.receiver.enlarge(b, size)
 	if err := b.receiver.reserve(ctx, b, size); err != nil {
 		return err
 	}
@@ -162,7 +168,29 @@
 func (r *Receiver) begin(b *Body) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.move(b, &r.small)
+	r.move(b, r.listFor(b))
+}
+
+// enlarge notes that a body needs a buffer of a size. It counts as one of that size from then on, also while
+// it waits: otherwise the smaller ones would be cut off for it.
+func (r *Receiver) enlarge(b *Body, size int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b.buffer = size
+	if to := r.listFor(b); b.in != nil && b.in != to {
+		r.move(b, to)
+	}
+}
+
+// listFor returns the list for bodies with a buffer of the size of that of a body.
+func (r *Receiver) listFor(b *Body) *list.List {
+	switch {
+	case b.buffer > mediumBody:
+		return &r.large
+	case b.buffer > firstBuffer:
+		return &r.medium
+	}
+	return &r.small
 }
 
 // progressed notes that more of a body has arrived.
@@ -170,14 +198,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.progressedOn(b.conn)
-	if b.in == nil {
-		return
-	}
-	if cap(b.data) > smallBody {
-		r.move(b, &r.large)
-		return
+	if b.in != nil {
+		r.move(b, r.listFor(b))
 	}
-	r.move(b, &r.small)
 }
 
 // end removes a body from those that may be cut off.
@@ -234,13 +257,13 @@
 	return false
 }
 
-// displaced returns the bodies to cut off so that there will be enough for all that wait: the large ones before
-// the small ones, and each kind in the order of the latest progress. If there will not be enough before it is
+// displaced returns the bodies to cut off so that there will be enough for all that wait: those with the
+// larger buffers first, and each kind in the order of the latest progress. If there will not be enough before it is
 // the turn of the body that has just begun to wait, it is the only one, since the others would be cut off
 // without use.
 func (r *Receiver) displaced(waiting *Body) (bodies []*Body) {
 	missing := r.wanted - (r.limits.MaxBytes - r.held + r.leaving)
-	for _, l := range []*list.List{&r.large, &r.small} {
+	for _, l := range []*list.List{&r.large, &r.medium, &r.small} {
 		for e := l.Front(); e != nil && missing > 0; e = e.Next() {
 			b := e.Value.(*Body)
 			if b == waiting {
--- a/internal/receiver/body_test.go
+++ b/internal/receiver/body_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"net/http/httptest"
+	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 )
 
@@ -82,3 +85,52 @@
 		t.Errorf("cut off: %v, %v, want only the body whose memory is enough", other.isCut, small.isCut)
 	}
 }
+
+// TestSmallBodyIsCutOffLast guards against an ordinary job that is refused beside stalled bodies: these counted
+// as small while they waited for larger buffers, and those that had read more since it came were cut off after it.
+func TestSmallBodyIsCutOffLast(t *testing.T) {
+	for _, size := range []int64{8 << 10, 16 << 10, 32 << 10} {
+		const stalled = 400
+		r := New(Limits{MaxBytes: stalled * size})
+		ordinary := newBody(r, 600)
+		var bodies []*Body
+		for range stalled {
+			b := newBody(r, size/2)
+			r.progressed(b)
+			bodies = append(bodies, b)
+		}
+		for _, b := range bodies {
+			r.enlarge(b, size)
+			r.takeFree(b, size)
+		}
+		// It also waits for the memory of the decoded body.
+		r.takeFree(ordinary, 4000)
+		cut := 0
+		for _, b := range bodies {
+			if b.isCut {
+				cut++
+			}
+		}
+		if ordinary.isCut || cut == 0 || cut == stalled {
+			t.Errorf("with buffers of %d bytes, the small body was cut off: %v, and %d of %d larger ones", size, ordinary.isCut, cut, stalled)
+		}
+	}
+}
+
+// TestArrivedBodyIsCutOffLast guards against a body that is cut off, although it has arrived, before those of its
+// size that still stall.
+func TestArrivedBodyIsCutOffLast(t *testing.T) {
+	const size = 600
+	r := New(Limits{MaxBytes: 4 * size})
+	req := httptest.NewRequest("POST", "/", iotest.DataErrReader(strings.NewReader(strings.Repeat("x", size))))
+	req.ContentLength = size
+	arrived := &Body{receiver: r, cut: func(error) {}}
+	r.begin(arrived)
+	stalled := newBody(r, size)
+	if err := arrived.read(t.Context(), req, bodyLimit); err != nil {
+		t.Fatal(err)
+	}
+	if r.takeFree(arrived, 3*size); arrived.isCut || !stalled.isCut {
+		t.Errorf("cut off: %v, %v, want only the body that stalls", arrived.isCut, stalled.isCut)
+	}
+}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -37,10 +37,11 @@
 	memory *semaphore.Weighted // memory has the bytes of all buffers.
 
 	mu sync.Mutex
-	// small and large have the *Body values that are being read and were not cut off, by the size of
+	// small, medium and large have the *Body values that are being read and were not cut off, by the size of
 	// their buffers and in the order of their latest progress.
-	small, large list.List
-	held         int64 // held is the total size of the buffers.
+	small, medium, large list.List
+
+	held int64 // held is the total size of the buffers.
 	// wanted is the memory for which bodies wait, and leaving that of the bodies that were cut off and
 	// have not released it.
 	wanted, leaving int64
