--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -256,7 +256,7 @@
 		if !b.confirmedAt.IsZero() {
 			s.ConfigAge = now.Sub(b.confirmedAt)
 		}
-		s.Evacuations = b.evacuations.state(b.loop.Elapsed(now))
+		s.Evacuations = meter.StateOfEvacuations(b.evacuations.evacuator, b.loop.Elapsed(now))
 	})
 	return s
 }
--- a/internal/broker/evacuations.go
+++ b/internal/broker/evacuations.go
@@ -6,7 +6,6 @@
 	"sardinelock.dev/sardinelock/internal/connector"
 	"sardinelock.dev/sardinelock/internal/evacuator"
 	"sardinelock.dev/sardinelock/internal/messenger"
-	"sardinelock.dev/sardinelock/internal/meter"
 )
 
 // evacuations is what an entry knows of the evacuation of data centres, and the connections on which it
@@ -26,14 +25,6 @@
 	return e
 }
 
-// state returns the values of the metrics.
-func (e *evacuations) state(now time.Duration) *meter.EvacuationState {
-	if e.evacuator == nil {
-		return nil
-	}
-	return &meter.EvacuationState{Version: e.evacuator.Version(), Age: e.evacuator.Age(now), DataCentres: e.evacuator.DataCentres()}
-}
-
 // EvacuationsUnconfirmed returns a channel that receives a value after the entry was paused: it may have
 // missed a request, and launches nothing until the platform or a peer confirms what is in force.
 func (b *Broker) EvacuationsUnconfirmed() <-chan struct{} { return b.evacuations.unconfirmed }
@@ -59,20 +50,12 @@
 	if !applied {
 		return
 	}
-	b.logEvacuations("evacuation-begun", change.Begun, e, b.loop.Elapsed(now)-asOf, source)
-	b.logEvacuations("evacuation-ended", change.Ended, e, b.loop.Elapsed(now)-asOf, source)
+	change.Log(b.settings.Journal, b.loop.Elapsed(now)-asOf, source)
 	if len(change.Begun)+len(change.Ended) > 0 {
 		b.assigner.SetEvacuated(b.loop.Elapsed(now), b.evacuations.evacuator.DataCentres())
 	}
 }
 
-func (b *Broker) logEvacuations(event string, dataCentres []string, e messenger.Evacuations, age time.Duration, source string) {
-	for _, name := range dataCentres {
-		b.settings.Journal.Line(event).Str("data-centre", name).Uint64("evacuations-version", e.Version).
-			Dur("age", age).Str("source", source).Msg("")
-	}
-}
-
 // receiveEvacuations applies what a peer tells of evacuations. It does not confirm the version in force: the
 // peer may know only what this entry has told it.
 func (b *Broker) receiveEvacuations(now time.Time, c *connector.Conn, f *messenger.Frame) {
--- a/internal/evacuator/evacuator.go
+++ b/internal/evacuator/evacuator.go
@@ -45,6 +45,7 @@
 
 // Change is a change of the version in force.
 type Change struct {
+	Version      uint64   // Version is the one that came into force.
 	Begun, Ended []string // Begun and Ended are data centres, in order.
 }
 
@@ -59,7 +60,7 @@
 		return Change{}, false
 	}
 	names := slices.Compact(slices.Sorted(slices.Values(offered.DataCentres)))
-	c = Change{Begun: without(names, e.current.DataCentres), Ended: without(e.current.DataCentres, names)}
+	c = Change{Version: offered.Version, Begun: without(names, e.current.DataCentres), Ended: without(e.current.DataCentres, names)}
 	e.current = messenger.Evacuations{Version: offered.Version, DataCentres: names}
 	return c, true
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -180,7 +180,7 @@
 		s.State = messenger.UpstreamState(k.runner.State(k.loop.Elapsed(now)))
 		s.UpstreamCrashes = k.runner.Crashes()
 		s.Entries = len(k.conns)
-		s.Evacuations = k.evacuationState(k.loop.Elapsed(now))
+		s.Evacuations = meter.StateOfEvacuations(k.evacuator, k.loop.Elapsed(now))
 	})
 	return s
 }
--- a/internal/meter/evacuation.go
+++ b/internal/meter/evacuation.go
@@ -1,6 +1,20 @@
 package meter
 
-import "go.opentelemetry.io/otel/metric"
+import (
+	"time"
+
+	"go.opentelemetry.io/otel/metric"
+
+	"sardinelock.dev/sardinelock/internal/evacuator"
+)
+
+// StateOfEvacuations returns what an evacuator knows; nil if the deployment has no evacuations.
+func StateOfEvacuations(e *evacuator.Evacuator, now time.Duration) *EvacuationState {
+	if e == nil {
+		return nil
+	}
+	return &EvacuationState{Version: e.Version(), Age: e.Age(now), DataCentres: e.DataCentres()}
+}
 
 // evacuationGauges report what a process knows of the evacuation of data centres.
 type evacuationGauges struct{ evacuated, version, age metric.Float64ObservableGauge }
