Ask for evacuated upstreams in one way

usable and outlook read the field that has the entry's own knowledge, where other code also counts upstreams that report the state evacuated. The results are the same, since both accept only the states ready and probing, or ready. They call isEvacuated now.

--- a/internal/assigner/exposure.go
+++ b/internal/assigner/exposure.go
@@ -139,7 +139,7 @@
 
 // usable reports whether an upstream runs tasks.
 func (a *Assigner) usable(now time.Duration, g *agent) bool {
-	return (g.load.State == messenger.RunnerReady || g.load.State == messenger.RunnerProbing) && !g.evacuated && !a.suspect(now, g)
+	return (g.load.State == messenger.RunnerReady || g.load.State == messenger.RunnerProbing) && !g.isEvacuated() && !a.suspect(now, g)
 }
 
 // allowedBesideHazards reports whether a task may be launched at an agent as far as crashes
--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -328,7 +328,7 @@
 	hazardous := a.crashes.hazardous(now, j.Queue)
 	for _, g := range a.order {
 		l := &g.load
-		if hazardous && !g.exposed || !g.loadKnown || l.Service != j.Service || l.State != messenger.RunnerReady || g.evacuated || a.suspect(now, g) {
+		if hazardous && !g.exposed || !g.loadKnown || l.Service != j.Service || l.State != messenger.RunnerReady || g.isEvacuated() || a.suspect(now, g) {
 			continue
 		}
 		capacity = capacity.Add(l.Capacity)
