Report agents that no entry tells of evacuations as evacuated

An agent with evacuations whose entry has none (EvacuateMs is set for only one of them) knows no state, starts nothing and returned each task. It reported its upstream as ready, so that the entry launched the task there again at once, for ever. It now reports evacuated until it knows a state, and logs evacuations-not-told once when an entry has been connected for the liveness timeout without telling it.

An agent that has just started reports the same until it is told. Entries rejected jobs that only such an agent could run while another data centre was evacuated, so stepMatches now considers only what the entry itself knows.

--- a/internal/assigner/evacuation.go
+++ b/internal/assigner/evacuation.go
@@ -37,7 +37,7 @@
 func (a *Assigner) HoldLaunches(hold bool) { a.holding = hold }
 
 // isEvacuated reports whether no task may be started at an upstream because its data centre is being
-// evacuated, as far as this entry or the agent knows.
+// evacuated, as far as this entry or the agent knows, or because the agent does not know yet.
 func (g *agent) isEvacuated() bool {
 	return g.evacuated || g.load.State == messenger.RunnerEvacuated
 }
@@ -68,7 +68,8 @@
 		if !g.loadKnown || g.load.Service != j.Service || g.load.Capacity == (messenger.Resources{}) {
 			continue
 		}
-		if !g.isEvacuated() && s.matches(&g.load) {
+		// An agent also reports evacuated while it has not been told yet, which is no reason to reject a job.
+		if !g.evacuated && s.matches(&g.load) {
 			return true
 		}
 		known = true
--- a/internal/runner/evacuation.go
+++ b/internal/runner/evacuation.go
@@ -38,6 +38,21 @@
 	}
 }
 
+// warnIfUnknown logs once that no entry tells the agent of evacuations, which it learns at once from one that
+// knows them.
+func (r *Runner) warnIfUnknown(now time.Duration) {
+	if r.evacuation != evacuationUnknown || r.warnedOfUnknown {
+		return
+	}
+	for _, peer := range sortedPeers(r.sessions) {
+		if s := r.sessions[peer]; now-s.openedAt > r.limits.LivenessTimeout {
+			r.warnedOfUnknown = true
+			r.logDecision(Decision{Event: "evacuations-not-told", Reason: "entry " + string(peer) + " has no EvacuateMs, or does not know the evacuations itself", Age: now - s.openedAt})
+			return
+		}
+	}
+}
+
 // logWaiting logs the tasks that are returned, so that the log of a job tells why it was moved.
 func (r *Runner) logWaiting() {
 	for _, t := range r.waiting {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -115,7 +115,9 @@
 	closing bool
 	// evacuation says whether tasks may be started as far as evacuations are concerned.
 	evacuation evacuation
-	warmUp     warmUp
+	// warnedOfUnknown is whether it was logged that no entry tells of evacuations.
+	warnedOfUnknown bool
+	warmUp          warmUp
 	// lease is the latest lease of the upstream's runs, and leaseBeforePoll what it was before
 	// the latest poll.
 	lease, leaseBeforePoll lease
@@ -364,7 +366,8 @@
 		return messenger.RunnerAbsent
 	case r.upstream.Leaving || r.closing:
 		return messenger.RunnerLeaving
-	case r.evacuation == evacuationInForce:
+	case r.evacuation != evacuationNone:
+		// An entry that has no evacuations would launch the tasks that are returned again, for ever.
 		return messenger.RunnerEvacuated
 	}
 	return r.health.state(now)
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -11,6 +11,7 @@
 // session is one connection to an entry.
 type session struct {
 	peer             messenger.Peer
+	openedAt         time.Duration
 	echoed           time.Duration // echoed is the latest stamp of this runner that the entry has echoed.
 	entryStamp       time.Duration // entryStamp is the latest stamp of the entry.
 	launchesReceived uint64        // launchesReceived counts the launches received on the connection.
@@ -35,7 +36,7 @@
 
 // EntryUp begins the session of an entry.
 func (r *Runner) EntryUp(now time.Duration, peer messenger.Peer) {
-	r.sessions[peer] = &session{peer: peer, echoed: now, idleSince: now - r.limits.IdleThreshold, reportDue: true, crashes: r.crashes.recentAt(now), outstanding: r.recentOutstanding(now)}
+	r.sessions[peer] = &session{peer: peer, openedAt: now, echoed: now, idleSince: now - r.limits.IdleThreshold, reportDue: true, crashes: r.crashes.recentAt(now), outstanding: r.recentOutstanding(now)}
 }
 
 // EntryDown ends the session of an entry and stops its tasks.
--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -177,6 +177,7 @@
 	r.checkLease(now)
 	r.retryStops(now)
 	r.advanceWarmUp(now)
+	r.warnIfUnknown(now)
 	r.startWaiting(now)
 	r.report(now)
 	out := r.out
