--- a/internal/receiver/body.go
+++ b/internal/receiver/body.go
@@ -22,8 +22,10 @@
 	// maxDecodedDivisor bounds what is reserved for a decoded body, as a divisor of the memory for all bodies,
 	// so that a single one is always received.
 	maxDecodedDivisor = 2
-	// smallBody is the size of a buffer up to which a body is cut off only after all larger ones.
-	smallBody = 16 << 10
+	// mediumBody is the largest buffer of a medium body. Bodies with small buffers, of up to firstBuffer, are cut
+	// off after the medium ones, and these after the large ones. Buffers of small bodies alone do not use up the
+	// memory of an entry: it has an eighth of its memory for bodies, and a third for connections, 48 KiB each.
+	mediumBody = 16 << 10
 	// progressBytes is how much of a body must arrive to count as progress.
 	progressBytes = 4 << 10
 )
@@ -44,6 +46,7 @@
 	isCut    bool
 	reserved int64 // reserved is the memory that the body holds.
 	wants    int64 // wants is the memory that the body waits for; 0 once it is cut off.
+	buffer   int64 // buffer is the size of the buffer that the body has or waits for.
 	progress int   // progress is how much has arrived since the last progress of progressBytes.
 	data     []byte
 }
@@ -73,6 +76,14 @@
 	timer := time.AfterFunc(timeout, func() { cut(errTooSlow) })
 	defer timer.Stop()
 	disarm := context.AfterFunc(ctx, func() { abortReads(w) })
+	received := false
+	// It also runs if the reading or decoded panics, since the server recovers panics of handlers.
+	defer func() {
+		if !received {
+			r.end(b)
+			b.Release()
+		}
+	}()
 	r.begin(b)
 	err := b.read(ctx, req, limit)
 	if err == nil {
@@ -89,9 +100,9 @@
 		err = context.Cause(ctx)
 	}
 	if err != nil {
-		b.Release()
 		return nil, &Error{Op: op, Kind: kindOf(err), Err: err}
 	}
+	received = true
 	return b, nil
 }
 
@@ -125,6 +136,8 @@
 		case int64(len(b.data)) > limit:
 			return errTooLarge
 		case err == io.EOF:
+			// A body that has arrived and waits for the memory of the decoded one does not stall.
+			b.receiver.progressed(b)
 			return nil
 		case err != nil:
 			return err
@@ -140,6 +153,7 @@
 	}
 	old := int64(cap(b.data))
 	size := min(max(2*old, firstBuffer), most)
+	b.receiver.enlarge(b, size)
 	if err := b.receiver.reserve(ctx, b, size); err != nil {
 		return err
 	}
@@ -154,7 +168,29 @@
 func (r *Receiver) begin(b *Body) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.move(b, &r.small)
+	r.move(b, r.listFor(b))
+}
+
+// enlarge notes that a body needs a buffer of a size. It counts as one of that size from then on, also while
+// it waits: otherwise the smaller ones would be cut off for it.
+func (r *Receiver) enlarge(b *Body, size int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b.buffer = size
+	if to := r.listFor(b); b.in != nil && b.in != to {
+		r.move(b, to)
+	}
+}
+
+// listFor returns the list for bodies with a buffer of the size of that of a body.
+func (r *Receiver) listFor(b *Body) *list.List {
+	switch {
+	case b.buffer > mediumBody:
+		return &r.large
+	case b.buffer > firstBuffer:
+		return &r.medium
+	}
+	return &r.small
 }
 
 // progressed notes that more of a body has arrived.
@@ -162,14 +198,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.progressedOn(b.conn)
-	if b.in == nil {
-		return
-	}
-	if cap(b.data) > smallBody {
-		r.move(b, &r.large)
-		return
+	if b.in != nil {
+		r.move(b, r.listFor(b))
 	}
-	r.move(b, &r.small)
 }
 
 // end removes a body from those that may be cut off.
@@ -192,32 +223,57 @@
 // reserve reserves memory for a body. If there is too little, it cuts off bodies, possibly this one, and
 // waits until their memory is released.
 func (r *Receiver) reserve(ctx context.Context, b *Body, size int64) error {
-	if !r.memory.TryAcquire(size) {
-		r.wait(b, size)
-		if err := r.memory.Acquire(ctx, size); err != nil {
-			r.take(b, 0)
-			return context.Cause(ctx)
-		}
+	if r.takeFree(b, size) {
+		return nil
+	}
+	if err := r.memory.Acquire(ctx, size); err != nil {
+		r.take(b, 0)
+		return context.Cause(ctx)
 	}
+	// Until the next line, the body still counts as one that waits for this memory.
 	r.take(b, size)
 	return nil
 }
 
-// wait notes that a body waits for memory, and cuts off bodies until there will be enough: the large ones
-// before the small ones, and each kind in the order of the latest progress.
-func (r *Receiver) wait(b *Body, size int64) {
+// takeFree takes memory for a body if enough is free. Otherwise it notes that the body waits for it, and cuts
+// off bodies until there will be enough.
+func (r *Receiver) takeFree(b *Body, size int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	// Memory is acquired and counted under the same lock, and not past a body that waits but has not reached the
+	// semaphore yet. Otherwise a body could wait for memory that nobody was cut off for.
+	if r.wanted == 0 && r.memory.TryAcquire(size) {
+		r.add(b, size)
+		return true
+	}
 	if b.isCut {
-		return
+		return false
 	}
 	b.wants = size
 	r.wanted += size
-	for _, bodies := range []*list.List{&r.large, &r.small} {
-		for bodies.Len() > 0 && r.limits.MaxBytes-r.held+r.leaving < r.wanted {
-			r.cutOff(bodies.Front().Value.(*Body))
+	for _, c := range r.displaced(b) {
+		r.cutOff(c)
+	}
+	return false
+}
+
+// displaced returns the bodies to cut off so that there will be enough for all that wait: those with the
+// larger buffers first, and each kind in the order of the latest progress. If there will not be enough before it is
+// the turn of the body that has just begun to wait, it is the only one, since the others would be cut off
+// without use.
+func (r *Receiver) displaced(waiting *Body) (bodies []*Body) {
+	missing := r.wanted - (r.limits.MaxBytes - r.held + r.leaving)
+	for _, l := range []*list.List{&r.large, &r.medium, &r.small} {
+		for e := l.Front(); e != nil && missing > 0; e = e.Next() {
+			b := e.Value.(*Body)
+			if b == waiting {
+				return []*Body{b}
+			}
+			missing -= b.reserved + b.wants
+			bodies = append(bodies, b)
 		}
 	}
+	return bodies
 }
 
 // cutOff ends the reading of a body.
@@ -236,6 +292,11 @@
 	defer r.mu.Unlock()
 	r.wanted -= b.wants
 	b.wants = 0
+	r.add(b, size)
+}
+
+// add adds memory that was acquired to that of a body.
+func (r *Receiver) add(b *Body, size int64) {
 	b.reserved += size
 	r.held += size
 	if b.isCut {
