Offer freed capacity to the entries in turns

An entry was told first of the capacity that its own tasks free, and used it again whatever waited at the other entries. Callers of data centres with fewer entries were served worse in an overload.

Entries now tell agents with their stamps what waits and can still be in time. An agent offers capacity that becomes free to one entry at a time, in turns by the square root of what waits at each. What is left is offered to one other entry and then reported to all where tasks wait.

TestDataCentresShareCapacity passes and is part of the suite, unchanged.

--- a/internal/assigner/agent.go
+++ b/internal/assigner/agent.go
@@ -34,6 +34,10 @@
 	absentSince  time.Duration // when the upstream became absent; 0 if it is not
 	// evacuated is whether the data centre of the agent is being evacuated, as known to this entry.
 	evacuated bool
+	// reportedWaiting is what waits at this entry, as told in the latest frame to the agent. loadReceived is
+	// whether a load report has come since.
+	reportedWaiting messenger.Resources
+	loadReceived    bool
 }
 
 // countLimited changes the number of tasks of a step at the agent, if the step has a limit.
@@ -237,6 +241,7 @@
 	}
 	if f.Load != nil {
 		a.applyLoad(now, g, f.Load)
+		g.loadReceived = true
 		a.spareCPU[g.position] = g.spareCPU()
 	}
 }
--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -34,6 +34,7 @@
 //	crash INSTANCE INCARNATION ID/INDEX[:QUEUE[:RUN-TIME]]...  reports that an upstream crashed under tasks
 //	crash-uncertain ...                      the same, not certain for the runs
 //	queue NAME                               sets the queue of the jobs that are submitted next
+//	stamps                                   prints what waits, as told to agents with each frame from then on
 //	log                                      prints decisions about crashes and hazards from then on
 //	step TASKS CPU DECLARED LABEL            adds a step to the next jobs, which starts after the others are done
 //	max-per-upstream N                       bounds the tasks of the next jobs at one upstream; 0 sets no limit
@@ -95,6 +96,7 @@
 	unread         time.Duration
 	dataCentre     string          // dataCentre is that of the agents that connect next.
 	gone           map[uint64]bool // gone has the tickets of the callers whose connections have ended.
+	stamps         bool            // stamps is set if what waits, as told to agents, is printed.
 	logged         bool            // logged is set if decisions about crashes and hazards are printed.
 }
 
@@ -122,6 +124,8 @@
 		s.assigner.AgentDown(s.now, s.peer(a[0]))
 	case "load":
 		s.load(a)
+	case "stamps":
+		s.stamps = true
 	case "beat":
 		for _, instance := range a {
 			s.assigner.Receive(s.now, s.peer(instance), &messenger.Frame{Stamp: &messenger.Stamp{Clock: s.now}})
@@ -272,6 +276,9 @@
 	out := s.assigner.Advance(s.now)
 	for _, send := range out.Sends {
 		instance, _, _ := strings.Cut(string(send.To), ".")
+		if s.stamps {
+			fmt.Fprintf(&s.out, "waiting told to %s: %d\n", instance, send.Frame.Stamp.Waiting.MilliCPU)
+		}
 		for _, l := range send.Frame.Launches {
 			s.launchesSeen[instance]++
 			fmt.Fprintf(&s.out, "launch at %s: %s/%d run %d\n", instance, l.Task.Job, l.Task.Index, l.Run)
--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -405,15 +405,18 @@
 
 // send adds the frames for the agents to the output.
 func (a *Assigner) send(now time.Duration) {
+	waiting := a.waitingResources(now)
 	for _, g := range a.order {
-		if len(g.launches)+len(g.withdraws) == 0 && !a.heartbeatDue(now, g) {
+		w := waiting[g.load.Service]
+		if len(g.launches)+len(g.withdraws) == 0 && !a.heartbeatDue(now, g) && !a.mustDecline(now, g, w) {
 			continue
 		}
 		f := &messenger.Frame{
 			Launches: g.launches, Withdraws: g.withdraws,
-			Stamp: &messenger.Stamp{Clock: now, Echo: g.lastClock},
+			Stamp: &messenger.Stamp{Clock: now, Echo: g.lastClock, Waiting: w},
 		}
 		g.launches, g.withdraws, g.lastSent, g.lastEcho = nil, nil, now, g.lastClock
+		g.reportedWaiting, g.loadReceived = w, false
 		a.out.Sends = append(a.out.Sends, Send{To: g.peer, Frame: f})
 	}
 }
--- a/internal/messenger/ephemeral.go
+++ b/internal/messenger/ephemeral.go
@@ -237,4 +237,7 @@
 type Stamp struct {
 	Clock time.Duration `cbor:"1,keyasint"`
 	Echo  time.Duration `cbor:"2,keyasint,omitempty"`
+	// Waiting is what the tasks need that wait at an entry and can still be in time. Agents offer capacity
+	// that becomes free to entries by it. A stamp without it says that nothing waits.
+	Waiting Resources `cbor:"3,keyasint,omitempty"`
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -148,7 +148,9 @@
 	// countedJobs has the jobs whose failures were counted most recently.
 	countedJobs [8]string
 	nextCounted int
-	out         Output
+	// freed has the capacity that may be offered at the next call of Take.
+	freed []freedCapacity
+	out   Output
 }
 
 // New returns a runner that knows no upstream. The process of the agent starts at the given
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -31,6 +31,7 @@
 //	rests                                   sets the idle limits; must be the first line
 //	short-leases                            sets short leases; must be the first line
 //	withdraw ENTRY ECHO JOB RUN
+//	waits ENTRY ECHO CPU                    a frame without launches; from then on so much waits at the entry
 //	repeat JOB RUN                          a start without an answer is about to be sent again
 //	answer JOB RUN ANSWER [again]           answers a start; again if it was a retry
 //	stopped JOB RUN true|false              answers a stop
@@ -45,7 +46,7 @@
 //	may-connect                             prints whether entries may be connected
 func TestScripts(t *testing.T) {
 	scripter.Run(t, "testdata/*.txtar", func(t *testing.T, lines []scripter.Line) string {
-		s := &script{t: t, runner: New(0, testLimits)}
+		s := &script{t: t, runner: New(0, testLimits), waiting: make(map[string]int64)}
 		for _, l := range lines {
 			s.line(l)
 		}
@@ -61,6 +62,8 @@
 	loads  bool // loads is set if load reports are printed.
 	leases bool // leases is set if the ends of the leases of starts are printed.
 	cold   time.Duration
+	// waiting is what waits at each entry, in thousandths of a core.
+	waiting map[string]int64
 }
 
 func (s *script) line(l scripter.Line) {
@@ -89,7 +92,7 @@
 		s.runner.EntryUp(s.now, messenger.Peer(a[0]))
 	case "down":
 		s.runner.EntryDown(s.now, messenger.Peer(a[0]))
-	case "launch", "launch-more", "withdraw":
+	case "launch", "launch-more", "withdraw", "waits":
 		s.receive(l)
 	case "answer":
 		s.runner.Started(s.now, StartCall{Task: task0(a[0]), Run: uint64(scripter.Number(s.t, a[1]))}, Answer(a[2]), len(a) > 3)
@@ -137,7 +140,14 @@
 
 func (s *script) receive(l scripter.Line) {
 	a := l.Args
-	f := &messenger.Frame{Stamp: &messenger.Stamp{Clock: s.now, Echo: scripter.Duration(s.t, a[1])}}
+	if l.Verb == "waits" {
+		s.waiting[a[0]] = scripter.Number(s.t, a[2])
+	}
+	f := &messenger.Frame{Stamp: &messenger.Stamp{Clock: s.now, Echo: scripter.Duration(s.t, a[1]), Waiting: messenger.Resources{MilliCPU: s.waiting[a[0]]}}}
+	if l.Verb == "waits" {
+		s.runner.Receive(s.now, messenger.Peer(a[0]), f)
+		return
+	}
 	run := uint64(scripter.Number(s.t, a[3]))
 	if l.Verb == "withdraw" {
 		f.Withdraws = []messenger.Withdraw{{Task: task0(a[2]), Run: run}}
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -31,6 +31,13 @@
 	reportedLoad messenger.Resources
 	sentAt       time.Duration // sentAt is when the latest frame was sent.
 	closed       bool          // closed is set once the session has ended.
+	// waiting is what waits at the entry, by its latest stamp; nothing after an offer in vain. credit is how
+	// much less than its share the session was offered, in thousandths of a core.
+	waiting messenger.Resources
+	credit  float64
+	offers  []offer // offers are those that have not ended, the oldest first.
+	// reportAtOnce is set if the load must be reported to the entry at once because of an offer.
+	reportAtOnce bool
 }
 
 // EntryUp begins the session of an entry.
@@ -63,6 +70,7 @@
 	}
 	s.closed = true
 	delete(r.sessions, s.peer)
+	r.endOffers(s, now, messenger.Resources{})
 	if s.tasks > 0 {
 		r.logDecision(Decision{Event: "session-tasks-stopped", Reason: reason, Age: now - s.echoed})
 	}
@@ -82,6 +90,7 @@
 	if f.Stamp != nil {
 		s.entryStamp = max(s.entryStamp, f.Stamp.Clock)
 		s.echoed = max(s.echoed, f.Stamp.Echo)
+		s.waiting = f.Stamp.Waiting
 	}
 	if r.sinceEcho(now, s) > r.limits.LivenessTimeout {
 		// A frame that was delayed in transit must not start anything.
@@ -91,10 +100,14 @@
 	for i := range f.Withdraws {
 		r.withdraw(now, s, &f.Withdraws[i])
 	}
+	var launched messenger.Resources
 	for i := range f.Launches {
 		s.launchesReceived++
+		launched = launched.Add(f.Launches[i].Resources)
 		r.launch(now, s, &f.Launches[i])
 	}
+	// An entry that has received an offer uses what it can in its next frame.
+	r.endOffers(s, s.echoed, launched)
 	s.loadChanged = s.loadChanged || len(f.Launches) > 0
 }
 
--- a/internal/runner/take.go
+++ b/internal/runner/take.go
@@ -178,6 +178,7 @@
 	r.retryStops(now)
 	r.advanceWarmUp(now)
 	r.startWaiting(now)
+	r.offerFreed(now)
 	r.report(now)
 	out := r.out
 	r.out = Output{}
@@ -312,17 +313,17 @@
 		if s.idleFor(now, r.limits.IdleThreshold) {
 			beatEvery = max(beatEvery, r.limits.IdleHeartbeatInterval)
 		}
-		if len(s.ends)+len(s.crashes) == 0 && since < beatEvery && !due {
+		if len(s.ends)+len(s.crashes) == 0 && since < beatEvery && !due && !s.reportAtOnce {
 			continue
 		}
 		f := &messenger.Frame{Ends: s.ends, Crashes: crashMessages(now, s.crashes), Stamp: &messenger.Stamp{Clock: now, Echo: s.entryStamp}}
 		f.OutstandingStarts = outstandingMessages(now, s.outstanding)
-		if s.reportDue || s.loadChanged {
+		if s.reportDue || s.loadChanged || s.reportAtOnce {
 			f.Load = r.load(now, s)
 			s.reportedLoad = f.Load.Used.Add(f.Load.Queued)
 		}
 		s.outstanding = nil
-		s.ends, s.crashes, s.reportDue, s.loadChanged, s.sentAt = nil, nil, false, false, now
+		s.ends, s.crashes, s.reportDue, s.loadChanged, s.reportAtOnce, s.sentAt = nil, nil, false, false, false, now
 		r.out.Sends = append(r.out.Sends, Send{To: peer, Frame: f})
 	}
 }
@@ -340,7 +341,7 @@
 	if r.upstream == nil {
 		return true
 	}
-	occupied, c := r.used.Add(r.reserved(now)).Add(r.Queued()), r.upstream.Capacity
+	occupied, c := r.occupied(now).Add(r.offeredToOthers(s)), r.upstream.Capacity
 	d, free := occupied.Sub(s.reportedLoad), c.Sub(occupied)
 	return significant(d.MilliCPU, c.MilliCPU, free.MilliCPU) || significant(d.MemoryBytes, c.MemoryBytes, free.MemoryBytes) ||
 		significant(d.Accelerators, c.Accelerators, free.Accelerators)
@@ -364,7 +365,7 @@
 
 func (r *Runner) load(now time.Duration, s *session) *messenger.Load {
 	l := &messenger.Load{
-		Incarnation: r.incarnation.String(), State: r.State(now), Used: r.used.Add(r.reserved(now)), Queued: r.Queued(), LaunchesReceived: s.launchesReceived, RelativeRunTimePercent: r.health.slowdownPercent(now),
+		Incarnation: r.incarnation.String(), State: r.State(now), Used: r.used.Add(r.reserved(now)).Add(r.offeredToOthers(s)), Queued: r.Queued(), LaunchesReceived: s.launchesReceived, RelativeRunTimePercent: r.health.slowdownPercent(now),
 	}
 	if r.upstream != nil {
 		l.Service, l.Capacity, l.Labels = r.upstream.Service, r.upstream.Capacity, r.upstream.Labels
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -353,6 +353,7 @@
 		}
 	} else {
 		r.used = r.used.Sub(t.Resources)
+		r.freed = append(r.freed, freedCapacity{resources: t.Resources})
 		e.RunTime = now - t.startedAt
 	}
 	if !t.session.closed {
