Report capacity that an entry leaves to all entries at once

What an entry did not use of an offer was offered to a second entry before the others were told, for up to 20 ms in all. Now all entries with waiting tasks are told after the first offer.

--- a/internal/runner/offer.go
+++ b/internal/runner/offer.go
@@ -14,32 +14,25 @@
 // Invariants:
 //   - Only entries that report waiting tasks get offers. While nothing waits, reports are as without offers.
 //   - Each offer ends with the first frame whose sender had received it, with the session, or at the first call of
-//     Take that comes offerDuration after it was made. What was not used is offered to one other entry, and
-//     after that reported to all entries with waiting tasks.
+//     Take that comes offerDuration after it was made. What was not used is reported to all entries with waiting
+//     tasks.
 //   - Capacity that is in use, reserved, requested by waiting tasks or offered is not offered.
 //   - An offer reserves nothing: a task of any entry that fits is started.
 
-const (
-	// offerDuration covers a round trip between data centres and the decision of the entry. In trials with 5 and 20
-	// ms, overloaded patterns earned the same within 0.003 of the worth.
-	offerDuration = 10 * time.Millisecond
-	// maxOffers is how often the same capacity is offered. Each offer costs a message, and the capacity is unused
-	// meanwhile.
-	maxOffers = 2
-)
+// offerDuration covers a round trip between data centres and the decision of the entry. In trials with 5 and 20
+// ms, overloaded patterns earned the same within 0.003 of the worth.
+const offerDuration = 10 * time.Millisecond
 
 // offer is capacity that an entry may use before the others are told of it.
 type offer struct {
 	resources messenger.Resources
 	at        time.Duration // at is when it was made.
-	count     int           // count is how often this capacity has been offered.
 }
 
-// freedCapacity is capacity that has become free or was offered in vain since the latest call of Take.
+// freedCapacity is capacity that has become free, or that an entry has not used, since the latest call of Take.
 type freedCapacity struct {
 	resources messenger.Resources
-	count     int      // count is how often it has been offered.
-	last      *session // last is the session that had the latest offer, or nil.
+	offered   bool // offered is whether it was offered. A second offer would leave it unused for longer.
 }
 
 // offerFreed ends the offers that have not been answered in time, and offers the freed capacity.
@@ -68,7 +61,7 @@
 		rest := positive(o.resources.Sub(used))
 		used = positive(used.Sub(o.resources))
 		if rest.MilliCPU > 0 {
-			r.freed = append(r.freed, freedCapacity{resources: rest, count: o.count, last: s})
+			r.freed = append(r.freed, freedCapacity{resources: rest, offered: true})
 		}
 	}
 	s.offers = s.offers[ended:]
@@ -78,7 +71,8 @@
 	return ended > 0
 }
 
-// offer offers freed capacity to the session whose turn it is, if tasks wait at any entry.
+// offer offers capacity that has become free to the session whose turn it is, if tasks wait at any entry. All
+// entries with waiting tasks are told of capacity that was offered before.
 func (r *Runner) offer(now time.Duration, f freedCapacity) {
 	if r.upstream == nil || r.State(now) != messenger.RunnerReady {
 		return
@@ -88,15 +82,15 @@
 	if resources.MilliCPU == 0 {
 		return
 	}
-	if f.count >= maxOffers {
+	if f.offered {
 		r.reportToWaiting()
 		return
 	}
-	s := r.nextInTurn(resources, f.last)
+	s := r.nextInTurn(resources)
 	if s == nil {
 		return
 	}
-	s.offers = append(s.offers, offer{resources: resources, at: now, count: f.count + 1})
+	s.offers = append(s.offers, offer{resources: resources, at: now})
 	s.reportAtOnce = true
 	r.markLoadChanged()
 }
@@ -113,23 +107,17 @@
 // the waiting tasks. In proportion to what waits, data centres with fewer entries were served better than others.
 func (s *session) weight() float64 { return math.Sqrt(float64(max(0, s.waiting.MilliCPU))) }
 
-// nextInTurn returns the session that is offered some resources, or nil if nothing waits at any but the
-// excluded one. Each session is credited its share of the resources by weight, and the one with the most credit
+// nextInTurn returns the session that is offered some resources, or nil if nothing waits at any. Each session is credited its share of the resources by weight, and the one with the most credit
 // is charged for all of them. So the sums of the offers follow the weights, and the choice depends only on what
 // the sessions have reported.
-func (r *Runner) nextInTurn(resources messenger.Resources, excluded *session) *session {
+func (r *Runner) nextInTurn(resources messenger.Resources) *session {
 	sum := 0.0
 	for _, peer := range sortedPeers(r.sessions) {
-		if s := r.sessions[peer]; s != excluded {
-			sum += s.weight()
-		}
+		sum += r.sessions[peer].weight()
 	}
 	var next *session
 	for _, peer := range sortedPeers(r.sessions) {
 		s := r.sessions[peer]
-		if s == excluded {
-			continue
-		}
 		if s.weight() == 0 {
 			s.credit = 0
 			continue
