Count agents that have not been told of evacuations as upstreams

An agent reports evacuated until an entry has told it the state. A job with a limit at each upstream was then taken to run its tasks one after the other, and rejected as too late or as evacuated, after a restart of all processes and while the store was down. It was also rejected as too late while no upstream was known.

Found in review.

--- a/internal/assigner/estimate.go
+++ b/internal/assigner/estimate.go
@@ -46,19 +46,23 @@
 }
 
 // rounds returns how many tasks of a step at least run one after the other, because only
-// MaxPerUpstream of them may run at each upstream.
+// MaxPerUpstream of them may run at each upstream. It returns 1 if no upstream is known.
 func (a *Assigner) rounds(j *job, s *Step) int {
 	if s.MaxPerUpstream == 0 {
 		return 1
 	}
 	upstreams := 0
 	for _, g := range a.order {
-		if g.loadKnown && !g.isEvacuated() && g.load.Service == j.Service && s.matches(&g.load) {
+		// An agent also reports evacuated while it has not been told yet, which does not change the least time.
+		if g.loadKnown && !g.evacuated && g.load.Service == j.Service && s.matches(&g.load) {
 			upstreams++
 		}
 	}
+	if upstreams == 0 {
+		return 1
+	}
 	// The division comes first, since the product may overflow.
-	perUpstream := (s.Count + max(1, upstreams) - 1) / max(1, upstreams)
+	perUpstream := (s.Count + upstreams - 1) / upstreams
 	return (perUpstream-1)/s.MaxPerUpstream + 1
 }
 
