Leave an offer in force when a launch is returned

A launch that the agent returns, for example since it is too large, used up the offer of its entry, and the rest was not reported to the entries where tasks wait. Found in review; no test, since another report is often due at that time. The comment on the reported state says which launches it prevents.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -369,7 +369,7 @@
 	case r.upstream.Leaving || r.closing:
 		return messenger.RunnerLeaving
 	case r.evacuation != evacuationNone:
-		// An entry that has no evacuations would launch the tasks that are returned again, for ever.
+		// Otherwise an entry without evacuations would launch returned tasks here again and again.
 		return messenger.RunnerEvacuated
 	}
 	return r.health.state(now)
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -104,8 +104,9 @@
 	var launched messenger.Resources
 	for i := range f.Launches {
 		s.launchesReceived++
-		launched = launched.Add(f.Launches[i].Resources)
-		r.launch(now, s, &f.Launches[i])
+		if r.launch(now, s, &f.Launches[i]) {
+			launched = launched.Add(f.Launches[i].Resources)
+		}
 	}
 	// An entry that has received an offer uses what it can in its next frame.
 	r.endOffers(s, s.echoed, launched)
@@ -141,7 +142,7 @@
 	r.out.Closes = append(r.out.Closes, s.peer)
 }
 
-func (r *Runner) launch(now time.Duration, s *session, l *messenger.Launch) {
+func (r *Runner) launch(now time.Duration, s *session, l *messenger.Launch) (accepted bool) {
 	t := &task{Launch: *l, session: s, state: stateWaiting, arrivedAt: now}
 	refuseAs := func(kind messenger.EndKind, reason string) {
 		r.logDecision(Decision{Event: "task-returned", Task: l.Task, Run: l.Run, Reason: reason, Age: now - s.echoed})
@@ -175,7 +176,9 @@
 		r.waiting = slices.Insert(r.waiting, at, t)
 		s.reportedLoad = s.reportedLoad.Add(l.Resources)
 		r.markLoadChanged()
+		return true
 	}
+	return false
 }
 
 // heldLaunch is a launch that is returned when an earlier run of its task has ended.
