Bound the attempts for deferred tasks by what they need

A task is now deferred with another one that needs as much and has as much time, and no more than 16 different ones are tried.

Found in review.

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -153,6 +153,7 @@
 	held          int64   // memory of the submissions without an answer, in bytes
 	pending       []*task // tasks that are ready and not scheduled
 	unscheduled   []*task // tasks for which the current pass found no capacity
+	deferred      []*task // tasks that the current pass has deferred
 	gone          []*job  // jobs with tasks that the current pass did not launch because the caller has left
 	unsorted      bool    // whether pending must be sorted by urgency
 	departed      []departedAgent
--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -86,8 +86,8 @@
 // scheduleSelected launches the pending tasks that are selected. It reports whether any
 // was not selected, and for how many of the selected ones there was no capacity.
 func (a *Assigner) scheduleSelected(now time.Duration, selected func(*task) bool) (skipped bool, unscheduled unscheduledTasks) {
-	failedAttempts, failedLimited, deferred := 0, 0, 0
-	a.unscheduled = a.unscheduled[:0]
+	failedAttempts, failedLimited := 0, 0
+	a.unscheduled, a.deferred = a.unscheduled[:0], a.deferred[:0]
 	a.pending = slices.DeleteFunc(a.pending, func(t *task) bool {
 		if !selected(t) {
 			skipped = true
@@ -101,7 +101,12 @@
 			failed = &failedLimited
 		}
 		t.maxWait = a.maxLaunchWait(t)
-		if *failed >= maxFailedAttempts || deferred >= maxFailedAttempts && t.latestStart() >= now || slices.ContainsFunc(a.unscheduled, t.needsAtLeast) {
+		if *failed >= maxFailedAttempts || slices.ContainsFunc(a.unscheduled, t.needsAtLeast) {
+			unscheduled.add(t)
+			return false
+		}
+		if len(a.deferred) >= maxFailedAttempts || slices.ContainsFunc(a.deferred, t.isDeferredWith) {
+			t.deferred = true
 			unscheduled.add(t)
 			return false
 		}
@@ -113,7 +118,7 @@
 			case c.deferred:
 				// Others may use the free capacity that is too slow for this task.
 				t.deferred = true
-				deferred++
+				a.deferred = append(a.deferred, t)
 			default:
 				*failed++
 				a.unscheduled = append(a.unscheduled, t)
@@ -153,13 +158,19 @@
 const maxFailedAttempts = 16
 
 // needsAtLeast reports whether a task needs the same upstreams as another task, at
-// least as many resources and no longer a wait. A limit at each upstream is one more need, which only tasks of
+// least as many resources, and may wait no longer than that one. A limit at each upstream is one more need, which only tasks of
 // the same step share.
 func (t *task) needsAtLeast(o *task) bool {
 	return t.maxWait <= o.maxWait && t.job.Service == o.job.Service && t.step.Label == o.step.Label && o.step.Resources.Fits(t.step.Resources) &&
 		(t.hazardous || !o.hazardous) && t.suspicion == o.suspicion && (o.step.MaxPerUpstream == 0 || t.step == o.step)
 }
 
+// isDeferredWith reports whether a task is deferred if another one is: it needs the same, and has as little time.
+// A difference of launchWait does not matter, so that tasks of jobs that arrive one after the other are alike.
+func (t *task) isDeferredWith(o *task) bool {
+	return t.needsAtLeast(o) && t.expected >= o.expected && t.latestStart() <= o.latestStart()+launchWait
+}
+
 // maxCandidates bounds the number of upstreams with free capacity that are compared for a
 // task and, separately, of those without. More candidates hardly improve the choice, and
 // take more than 2 us.
