--- a/internal/assigner/place.go
+++ b/internal/assigner/place.go
@@ -62,7 +62,7 @@
 	}
 	if a.unsorted {
 		slices.SortStableFunc(a.pending, func(x, y *task) int {
-			return cmp.Or(cmp.Compare(x.job.Priority, y.job.Priority), a.compareBegun(x.job, y.job), cmp.Compare(x.latestStart(), y.latestStart()), x.ref.Compare(y.ref))
+			return cmp.Or(cmp.Compare(x.job.Priority, y.job.Priority), cmp.Compare(a.due(x), a.due(y)), x.ref.Compare(y.ref))
 		})
 		a.unsorted = false
 	}
@@ -260,11 +260,11 @@
 const maxSuspectDivisor = 2
 
 // before reports whether a task that can be in time is scheduled before the tasks of a job.
-func (t *task) before(j *job) bool {
+func (a *Assigner) before(t *task, j *job) bool {
 	if t.job.Priority != j.Priority {
 		return t.job.Priority < j.Priority
 	}
-	return t.latestStart() < j.latestStart()
+	return a.due(t) < j.latestStart()
 }
 
 // matches reports whether an upstream has the label and the capacity for a step.
@@ -361,7 +361,7 @@
 	for _, t := range a.pending {
 		if t.job == j {
 			used = used.Add(t.share)
-		} else if t.latestStart() >= now && t.before(j) && t.hazardous == hazardous {
+		} else if t.latestStart() >= now && a.before(t, j) && t.hazardous == hazardous {
 			// Each other entry is assumed to have as much work waiting.
 			for range a.entries {
 				used = used.Add(t.share)
@@ -390,7 +390,7 @@
 	j := t.job
 	if !j.launched {
 		j.launched, j.launchAt = true, now
-		// The other tasks of the job come before those of jobs that have not begun.
+		// The other tasks of the job are due earlier now.
 		a.unsorted = true
 	}
 	j.lastLaunchAt = now
@@ -418,7 +418,7 @@
 		Task: t.ref, Run: t.run, Payload: j.Payload, Resources: t.step.Resources, Service: j.Service,
 		Urgency:         agentNow + t.latestStart() - now,
 		StartBy:         agentNow + startWithin + age/clockSkewDivisor,
-		MaxWait:         a.maxAgentWait(t, wait),
+		MaxWait:         a.agentWait(t, wait),
 		First:           first,
 		ExpectedRunTime: t.expected, Incarnation: g.load.Incarnation, Failures: t.failures, AllowSuspect: a.allowSuspect(&g.load),
 		Priority: j.Priority, Queue: j.Queue,
--- a/internal/assigner/place_test.go
+++ b/internal/assigner/place_test.go
@@ -66,6 +66,9 @@
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("longest waits at agents (-want +got):\n%s", diff)
 	}
+	if got := a.agentWait(&task{returns: maxWaitDoublings}, urgentLaunchWait); got > maxAgentWait {
+		t.Errorf("a task that is expected to wait at the agent waits there for %v, more than %v", got, maxAgentWait)
+	}
 }
 
 // BenchmarkChoose times the choice of an upstream if most have free capacity and if none
--- a/internal/assigner/wait.go
+++ b/internal/assigner/wait.go
@@ -28,6 +28,9 @@
 	// confinedAgentWait takes the place of takenWait while a queue is hazardous. Few upstreams are then free for
 	// its tasks, and each launch at another one puts more tasks at risk.
 	confinedAgentWait = 25 * time.Millisecond
+
+	// maxAgentWait bounds the time with its doublings.
+	maxAgentWait = 400 * time.Millisecond
 )
 
 // beginMarginPercent is the time before the latest start of a job's first tasks from which jobs with more time
@@ -56,26 +59,23 @@
 	return launchWait
 }
 
-// maxAgentWait returns how long a task may wait at the agent to which it is launched, given the expected wait.
-func (a *Assigner) maxAgentWait(t *task, wait time.Duration) time.Duration {
+// agentWait returns how long a task may wait at the agent to which it is launched, given the expected wait.
+func (a *Assigner) agentWait(t *task, wait time.Duration) time.Duration {
 	longest := takenWait + 2*wait
 	if a.confining {
 		longest = confinedAgentWait
 	}
-	return longest << min(t.returns, maxWaitDoublings)
+	return min(longest<<min(t.returns, maxWaitDoublings), maxAgentWait)
 }
 
-// compareBegun returns a negative number if the tasks of a job come before those of another one with the same
-// priority because it has begun and the other one has not: the work done for a job is lost if one of its tasks
-// is late.
-func (a *Assigner) compareBegun(x, y *job) int {
-	switch {
-	case a.confining || x.launched == y.launched:
-		return 0
-	case x.launched:
-		return -1
+// due returns the time by which the pending tasks of a priority are ordered. It is the latest start, and earlier by the
+// margin for the run time if the job has begun: the work done for it is lost if one of its tasks is late. It is
+// not earlier by more, since a begun job with much time would displace others that are due.
+func (a *Assigner) due(t *task) time.Duration {
+	if t.job.launched && !a.confining {
+		return t.latestStart() - t.expected*beginMarginPercent/100
 	}
-	return 1
+	return t.latestStart()
 }
 
 // isMostUrgent reports whether no queue of the service with recent jobs has a higher priority than a job, and
