--- a/review/standin-3/executor.go
+++ b/review/standin-3/executor.go
@@ -58,12 +58,15 @@
 	label    string // label is its kind.
 	// beats and beatsAcknowledged count the heartbeats.
 	beats, beatsAcknowledged int
+	// onRun is called with 1 at the start of a run and with -1 at its end.
+	onRun func(task string, change int)
 }
 
 func newExecutor(id, service, zone, rack, address, control string, rec *record) *executor {
 	return &executor{
 		id: id, service: service, zone: zone, rack: rack, address: address, control: control, record: rec,
 		born: time.Now(), runs: make(map[string]*run), highest: make(map[string]uint64), changed: make(chan struct{}), label: "a",
+		onRun: func(string, int) {},
 	}
 }
 
@@ -101,6 +104,7 @@
 	}
 	r.over = true
 	delete(e.runs, r.task)
+	e.onRun(r.task, -1)
 	e.highest[r.task] = max(e.highest[r.task], r.number)
 	e.lastEnd++
 	e.ends = append(e.ends, end{e.lastEnd, r.task, r.number, how})
@@ -189,6 +193,7 @@
 		}
 		x := &run{task: o.Task, number: o.RunID, began: time.Now(), lasts: time.Duration(ms) * time.Millisecond}
 		e.runs[o.Task] = x
+		e.onRun(x.task, 1)
 		e.record.line("start", "executor", e.id, "task", o.Task, "run", o.RunID, "spec", o.Spec)
 		time.AfterFunc(x.lasts, func() {
 			e.mu.Lock()
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -27,7 +27,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(cannotRun)
 	}
-	cases := map[string]func(c *setting) int{"cancels": cancels, "crowd": crowd, "large": large, "odd": odd}
+	cases := map[string]func(c *setting) int{"cancels": cancels, "crowd": crowd, "large": large, "odd": odd, "silent": silent}
 	run := cases[*name]
 	if run == nil {
 		fmt.Fprintf(os.Stderr, "no case %q\n", *name)
