--- a/review/standin-3/cancels.go
+++ b/review/standin-3/cancels.go
@@ -12,7 +12,7 @@
 // for good. From contactMs and ackMs after that on it counts the cancels that get no 2xx or 410 within ackMs,
 // although clients try the entries that live in turn.
 func cancels(s *setting) int {
-	f, err := newFleet(s.program, s.dir, 3, 4, s.record)
+	f, err := s.newFleet()
 	if err != nil {
 		return s.verdict(cannotRun, "the platform does not start: %v", err)
 	}
@@ -20,12 +20,6 @@
 	if err := f.startAll(); err != nil {
 		return s.verdict(cannotRun, "the programs do not start: %v", err)
 	}
-	for _, m := range f.entries {
-		if !f.ready(m, 15*time.Second) {
-			return s.verdict(cannotRun, "%s is not ready", m.name)
-		}
-	}
-	time.Sleep(3 * time.Second)
 	if s.trouble {
 		lost := f.entries[0]
 		for _, p := range f.proxies {
--- a/review/standin-3/crowd.go
+++ b/review/standin-3/crowd.go
@@ -25,7 +25,7 @@
 // wait for the answers. The jobs are for executors of kind b, of which there is one, one after the other. Beside them
 // sound clients hand in jobs for executors of kind a, which are idle, and try again as the pages say.
 func crowd(s *setting) int {
-	f, err := newFleet(s.program, s.dir, 3, 4, s.record)
+	f, err := s.newFleet()
 	if err != nil {
 		return s.verdict(cannotRun, "the platform does not start: %v", err)
 	}
@@ -34,12 +34,6 @@
 	if err := f.startAll(); err != nil {
 		return s.verdict(cannotRun, "the programs do not start: %v", err)
 	}
-	for _, m := range f.entries {
-		if !f.ready(m, 15*time.Second) {
-			return s.verdict(cannotRun, "%s is not ready", m.name)
-		}
-	}
-	time.Sleep(3 * time.Second)
 	ctx, cancel := context.WithTimeout(context.Background(), 80*time.Second)
 	defer cancel()
 	var open, answered atomic.Int64
--- a/review/standin-3/executor.go
+++ b/review/standin-3/executor.go
@@ -22,12 +22,11 @@
 
 // run is one run of a task at an executor.
 type run struct {
-	task    string
-	number  uint64
-	began   time.Time
-	lasts   time.Duration
-	outcome string
-	over    bool
+	task   string
+	number uint64
+	began  time.Time
+	lasts  time.Duration
+	over   bool
 }
 
 // end is a row of the ended runs.
@@ -178,38 +177,9 @@
 	e.extend(o.DeadlineMs)
 	switch path {
 	case "/api/run-start":
-		if x := e.runs[o.Task]; x != nil && x.number == o.RunID {
-			return http.StatusOK, ""
-		}
-		if o.RunID <= e.highest[o.Task] {
-			return http.StatusConflict, "old"
-		}
-		if o.DeadlineMs > 0 && time.Duration(o.DeadlineMs)*time.Millisecond <= e.clock() {
-			return http.StatusConflict, "late"
-		}
-		ms, err := strconv.Atoi(o.Spec)
-		if err != nil || ms < 1 {
-			return http.StatusBadRequest, ""
-		}
-		x := &run{task: o.Task, number: o.RunID, began: time.Now(), lasts: time.Duration(ms) * time.Millisecond}
-		e.runs[o.Task] = x
-		e.onRun(x.task, 1)
-		e.record.line("start", "executor", e.id, "task", o.Task, "run", o.RunID, "spec", o.Spec)
-		time.AfterFunc(x.lasts, func() {
-			e.mu.Lock()
-			defer e.mu.Unlock()
-			e.lapse()
-			e.finish(x, "done")
-		})
+		return e.start(o)
 	case "/api/run-stop":
-		e.highest[o.Task] = max(e.highest[o.Task], o.RunID)
-		if x := e.runs[o.Task]; x != nil && x.number <= o.RunID {
-			time.AfterFunc(stopTime, func() {
-				e.mu.Lock()
-				defer e.mu.Unlock()
-				e.finish(x, "stopped")
-			})
-		}
+		e.stop(o)
 	case "/api/hold":
 		for len(e.ends) > 0 && e.ends[0].number <= o.AckCursor {
 			e.ends = e.ends[1:]
@@ -220,6 +190,48 @@
 	return http.StatusOK, ""
 }
 
+// start carries out the start of a run. The lock is held.
+func (e *executor) start(o order) (status int, reason string) {
+	if x := e.runs[o.Task]; x != nil && x.number == o.RunID {
+		return http.StatusOK, ""
+	}
+	if o.RunID <= e.highest[o.Task] {
+		return http.StatusConflict, "old"
+	}
+	if o.DeadlineMs > 0 && time.Duration(o.DeadlineMs)*time.Millisecond <= e.clock() {
+		return http.StatusConflict, "late"
+	}
+	ms, err := strconv.Atoi(o.Spec)
+	if err != nil || ms < 1 {
+		return http.StatusBadRequest, ""
+	}
+	x := &run{task: o.Task, number: o.RunID, began: time.Now(), lasts: time.Duration(ms) * time.Millisecond}
+	e.runs[o.Task] = x
+	e.onRun(x.task, 1)
+	e.record.line("start", "executor", e.id, "task", o.Task, "run", o.RunID, "spec", o.Spec)
+	time.AfterFunc(x.lasts, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.lapse()
+		e.finish(x, "done")
+	})
+	return http.StatusOK, ""
+}
+
+// stop carries out the stop of a run, which takes some time. The lock is held.
+func (e *executor) stop(o order) {
+	e.highest[o.Task] = max(e.highest[o.Task], o.RunID)
+	x := e.runs[o.Task]
+	if x == nil || x.number > o.RunID {
+		return
+	}
+	time.AfterFunc(stopTime, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.finish(x, "stopped")
+	})
+}
+
 // announce sends one heartbeat and returns the status of its answer.
 func (e *executor) announce(ctx context.Context, client *http.Client, service string, seq int) (status int, err error) {
 	e.mu.Lock()
--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -60,6 +61,12 @@
 
 func zone(i int) string { return "ub-" + string(rune('a'+i%zones)) }
 
+// startTime is the longest time until an entry is ready.
+const startTime = 15 * time.Second
+
+// newFleet returns the deployment of a case: three entries and four agents.
+func (s *setting) newFleet() (*fleet, error) { return newFleet(s.program, s.dir, 3, 4, s.record) }
+
 // newFleet chooses addresses and starts the platform: the store, the executors and the proxies.
 func newFleet(program, dir string, entries, agents int, rec *record) (*fleet, error) {
 	f := &fleet{program: program, dir: dir, record: rec, store: newStore()}
@@ -109,7 +116,7 @@
 		m.settings = filepath.Join(dir, fmt.Sprintf("agent-%d.toml", i))
 		go e.beat(ctx)
 	}
-	for _, m := range append(append([]*machine{}, f.entries...), f.agents...) {
+	for _, m := range f.machines() {
 		if err := os.WriteFile(m.settings, []byte(f.settings(m)), 0o600); err != nil {
 			return nil, err
 		}
@@ -204,15 +211,25 @@
 	return out.Close()
 }
 
+// startAll starts all programs, and waits until they serve and some time more.
 func (f *fleet) startAll() error {
-	for _, m := range append(append([]*machine{}, f.entries...), f.agents...) {
+	for _, m := range f.machines() {
 		if err := f.start(m); err != nil {
 			return err
 		}
 	}
+	for _, m := range f.entries {
+		if !f.ready(m, startTime) {
+			return fmt.Errorf("%s is not ready", m.name)
+		}
+	}
+	time.Sleep(contactMs * time.Millisecond)
 	return nil
 }
 
+// machines returns the machines of the system.
+func (f *fleet) machines() []*machine { return slices.Concat(f.entries, f.agents) }
+
 // end ends the process of a machine that has one.
 func (m *machine) end(s os.Signal) {
 	if m.cmd == nil {
@@ -236,7 +253,7 @@
 
 func (f *fleet) endAll() {
 	f.stop()
-	for _, m := range append(append([]*machine{}, f.entries...), f.agents...) {
+	for _, m := range f.machines() {
 		m.end(syscall.SIGKILL)
 	}
 }
--- a/review/standin-3/large.go
+++ b/review/standin-3/large.go
@@ -21,7 +21,7 @@
 // large lets a few clients hand in jobs of the largest size, whose first task takes long. The others of each job
 // wait for it. Beside them sound clients hand in small jobs, for which nearly all of the capacity is free.
 func large(s *setting) int {
-	f, err := newFleet(s.program, s.dir, 3, 4, s.record)
+	f, err := s.newFleet()
 	if err != nil {
 		return s.verdict(cannotRun, "the platform does not start: %v", err)
 	}
@@ -29,12 +29,6 @@
 	if err := f.startAll(); err != nil {
 		return s.verdict(cannotRun, "the programs do not start: %v", err)
 	}
-	for _, m := range f.entries {
-		if !f.ready(m, 15*time.Second) {
-			return s.verdict(cannotRun, "%s is not ready", m.name)
-		}
-	}
-	time.Sleep(3 * time.Second)
 	ctx, cancel := context.WithTimeout(context.Background(), 80*time.Second)
 	defer cancel()
 	c := newClient(f)
--- a/review/standin-3/odd.go
+++ b/review/standin-3/odd.go
@@ -13,7 +13,7 @@
 // odd sends one heartbeat of another writer to each agent: that of the executor there, but of a service that is
 // named nowhere. The executors go on sending theirs. Sound clients hand in jobs.
 func odd(s *setting) int {
-	f, err := newFleet(s.program, s.dir, 3, 4, s.record)
+	f, err := s.newFleet()
 	if err != nil {
 		return s.verdict(cannotRun, "the platform does not start: %v", err)
 	}
@@ -21,12 +21,6 @@
 	if err := f.startAll(); err != nil {
 		return s.verdict(cannotRun, "the programs do not start: %v", err)
 	}
-	for _, m := range f.entries {
-		if !f.ready(m, 15*time.Second) {
-			return s.verdict(cannotRun, "%s is not ready", m.name)
-		}
-	}
-	time.Sleep(3 * time.Second)
 	ctx, cancel := context.WithTimeout(context.Background(), 80*time.Second)
 	defer cancel()
 	if s.trouble {
--- a/review/standin-3/proxy.go
+++ b/review/standin-3/proxy.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 )
@@ -50,7 +51,7 @@
 
 func (p *proxy) serve(c net.Conn) {
 	p.mu.Lock()
-	selfDark := contains(p.dark, p.self)
+	selfDark := slices.Contains(p.dark, p.self)
 	p.mu.Unlock()
 	if selfDark {
 		// The machine does not answer. The connection stays open until the end of the script.
@@ -76,33 +77,29 @@
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
-		if isClient && n > 0 {
-			k.mu.Lock()
-			if len(k.sent) < keptBytes {
-				k.sent = append(k.sent, buf[:n]...)
-			}
-			k.mu.Unlock()
+		if isClient {
+			k.keep(buf[:n])
 		}
-		if k.lost.Load() {
-			if err != nil {
-				return
-			}
-			continue
+		if err == nil && !k.lost.Load() {
+			_, err = to.Write(buf[:n])
 		}
-		if n > 0 {
-			if _, werr := to.Write(buf[:n]); werr != nil {
-				_ = from.Close()
-				_ = to.Close()
-				return
-			}
+		if err == nil {
+			continue
 		}
-		if err != nil {
-			if !k.lost.Load() {
-				_ = from.Close()
-				_ = to.Close()
-			}
-			return
+		if !k.lost.Load() {
+			_ = from.Close()
+			_ = to.Close()
 		}
+		return
+	}
+}
+
+// keep keeps the beginning of what the client sent.
+func (k *link) keep(b []byte) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.sent) < keptBytes {
+		k.sent = append(k.sent, b...)
 	}
 }
 
@@ -145,12 +142,3 @@
 	}
 	return n
 }
-
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
--- a/review/standin-3/silent.go
+++ b/review/standin-3/silent.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strconv"
 	"sync"
 	"time"
@@ -18,6 +19,8 @@
 	// silentTime is the time after which the dialling side of a silent connection notices it, by its
 	// TCP_USER_TIMEOUT. The kernel that stands for the network acknowledges all bytes, so the script ends it then.
 	silentTime = 2 * time.Second
+	// breakDelay is the time from a request to the break of its client's connection.
+	breakDelay = 300 * time.Millisecond
 	// resubmitDelay is RetryDelayMs.
 	resubmitDelay = 1300 * time.Millisecond
 )
@@ -26,7 +29,7 @@
 // connection breaks, and it hands the job in again at another entry, as the pages say. It counts the tasks with two
 // runs at the same time.
 func silent(s *setting) int {
-	f, err := newFleet(s.program, s.dir, 3, 4, s.record)
+	f, err := s.newFleet()
 	if err != nil {
 		return s.verdict(cannotRun, "the platform does not start: %v", err)
 	}
@@ -46,43 +49,13 @@
 	if err := f.startAll(); err != nil {
 		return s.verdict(cannotRun, "the programs do not start: %v", err)
 	}
-	for _, m := range f.entries {
-		if !f.ready(m, 15*time.Second) {
-			return s.verdict(cannotRun, "%s is not ready", m.name)
-		}
-	}
-	time.Sleep(3 * time.Second)
-	c := newClient(f)
-	ctx := context.Background()
-	steps := []step{{Count: 2, CPU: 1600, MemMb: 64, EstRuntimeMs: silentRunMs}}
 	second := 0
-	for round := range silentRounds {
-		first, other := f.entries[round%3], f.entries[(round+1)%3]
-		id := newID()
-		body, _ := json.Marshal(map[string]any{"Spec": strconv.Itoa(silentRunMs), "BestEffort": true, "Steps": steps})
-		if s.trouble {
-			s.record.line("silent", "entry", first.name, "links", f.silence(first.name))
-		}
-		conn, err := breakableConn(f.at(first.ip, frontOff))
+	for n := range silentRounds {
+		status, err := f.silentRound(s, f.entries[n%3], f.entries[(n+1)%3])
 		if err != nil {
 			return s.verdict(cannotRun, "%v", err)
 		}
-		s.record.line("send", "method", "POST", "to", first.name, "job", id)
-		_, _ = fmt.Fprintf(conn, "POST %s%s HTTP/1.1\r\nHost: %s\r\nX-Deadline-Ms: 8500\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", prefix, id, host, len(body), body)
-		time.Sleep(300 * time.Millisecond)
-		s.record.line("broken", "to", first.name, "job", id)
-		_ = conn.Close()
-		time.Sleep(resubmitDelay)
-		done := make(chan int, 1)
-		go func() {
-			status, _ := c.submit(ctx, other, id, silentRunMs, steps, 8500*time.Millisecond)
-			done <- status
-		}()
-		if s.trouble {
-			time.Sleep(silentTime - resubmitDelay - 300*time.Millisecond)
-			f.endSilence()
-		}
-		if status := <-done; status == 200 {
+		if status == http.StatusOK {
 			second++
 		}
 		time.Sleep(contactMs * time.Millisecond)
@@ -96,6 +69,36 @@
 	return s.verdict(held, "%s", text)
 }
 
+// silentRound hands a job in at one entry and, after its connection has broken, at another one. It returns the status of
+// the second submission.
+func (f *fleet) silentRound(s *setting, first, other *machine) (status int, err error) {
+	steps := []step{{Count: 2, CPU: 1600, MemMb: 64, EstRuntimeMs: silentRunMs}}
+	id := newID()
+	body, err := json.Marshal(map[string]any{"Spec": strconv.Itoa(silentRunMs), "BestEffort": true, "Steps": steps})
+	if err != nil {
+		return 0, err
+	}
+	if s.trouble {
+		s.record.line("silent", "entry", first.name, "links", f.silence(first.name))
+		time.AfterFunc(silentTime, f.endSilence)
+	}
+	conn, err := breakableConn(f.at(first.ip, frontOff))
+	if err != nil {
+		return 0, err
+	}
+	s.record.line("send", "method", "POST", "to", first.name, "job", id)
+	_, err = fmt.Fprintf(conn, "POST %s%s HTTP/1.1\r\nHost: %s\r\nX-Deadline-Ms: 8500\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", prefix, id, host, len(body), body)
+	if err != nil {
+		return 0, err
+	}
+	time.Sleep(breakDelay)
+	s.record.line("broken", "to", first.name, "job", id)
+	_ = conn.Close()
+	time.Sleep(resubmitDelay)
+	status, _ = newClient(f).submit(context.Background(), other, id, silentRunMs, steps, 8500*time.Millisecond)
+	return status, nil
+}
+
 // silence makes the open connections between an entry and the others carry nothing any more. It returns their number.
 func (f *fleet) silence(entry string) (n int) {
 	for _, p := range f.proxies {
